Build the whole path thin, over real HTTP

Cause: nothing existed. Change: the core (rules, dispatch, placement, limits, retry), ports, adapters over hypercorn and httpx, the router daemon, the operators' tool with check and apply, stand-ins for engine, service, key-value service and host list, a client, a demo and tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: setup demo test check format lint types lock wheel
+
+setup: $(STAMP)
+
+$(STAMP): requirements-dev.lock
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --require-hashes -r requirements-dev.lock
+	touch $(STAMP)
+
+demo: setup
+	$(PY) scripts/demo.py
+
+test: setup
+	$(PY) -m pytest
+
+format: setup
+	$(PY) -m black --check --quiet . || \
+		{ $(PY) -m black --diff --quiet .; exit 1; }
+
+lint: setup
+	$(PY) -m flake8
+
+types: setup
+	$(PY) -m mypy
+
+check: format lint types test
+
+lock:
+	$(VENV)/bin/pip-compile --quiet --generate-hashes --no-emit-index-url \
+		--no-emit-find-links --allow-unsafe --strip-extras \
+		-o requirements-dev.lock requirements-dev.in
+	$(VENV)/bin/pip-compile --quiet --generate-hashes --no-emit-index-url \
+		--no-emit-find-links --allow-unsafe --strip-extras \
+		-c requirements-dev.lock -o requirements.lock requirements.in
+
+wheel: setup
+	$(PY) -m pip wheel --no-deps --quiet -w dist .
--- /dev/null
+++ b/corianderdoor/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over real protocols."""
--- /dev/null
+++ b/corianderdoor/adapters/serving.py
@@ -0,0 +1,54 @@
+"""Serving ASGI applications on bound sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+import socket
+from typing import Any
+
+import hypercorn.asyncio
+from hypercorn.config import Config
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+LISTEN_BACKLOG = 1024
+KEEP_ALIVE_S = 75
+
+
+def bind_socket(host: str, port: int) -> socket.socket:
+    """Returns a bound TCP socket; port 0 takes any free port."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
+
+
+async def serve(
+    app: App,
+    sock: socket.socket,
+    stop: Callable[[], Awaitable[None]],
+    graceful_s: float,
+) -> None:
+    """Serves `app` over HTTP/1.1 and HTTP/2 until `stop` returns.
+
+    Args:
+        app: The ASGI application.
+        sock: A bound socket; it is closed at the end.
+        stop: Returns when the server has to stop accepting.
+        graceful_s: How long requests in progress may go on, in s.
+    """
+    cfg = Config()
+    cfg.bind = [f"fd://{sock.detach()}"]
+    cfg.backlog = LISTEN_BACKLOG
+    cfg.keep_alive_timeout = KEEP_ALIVE_S
+    cfg.graceful_timeout = graceful_s
+    cfg.accesslog = None
+    cfg.errorlog = None
+    await hypercorn.asyncio.serve(
+        app, cfg, shutdown_trigger=stop  # type: ignore[arg-type]
+    )
--- /dev/null
+++ b/corianderdoor/client.py
@@ -0,0 +1,147 @@
+"""A small client that finds entry hosts and keeps to them."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from typing import Final
+
+from expression import Error, Ok, Result
+import httpx
+import msgspec
+
+from .core.clock import Clock, SystemClock
+from .core.errors import Fault, Kind
+
+ADDRESS_PATH: Final = "/corianderdoor/v1/address"
+MAX_REDIRECTS: Final = 3
+
+
+class _Host(msgspec.Struct):
+    name: str
+    address: str
+
+
+class _Answer(msgspec.Struct):
+    hosts: list[_Host]
+    valid_ms: int
+
+
+class Client:
+    """Asks for addresses, keeps them for their validity, moves on.
+
+    A request that no entry host accepted moves to the next one. A request
+    of which a byte may have been written is never sent again; the caller
+    gets the error of the HTTP library and decides.
+    """
+
+    __slots__ = ("_seeds", "_workspace", "_clock", "_http", "_kept")
+
+    def __init__(
+        self,
+        seeds: list[str],
+        workspace: str,
+        clock: Clock | None = None,
+        http: httpx.AsyncClient | None = None,
+    ) -> None:
+        self._seeds = seeds
+        self._workspace = workspace
+        self._clock = clock or SystemClock()
+        self._http = http or httpx.AsyncClient(
+            trust_env=False, max_redirects=MAX_REDIRECTS
+        )
+        self._kept: dict[str, tuple[int, list[str]]] = {}
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        path: str,
+        chat: str = "",
+        headers: Mapping[str, str] | None = None,
+        content: bytes = b"",
+        timeout_s: float = 60.0,
+    ) -> AsyncIterator[httpx.Response]:
+        """Sends a request and yields its response while it streams.
+
+        Raises:
+            httpx.HTTPError: No entry host could be reached, or the
+                exchange broke.
+        """
+        sent = {"corianderdoor-workspace": self._workspace, **(headers or {})}
+        if chat:
+            sent["corianderdoor-chat"] = chat
+        addresses = await self._find(chat)
+        for number, address in enumerate(addresses, start=1):
+            req = self._http.build_request(
+                method,
+                address + path,
+                headers=sent,
+                content=content,
+                timeout=timeout_s,
+            )
+            try:
+                resp = await self._http.send(
+                    req, stream=True, follow_redirects=True
+                )
+            except (httpx.ConnectError, httpx.ConnectTimeout):
+                self._kept.pop(chat, None)
+                if number == len(addresses):
+                    raise
+                continue
+            try:
+                yield resp
+            finally:
+                await resp.aclose()
+            return
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        chat: str = "",
+        headers: Mapping[str, str] | None = None,
+        content: bytes = b"",
+        timeout_s: float = 60.0,
+    ) -> httpx.Response:
+        """Sends a request and returns its response, read whole."""
+        async with self.stream(
+            method, path, chat, headers, content, timeout_s
+        ) as resp:
+            await resp.aread()
+            return resp
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self._http.aclose()
+
+    async def _find(self, chat: str) -> list[str]:
+        kept = self._kept.get(chat)
+        if kept is not None and kept[0] > self._clock.now_ms():
+            return kept[1]
+        for seed in self._seeds:
+            match await self._ask(seed, chat):
+                case Result(tag="ok", ok=answer):
+                    addresses = [host.address for host in answer.hosts]
+                    until_ms = self._clock.now_ms() + answer.valid_ms
+                    self._kept[chat] = (until_ms, addresses)
+                    return addresses
+                case _:
+                    continue
+        raise httpx.ConnectError("no entry host answered the address request")
+
+    async def _ask(self, seed: str, chat: str) -> Result[_Answer, Fault]:
+        try:
+            resp = await self._http.get(
+                seed + ADDRESS_PATH, params={"chat": chat}
+            )
+            resp.raise_for_status()
+            answer = msgspec.json.decode(resp.content, type=_Answer)
+        except (httpx.HTTPError, msgspec.MsgspecError) as exc:
+            detail = f"{type(exc).__name__}: {exc}"
+            return Error(Fault(Kind.PEER_FAILED, "ask-address", detail, seed))
+        if not answer.hosts:
+            return Error(
+                Fault(Kind.NOT_READY, "ask-address", "no entry host", seed)
+            )
+        return Ok(answer)
--- /dev/null
+++ b/corianderdoor/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the router fleet, free of input and output."""
--- /dev/null
+++ b/corianderdoor/core/clock.py
@@ -0,0 +1,56 @@
+"""The clock type: every time in the package is a count of milliseconds."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+NS_PER_MS = 1_000_000
+MS_PER_SECOND = 1_000
+
+
+class Clock(Protocol):
+    """A source of monotonic and wall-clock time, both in ms."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in ms, for intervals and timeouts."""
+
+    def wall_ms(self) -> int:
+        """Returns time since the Unix epoch in ms, for civil time."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    __slots__ = ()
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in ms."""
+        return time.monotonic_ns() // NS_PER_MS
+
+    def wall_ms(self) -> int:
+        """Returns time since the Unix epoch in ms."""
+        return time.time_ns() // NS_PER_MS
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and replays."""
+
+    __slots__ = ("_now_ms", "_wall_ms")
+
+    def __init__(self, now_ms: int = 0, wall_ms: int = 0) -> None:
+        self._now_ms = now_ms
+        self._wall_ms = wall_ms
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in ms."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Returns time since the Unix epoch in ms."""
+        return self._wall_ms
+
+    def advance(self, delta_ms: int) -> None:
+        """Moves both readings forward by `delta_ms`."""
+        self._now_ms += delta_ms
+        self._wall_ms += delta_ms
--- /dev/null
+++ b/corianderdoor/core/messages.py
@@ -0,0 +1,220 @@
+"""Typed requests, events and actions of the request path."""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeAlias
+
+from .errors import Fault
+from .records import Record
+from .topology import Server
+
+
+class Req(Record):
+    """A caller's request as the core sees it; the body stays outside.
+
+    Attributes:
+        id: Request id, unique per caller's attempt.
+        workspace: The caller's workspace.
+        chat: Chat id, empty if the request belongs to no chat.
+        path: Request path.
+        method: HTTP method.
+        model: Model name, empty if none.
+        deadline_ms: Time left at arrival, in ms; None leaves it to the rule.
+        key: Idempotency key, empty if none.
+        weight: Expected work, in tokens.
+        fingerprint: Digest of what the backend server would run.
+    """
+
+    __slots__ = (
+        "id",
+        "workspace",
+        "chat",
+        "path",
+        "method",
+        "model",
+        "deadline_ms",
+        "key",
+        "weight",
+        "fingerprint",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        workspace: str,
+        path: str,
+        method: str,
+        chat: str = "",
+        model: str = "",
+        deadline_ms: int | None = None,
+        key: str = "",
+        weight: int = 1,
+        fingerprint: str = "",
+    ) -> None:
+        self.id = id
+        self.workspace = workspace
+        self.chat = chat
+        self.path = path
+        self.method = method
+        self.model = model
+        self.deadline_ms = deadline_ms
+        self.key = key
+        self.weight = weight
+        self.fingerprint = fingerprint
+
+
+class Stage(enum.Enum):
+    """How far an attempt came before it failed."""
+
+    CONNECT = "connect"  # no byte of the request was written
+    REFUSED = "refused"  # the server itself said that it did not run it
+    SENT = "sent"  # bytes were written, no answer began
+    ANSWER = "answer"  # the answer began and did not end
+
+
+class Arrived(Record):
+    """Event: a caller's request was read."""
+
+    __slots__ = ("req",)
+
+    def __init__(self, req: Req) -> None:
+        self.req = req
+
+
+class Failed(Record):
+    """Event: an attempt ended without a whole answer.
+
+    Attributes:
+        id: Request id.
+        stage: How far the attempt came.
+        detail: What the adapter saw.
+        crashed: Whether the server's connection broke under the request.
+        retry_after_ms: When the server asked to be tried again, in ms.
+    """
+
+    __slots__ = ("id", "stage", "detail", "crashed", "retry_after_ms")
+
+    def __init__(
+        self,
+        id: str,
+        stage: Stage,
+        detail: str,
+        crashed: bool = False,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        self.id = id
+        self.stage = stage
+        self.detail = detail
+        self.crashed = crashed
+        self.retry_after_ms = retry_after_ms
+
+
+class FirstByte(Record):
+    """Event: the first byte of the answer's body arrived."""
+
+    __slots__ = ("id",)
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+
+
+class Finished(Record):
+    """Event: the answer was relayed whole.
+
+    Attributes:
+        id: Request id.
+        status: HTTP status of the answer.
+    """
+
+    __slots__ = ("id", "status")
+
+    def __init__(self, id: str, status: int) -> None:
+        self.id = id
+        self.status = status
+
+
+class CallerLeft(Record):
+    """Event: the caller closed its connection before the answer's end."""
+
+    __slots__ = ("id",)
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+
+
+class Waited(Record):
+    """Event: the delay of a `Wait` action is over."""
+
+    __slots__ = ("id",)
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+
+
+Event: TypeAlias = (
+    Arrived | Failed | FirstByte | Finished | CallerLeft | Waited
+)
+
+
+class Send(Record):
+    """Action: send the request to a backend server.
+
+    Attributes:
+        id: Request id.
+        server: Where to send it.
+        attempt: Number of this attempt, from 1.
+        timeout_ms: Time left until the deadline, in ms.
+    """
+
+    __slots__ = ("id", "server", "attempt", "timeout_ms")
+
+    def __init__(
+        self, id: str, server: Server, attempt: int, timeout_ms: int
+    ) -> None:
+        self.id = id
+        self.server = server
+        self.attempt = attempt
+        self.timeout_ms = timeout_ms
+
+
+class Wait(Record):
+    """Action: wait, then hand in a `Waited` event.
+
+    Attributes:
+        id: Request id.
+        delay_ms: How long to wait, in ms.
+    """
+
+    __slots__ = ("id", "delay_ms")
+
+    def __init__(self, id: str, delay_ms: int) -> None:
+        self.id = id
+        self.delay_ms = delay_ms
+
+
+class Refuse(Record):
+    """Action: end the request with a fault, or cut a begun answer.
+
+    Attributes:
+        id: Request id.
+        fault: What to tell the caller.
+    """
+
+    __slots__ = ("id", "fault")
+
+    def __init__(self, id: str, fault: Fault) -> None:
+        self.id = id
+        self.fault = fault
+
+
+class Done(Record):
+    """Action: nothing is left to do for the request."""
+
+    __slots__ = ("id",)
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+
+
+Action: TypeAlias = Send | Wait | Refuse | Done
--- /dev/null
+++ b/corianderdoor/core/records.py
@@ -0,0 +1,31 @@
+"""Base class for the slotted value classes of the core."""
+
+from __future__ import annotations
+
+
+class Record:
+    """A value that compares, hashes and prints by its slots.
+
+    Subclasses name their fields in `__slots__` and assign each of them in
+    `__init__`. Records are not changed after construction unless the
+    subclass says so.
+    """
+
+    __slots__: tuple[str, ...] = ()
+
+    def __eq__(self, other: object) -> bool:
+        if type(other) is not type(self):
+            return NotImplemented
+        return all(
+            getattr(self, name) == getattr(other, name)
+            for name in self.__slots__
+        )
+
+    def __hash__(self) -> int:
+        return hash(tuple(getattr(self, name) for name in self.__slots__))
+
+    def __repr__(self) -> str:
+        fields = ", ".join(
+            f"{name}={getattr(self, name)!r}" for name in self.__slots__
+        )
+        return f"{type(self).__name__}({fields})"
--- /dev/null
+++ b/corianderdoor/core/retry.py
@@ -0,0 +1,39 @@
+"""Retry budget and back-off."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+BUDGET_FRACTION: Final = 0.1
+BUDGET_FLOOR: Final = 3.0
+BUDGET_CAP: Final = 50.0
+BACKOFF_BASE_MS: Final = 25
+BACKOFF_CAP_MS: Final = 1_000
+MAX_ATTEMPTS: Final = 3
+
+
+class RetryBudget:
+    """Allows retries as a fraction of successes."""
+
+    __slots__ = ("_rng", "_level")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._level = BUDGET_FLOOR
+
+    def record_success(self) -> None:
+        """Earns a fraction of a retry."""
+        self._level = min(BUDGET_CAP, self._level + BUDGET_FRACTION)
+
+    def take(self) -> bool:
+        """Spends one retry; returns False if the budget is used up."""
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+    def delay_ms(self, attempt: int) -> int:
+        """Returns the back-off before the attempt after `attempt`, in ms."""
+        ceiling = min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2 ** (attempt - 1))
+        return self._rng.randint(0, ceiling)
--- /dev/null
+++ b/corianderdoor/core/rules.py
@@ -0,0 +1,371 @@
+"""Routing rules: the text format, its validation, and matching.
+
+A rules file holds one rule a line. Each rule ends in a comment naming who
+asked for it. The first rule whose matchers all hold decides.
+"""
+
+from __future__ import annotations
+
+import datetime
+import enum
+from fnmatch import translate
+import functools
+import importlib.resources
+import re
+from typing import Final
+import zoneinfo
+
+from expression import Error, Ok, Result
+from lark import Lark, Token, Tree
+from lark.exceptions import (
+    UnexpectedCharacters,
+    UnexpectedEOF,
+    UnexpectedInput,
+    UnexpectedToken,
+)
+
+from .clock import MS_PER_SECOND
+from .records import Record
+
+DEFAULT_DEADLINE_MS: Final = 60_000
+MAX_RULES: Final = 10_000
+MAX_LINE_CHARS: Final = 1_000
+MINUTES_PER_HOUR: Final = 60
+SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
+
+TERMINAL_NAMES: Final = {
+    "ARROW": "'->'",
+    "POOL": "a pool name",
+    "COMMENT": "a comment '# who asked'",
+    "GLOB": "a pattern",
+    "NAMES": "method names",
+    "SPAN": "HH:MM-HH:MM",
+    "ZONE": "@Area/City",
+    "DURATION": "a duration such as 30s or 500ms",
+    "NUMBER": "a number",
+    "PER_SECOND": "'/s'",
+    "FLAG": "yes or no",
+    "PRIORITY": "critical, high, normal or low",
+    "$END": "the end of the line",
+}
+
+
+class Priority(enum.IntEnum):
+    """How early a request is shed; a lower value is shed later."""
+
+    CRITICAL = 0
+    HIGH = 1
+    NORMAL = 2
+    LOW = 3
+
+
+class RuleError(Record):
+    """A fault in a rules text.
+
+    Attributes:
+        line: Line number, from 1.
+        column: Column number, from 1.
+        found: What stands there.
+        expected: What may stand there instead.
+    """
+
+    __slots__ = ("line", "column", "found", "expected")
+
+    def __init__(
+        self, line: int, column: int, found: str, expected: str
+    ) -> None:
+        self.line = line
+        self.column = column
+        self.found = found
+        self.expected = expected
+
+    def __str__(self) -> str:
+        return (
+            f"line {self.line}, column {self.column}: "
+            f"found {self.found}, expected {self.expected}"
+        )
+
+
+class DaySpan(Record):
+    """A daily span of local time in an IANA time zone.
+
+    The span is judged by the local clock, so it moves with the zone's
+    clock changes: a repeated hour counts both times, a missing hour never.
+    """
+
+    __slots__ = ("start_minute", "end_minute", "zone")
+
+    def __init__(self, start_minute: int, end_minute: int, zone: str) -> None:
+        self.start_minute = start_minute
+        self.end_minute = end_minute
+        self.zone = zone
+
+    def contains(self, wall_ms: int) -> bool:
+        """Tells whether `wall_ms` (Unix time in ms) is in the span."""
+        local = datetime.datetime.fromtimestamp(
+            wall_ms / MS_PER_SECOND, _load_zone(self.zone)
+        )
+        minute = local.hour * MINUTES_PER_HOUR + local.minute
+        if self.start_minute <= self.end_minute:
+            return self.start_minute <= minute < self.end_minute
+        return minute >= self.start_minute or minute < self.end_minute
+
+
+class Rule(Record):
+    """One routing rule.
+
+    Attributes:
+        line: Line number in the rules text, from 1.
+        workspace: Pattern of the workspace, None for any.
+        path: Pattern of the request path, None for any.
+        methods: HTTP methods, empty for any.
+        model: Pattern of the model name, None for any.
+        during: Daily span in which the rule holds, None for always.
+        pool: The pool of backend servers that gets the request.
+        idempotent: Whether a request may run twice; None leaves it to
+            the method.
+        priority: Shedding order under overload.
+        deadline_ms: Longest time from arrival to the answer's end, in ms.
+        concurrency: Requests in progress per workspace, None for no limit.
+        rate: Requests per second per workspace, None for no limit.
+        asked_by: Who asked for the rule.
+    """
+
+    __slots__ = (
+        "line",
+        "workspace",
+        "path",
+        "methods",
+        "model",
+        "during",
+        "pool",
+        "idempotent",
+        "priority",
+        "deadline_ms",
+        "concurrency",
+        "rate",
+        "asked_by",
+    )
+
+    def __init__(self, line: int) -> None:
+        self.line = line
+        self.workspace: re.Pattern[str] | None = None
+        self.path: re.Pattern[str] | None = None
+        self.methods: frozenset[str] = frozenset()
+        self.model: re.Pattern[str] | None = None
+        self.during: DaySpan | None = None
+        self.pool = ""
+        self.idempotent: bool | None = None
+        self.priority = Priority.NORMAL
+        self.deadline_ms = DEFAULT_DEADLINE_MS
+        self.concurrency: int | None = None
+        self.rate: int | None = None
+        self.asked_by = ""
+
+    def allows_rerun(self, method: str) -> bool:
+        """Tells whether a request by `method` is idempotent."""
+        if self.idempotent is None:
+            return method in SAFE_METHODS
+        return self.idempotent
+
+    def matches(
+        self, workspace: str, path: str, method: str, model: str, wall_ms: int
+    ) -> bool:
+        """Tells whether every matcher holds; `wall_ms` is Unix time."""
+        if self.workspace and not self.workspace.match(workspace):
+            return False
+        if self.path and not self.path.match(path):
+            return False
+        if self.methods and method not in self.methods:
+            return False
+        if self.model and not self.model.match(model):
+            return False
+        return self.during is None or self.during.contains(wall_ms)
+
+
+class RuleSet(Record):
+    """The rules of one configuration, in file order."""
+
+    __slots__ = ("rules",)
+
+    def __init__(self, rules: tuple[Rule, ...] = ()) -> None:
+        self.rules = rules
+
+    def find(
+        self, workspace: str, path: str, method: str, model: str, wall_ms: int
+    ) -> Rule | None:
+        """Returns the first rule that matches, or None."""
+        for rule in self.rules:
+            if rule.matches(workspace, path, method, model, wall_ms):
+                return rule
+        return None
+
+    def pools(self) -> frozenset[str]:
+        """Returns the names of all pools that a rule may choose."""
+        return frozenset(rule.pool for rule in self.rules)
+
+
+@functools.lru_cache(maxsize=64)
+def _load_zone(name: str) -> zoneinfo.ZoneInfo:
+    return zoneinfo.ZoneInfo(name)
+
+
+@functools.lru_cache(maxsize=1)
+def _load_parser() -> Lark:
+    grammar = (
+        importlib.resources.files(__package__)
+        .joinpath("rules.lark")
+        .read_text(encoding="utf-8")
+    )
+    return Lark(grammar, start="rule", parser="lalr")
+
+
+def parse_rules(text: str) -> Result[RuleSet, tuple[RuleError, ...]]:
+    """Parses a whole rules text, all or nothing.
+
+    Args:
+        text: The rules, one a line. Blank lines and lines that hold only
+            a comment are skipped.
+
+    Returns:
+        The rules, or every error found, at most one a line.
+    """
+    rules: list[Rule] = []
+    errors: list[RuleError] = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        stripped = line.strip()
+        if not stripped or stripped.startswith("#"):
+            continue
+        match _parse_line(line, number):
+            case Result(tag="ok", ok=rule):
+                rules.append(rule)
+            case Result(error=error):
+                errors.append(error)
+    if len(rules) > MAX_RULES:
+        errors.append(
+            RuleError(1, 1, f"{len(rules)} rules", f"at most {MAX_RULES}")
+        )
+    if errors:
+        return Error(tuple(errors))
+    return Ok(RuleSet(tuple(rules)))
+
+
+def _parse_line(line: str, number: int) -> Result[Rule, RuleError]:
+    if len(line) > MAX_LINE_CHARS:
+        found = f"{len(line)} characters"
+        return Error(
+            RuleError(
+                number, MAX_LINE_CHARS, found, f"at most {MAX_LINE_CHARS}"
+            )
+        )
+    try:
+        tree = _load_parser().parse(line)
+    except UnexpectedInput as exc:
+        return Error(_describe(exc, line, number))
+    return _build_rule(tree, number)
+
+
+def _describe(exc: UnexpectedInput, line: str, number: int) -> RuleError:
+    accepted: set[str] = set()
+    found = "the end of the line"
+    column = exc.column if exc.column and exc.column > 0 else len(line) + 1
+    if isinstance(exc, UnexpectedToken):
+        accepted = set(exc.accepts or exc.expected)
+        if exc.token.type != "$END":
+            found = repr(str(exc.token))
+    elif isinstance(exc, UnexpectedCharacters):
+        accepted = set(exc.allowed or ())
+        found = repr(line[column - 1 :].split(" ")[0])
+    elif isinstance(exc, UnexpectedEOF):
+        accepted = set(exc.expected)
+    if found == "the end of the line":
+        column = len(line) + 1
+    names = sorted(_name_terminal(terminal) for terminal in accepted)
+    return RuleError(number, column, found, " or ".join(names))
+
+
+def _name_terminal(terminal: str) -> str:
+    if terminal.endswith("_KEY"):
+        return terminal.removesuffix("_KEY").lower() + "="
+    return TERMINAL_NAMES.get(terminal, terminal)
+
+
+def _build_rule(tree: Tree[Token], number: int) -> Result[Rule, RuleError]:
+    rule = Rule(number)
+    seen: set[str] = set()
+    for child in tree.children:
+        if isinstance(child, Token):
+            _set_token(rule, child)
+            continue
+        key = child.children[0]
+        assert isinstance(key, Token)
+        if str(child.data) in seen:
+            return Error(
+                RuleError(
+                    number,
+                    key.column or 1,
+                    f"a second {key!s}",
+                    f"{key!s} once",
+                )
+            )
+        seen.add(str(child.data))
+        values = [str(value) for value in child.children[1:]]
+        problem = _set_field(rule, str(child.data), values)
+        if problem:
+            found = "".join(values)
+            return Error(
+                RuleError(number, key.end_column or 1, repr(found), problem)
+            )
+    return Ok(rule)
+
+
+def _set_token(rule: Rule, token: Token) -> None:
+    if token.type == "POOL":
+        rule.pool = str(token)
+    elif token.type == "COMMENT":
+        rule.asked_by = str(token).lstrip("#").strip()
+
+
+def _set_field(rule: Rule, name: str, values: list[str]) -> str:
+    """Sets a field of `rule`; returns what was expected on an error."""
+    value = values[0]
+    match name:
+        case "workspace" | "path" | "model":
+            setattr(rule, name, re.compile(translate(value)))
+        case "method":
+            rule.methods = frozenset(value.split(","))
+        case "during":
+            return _set_during(rule, value, values[1])
+        case "idempotent":
+            rule.idempotent = value == "yes"
+        case "priority":
+            rule.priority = Priority[value.upper()]
+        case "deadline":
+            rule.deadline_ms = _parse_duration_ms(value)
+        case "concurrency" | "rate":
+            setattr(rule, name, int(value))
+    return ""
+
+
+def _set_during(rule: Rule, span: str, zone: str) -> str:
+    name = zone.removeprefix("@")
+    try:
+        _load_zone(name)
+    except (zoneinfo.ZoneInfoNotFoundError, ValueError):
+        return "an IANA time zone such as @America/Santiago"
+    start, end = (_parse_minute(part) for part in span.split("-"))
+    if start == end:
+        return "two different times"
+    rule.during = DaySpan(start, end, name)
+    return ""
+
+
+def _parse_minute(text: str) -> int:
+    hours, minutes = text.split(":")
+    return int(hours) * MINUTES_PER_HOUR + int(minutes)
+
+
+def _parse_duration_ms(text: str) -> int:
+    if text.endswith("ms"):
+        return int(text.removesuffix("ms"))
+    return int(text.removesuffix("s")) * MS_PER_SECOND
--- /dev/null
+++ b/corianderdoor/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that wire the core to adapters."""
--- /dev/null
+++ b/corianderdoor/daemons/router.py
@@ -0,0 +1,184 @@
+"""The router daemon: address answers, admission, routing, forwarding."""
+
+from __future__ import annotations
+
+import random
+import sys
+from typing import Annotated, Final
+
+import anyio
+from expression import Result
+import msgspec
+
+from ..adapters.backend_http import HttpBackend
+from ..adapters.caller_http import CallerApp
+from ..adapters.hosts_http import HttpHosts
+from ..adapters.logs import log_event, set_up_logs
+from ..adapters.serving import bind_socket, serve
+from ..adapters.settings import Settings
+from ..adapters.store_http import HttpStore
+from ..core.admission import Admission
+from ..core.clock import Clock, MS_PER_SECOND, SystemClock
+from ..core.config import CONFIG_KEY, decode_config
+from ..core.dispatch import Dispatcher
+from ..core.placement import BoundedPlacement
+from ..core.retry import RetryBudget
+from ..core.topology import EntryHost, HostList, Server
+from ..ports.hosts import Hosts
+from ..ports.store import Store, Versioned
+from .command import run_daemon, wait_for_signal
+
+HOSTS_POLL_MS: Final = 1_000
+WATCH_MS: Final = 20_000
+STORE_RETRY_MS: Final = 500
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+class RouterSettings(Settings, frozen=True):
+    """Settings of a router.
+
+    Attributes:
+        name: Unique name of this entry host.
+        data_centre: Name of its data centre.
+        region: Name of its region.
+        listen: IP number on which callers are served.
+        port: Port on which callers are served; 0 takes any.
+        store_url: Base URL of the key-value service.
+        hosts_url: Base URL of the host list.
+        load_bound: Highest load of a server, as a multiple of the mean.
+        graceful_ms: How long a shutdown waits for answers, in ms.
+    """
+
+    name: Name
+    data_centre: Name
+    region: Name
+    listen: str
+    port: Port
+    store_url: str
+    hosts_url: str
+    load_bound: Annotated[float, msgspec.Meta(gt=1.0, le=10.0)] = 1.5
+    graceful_ms: Annotated[int, msgspec.Meta(ge=0)] = 120_000
+
+
+class Router:
+    """One router: the dispatcher and the tasks that feed it."""
+
+    __slots__ = (
+        "_settings",
+        "_clock",
+        "_store",
+        "_hosts",
+        "_placement",
+        "_dispatcher",
+        "_listing",
+    )
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        store: Store,
+        hosts: Hosts,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._store = store
+        self._hosts = hosts
+        self._placement = BoundedPlacement(settings.load_bound)
+        self._dispatcher = Dispatcher(
+            self._placement, Admission(), RetryBudget(rng)
+        )
+        self._listing = HostList()
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """The decision core of this router."""
+        return self._dispatcher
+
+    def entries(self) -> tuple[EntryHost, ...]:
+        """Returns the entry hosts that the platform lists."""
+        return self._listing.entries
+
+    async def follow_config(self) -> None:
+        """Keeps the configuration up to date, for ever."""
+        while True:
+            revision = self._dispatcher.cfg.revision
+            match await self._store.wait_above(CONFIG_KEY, revision, WATCH_MS):
+                case Result(tag="ok", ok=versioned):
+                    if versioned is not None:
+                        self._take_config(versioned)
+                case Result(error=fault):
+                    log_event("store_failed", "WARNING", detail=fault.detail)
+                    await anyio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
+
+    async def follow_hosts(self) -> None:
+        """Keeps the list of servers up to date, for ever."""
+        while True:
+            match await self._hosts.list_hosts():
+                case Result(tag="ok", ok=listing):
+                    self._listing = listing
+                    self._update_servers()
+                case Result(error=fault):
+                    log_event("hosts_failed", "WARNING", detail=fault.detail)
+            await anyio.sleep(HOSTS_POLL_MS / MS_PER_SECOND)
+
+    def _take_config(self, versioned: Versioned) -> None:
+        match decode_config(versioned.value, versioned.version):
+            case Result(tag="ok", ok=cfg):
+                if self._dispatcher.set_config(cfg):
+                    log_event("config_in_force", revision=cfg.revision)
+                self._update_servers()
+            case Result(error=fault):
+                log_event("config_refused", "ERROR", detail=fault.detail)
+
+    def _update_servers(self) -> None:
+        self._placement.set_servers(
+            tuple(filter(self._takes_work, self._listing.servers)),
+            self._clock.now_ms(),
+        )
+
+    def _takes_work(self, server: Server) -> bool:
+        cfg = self._dispatcher.cfg
+        return (
+            server.name not in self._listing.leaving
+            and server.data_centre not in cfg.drained_centres
+            and server.host not in cfg.drained_hosts
+        )
+
+
+async def serve_router(settings: RouterSettings) -> None:
+    """Serves until a signal stops the daemon."""
+    set_up_logs("router", settings.name)
+    clock = SystemClock()
+    store = HttpStore(settings.store_url)
+    hosts = HttpHosts(settings.hosts_url)
+    backend = HttpBackend()
+    router = Router(settings, clock, store, hosts, random.Random())
+    app = CallerApp(router.dispatcher, backend, clock, router.entries)
+    sock = bind_socket(settings.listen, settings.port)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(router.follow_config)
+        tg.start_soon(router.follow_hosts)
+        log_event("router_started", port=sock.getsockname()[1])
+        await serve(
+            app, sock, wait_for_signal, settings.graceful_ms / MS_PER_SECOND
+        )
+        log_event("router_stopped")
+        tg.cancel_scope.cancel()
+
+
+def main() -> int:
+    """Runs the program `corianderdoor-router`."""
+    return run_daemon(
+        "corianderdoor-router",
+        "Serves callers on an entry host.",
+        RouterSettings,
+        serve_router,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/corianderdoor/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Narrow interfaces between the core and the outside."""
--- /dev/null
+++ b/corianderdoor/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and demos."""
--- /dev/null
+++ b/corianderdoor/standins/__main__.py
@@ -0,0 +1,66 @@
+"""The program `corianderdoor-standin`: one stand-in per process."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+import anyio
+import uvloop
+
+from .. import VERSION
+from ..adapters.serving import App, bind_socket, serve
+from ..core.clock import SystemClock
+from ..daemons.command import wait_for_signal
+from .engine import EngineStandin
+from .hosts import HostsStandin
+from .service import ServiceStandin
+from .store import StoreStandin
+
+KINDS = ("engine", "service", "store", "hosts")
+
+
+def build_app(args: argparse.Namespace) -> App:
+    """Returns the application of the stand-in that `args` names."""
+    clock = SystemClock()
+    match args.kind:
+        case "engine":
+            return EngineStandin(
+                args.name, clock, args.capacity, token_ms=args.token_ms
+            ).app()
+        case "service":
+            return ServiceStandin(args.name).app()
+        case "store":
+            return StoreStandin(clock).app()
+        case _:
+            return HostsStandin(clock, args.lag_ms).app()
+
+
+async def _serve(args: argparse.Namespace) -> None:
+    sock = bind_socket(args.listen, args.port)
+    await serve(build_app(args), sock, wait_for_signal, graceful_s=0.1)
+
+
+def main() -> int:
+    """Runs the program `corianderdoor-standin`."""
+    parser = argparse.ArgumentParser(
+        prog="corianderdoor-standin",
+        description="Stands in for a system outside the fleet.",
+    )
+    parser.add_argument("--version", action="version", version=VERSION)
+    parser.add_argument("kind", choices=KINDS)
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--listen", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--capacity", type=int, default=8)
+    parser.add_argument("--token-ms", type=float, default=5.0)
+    parser.add_argument("--lag-ms", type=int, default=0)
+    args = parser.parse_args()
+    anyio.run(
+        _serve, args, backend_options={"loop_factory": uvloop.new_event_loop}
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/corianderdoor/standins/engine.py
@@ -0,0 +1,166 @@
+"""Stand-in for a model engine.
+
+Interface:
+    POST /v1/chat             {"model", "chat", "prompt_tokens",
+                              "answer_tokens"}; answers with server-sent
+                              events, one token each, ending in [DONE];
+                              X-Cached-Tokens tells the cached prefix
+    GET /load                 load report: in_flight, capacity, incarnation,
+                              uptime_ms
+    POST /standin/fault?kind=K&count=N
+                              slow, silent, cut, cross, refuse, crash
+    GET /standin/records      requests run so far, as [id, chat, key]
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import AsyncIterator
+import os
+from typing import Any, Final
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from ..core.clock import Clock, MS_PER_SECOND
+from .faults import Faults
+
+SLOW_FACTOR: Final = 20
+SILENCE_S: Final = 3_600
+CRASH_EXIT_CODE: Final = 70
+
+
+class ChatBody(msgspec.Struct):
+    """What a chat request asks for."""
+
+    model: str = ""
+    chat: str = ""
+    prompt_tokens: int = 16
+    answer_tokens: int = 8
+
+
+class EngineStandin:
+    """Streams tokens and keeps prompt prefixes in a bounded cache."""
+
+    __slots__ = (
+        "faults",
+        "records",
+        "_name",
+        "_clock",
+        "_started_ms",
+        "_incarnation",
+        "_capacity",
+        "_in_flight",
+        "_cache",
+        "_cache_tokens",
+        "_token_ms",
+        "_prefill_tokens_per_ms",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        capacity: int = 8,
+        cache_tokens: int = 100_000,
+        token_ms: float = 5.0,
+        prefill_tokens_per_ms: float = 50.0,
+    ) -> None:
+        self.faults = Faults()
+        self.records: list[tuple[str, str, str]] = []
+        self._name = name
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        self._incarnation = clock.wall_ms()
+        self._capacity = capacity
+        self._in_flight = 0
+        self._cache: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._cache_tokens = cache_tokens
+        self._token_ms = token_ms
+        self._prefill_tokens_per_ms = prefill_tokens_per_ms
+
+    def app(self) -> Starlette:
+        """Returns the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/chat", self._chat, methods=["POST"]),
+                Route("/load", self._load, methods=["GET"]),
+                Route("/standin/fault", self._fault, methods=["POST"]),
+                Route("/standin/records", self._records, methods=["GET"]),
+            ]
+        )
+
+    async def _chat(self, req: Request) -> Response:
+        body = msgspec.json.decode(await req.body(), type=ChatBody)
+        request_id = req.headers.get("x-request-id", "")
+        echoed = "another" if self.faults.take("cross") else request_id
+        headers = {"x-request-id": echoed, "x-server": self._name}
+        if self.faults.take("refuse") or self._in_flight >= self._capacity:
+            headers["corianderdoor-outcome"] = "not-run"
+            return Response(status_code=503, headers=headers)
+        if self.faults.take("crash"):
+            os._exit(CRASH_EXIT_CODE)
+        if self.faults.take("silent"):
+            await anyio.sleep(SILENCE_S)
+        key = req.headers.get("idempotency-key", "")
+        self.records.append((request_id, body.chat, key))
+        cached = self._touch_cache(body)
+        headers["x-cached-tokens"] = str(cached)
+        return StreamingResponse(
+            self._stream(body, cached),
+            headers=headers,
+            media_type="text/event-stream",
+        )
+
+    async def _stream(
+        self, body: ChatBody, cached: int
+    ) -> AsyncIterator[bytes]:
+        self._in_flight += 1
+        factor = SLOW_FACTOR if self.faults.take("slow") else 1
+        cut_at = body.answer_tokens // 2 if self.faults.take("cut") else -1
+        try:
+            fresh = max(0, body.prompt_tokens - cached)
+            prefill_ms = fresh / self._prefill_tokens_per_ms
+            await anyio.sleep(factor * prefill_ms / MS_PER_SECOND)
+            for number in range(body.answer_tokens):
+                if number == cut_at:
+                    raise ConnectionAbortedError("told to cut")
+                yield b'data: {"token": %d}\n\n' % number
+                await anyio.sleep(factor * self._token_ms / MS_PER_SECOND)
+            yield b"data: [DONE]\n\n"
+        finally:
+            self._in_flight -= 1
+
+    def _touch_cache(self, body: ChatBody) -> int:
+        """Returns the cached tokens of the prompt and caches it whole."""
+        cached = min(self._cache.pop(body.chat, 0), body.prompt_tokens)
+        if body.chat:
+            self._cache[body.chat] = body.prompt_tokens + body.answer_tokens
+        while sum(self._cache.values()) > self._cache_tokens:
+            self._cache.popitem(last=False)
+        return cached
+
+    async def _load(self, req: Request) -> Response:
+        report: dict[str, Any] = {
+            "name": self._name,
+            "in_flight": self._in_flight,
+            "capacity": self._capacity,
+            "incarnation": self._incarnation,
+            "uptime_ms": self._clock.now_ms() - self._started_ms,
+        }
+        return JSONResponse(report)
+
+    async def _fault(self, req: Request) -> Response:
+        self.faults.set(
+            req.query_params["kind"], int(req.query_params["count"])
+        )
+        return JSONResponse(self.faults.listing())
+
+    async def _records(self, req: Request) -> Response:
+        return JSONResponse(self.records)
--- /dev/null
+++ b/corianderdoor/standins/service.py
@@ -0,0 +1,84 @@
+"""Stand-in for a plain service, some of whose calls may not be repeated.
+
+Interface:
+    POST /payments            records a payment; 201 {"number": N}
+    POST /callbacks           books a callback; 201 {"number": N}
+    GET /accounts/ID          account status
+    POST /standin/fault?kind=K&count=N
+                              slow, silent (after recording), refuse, crash
+    GET /standin/records      calls run so far, as [path, id, key]
+"""
+
+from __future__ import annotations
+
+import os
+from typing import Final
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from ..core.clock import MS_PER_SECOND
+from .engine import CRASH_EXIT_CODE, SILENCE_S
+from .faults import Faults
+
+SLOW_MS: Final = 2_000
+
+
+class ServiceStandin:
+    """Records each call that it runs."""
+
+    __slots__ = ("faults", "records", "_name")
+
+    def __init__(self, name: str) -> None:
+        self.faults = Faults()
+        self.records: list[tuple[str, str, str]] = []
+        self._name = name
+
+    def app(self) -> Starlette:
+        """Returns the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/payments", self._run, methods=["POST"]),
+                Route("/callbacks", self._run, methods=["POST"]),
+                Route("/accounts/{account}", self._account, methods=["GET"]),
+                Route("/standin/fault", self._fault, methods=["POST"]),
+                Route("/standin/records", self._records, methods=["GET"]),
+            ]
+        )
+
+    async def _run(self, req: Request) -> Response:
+        request_id = req.headers.get("x-request-id", "")
+        headers = {"x-request-id": request_id, "x-server": self._name}
+        if self.faults.take("refuse"):
+            headers["corianderdoor-outcome"] = "not-run"
+            return Response(status_code=503, headers=headers)
+        key = req.headers.get("idempotency-key", "")
+        self.records.append((req.url.path, request_id, key))
+        if self.faults.take("crash"):
+            os._exit(CRASH_EXIT_CODE)
+        if self.faults.take("silent"):
+            await anyio.sleep(SILENCE_S)
+        if self.faults.take("slow"):
+            await anyio.sleep(SLOW_MS / MS_PER_SECOND)
+        number = len(self.records)
+        return JSONResponse({"number": number}, 201, headers)
+
+    async def _account(self, req: Request) -> Response:
+        headers = {
+            "x-request-id": req.headers.get("x-request-id", ""),
+            "x-server": self._name,
+        }
+        account = req.path_params["account"]
+        return JSONResponse({"account": account, "owed": 0}, 200, headers)
+
+    async def _fault(self, req: Request) -> Response:
+        self.faults.set(
+            req.query_params["kind"], int(req.query_params["count"])
+        )
+        return JSONResponse(self.faults.listing())
+
+    async def _records(self, req: Request) -> Response:
+        return JSONResponse(self.records)
--- /dev/null
+++ b/corianderdoor/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tools for operators."""
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,188 @@
+"""Starts and ends the processes of a small fleet on loopback.
+
+A script outside the package: no process of the fleet starts another. Every
+process is ended by its id, also when the script is interrupted.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import httpx
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.05
+CENTRES = ("dc-a", "dc-b", "dc-c")
+
+
+def take_port() -> int:
+    """Returns a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def wait_until(check: Any, what: str, timeout_s: float) -> None:
+    """Polls `check` until it is true.
+
+    Raises:
+        TimeoutError: It stayed false for `timeout_s`.
+    """
+    until = time.monotonic() + timeout_s
+    while not check():
+        if time.monotonic() > until:
+            raise TimeoutError(f"{what}: not within {timeout_s} s")
+        time.sleep(POLL_S)
+
+
+class Fleet:
+    """A fleet of stand-ins and routers, as child processes of a script."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="corianderdoor-")
+        self.folder = pathlib.Path(self._folder.name)
+        self.procs: dict[str, subprocess.Popen[bytes]] = {}
+        self.urls: dict[str, str] = {}
+        self.listing: dict[str, list[dict[str, Any]]] = {
+            "entries": [],
+            "servers": [],
+        }
+
+    def __enter__(self) -> Fleet:
+        signal.signal(signal.SIGTERM, _raise_interrupt)
+        self._start_standin("store")
+        self._start_standin("hosts")
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        for name in list(self.procs):
+            self.stop(name, signal.SIGTERM)
+        self._folder.cleanup()
+
+    def add_server(
+        self, kind: str, name: str, pool: str, centre: str, capacity: int = 8
+    ) -> None:
+        """Starts a backend server of `kind` and lists it."""
+        self._start_standin(kind, name, ["--capacity", str(capacity)])
+        self.listing["servers"].append(
+            {
+                "name": name,
+                "host": f"host-{name}",
+                "data_centre": centre,
+                "pool": pool,
+                "address": self.urls[name],
+                "incarnation": time.time_ns() // 1_000_000,
+                "capacity": capacity,
+                "engine": kind == "engine",
+            }
+        )
+
+    def add_router(self, name: str, centre: str, **extra: Any) -> None:
+        """Starts a router and lists it."""
+        port, control = take_port(), take_port()
+        settings = {
+            "name": name,
+            "data_centre": centre,
+            "region": "region-1",
+            "listen": "127.0.0.1",
+            "port": port,
+            "store_url": self.urls["store"],
+            "hosts_url": self.urls["hosts"],
+            "graceful_ms": 5_000,
+            **extra,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self.urls[name] = f"http://127.0.0.1:{port}"
+        self.listing["entries"].append(
+            {
+                "name": name,
+                "data_centre": centre,
+                "region": "region-1",
+                "address": self.urls[name],
+                "control": f"127.0.0.1:{control}",
+            }
+        )
+        self.start_router(name)
+
+    def start_router(self, name: str) -> None:
+        """Starts the router whose settings were written before."""
+        path = self.folder / f"{name}.json"
+        module = "corianderdoor.daemons.router"
+        self._start(name, [sys.executable, "-m", module, str(path)])
+
+    def publish(self) -> None:
+        """Puts the list of hosts into the platform's stand-in."""
+        resp = httpx.put(
+            self.urls["hosts"] + "/standin/hosts", json=self.listing
+        )
+        resp.raise_for_status()
+
+    def control(self, name: str, *args: str) -> subprocess.Popen[bytes]:
+        """Starts `corianderdoorctl`; the caller waits for it."""
+        module = "corianderdoor.tools.ctl"
+        return self._start(name, [sys.executable, "-m", module, *args])
+
+    def wait_ready(self) -> None:
+        """Waits until every listed router serves a configuration."""
+        for entry in self.listing["entries"]:
+            url = entry["address"] + "/corianderdoor/v1/ready"
+            wait_until(lambda u=url: _answers(u), entry["name"], 20.0)
+
+    def stop(self, name: str, signum: int = signal.SIGTERM) -> None:
+        """Ends one process and waits for it."""
+        proc = self.procs.pop(name)
+        if proc.poll() is None:
+            proc.send_signal(signum)
+        try:
+            proc.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            proc.kill()
+            proc.wait()
+
+    def logs(self, name: str) -> str:
+        """Returns what a process has written so far."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
+    def _start_standin(
+        self, kind: str, name: str = "", args: list[str] | None = None
+    ) -> None:
+        name = name or kind
+        port = take_port()
+        self.urls[name] = f"http://127.0.0.1:{port}"
+        command = [sys.executable, "-m", "corianderdoor.standins", kind]
+        command += ["--name", name, "--port", str(port), *(args or [])]
+        self._start(name, command)
+        wait_until(lambda: _accepts(port), name, START_TIMEOUT_S)
+
+    def _start(self, name: str, command: list[str]) -> subprocess.Popen[bytes]:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            proc = subprocess.Popen(command, stdout=log, stderr=log)
+        self.procs[name] = proc
+        return proc
+
+
+def _raise_interrupt(signum: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
+def _accepts(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == os.EX_OK
+
+
+def _answers(url: str) -> bool:
+    try:
+        return httpx.get(url).status_code == httpx.codes.OK
+    except httpx.HTTPError:
+        return False
--- /dev/null
+++ b/tests/test_core_imports.py
@@ -0,0 +1,26 @@
+"""Test that the core can be imported without any input or output."""
+
+import subprocess
+import sys
+
+# asyncio is absent here: the library `expression` itself loads it.
+FORBIDDEN = ("anyio", "httpx", "hypercorn", "loguru", "capnp", "starlette")
+PROGRAM = """
+import importlib, pkgutil, sys
+import corianderdoor.core as core
+for module in pkgutil.iter_modules(core.__path__, core.__name__ + "."):
+    importlib.import_module(module.name)
+print(" ".join(sys.modules))
+"""
+
+
+def test_core_loads_no_library_for_input_or_output():
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    loaded = done.stdout.split()
+    assert "corianderdoor.core.dispatch" in loaded
+    assert [name for name in FORBIDDEN if name in loaded] == []
