Add signed datagrams between daemons

Cause: membership, load permits, quarantine reports and limits all need a small message from daemon to daemon that neither blocks nor retries.

Change: the port `Peers`; UDP on the event loop; Cap'n Proto packed as the codec; HMAC-SHA256 cut to 16 bytes, over the receiver's name and the message, by one of several accepted keys. A datagram is at most 1,200 bytes, is taken once (a window of 64 sequence numbers per sender) and is dropped and counted if anything about it is wrong. The messages of membership are the first kinds; the head of `peer_codec` tells how to add one.

Tests: with the window, the check of the signature or the receiver's name off, the test of replay and keys fails.

--- /dev/null
+++ b/corianderdoor/adapters/keyring.py
@@ -0,0 +1,61 @@
+"""Shared keys with which the daemons of a fleet know each other."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import Final
+
+KEY_ID_BYTES: Final = 4
+TAG_BYTES: Final = 16
+SIGNATURE_BYTES: Final = KEY_ID_BYTES + TAG_BYTES
+
+
+class Keyring:
+    """Signs with the first key and accepts the signatures of all.
+
+    To rotate without a cut: add the new key last at every daemon, then move
+    it to the front everywhere, then take the old one out.
+    """
+
+    __slots__ = ("_sign_id", "_keys")
+
+    def __init__(self, keys: list[str]) -> None:
+        """Takes the keys as text, the one to sign with first.
+
+        Raises:
+            ValueError: There is no key.
+        """
+        if not keys:
+            raise ValueError("no fleet key")
+        raw = [key.encode() for key in keys]
+        self._keys = {_key_id(key): key for key in reversed(raw)}
+        self._sign_id = _key_id(raw[0])
+
+    def sign(self, *parts: bytes) -> bytes:
+        """Returns the signature of `parts`, `SIGNATURE_BYTES` long."""
+        return self._sign_id + _tag(self._keys[self._sign_id], parts)
+
+    def accepts(self, signature: bytes, *parts: bytes) -> bool:
+        """Tells whether one of the keys signed `parts`."""
+        if len(signature) != SIGNATURE_BYTES:
+            return False
+        key = self._keys.get(signature[:KEY_ID_BYTES])
+        if key is None:
+            return False
+        wanted = _tag(key, parts)
+        return hmac.compare_digest(signature[KEY_ID_BYTES:], wanted)
+
+
+def _key_id(key: bytes) -> bytes:
+    return hashlib.sha256(b"corianderdoor key id\0" + key).digest()[
+        :KEY_ID_BYTES
+    ]
+
+
+def _tag(key: bytes, parts: tuple[bytes, ...]) -> bytes:
+    mac = hmac.new(key, digestmod=hashlib.sha256)
+    for part in parts:
+        mac.update(len(part).to_bytes(4, "big"))
+        mac.update(part)
+    return mac.digest()[:TAG_BYTES]
--- /dev/null
+++ b/corianderdoor/adapters/peer_capnp.py
@@ -0,0 +1,197 @@
+"""Peers over UDP: one socket, many kinds of message, no retries.
+
+`peer_codec` tells how to add a kind of message. Modules that register
+kinds are imported here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+import socket
+from typing import Any, Final
+
+from expression import Error, Ok, Result
+
+from . import peer_membership  # noqa: F401 - registers its kinds
+from ..core.errors import Fault, Kind
+from ..core.records import Record
+from ..ports.peers import MessageT, Sender
+from .keyring import Keyring
+from .logs import log_event
+from .peer_codec import Opener, Sealer
+
+MAX_PORT: Final = 65_535
+
+
+def bind_datagrams(host: str, port: int) -> socket.socket:
+    """Returns a bound UDP socket; port 0 takes any free port."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.bind((host, port))
+    return sock
+
+
+def split_control(control: str) -> tuple[str, int]:
+    """Returns the IP number and the port of "ip:port".
+
+    Raises:
+        ValueError: It has no such form.
+    """
+    host, _, port = control.rpartition(":")
+    if not host or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"{control!r} is not ip:port")
+    return host.strip("[]"), int(port)
+
+
+class UdpPeers:
+    """The port `Peers` over one UDP socket.
+
+    Attributes:
+        counts: Datagrams and bytes, by what became of them: "sent",
+            "sent_bytes", "received", "received_bytes", "unsent_<reason>",
+            "dropped_<reason>".
+    """
+
+    __slots__ = (
+        "counts",
+        "_sealer",
+        "_opener",
+        "_addresses",
+        "_handlers",
+        "_transport",
+        "_paused",
+    )
+
+    def __init__(self, keyring: Keyring, name: str, incarnation: int) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._sealer = Sealer(keyring, name, incarnation)
+        self._opener = Opener(keyring, name)
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._handlers: dict[type[Record], Callable[[Sender, Any], None]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._paused = False
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that goes out with each message."""
+        return self._sealer.incarnation
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """Raises the incarnation, when an earlier one was higher."""
+        self._sealer.incarnation = max(incarnation, self.incarnation)
+
+    async def open(self, sock: socket.socket) -> None:
+        """Begins to receive on `sock`, which it owns from now on."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), sock=sock
+        )
+        self._transport = transport
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def learn(self, name: str, control: str) -> None:
+        """Sets the "ip:port" of `name`; a wrong form is counted."""
+        try:
+            self._addresses[name] = split_control(control)
+        except ValueError:
+            self.counts["bad_address"] += 1
+
+    def forget(self, name: str) -> None:
+        """Drops the address of `name`."""
+        self._addresses.pop(name, None)
+
+    def listen(
+        self,
+        kind: type[MessageT],
+        handler: Callable[[Sender, MessageT], None],
+    ) -> None:
+        """Calls `handler` for each message of `kind`; one for each kind."""
+        self._handlers[kind] = handler
+
+    def send(self, to: str, message: Record) -> Result[None, Fault]:
+        """Sends once, without waiting; see the port for the faults."""
+        address = self._addresses.get(to)
+        if address is None:
+            return self._fail("address", to)
+        if self._transport is None or self._transport.is_closing():
+            return self._fail("closed", to)
+        if self._paused:
+            return self._fail("queue", to)
+        match self._sealer.seal(to, message):
+            case Result(tag="ok", ok=raw):
+                self._transport.sendto(raw, address)
+                self.counts["sent"] += 1
+                self.counts["sent_bytes"] += len(raw)
+                return Ok(None)
+            case Result(error=fault):
+                return self._fail("size", to, fault.detail)
+
+    def set_paused(self, paused: bool) -> None:
+        """Stops or resumes sending, as the socket's queue allows."""
+        self._paused = paused
+
+    def take(self, raw: bytes) -> None:
+        """Reads one datagram and hands its message on; never raises."""
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(raw)
+        match self._opener.open(raw):
+            case Result(tag="ok", ok=(sender, message)):
+                self._hand_on(sender, message)
+            case Result(error=fault):
+                self.counts[f"dropped_{fault.step}"] += 1
+
+    def _hand_on(self, sender: Sender, message: Record) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self.counts["dropped_unheard"] += 1
+            return
+        try:
+            handler(sender, message)
+        except Exception as exc:  # a fault of one part stops no other
+            self.counts["failed_handler"] += 1
+            log_event(
+                "peer_handler_failed",
+                "ERROR",
+                kind=type(message).__name__,
+                peer=sender.name,
+                detail=f"{type(exc).__name__}: {exc}",
+            )
+
+    def _fail(
+        self, reason: str, to: str, detail: str = ""
+    ) -> Result[None, Fault]:
+        self.counts[f"unsent_{reason}"] += 1
+        return Error(Fault(Kind.PEER_FAILED, f"send-{reason}", detail, to))
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Feeds datagrams from the event loop to the peers."""
+
+    __slots__ = ("_peers",)
+
+    def __init__(self, peers: UdpPeers) -> None:
+        self._peers = peers
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Takes one datagram; its source address is not trusted."""
+        self._peers.take(data)
+
+    def pause_writing(self) -> None:
+        """Drops messages to send while the socket's queue is full."""
+        self._peers.set_paused(True)
+
+    def resume_writing(self) -> None:
+        """Sends again."""
+        self._peers.set_paused(False)
+
+    def error_received(self, exc: Exception) -> None:
+        """Counts a refusal that the network reported."""
+        self._peers.counts["refused"] += 1
--- /dev/null
+++ b/corianderdoor/adapters/peers.capnp
@@ -0,0 +1,53 @@
+# Datagrams between the daemons of a fleet.
+#
+# A field is never renumbered or removed: daemons of two releases talk to
+# each other during an upgrade. An unknown kind is dropped and counted.
+
+@0xd4a1f0c76be2935d;
+
+struct Envelope {
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+
+  # One line for each kind of message; its struct follows below.
+  union {
+    none @3 :Void;
+    ping @4 :Ping;
+    indirectPing @5 :IndirectPing;
+    ack @6 :Ack;
+  }
+}
+
+# The state of one member, as a rumour.
+struct Update {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  refutations @2 :UInt32;
+  state @3 :UInt8;
+  control @4 :Text;
+  dataCentre @5 :Text;
+  region @6 :Text;
+}
+
+# What membership datagrams have in common.
+struct Gossip {
+  revision @0 :UInt64;
+  updates @1 :List(Update);
+}
+
+struct Ping {
+  id @0 :UInt32;
+  gossip @1 :Gossip;
+}
+
+struct IndirectPing {
+  id @0 :UInt32;
+  target @1 :Text;
+  gossip @2 :Gossip;
+}
+
+struct Ack {
+  id @0 :UInt32;
+  gossip @1 :Gossip;
+}
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,165 @@
+"""Datagrams between daemons: signed, bounded, taken once."""
+
+import anyio
+from expression import Result
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import pytest
+
+from corianderdoor.adapters.keyring import Keyring
+from corianderdoor.adapters.peer_capnp import (
+    bind_datagrams,
+    split_control,
+    UdpPeers,
+)
+from corianderdoor.adapters.peer_codec import (
+    MAX_DATAGRAM_BYTES,
+    Opener,
+    SCHEMA,
+    Sealer,
+)
+from corianderdoor.core.membership_messages import (
+    Ack,
+    Gossip,
+    IndirectPing,
+    Ping,
+    State,
+    Update,
+)
+
+OLD, NEW = "old-key-0123456789", "new-key-0123456789"
+UPDATE = Update("r2", 1_800_000_000_000, 3, State.SUSPECT, "ip:1", "dc", "re")
+KINDS = (
+    Ping(1, Gossip(7, (UPDATE,))),
+    IndirectPing(2, "r3", Gossip()),
+    Ack(3, Gossip(2**63)),
+)
+
+
+def unwrap(result):
+    """Returns the value of a result that must be ok."""
+    assert result.is_ok(), result
+    return result.ok
+
+
+def dropped(opener, raw):
+    """Returns the reason for which `raw` was dropped, "" if it was not."""
+    match opener.open(raw):
+        case Result(tag="ok"):
+            return ""
+        case Result(error=fault):
+            return fault.step
+
+
+@pytest.mark.parametrize("message", KINDS)
+def test_message_arrives_as_it_was_sent(message):
+    raw = unwrap(Sealer(Keyring([OLD]), "r1", 5).seal("r2", message))
+    sender, got = unwrap(Opener(Keyring([OLD]), "r2").open(raw))
+    assert (sender.name, sender.incarnation, got) == ("r1", 5, message)
+
+
+def test_rotation_of_keys_cuts_nothing():
+    steps = ([OLD], [OLD, NEW], [NEW, OLD], [NEW])
+    for mine, other in zip(steps, steps[1:]):
+        for keys, known in ((mine, other), (other, mine)):
+            raw = unwrap(Sealer(Keyring(keys), "r1", 1).seal("r2", KINDS[0]))
+            assert dropped(Opener(Keyring(known), "r2"), raw) == ""
+
+
+def test_unknown_key_other_receiver_and_replay_are_dropped():
+    raw = unwrap(Sealer(Keyring([OLD]), "r1", 5).seal("r2", KINDS[0]))
+    assert dropped(Opener(Keyring([NEW]), "r2"), raw) == "signature"
+    assert dropped(Opener(Keyring([OLD]), "r3"), raw) == "signature"
+    opener = Opener(Keyring([OLD]), "r2")
+    assert dropped(opener, raw) == ""
+    assert dropped(opener, raw) == "replay"
+
+
+def test_late_datagram_is_taken_once_and_older_incarnation_never():
+    sealer = Sealer(Keyring([OLD]), "r1", 5)
+    first, *rest = [unwrap(sealer.seal("r2", KINDS[0])) for _ in range(70)]
+    opener = Opener(Keyring([OLD]), "r2")
+    assert dropped(opener, rest[30]) == ""
+    assert [dropped(opener, first) for _ in "ab"] == ["", "replay"]
+    assert dropped(opener, rest[-1]) == ""
+    assert dropped(opener, rest[0]) == "replay"
+    newer = unwrap(Sealer(Keyring([OLD]), "r1", 6).seal("r2", KINDS[0]))
+    assert dropped(opener, newer) == ""
+    assert dropped(opener, rest[40]) == "replay"
+
+
+def test_message_over_the_limit_does_not_leave():
+    many = Ping(1, Gossip(1, (UPDATE,) * 64))
+    sealed = Sealer(Keyring([OLD]), "r1", 5).seal("r2", many)
+    assert sealed.is_error()
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.binary(max_size=MAX_DATAGRAM_BYTES + 50))
+def test_hostile_bytes_are_dropped_even_when_signed(payload):
+    keyring = Keyring([OLD])
+    peers = UdpPeers(keyring, "r2", 1)
+    peers.take(payload)
+    peers.take(keyring.sign(b"r2", payload) + payload)
+    assert peers.counts["received"] == 2
+    drops = [name for name in peers.counts if name.startswith("dropped_")]
+    assert sum(peers.counts[name] for name in drops) == 2
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    st.sampled_from(KINDS),
+    st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=6),
+)
+def test_changed_bytes_never_raise(message, changes):
+    keyring = Keyring([OLD])
+    raw = unwrap(Sealer(keyring, "r1", 5).seal("r2", message))
+    packed = bytearray(raw[20:])
+    for place, value in changes:
+        packed[place % len(packed)] = value
+    peers = UdpPeers(keyring, "r2", 1)
+    for kind in (Ping, IndirectPing, Ack):
+        peers.listen(kind, lambda sender, body: hash(body))
+    peers.take(keyring.sign(b"r2", bytes(packed)) + bytes(packed))
+    assert peers.counts["failed_handler"] == 0
+
+
+def test_unknown_kind_is_dropped_and_counted():
+    keyring = Keyring([OLD])
+    packed = SCHEMA.Envelope.new_message(sender="r1").to_bytes_packed()
+    peers = UdpPeers(keyring, "r2", 1)
+    peers.take(keyring.sign(b"r2", packed) + packed)
+    assert peers.counts["dropped_kind"] == 1
+
+
+@pytest.mark.parametrize("text", ["", "1.2.3.4", "1.2.3.4:x", ":9", "a:70000"])
+def test_wrong_control_address_is_refused(text):
+    with pytest.raises(ValueError):
+        split_control(text)
+
+
+@pytest.mark.anyio
+async def test_messages_cross_a_real_socket_and_silence_costs_nothing():
+    keyring = Keyring([OLD])
+    left, right = UdpPeers(keyring, "l", 1), UdpPeers(keyring, "r", 2)
+    got = []
+    for peers in (left, right):
+        sock = bind_datagrams("127.0.0.1", 0)
+        other = right if peers is left else left
+        other.learn(
+            "l" if peers is left else "r",
+            f"127.0.0.1:{sock.getsockname()[1]}",
+        )
+        await peers.open(sock)
+    right.listen(Ping, lambda sender, ping: right.send("l", Ack(9, Gossip())))
+    left.listen(Ack, lambda sender, ack: got.append((sender.name, ack.id)))
+    assert left.send("nobody", KINDS[0]).is_error()
+    assert left.send("r", KINDS[0]).is_ok()
+    with anyio.fail_after(5):
+        while not got:
+            await anyio.sleep(0.005)
+    assert got == [("r", 9)]
+    right.close()
+    assert left.send("r", KINDS[0]).is_ok()
+    left.close()
+    assert left.send("r", KINDS[0]).is_error()
