Decide leadership by a lease on the key-value service

Cause: orders to engines need one leader at a time, also when answers of the service are lost and when a holder is paused past its lease.

Change: core.lease decides when to claim, renew and resign. The version of the leader record is the fencing number. The lease counts from before a call was sent, less a margin, on the holder's monotonic clock; a claim with a lost answer is found by reading the record. All standbys together poll at one rate, whatever their number.

--- /dev/null
+++ b/corianderdoor/core/lease.py
@@ -0,0 +1,478 @@
+"""Leadership by a lease on the key-value service.
+
+A leader is the holder of one record that the service removes when its lease
+ends. The version of that record is the fencing number: versions grow with
+every write, so each leader has a larger number than all before it. The
+holder judges its lease by its own monotonic clock, counted from before the
+call was sent, less a margin for clocks that run at different rates.
+"""
+
+from __future__ import annotations
+
+import enum
+from functools import singledispatchmethod
+import random
+from typing import Final, TypeAlias
+
+from expression import Result
+import msgspec
+
+from .errors import Fault, Kind, Outcome
+from .records import Record
+
+LEADER_KEY: Final = "corianderdoor/leader"
+RETRY_DIVISOR: Final = 4
+JITTER_LOW: Final = 0.5
+JITTER_HIGH: Final = 1.5
+
+
+def lease_end_ms(sent_ms: int, ttl_ms: int, margin_ms: int) -> int:
+    """Returns until when a lease may be relied on, in ms.
+
+    Args:
+        sent_ms: When the grant or renewal was sent, before any delay.
+        ttl_ms: Length of the lease, in ms.
+        margin_ms: What clocks may differ by over that length, in ms.
+    """
+    return sent_ms + ttl_ms - margin_ms
+
+
+def lease_holds(now_ms: int, end_ms: int) -> bool:
+    """Tells whether a lease that may be relied on until `end_ms` holds."""
+    return now_ms < end_ms
+
+
+def owns_record(record_lease: str, lease: str) -> bool:
+    """Tells whether a leader record was written under `lease`."""
+    return bool(lease) and record_lease == lease
+
+
+class LeaseTimes(Record):
+    """Lengths that govern a lease, all in ms.
+
+    Attributes:
+        ttl_ms: Length of the lease.
+        margin_ms: Part of it that the holder does not rely on.
+        renew_ms: Time between renewals.
+        poll_ms: Mean time between polls of all standbys together.
+    """
+
+    __slots__ = ("ttl_ms", "margin_ms", "renew_ms", "poll_ms")
+
+    def __init__(
+        self, ttl_ms: int, margin_ms: int, renew_ms: int, poll_ms: int
+    ) -> None:
+        self.ttl_ms = ttl_ms
+        self.margin_ms = margin_ms
+        self.renew_ms = renew_ms
+        self.poll_ms = poll_ms
+
+
+class LeaderRecord(Record):
+    """The record of the leader as the service holds it.
+
+    Attributes:
+        holder: Name of the leader; empty if the last one resigned.
+        lease: The lease under which it was written.
+        version: Its version, which is the fencing number.
+    """
+
+    __slots__ = ("holder", "lease", "version")
+
+    def __init__(self, holder: str, lease: str, version: int) -> None:
+        self.holder = holder
+        self.lease = lease
+        self.version = version
+
+
+class _LeaderBody(msgspec.Struct):
+    """The stored form of a leader record."""
+
+    holder: str = ""
+    lease: str = ""
+
+
+def encode_leader(holder: str, lease: str) -> bytes:
+    """Returns the stored form of a leader record."""
+    return msgspec.json.encode(_LeaderBody(holder, lease))
+
+
+def decode_leader(raw: bytes, version: int) -> LeaderRecord:
+    """Reads a leader record; one that can't be read names no holder."""
+    try:
+        body = msgspec.json.decode(raw, type=_LeaderBody)
+    except msgspec.MsgspecError:
+        body = _LeaderBody()
+    return LeaderRecord(body.holder, body.lease, version)
+
+
+class Tick(Record):
+    """Event: time has passed."""
+
+    __slots__ = ()
+
+
+class Resign(Record):
+    """Event: this process is about to stop."""
+
+    __slots__ = ()
+
+
+class _Answer(Record):
+    """An answer of the service.
+
+    Attributes:
+        call: Number of the call that it answers.
+        result: What came back, or the fault.
+    """
+
+    __slots__ = ("call", "result")
+
+
+class LeaderRead(_Answer):
+    """Event: the leader record was read, or was not."""
+
+    __slots__ = ()
+
+    def __init__(
+        self, call: int, result: Result[LeaderRecord | None, Fault]
+    ) -> None:
+        self.call = call
+        self.result = result
+
+
+class LeaseGranted(_Answer):
+    """Event: a lease was granted, or was not."""
+
+    __slots__ = ()
+
+    def __init__(self, call: int, result: Result[str, Fault]) -> None:
+        self.call = call
+        self.result = result
+
+
+class LeaderWritten(_Answer):
+    """Event: the leader record was written, or was not."""
+
+    __slots__ = ()
+
+    def __init__(self, call: int, result: Result[int, Fault]) -> None:
+        self.call = call
+        self.result = result
+
+
+class LeaseRenewed(_Answer):
+    """Event: the lease was renewed, or was not."""
+
+    __slots__ = ()
+
+    def __init__(self, call: int, result: Result[None, Fault]) -> None:
+        self.call = call
+        self.result = result
+
+
+LeaseEvent: TypeAlias = (
+    Tick | Resign | LeaderRead | LeaseGranted | LeaderWritten | LeaseRenewed
+)
+
+
+class ReadLeader(Record):
+    """Action: read the leader record."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: int) -> None:
+        self.call = call
+
+
+class GrantLease(Record):
+    """Action: ask for a lease of `ttl_ms`."""
+
+    __slots__ = ("call", "ttl_ms")
+
+    def __init__(self, call: int, ttl_ms: int) -> None:
+        self.call = call
+        self.ttl_ms = ttl_ms
+
+
+class WriteLeader(Record):
+    """Action: write the leader record if it is still at `version`.
+
+    Attributes:
+        call: Number of the call.
+        value: The record.
+        version: The version that was last seen, 0 if absent.
+        lease: The lease whose end removes it; empty for none.
+    """
+
+    __slots__ = ("call", "value", "version", "lease")
+
+    def __init__(
+        self, call: int, value: bytes, version: int, lease: str
+    ) -> None:
+        self.call = call
+        self.value = value
+        self.version = version
+        self.lease = lease
+
+
+class RenewLease(Record):
+    """Action: renew `lease`."""
+
+    __slots__ = ("call", "lease")
+
+    def __init__(self, call: int, lease: str) -> None:
+        self.call = call
+        self.lease = lease
+
+
+LeaseAction: TypeAlias = ReadLeader | GrantLease | WriteLeader | RenewLease
+
+
+class Phase(enum.Enum):
+    """What a controller is doing about the lease."""
+
+    STANDBY = "standby"
+    CLAIMING = "claiming"
+    LEADING = "leading"
+    STOPPED = "stopped"
+
+
+class LeaseKeeper:
+    """Decides when to claim, renew and give up the lease.
+
+    At most one call to the service is under way; an answer to any other
+    call is ignored.
+    """
+
+    __slots__ = (
+        "_name",
+        "_times",
+        "_rng",
+        "_phase",
+        "_controllers",
+        "_call",
+        "_sent_ms",
+        "_waiting",
+        "_next_ms",
+        "_lease",
+        "_end_ms",
+        "_fence",
+        "_since_ms",
+        "_free_version",
+    )
+
+    def __init__(
+        self, name: str, times: LeaseTimes, rng: random.Random, now_ms: int
+    ) -> None:
+        self._name = name
+        self._times = times
+        self._rng = rng
+        self._phase = Phase.STANDBY
+        self._controllers = 1
+        self._call = 0
+        self._sent_ms = 0
+        self._waiting = False
+        self._next_ms = now_ms
+        self._lease = ""
+        self._end_ms = 0
+        self._fence = 0
+        self._since_ms = 0
+        self._free_version = 0
+
+    @property
+    def phase(self) -> Phase:
+        """What this controller is doing about the lease."""
+        return self._phase
+
+    @property
+    def since_ms(self) -> int:
+        """When this controller began to lead, in ms."""
+        return self._since_ms
+
+    @property
+    def next_ms(self) -> int:
+        """When a `Tick` is due next, in ms."""
+        return self._next_ms
+
+    def set_controllers(self, count: int, now_ms: int) -> None:
+        """Tells how many controllers share the polling of the record."""
+        grew = count > self._controllers
+        self._controllers = max(1, count)
+        if grew and self._phase is Phase.STANDBY and not self._waiting:
+            self._next_ms = now_ms + self._poll_delay_ms()
+
+    def fence(self, now_ms: int, needed_ms: int = 0) -> int | None:
+        """Returns the fencing number if an order may be given now.
+
+        Args:
+            now_ms: The time right before the order.
+            needed_ms: How long the lease has to hold on from now, in ms.
+
+        Returns:
+            The number, or None if this controller does not lead.
+        """
+        if self._phase is not Phase.LEADING:
+            return None
+        if not lease_holds(now_ms + needed_ms, self._end_ms):
+            return None
+        return self._fence
+
+    def handle(
+        self, event: LeaseEvent, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        """Takes one event and returns the calls to make.
+
+        Args:
+            event: What happened.
+            now_ms: Monotonic time, in ms.
+        """
+        if isinstance(event, _Answer):
+            if not self._waiting or event.call != self._call:
+                return ()
+            self._waiting = False
+        if self._phase is Phase.STOPPED:
+            return ()
+        if self._phase is Phase.LEADING and not lease_holds(
+            now_ms, self._end_ms
+        ):
+            self._stand_by(now_ms)
+        return self._on(event, now_ms)
+
+    @singledispatchmethod
+    def _on(self, event: LeaseEvent, now_ms: int) -> tuple[LeaseAction, ...]:
+        raise TypeError(f"no lease event: {event!r}")
+
+    @_on.register
+    def _on_tick(self, event: Tick, now_ms: int) -> tuple[LeaseAction, ...]:
+        if self._waiting or now_ms < self._next_ms:
+            return ()
+        if self._phase is Phase.LEADING:
+            return (RenewLease(self._send(now_ms), self._lease),)
+        return (ReadLeader(self._send(now_ms)),)
+
+    @_on.register
+    def _on_resign(
+        self, event: Resign, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        led = self._phase is Phase.LEADING
+        self._phase = Phase.STOPPED
+        if not led:
+            return ()
+        value = encode_leader("", "")
+        return (WriteLeader(self._send(now_ms), value, self._fence, ""),)
+
+    @_on.register
+    def _on_read(
+        self, event: LeaderRead, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        match event.result:
+            case Result(tag="ok", ok=record):
+                return self._take_record(record, now_ms)
+            case _:
+                return self._read_again(now_ms)
+
+    def _read_again(self, now_ms: int) -> tuple[LeaseAction, ...]:
+        if self._phase is not Phase.CLAIMING:
+            return self._wait_for_poll(now_ms)
+        if not lease_holds(now_ms, self._end_ms):
+            return self._stand_by(now_ms)
+        self._next_ms = now_ms + self._times.renew_ms // RETRY_DIVISOR
+        return ()
+
+    def _take_record(
+        self, record: LeaderRecord | None, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        if self._phase is Phase.LEADING:
+            return ()
+        if record is None or not record.holder:
+            self._free_version = record.version if record else 0
+            self._phase = Phase.CLAIMING
+            call = self._send(now_ms)
+            return (GrantLease(call, self._times.ttl_ms),)
+        mine = owns_record(record.lease, self._lease)
+        if mine and lease_holds(now_ms, self._end_ms):
+            return self._lead(record.version, now_ms)
+        return self._stand_by(now_ms)
+
+    @_on.register
+    def _on_granted(
+        self, event: LeaseGranted, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        match event.result:
+            case Result(tag="ok", ok=lease):
+                return self._claim(lease, now_ms)
+            case _:
+                return self._stand_by(now_ms)
+
+    def _claim(self, lease: str, now_ms: int) -> tuple[LeaseAction, ...]:
+        self._lease = lease
+        self._end_ms = lease_end_ms(
+            self._sent_ms, self._times.ttl_ms, self._times.margin_ms
+        )
+        if not lease_holds(now_ms, self._end_ms):
+            return self._stand_by(now_ms)
+        value = encode_leader(self._name, lease)
+        call = self._send(now_ms)
+        return (WriteLeader(call, value, self._free_version, lease),)
+
+    @_on.register
+    def _on_written(
+        self, event: LeaderWritten, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        match event.result:
+            case Result(tag="ok", ok=version):
+                return self._lead(version, now_ms)
+            case Result(error=fault) if fault.outcome is Outcome.UNKNOWN:
+                # The write may have taken effect: read to find out.
+                return (ReadLeader(self._send(now_ms)),)
+            case _:
+                return self._stand_by(now_ms)
+
+    @_on.register
+    def _on_renewed(
+        self, event: LeaseRenewed, now_ms: int
+    ) -> tuple[LeaseAction, ...]:
+        if self._phase is not Phase.LEADING:
+            return ()
+        match event.result:
+            case Result(tag="ok"):
+                self._end_ms = lease_end_ms(
+                    self._sent_ms, self._times.ttl_ms, self._times.margin_ms
+                )
+                self._next_ms = self._sent_ms + self._times.renew_ms
+                return ()
+            case Result(error=fault) if fault.kind is Kind.LEASE_LOST:
+                return self._stand_by(now_ms)
+            case _:
+                retry_ms = self._times.renew_ms // RETRY_DIVISOR
+                self._next_ms = now_ms + retry_ms
+                return ()
+
+    def _lead(self, version: int, now_ms: int) -> tuple[LeaseAction, ...]:
+        if not lease_holds(now_ms, self._end_ms):
+            return self._stand_by(now_ms)
+        self._phase = Phase.LEADING
+        self._fence = version
+        self._since_ms = now_ms
+        self._next_ms = now_ms + self._times.renew_ms // 2
+        return ()
+
+    def _stand_by(self, now_ms: int) -> tuple[LeaseAction, ...]:
+        self._phase = Phase.STANDBY
+        return self._wait_for_poll(now_ms)
+
+    def _wait_for_poll(self, now_ms: int) -> tuple[LeaseAction, ...]:
+        self._next_ms = now_ms + self._poll_delay_ms()
+        return ()
+
+    def _poll_delay_ms(self) -> int:
+        # The fleet polls at one rate, however many controllers share it.
+        mean_ms = self._times.poll_ms * self._controllers
+        return int(self._rng.uniform(JITTER_LOW, JITTER_HIGH) * mean_ms)
+
+    def _send(self, now_ms: int) -> int:
+        self._call += 1
+        self._sent_ms = now_ms
+        self._waiting = True
+        return self._call
