--- /dev/null
+++ b/tests/test_otel.py
@@ -0,0 +1,79 @@
+"""Tests of the metrics."""
+
+import json
+
+from corianderdoor.adapters.otel import (
+    judge,
+    OBJECTIVE_COUNTER,
+    OtelTelemetry,
+)
+from corianderdoor.core.errors import Kind, Outcome
+from corianderdoor.ports.telemetry import RequestEnd
+
+
+def build_end(workspace="w1", status=200, fault=None, first=200, gap=20.0):
+    """Returns the end of a request with usual fields."""
+    return RequestEnd(
+        workspace,
+        "redactor",
+        "POST",
+        status,
+        Outcome.RUN,
+        fault,
+        900,
+        first,
+        gap,
+    )
+
+
+def list_series(telemetry):
+    """Returns (attributes, value) of every objective series exported."""
+    series = []
+    for line in telemetry.export_json():
+        scopes = json.loads(line)["resourceMetrics"][0]["scopeMetrics"]
+        for metric in scopes[0]["metrics"]:
+            if metric["name"] == OBJECTIVE_COUNTER:
+                for point in metric["sum"]["dataPoints"]:
+                    attributes = {
+                        item["key"].rpartition(".")[2]: item["value"]
+                        for item in point["attributes"]
+                    }
+                    series.append((attributes, int(point["asInt"])))
+    return series
+
+
+def test_objectives_are_judged_by_the_stated_limits():
+    assert dict(judge(build_end(first=640, gap=29.0))) == {
+        "availability": True,
+        "first-token": True,
+        "between-tokens": True,
+    }
+    late = dict(judge(build_end(first=641, gap=29.1)))
+    assert not late["first-token"] and not late["between-tokens"]
+
+
+def test_cut_answer_is_bad_and_callers_own_refusal_is_not_counted():
+    cut = build_end(fault=Kind.SERVER_FAILED)
+    assert dict(judge(cut)) == {"availability": False}
+    assert list(judge(build_end(status=429, fault=Kind.LIMITED))) == []
+
+
+def test_counts_add_up_over_exports():
+    telemetry = OtelTelemetry("router", "r1", 1, "dc-a")
+    for _ in range(3):
+        telemetry.record_end(build_end())
+    list_series(telemetry)
+    telemetry.record_end(build_end())
+    found = list_series(telemetry)
+    assert sorted(value for _, value in found) == [4, 4, 4]
+
+
+def test_series_stay_bounded_and_the_rest_is_counted_as_overflow():
+    telemetry = OtelTelemetry("router", "r1", 1, "dc-a", limit=128)
+    for number in range(2_000):
+        telemetry.record_end(build_end(f"w{number}"))
+    found = list_series(telemetry)
+    overflow = sum(value for names, value in found if "overflow" in names)
+    named = [value for names, value in found if "overflow" not in names]
+    assert len(named) <= 128
+    assert overflow + sum(named) == 6_000
