--- a/corianderdoor/tools/report_page.py
+++ b/corianderdoor/tools/report_page.py
@@ -155,10 +155,7 @@
             groups[name], objective, first_ms, now_ms, step_ms
         )
         axes.plot(
-            [
-                date2num(_to_local(at_ms, zone))  # type: ignore[no-untyped-call]
-                for at_ms in times
-            ],
+            [_to_plot_date(at_ms, zone) for at_ms in times],
             rates,
             label=name.partition("=")[2],
             linewidth=1.4,
@@ -197,6 +194,11 @@
     return text[text.index("<svg") :]
 
 
+def _to_plot_date(at_ms: int, zone: str) -> float:
+    local = _to_local(at_ms, zone)
+    return float(date2num(local))  # type: ignore[no-untyped-call]
+
+
 def _to_local(at_ms: int, zone: str) -> datetime.datetime:
     return datetime.datetime.fromtimestamp(
         at_ms / MS_PER_SECOND, zoneinfo.ZoneInfo(zone)
