Keep one load bound over all routers by home routers and permits

Cause: each router kept the bound by its own sight, the sum of all broke it, and choosing sorted all servers for every request.

Change: each backend server has a home router, the first of its rendezvous order in its data centre; only the home admits. Other routers ask it for a permit: idempotent by id, expiring, refused after its release. The load is token-weighted. The mean comes from sums per pool that homes tell when they have moved by an eighth, or each second. A new home counts what the server reports beyond its own permits, admits nothing before the first report, and for 5 s only the tenth of the bound that settled homes leave free. The dispatcher learns AskPermit, PermitAnswered and Later; the order of a chat is one binary search on a ring. The ramp of a cold server lies in the home's account.

Tests: seen to fail with each of these off: the bound, known ids, ended ids, expiry, the check for leaving, work by others, no work before a report, and the handover period.

--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -18,12 +18,14 @@
 from .messages import (
     Action,
     Arrived,
+    AskPermit,
     CallerLeft,
     Done,
     Event,
     Failed,
     Finished,
     FirstByte,
+    PermitAnswered,
     Refuse,
     Req,
     Send,
@@ -31,7 +33,7 @@
     Wait,
     Waited,
 )
-from .placement import Placement
+from .placement import Choice, Later, Placement
 from .retry import MAX_ATTEMPTS, RetryBudget
 from .rules import Rule
 from .topology import Server
@@ -49,6 +51,8 @@
         "deadline_at_ms",
         "attempt",
         "server",
+        "sent_at_ms",
+        "first_token_ms",
         "tried",
         "answering",
         "may_have_run",
@@ -60,6 +64,8 @@
         self.deadline_at_ms = deadline_at_ms
         self.attempt = 0
         self.server: Server | None = None
+        self.sent_at_ms = 0
+        self.first_token_ms: int | None = None
         self.tried: set[str] = set()
         self.answering = False
         self.may_have_run = False
@@ -164,16 +170,43 @@
         if left_ms <= 0:
             return self._give_up(flight, _deadline_fault(flight))
         chosen = self._placement.choose(
-            flight.req, flight.rule.pool, flight.tried, self._now_ms
+            flight.req,
+            flight.rule.pool,
+            flight.tried,
+            left_ms,
+            self._now_ms,
         )
+        return self._follow(flight, chosen)
+
+    def _follow(self, flight: Flight, chosen: Result[Choice, Fault]) -> Action:
         match chosen:
-            case Result(tag="ok", ok=server):
+            case Result(tag="ok", ok=AskPermit() as ask):
+                return ask
+            case Result(tag="ok", ok=Later(delay_ms=delay_ms)):
+                return Wait(flight.req.id, delay_ms)
+            case Result(tag="ok", ok=Server() as server):
                 flight.server = server
                 flight.attempt += 1
                 flight.tried.add(server.name)
+                flight.sent_at_ms = self._now_ms
+                flight.first_token_ms = None
+                left_ms = flight.deadline_at_ms - self._now_ms
                 return Send(flight.req.id, server, flight.attempt, left_ms)
             case Result(error=fault):
                 return self._give_up(flight, fault)
+        raise TypeError(f"unknown choice {chosen!r}")
+
+    @_on.register
+    def _(self, event: PermitAnswered) -> Action:
+        flight = self._flights.get(event.id)
+        if flight is None:
+            return Done(event.id)
+        if self._now_ms >= flight.deadline_at_ms:
+            return self._give_up(flight, _deadline_fault(flight))
+        return self._follow(
+            flight,
+            self._placement.resume(flight.req, event.answer, self._now_ms),
+        )
 
     @_on.register
     def _(self, event: Waited) -> Action:
@@ -187,6 +220,8 @@
         flight = self._flights.get(event.id)
         if flight is not None:
             flight.answering = True
+            if flight.first_token_ms is None:
+                flight.first_token_ms = self._now_ms - flight.sent_at_ms
         return Done(event.id)
 
     @_on.register
@@ -195,6 +230,7 @@
         if flight is not None:
             if event.status < SERVER_ERROR_STATUS:
                 self._budget.record_success()
+                self._release_server(flight, served=True)
             self._close(flight)
         return Done(event.id)
 
@@ -231,10 +267,18 @@
             return False
         return self._budget.take()
 
-    def _release_server(self, flight: Flight) -> None:
-        if flight.server is not None:
-            self._placement.release(flight.req, flight.server, self._now_ms)
-            flight.server = None
+    def _release_server(self, flight: Flight, served: bool = False) -> None:
+        if flight.server is None:
+            self._placement.cancel(flight.req, self._now_ms)
+            return
+        self._placement.release(
+            flight.req,
+            flight.server,
+            self._now_ms,
+            served,
+            flight.first_token_ms,
+        )
+        flight.server = None
 
     def _close(self, flight: Flight) -> None:
         self._release_server(flight)
