--- a/corianderdoor/adapters/backend_http.py
+++ b/corianderdoor/adapters/backend_http.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from typing import Final
 
+import aiohttp
+import anyio
 from expression import Error, Ok, Result
 import httpx
 
@@ -12,151 +13,184 @@
 from ..core.errors import Outcome
 from ..core.messages import Stage
 from ..core.topology import Server
-from ..ports.backend import Answer, AnswerCut, AttemptFault, Call
+from ..ports.backend import Answer, AttemptFault, Call
+from .backend_answer import HttpAnswer, REQUEST_ID, RESUME_TOKEN
+from .lanes import Lane, Lanes
 
-REQUEST_ID: Final = "x-request-id"
 OUTCOME: Final = "corianderdoor-outcome"
+DEADLINE: Final = "corianderdoor-deadline-ms"
+RESUME_OFFSET: Final = "corianderdoor-resume-offset"
+RESUME_PATH: Final = "/corianderdoor/v1/resume"
 CONNECT_TIMEOUT_S: Final = 1.0
-PROGRESS_TIMEOUT_S: Final = 20.0
-MAX_CONNECTIONS: Final = 4_096
-IDLE_CONNECTION_S: Final = 30.0
-HOP_HEADERS: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
+PROBE_TIMEOUT_S: Final = 0.25
+NOT_WRITTEN: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
 )
 
 
-def drop_hop_headers(
-    headers: list[tuple[bytes, bytes]],
-) -> list[tuple[bytes, bytes]]:
-    """Returns `headers` without those that concern one connection."""
-    return [
-        (name.lower(), value)
-        for name, value in headers
-        if name.lower() not in HOP_HEADERS
-    ]
-
-
-class HttpAnswer:
-    """An answer in progress."""
-
-    __slots__ = ("_resp",)
-
-    def __init__(self, resp: httpx.Response) -> None:
-        self._resp = resp
-
-    @property
-    def status(self) -> int:
-        """The HTTP status."""
-        return self._resp.status_code
-
-    @property
-    def headers(self) -> list[tuple[bytes, bytes]]:
-        """The headers to pass on."""
-        return drop_hop_headers(self._resp.headers.raw)
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body as it arrives, unparsed.
-
-        Raises:
-            AnswerCut: The body ended before its end or went silent.
-        """
-        try:
-            async for chunk in self._resp.aiter_raw():
-                yield chunk
-        except httpx.ReadTimeout as exc:
-            fault = AttemptFault(Stage.ANSWER, "the answer went silent")
-            raise AnswerCut(fault) from exc
-        except (httpx.HTTPError, httpx.StreamError) as exc:
-            detail = f"the answer was cut: {exc}"
-            fault = AttemptFault(Stage.ANSWER, detail, crashed=True)
-            raise AnswerCut(fault) from exc
-
-    async def close(self) -> None:
-        """Ends the exchange; an answer not read whole closes its
-        connection, which cancels the request at the server.
-        """
-        await self._resp.aclose()
-
-
 class HttpBackend:
     """Sends requests to backend servers over kept connections."""
 
-    __slots__ = ("_client",)
+    __slots__ = ("_lanes",)
 
-    def __init__(self, client: httpx.AsyncClient | None = None) -> None:
-        limits = httpx.Limits(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=IDLE_CONNECTION_S,
-        )
-        self._client = client or httpx.AsyncClient(
-            limits=limits, trust_env=False, follow_redirects=False
-        )
+    def __init__(self) -> None:
+        self._lanes = Lanes()
 
     async def send(
-        self, server: Server, call: Call, timeout_ms: int
+        self, server: Server, call: Call, timeout_ms: int, silence_ms: int
     ) -> Result[Answer, AttemptFault]:
         """Sends `call` and waits for the answer's headers."""
-        left_s = timeout_ms / MS_PER_SECOND
-        timeout = httpx.Timeout(
-            min(left_s, PROGRESS_TIMEOUT_S),
-            connect=min(left_s, CONNECT_TIMEOUT_S),
-        )
-        headers = [*call.headers, (REQUEST_ID.encode(), call.id.encode())]
-        req = self._client.build_request(
+        headers = [
+            *call.headers,
+            (REQUEST_ID.encode(), call.id.encode()),
+            (DEADLINE.encode(), str(timeout_ms).encode()),
+        ]
+        req = httpx.Request(
             call.method,
             server.address + call.path,
             headers=headers,
             content=call.body,
-            timeout=timeout,
+            extensions=_limit(timeout_ms, silence_ms),
         )
-        try:
-            resp = await self._client.send(req, stream=True)
-        except (
-            httpx.ConnectError,
-            httpx.ConnectTimeout,
-            httpx.PoolTimeout,
-        ) as exc:
-            return Error(AttemptFault(Stage.CONNECT, f"no connection: {exc}"))
-        except httpx.TimeoutException:
-            return Error(AttemptFault(Stage.SENT, "no answer in time"))
-        except httpx.HTTPError as exc:
-            detail = f"the connection broke: {exc}"
-            return Error(AttemptFault(Stage.SENT, detail, crashed=True))
-        return await self._check(resp, call)
+        return await self._exchange(server, call, req, 0)
+
+    async def resume(
+        self,
+        server: Server,
+        call: Call,
+        answer: Answer,
+        timeout_ms: int,
+        silence_ms: int,
+    ) -> Result[Answer, AttemptFault]:
+        """Asks for the rest of a cut answer, from the byte it ended at."""
+        headers = {
+            RESUME_TOKEN: answer.resume_token,
+            RESUME_OFFSET: str(answer.offset),
+            REQUEST_ID: call.id,
+            DEADLINE: str(timeout_ms),
+        }
+        req = httpx.Request(
+            "GET",
+            server.address + RESUME_PATH,
+            headers=headers,
+            extensions=_limit(timeout_ms, silence_ms),
+        )
+        return await self._exchange(server, call, req, answer.offset)
 
-    async def _check(
-        self, resp: httpx.Response, call: Call
+    async def _exchange(
+        self, server: Server, call: Call, req: httpx.Request, offset: int
     ) -> Result[Answer, AttemptFault]:
-        echoed = resp.headers.get(REQUEST_ID)
-        if echoed is not None and echoed != call.id:
-            await resp.aclose()
-            detail = f"the answer belongs to request {echoed}"
-            return Error(AttemptFault(Stage.SENT, detail))
-        if resp.headers.get(OUTCOME) == Outcome.NOT_RUN.value:
-            retry_after_ms = _read_retry_after_ms(resp)
-            await resp.aclose()
-            detail = f"the server refused with status {resp.status_code}"
-            return Error(
-                AttemptFault(
-                    Stage.REFUSED, detail, retry_after_ms=retry_after_ms
+        lane = self._lanes.take(server.address)
+        answer: HttpAnswer | None = None
+        try:
+            sent = await self._send(server, lane, req)
+            match sent:
+                case Result(tag="ok", ok=resp):
+                    answer = HttpAnswer(
+                        resp, lane, call.method, server.engine, offset
+                    )
+                case Result(error=fault):
+                    return Error(fault)
+            refusal = _check_refusal(resp, call, offset)
+            if refusal is not None:
+                await answer.close()
+                return Error(refusal)
+            return Ok(answer)
+        finally:
+            if answer is None:
+                with anyio.CancelScope(shield=True):
+                    await lane.release()
+
+    async def _send(
+        self, server: Server, lane: Lane, req: httpx.Request
+    ) -> Result[httpx.Response, AttemptFault]:
+        try:
+            return Ok(await lane.send(req))
+        except (httpx.HTTPError, aiohttp.ClientError, OSError) as exc:
+            if isinstance(exc.__cause__ or exc, NOT_WRITTEN):
+                detail = f"no connection: {exc}"
+                return Error(
+                    AttemptFault(Stage.CONNECT, detail, accuses_server=True)
                 )
-            )
-        return Ok(HttpAnswer(resp))
+            if isinstance(exc, httpx.TimeoutException) and isinstance(
+                exc.__cause__, aiohttp.ServerTimeoutError
+            ):
+                await self._lanes.replace(server.address, lane)
+                return Error(
+                    AttemptFault(
+                        Stage.SENT,
+                        "no answer in time",
+                        silent=True,
+                        accuses_server=not lane.proved,
+                    )
+                )
+            detail = f"the connection broke: {exc}"
+            return Error(AttemptFault(Stage.SENT, detail, broken=True))
+
+    async def accepts(self, server: Server) -> bool:
+        """Tells whether `server` takes a new connection now."""
+        url = httpx.URL(server.address)
+        port = url.port or (443 if url.scheme == "https" else 80)
+        with anyio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                stream = await anyio.connect_tcp(url.host, port)
+            except OSError:
+                return False
+            await stream.aclose()
+            return True
+        return False
+
+    async def distrust(self, server: Server, answer: Answer) -> None:
+        """Takes no new request over the connections of a silent answer."""
+        if isinstance(answer, HttpAnswer):
+            await self._lanes.replace(server.address, answer.lane)
+
+    async def keep(self, servers: tuple[Server, ...]) -> None:
+        """Closes the kept connections to all other servers."""
+        await self._lanes.keep(frozenset(s.address for s in servers))
 
     async def close(self) -> None:
         """Closes every connection."""
-        await self._client.aclose()
+        await self._lanes.close()
+
+
+def _limit(timeout_ms: int, silence_ms: int) -> dict[str, dict[str, float]]:
+    left_s = timeout_ms / MS_PER_SECOND
+    connect_s = min(left_s, CONNECT_TIMEOUT_S)
+    return {
+        "timeout": {
+            "connect": connect_s,
+            "pool": connect_s,
+            "read": min(left_s, silence_ms / MS_PER_SECOND),
+        }
+    }
+
+
+def _check_refusal(
+    resp: httpx.Response, call: Call, offset: int
+) -> AttemptFault | None:
+    """Returns why `resp` is not the answer to `call`, None if it is."""
+    echoed = resp.headers.get(REQUEST_ID)
+    if echoed is not None and echoed != call.id:
+        detail = f"the answer belongs to request {echoed}"
+        return AttemptFault(Stage.SENT, detail)
+    if offset and (
+        echoed is None
+        or resp.status_code != httpx.codes.PARTIAL_CONTENT
+        or resp.headers.get(RESUME_OFFSET) != str(offset)
+    ):
+        detail = f"the server did not resume at byte {offset}"
+        return AttemptFault(Stage.ANSWER, detail)
+    if resp.headers.get(OUTCOME) != Outcome.NOT_RUN.value or offset:
+        return None
+    if echoed is None:
+        detail = "a refusal that names no request"
+        return AttemptFault(Stage.SENT, detail)
+    detail = f"the server refused with status {resp.status_code}"
+    return AttemptFault(
+        Stage.REFUSED, detail, retry_after_ms=_read_retry_after_ms(resp)
+    )
 
 
 def _read_retry_after_ms(resp: httpx.Response) -> int | None:
--- /dev/null
+++ b/corianderdoor/adapters/caller_request.py
@@ -0,0 +1,286 @@
+"""Reading a caller's request: headers checked, the body bounded."""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+import uuid
+
+import anyio
+from expression import Error, Ok, Result
+import msgspec
+import xxhash
+
+from ..core.errors import Fault, Kind
+from ..core.messages import Req
+from ..core.records import Record
+from ..core.rules import Priority
+from ..ports.backend import Call
+from .backend_answer import drop_hop_headers
+from .serving import Receive, Scope
+
+MAX_BODY_BYTES: Final = 4_000_000
+MAX_TARGET_BYTES: Final = 8_000
+BODY_TIMEOUT_S: Final = 30.0
+TOKENS_PER_BYTE: Final = 4
+SHORTEST_TRAIT_BYTES: Final = 64
+STEP: Final = "read-request"
+WORKSPACE: Final = b"corianderdoor-workspace"
+CHAT: Final = b"corianderdoor-chat"
+MODEL: Final = b"corianderdoor-model"
+DEADLINE: Final = b"corianderdoor-deadline-ms"
+PRIORITY: Final = b"corianderdoor-priority"
+CALLER_ID: Final = b"corianderdoor-caller-request-id"
+KEY: Final = b"idempotency-key"
+REQUEST_ID: Final = b"x-request-id"
+FORMS: Final = {
+    WORKSPACE: re.compile(rb"[\x21-\x7e]{1,128}"),
+    CHAT: re.compile(rb"[\x21-\x7e]{0,256}"),
+    MODEL: re.compile(rb"[\x21-\x7e]{0,256}"),
+    DEADLINE: re.compile(rb"0*[1-9][0-9]{0,8}"),
+    PRIORITY: re.compile(rb"critical|high|normal|low"),
+    KEY: re.compile(rb"[\x20-\x7e]{1,256}"),
+    REQUEST_ID: re.compile(rb"[\x21-\x7e]{1,128}"),
+    b"content-length": re.compile(rb"[0-9]{1,18}"),
+}
+TARGET_FORM: Final = re.compile(rb"/[\x21-\x7e]*")
+NOT_PASSED: Final = frozenset(
+    {
+        b"host",
+        b"content-length",
+        b"cookie",
+        b"expect",
+        REQUEST_ID,
+        DEADLINE,
+        PRIORITY,
+        CALLER_ID,
+        b"corianderdoor-resume",
+        b"corianderdoor-resume-offset",
+        b"corianderdoor-outcome",
+    }
+)
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection."""
+
+
+class _ModelField(msgspec.Struct):
+    """The one field of a JSON body that routing looks at."""
+
+    model: str = ""
+
+
+class Head(Record):
+    """What the headers of a request say, checked.
+
+    Attributes:
+        caller_id: The caller's own request id, or one made up for it.
+        workspace: The caller's workspace.
+        chat: Chat id, empty if none.
+        model: Model name from the headers, empty if none.
+        deadline_ms: Time left, in ms; None leaves it to the rule.
+        priority: What the caller asks for; None leaves it to the rule.
+        key: Idempotency key, empty if none.
+        length: Announced length of the body, 0 if none.
+    """
+
+    __slots__ = (
+        "caller_id",
+        "workspace",
+        "chat",
+        "model",
+        "deadline_ms",
+        "priority",
+        "key",
+        "length",
+    )
+
+    def __init__(self, values: dict[bytes, str]) -> None:
+        deadline = values.get(DEADLINE)
+        priority = values.get(PRIORITY)
+        self.caller_id = values.get(REQUEST_ID) or uuid.uuid4().hex
+        self.workspace = values.get(WORKSPACE, "")
+        self.chat = values.get(CHAT, "")
+        self.model = values.get(MODEL, "")
+        self.deadline_ms = int(deadline) if deadline else None
+        self.priority = Priority[priority.upper()] if priority else None
+        self.key = values.get(KEY, "")
+        self.length = int(values.get(b"content-length", "0"))
+
+
+def read_head(scope: Scope) -> Result[Head, Fault]:
+    """Reads and checks the headers and the target of a request."""
+    fault = _check_target(scope)
+    if fault is not None:
+        return Error(fault)
+    values: dict[bytes, str] = {}
+    for name, value in scope["headers"]:
+        if name not in FORMS:
+            if not _is_utf8(value):
+                return _refuse(f"the header {_show(name)} is not UTF-8")
+            continue
+        if name in values:
+            return _refuse(f"the header {_show(name)} stands twice")
+        if not FORMS[name].fullmatch(value):
+            return _refuse(f"the header {_show(name)} has no valid value")
+        values[name] = value.decode("ascii")
+    if WORKSPACE not in values:
+        return _refuse("the header Corianderdoor-Workspace is missing")
+    return Ok(Head(values))
+
+
+def read_caller_id(scope: Scope) -> str:
+    """Returns the caller's request id if it can be echoed, or a new one."""
+    found = [value for name, value in scope["headers"] if name == REQUEST_ID]
+    if len(found) == 1 and FORMS[REQUEST_ID].fullmatch(found[0]):
+        return bytes(found[0]).decode("ascii")
+    return uuid.uuid4().hex
+
+
+async def read_body(receive: Receive, length: int) -> Result[bytes, Fault]:
+    """Reads a body of at most `MAX_BODY_BYTES`.
+
+    Args:
+        receive: Receives from the caller.
+        length: Announced length; too long a body is not begun to read.
+
+    Raises:
+        CallerLeftError: The caller closed its connection first.
+    """
+    if length > MAX_BODY_BYTES:
+        return _refuse_length()
+    parts: list[bytes] = []
+    size = 0
+    with anyio.move_on_after(BODY_TIMEOUT_S):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise CallerLeftError
+            part = message.get("body", b"")
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                return _refuse_length()
+            if not message.get("more_body", False):
+                return Ok(b"".join(parts))
+    detail = f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s"
+    return Error(Fault(Kind.SLOW_BODY, STEP, detail))
+
+
+def build_req(scope: Scope, head: Head, body: bytes) -> Req:
+    """Returns the request as the core sees it, under an id of our own.
+
+    Callers may use the same id twice; ours tells their requests apart.
+    """
+    model = head.model or _read_model(scope, body)
+    return Req(
+        uuid.uuid4().hex,
+        head.workspace,
+        scope["path"],
+        scope["method"],
+        chat=head.chat,
+        model=model,
+        deadline_ms=head.deadline_ms,
+        key=head.key,
+        weight=1 + len(body) // TOKENS_PER_BYTE,
+        fingerprint=_digest(scope["method"], scope["path"], body),
+        traits=_find_traits(scope, head, model, body),
+        caller_id=head.caller_id,
+        priority=head.priority,
+    )
+
+
+def build_call(scope: Scope, req: Req, body: bytes) -> Call:
+    """Returns the request as it goes to a backend server."""
+    headers = [
+        pair
+        for pair in drop_hop_headers(scope["headers"])
+        if pair[0] not in NOT_PASSED
+    ]
+    cookies = [value for name, value in scope["headers"] if name == b"cookie"]
+    if cookies:
+        headers.append((b"cookie", b"; ".join(cookies)))
+    headers.append((CALLER_ID, req.caller_id.encode()))
+    return Call(req.id, req.method, read_target(scope).decode(), headers, body)
+
+
+def read_target(scope: Scope) -> bytes:
+    """Returns the path and the query as the caller sent them."""
+    path: bytes = scope["raw_path"]
+    query: bytes = scope["query_string"]
+    return path + b"?" + query if query else path
+
+
+def _check_target(scope: Scope) -> Fault | None:
+    target = read_target(scope)
+    if len(target) > MAX_TARGET_BYTES:
+        detail = f"the target is over {MAX_TARGET_BYTES} bytes"
+        return Fault(Kind.BAD_REQUEST, STEP, detail)
+    if not TARGET_FORM.fullmatch(target):
+        return Fault(Kind.BAD_REQUEST, STEP, "the target is no path")
+    if {".", ".."} & set(scope["path"].split("/")):
+        detail = "the path holds the segment '.' or '..'"
+        return Fault(Kind.BAD_REQUEST, STEP, detail)
+    return None
+
+
+def _refuse(detail: str) -> Result[Head, Fault]:
+    return Error(Fault(Kind.BAD_REQUEST, STEP, detail))
+
+
+def _refuse_length() -> Result[bytes, Fault]:
+    detail = f"the body is over {MAX_BODY_BYTES} bytes"
+    return Error(Fault(Kind.TOO_LARGE, STEP, detail))
+
+
+def _is_utf8(value: bytes) -> bool:
+    try:
+        value.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def _show(name: bytes) -> str:
+    return name.decode("latin-1").title()
+
+
+def _read_model(scope: Scope, body: bytes) -> str:
+    kind = next(
+        (v for name, v in scope["headers"] if name == b"content-type"), b""
+    )
+    if not kind.startswith(b"application/json"):
+        return ""
+    try:
+        return msgspec.json.decode(body, type=_ModelField).model
+    except msgspec.MsgspecError:
+        return ""
+
+
+def _digest(*parts: str | bytes) -> int:
+    digest = xxhash.xxh3_64()
+    for part in parts:
+        raw = part.encode() if isinstance(part, str) else part
+        digest.update(len(raw).to_bytes(4, "big"))
+        digest.update(raw)
+    return digest.intdigest()
+
+
+def _find_traits(
+    scope: Scope, head: Head, model: str, body: bytes
+) -> tuple[int, ...]:
+    """Returns digests that a near copy of the request shares.
+
+    One changed byte leaves at least one of the body's two ends as it was;
+    their length is a power of two, so that it seldom changes either.
+    """
+    place = (head.workspace, scope["path"], model)
+    traits = []
+    if head.chat:
+        traits.append(_digest("chat", *place, head.chat))
+    if len(body) >= 2 * SHORTEST_TRAIT_BYTES:
+        size = 1 << ((len(body) // 2).bit_length() - 1)
+        traits.append(_digest("head", *place, body[:size]))
+        traits.append(_digest("tail", *place, body[-size:]))
+    return tuple(traits)
--- a/corianderdoor/adapters/problems.py
+++ b/corianderdoor/adapters/problems.py
@@ -16,6 +16,7 @@
     Kind.BAD_REQUEST: 400,
     Kind.UNAUTHORIZED: 401,
     Kind.NO_RULE: 404,
+    Kind.SLOW_BODY: 408,
     Kind.IN_PROGRESS: 409,
     Kind.CONFLICT: 409,
     Kind.TOO_LARGE: 413,
--- a/corianderdoor/adapters/serving.py
+++ b/corianderdoor/adapters/serving.py
@@ -9,6 +9,8 @@
 import hypercorn.asyncio
 from hypercorn.config import Config
 
+from . import h2_cut
+
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
@@ -42,6 +44,7 @@
         stop: Returns when the server has to stop accepting.
         graceful_s: How long requests in progress may go on, in s.
     """
+    h2_cut.install()
     cfg = Config()
     cfg.bind = [f"fd://{sock.detach()}"]
     cfg.backlog = LISTEN_BACKLOG
@@ -49,6 +52,7 @@
     cfg.graceful_timeout = graceful_s
     cfg.accesslog = None
     cfg.errorlog = None
+    cfg.include_server_header = False
     await hypercorn.asyncio.serve(
         app, cfg, shutdown_trigger=stop  # type: ignore[arg-type]
     )
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -1,8 +1,8 @@
 """The request path: from an arrived request to its whole answer.
 
 `Dispatcher` takes events and returns actions. It composes the rules, the
-limits, the placement and the retry budget, and holds one `Flight` for each
-request in progress.
+limits, the placement, the retry budget, the pauses of servers and the
+quarantine, and holds one `Flight` for each request in progress.
 """
 
 from __future__ import annotations
@@ -18,32 +18,48 @@
 from .messages import (
     Action,
     Arrived,
-    AskPermit,
     CallerLeft,
     Done,
     Event,
     Failed,
     Finished,
     FirstByte,
-    PermitAnswered,
     Refuse,
     Req,
+    Resume,
     Send,
     Stage,
     Wait,
     Waited,
 )
-from .placement import Choice, Later, Placement
-from .retry import MAX_ATTEMPTS, RetryBudget
+from .placement import Placement
+from .quarantine import Quarantine
+from .retry import MAX_ATTEMPTS, MAX_CRASHES, RetryBudget
 from .rules import Rule
+from .server_health import ServerHealth
+from .timeouts import choose_silence_ms
 from .topology import Server
 
 NOT_READY_RETRY_MS: Final = 1_000
+GIVEN_UP_RETRY_MS: Final = 1_000
 SERVER_ERROR_STATUS: Final = 500
 
 
 class Flight:
-    """The state of one request in progress."""
+    """The state of one request in progress.
+
+    Attributes:
+        req: The request.
+        rule: The rule that it matched.
+        deadline_at_ms: Monotonic time at which its answer must have ended.
+        attempt: Number of the present attempt, from 1.
+        server: The server that has it now, or None.
+        tried: Servers that are not asked again.
+        doubted: Servers that are asked again only if there is no other.
+        crashes: Servers that crashed under it.
+        answering: Whether the caller was sent a byte of an answer.
+        may_have_run: Whether the outcome of an attempt is unknown.
+    """
 
     __slots__ = (
         "req",
@@ -51,9 +67,9 @@
         "deadline_at_ms",
         "attempt",
         "server",
-        "sent_at_ms",
-        "first_token_ms",
         "tried",
+        "doubted",
+        "crashes",
         "answering",
         "may_have_run",
     )
@@ -64,12 +80,16 @@
         self.deadline_at_ms = deadline_at_ms
         self.attempt = 0
         self.server: Server | None = None
-        self.sent_at_ms = 0
-        self.first_token_ms: int | None = None
         self.tried: set[str] = set()
+        self.doubted: set[str] = set()
+        self.crashes = 0
         self.answering = False
         self.may_have_run = False
 
+    def allows_rerun(self) -> bool:
+        """Tells whether the request is idempotent."""
+        return self.rule.allows_rerun(self.req.method)
+
 
 class Dispatcher:
     """Decides what happens to each request of one router."""
@@ -79,18 +99,26 @@
         "_placement",
         "_admission",
         "_budget",
+        "_quarantine",
+        "_health",
         "_flights",
         "_now_ms",
         "_wall_ms",
     )
 
     def __init__(
-        self, placement: Placement, admission: Admission, budget: RetryBudget
+        self,
+        placement: Placement,
+        admission: Admission,
+        budget: RetryBudget,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self._cfg = EMPTY_CONFIG
         self._placement = placement
         self._admission = admission
         self._budget = budget
+        self._quarantine = quarantine or Quarantine()
+        self._health = ServerHealth()
         self._flights: dict[str, Flight] = {}
         self._now_ms = 0
         self._wall_ms = 0
@@ -105,6 +133,11 @@
         """The number of requests in progress."""
         return len(self._flights)
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """The correlation of crashes, which peers add to."""
+        return self._quarantine
+
     def set_config(self, cfg: Config) -> bool:
         """Puts `cfg` in force; returns False if it is not newer."""
         if cfg.revision <= self._cfg.revision:
@@ -169,44 +202,36 @@
         left_ms = flight.deadline_at_ms - self._now_ms
         if left_ms <= 0:
             return self._give_up(flight, _deadline_fault(flight))
-        chosen = self._placement.choose(
-            flight.req,
-            flight.rule.pool,
-            flight.tried,
-            left_ms,
-            self._now_ms,
-        )
-        return self._follow(flight, chosen)
-
-    def _follow(self, flight: Flight, chosen: Result[Choice, Fault]) -> Action:
-        match chosen:
-            case Result(tag="ok", ok=AskPermit() as ask):
-                return ask
-            case Result(tag="ok", ok=Later(delay_ms=delay_ms)):
-                return Wait(flight.req.id, delay_ms)
-            case Result(tag="ok", ok=Server() as server):
+        held = self._quarantine.check(flight.req, self._now_ms)
+        if held is not None:
+            return self._give_up(flight, held)
+        match self._choose(flight):
+            case Result(tag="ok", ok=server):
                 flight.server = server
                 flight.attempt += 1
-                flight.tried.add(server.name)
-                flight.sent_at_ms = self._now_ms
-                flight.first_token_ms = None
-                left_ms = flight.deadline_at_ms - self._now_ms
-                return Send(flight.req.id, server, flight.attempt, left_ms)
+                self._quarantine.record_start(flight.req, server, self._now_ms)
+                silence_ms = choose_silence_ms(flight.allows_rerun(), left_ms)
+                return Send(
+                    flight.req.id, server, flight.attempt, left_ms, silence_ms
+                )
             case Result(error=fault):
                 return self._give_up(flight, fault)
-        raise TypeError(f"unknown choice {chosen!r}")
 
-    @_on.register
-    def _(self, event: PermitAnswered) -> Action:
-        flight = self._flights.get(event.id)
-        if flight is None:
-            return Done(event.id)
-        if self._now_ms >= flight.deadline_at_ms:
-            return self._give_up(flight, _deadline_fault(flight))
-        return self._follow(
-            flight,
-            self._placement.resume(flight.req, event.answer, self._now_ms),
+    def _choose(self, flight: Flight) -> Result[Server, Fault]:
+        """Chooses a server, the doubted ones only if there is no other."""
+        req, pool = flight.req, flight.rule.pool
+        passed_over = (
+            flight.doubted
+            | self._health.paused(self._now_ms)
+            | self._quarantine.avoided(req, self._now_ms)
         )
+        if passed_over - flight.tried:
+            chosen = self._placement.choose(
+                req, pool, flight.tried | passed_over, self._now_ms
+            )
+            if chosen.is_ok():
+                return chosen
+        return self._placement.choose(req, pool, flight.tried, self._now_ms)
 
     @_on.register
     def _(self, event: Waited) -> Action:
@@ -220,17 +245,17 @@
         flight = self._flights.get(event.id)
         if flight is not None:
             flight.answering = True
-            if flight.first_token_ms is None:
-                flight.first_token_ms = self._now_ms - flight.sent_at_ms
         return Done(event.id)
 
     @_on.register
     def _(self, event: Finished) -> Action:
         flight = self._flights.get(event.id)
         if flight is not None:
+            if flight.server is not None:
+                self._health.clear(flight.server.name)
             if event.status < SERVER_ERROR_STATUS:
                 self._budget.record_success()
-                self._release_server(flight, served=True)
+                self._quarantine.record_success(flight.req)
             self._close(flight)
         return Done(event.id)
 
@@ -249,36 +274,63 @@
         fault = _describe_failure(flight, event)
         if fault.outcome is Outcome.UNKNOWN:
             flight.may_have_run = True
+        self._learn(flight, event)
+        if flight.answering:
+            return self._resume(flight, event, fault)
         self._release_server(flight)
         if not self._may_retry(flight, event):
             return self._give_up(flight, fault)
         delay_ms = self._budget.delay_ms(flight.attempt)
-        if event.retry_after_ms is not None:
-            delay_ms = max(delay_ms, event.retry_after_ms)
-        if self._now_ms + delay_ms >= flight.deadline_at_ms:
+        late = self._now_ms + delay_ms >= flight.deadline_at_ms
+        if late or not self._budget.take():
             return self._give_up(flight, fault)
         return Wait(flight.req.id, delay_ms)
 
+    def _learn(self, flight: Flight, event: Failed) -> None:
+        """Notes what a failed attempt tells about its server."""
+        server = flight.server
+        if server is None:
+            return
+        if event.crashed:
+            flight.crashes += 1
+            self._quarantine.record_crash(flight.req, server, self._now_ms)
+        if event.accuses_server or event.crashed:
+            self._health.accuse(server.name, self._now_ms)
+        if event.retry_after_ms is not None:
+            self._health.defer(server.name, event.retry_after_ms, self._now_ms)
+        if event.silent and not event.accuses_server:
+            flight.doubted.add(server.name)
+        else:
+            flight.tried.add(server.name)
+
+    def _resume(self, flight: Flight, event: Failed, fault: Fault) -> Action:
+        """Goes on with a cut answer at its server, or cuts it."""
+        left_ms = flight.deadline_at_ms - self._now_ms
+        may_resume = (
+            event.resumable
+            and not event.crashed
+            and flight.server is not None
+            and flight.attempt < MAX_ATTEMPTS
+            and left_ms > 0
+        )
+        if not may_resume or not self._budget.take():
+            return self._give_up(flight, fault)
+        assert flight.server is not None
+        flight.attempt += 1
+        silence_ms = choose_silence_ms(flight.allows_rerun(), left_ms)
+        return Resume(flight.req.id, flight.server, left_ms, silence_ms)
+
     def _may_retry(self, flight: Flight, event: Failed) -> bool:
-        if flight.answering or flight.attempt >= MAX_ATTEMPTS:
+        if flight.attempt >= MAX_ATTEMPTS or flight.crashes >= MAX_CRASHES:
             return False
         sent = event.stage in (Stage.SENT, Stage.ANSWER)
-        if sent and not flight.rule.allows_rerun(flight.req.method):
-            return False
-        return self._budget.take()
+        return not sent or flight.allows_rerun()
 
-    def _release_server(self, flight: Flight, served: bool = False) -> None:
-        if flight.server is None:
-            self._placement.cancel(flight.req, self._now_ms)
-            return
-        self._placement.release(
-            flight.req,
-            flight.server,
-            self._now_ms,
-            served,
-            flight.first_token_ms,
-        )
-        flight.server = None
+    def _release_server(self, flight: Flight) -> None:
+        if flight.server is not None:
+            self._placement.release(flight.req, flight.server, self._now_ms)
+            self._quarantine.record_end(flight.req, flight.server)
+            flight.server = None
 
     def _close(self, flight: Flight) -> None:
         self._release_server(flight)
@@ -294,18 +346,23 @@
 
 def _deadline_fault(flight: Flight) -> Fault:
     detail = f"no attempt left within {flight.rule.deadline_ms} ms"
-    return Fault(Kind.DEADLINE, "place", detail)
+    return Fault(
+        Kind.DEADLINE, "place", detail, retry_after_ms=GIVEN_UP_RETRY_MS
+    )
 
 
 def _describe_failure(flight: Flight, event: Failed) -> Fault:
     outcome = Outcome.UNKNOWN
     if event.stage in (Stage.CONNECT, Stage.REFUSED):
         outcome = Outcome.NOT_RUN
+    retry_after_ms = event.retry_after_ms
+    if retry_after_ms is None:
+        retry_after_ms = GIVEN_UP_RETRY_MS
     return Fault(
         Kind.SERVER_FAILED,
         f"attempt-{event.stage.value}",
         event.detail,
         peer=flight.server.name if flight.server else "",
         outcome=outcome,
-        retry_after_ms=event.retry_after_ms,
+        retry_after_ms=retry_after_ms,
     )
--- /dev/null
+++ b/corianderdoor/core/drain.py
@@ -0,0 +1,58 @@
+"""Whether this entry host takes new work, and who does if it does not."""
+
+from __future__ import annotations
+
+from .addresses import in_service
+from .config import Config
+from .errors import Fault, Kind
+from .placement import rank
+from .topology import EntryHost
+
+DRAINING_RETRY_MS = 1_000
+
+
+class EntryDrain:
+    """Sends new work elsewhere while this host stops or is taken out."""
+
+    __slots__ = ("_name", "_data_centre", "_stopping")
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Takes no new work from now on: the process is going to end."""
+        self._stopping = True
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process is going to end."""
+        return self._stopping
+
+    def takes_work(self, cfg: Config) -> bool:
+        """Tells whether new work may run here under `cfg`."""
+        return not (
+            self._stopping
+            or self._data_centre in cfg.drained_centres
+            or self._name in cfg.drained_hosts
+        )
+
+    def choose_other(
+        self, chat: str, entries: tuple[EntryHost, ...], cfg: Config
+    ) -> EntryHost | Fault:
+        """Returns the entry host to go to, by the rendezvous of `chat`."""
+        others = {
+            entry.name: entry
+            for entry in in_service(entries, cfg)
+            if entry.name != self._name
+        }
+        if not others:
+            return Fault(
+                Kind.DRAINING,
+                "redirect",
+                "this host takes no new work, and no other is in service",
+                self._name,
+                retry_after_ms=DRAINING_RETRY_MS,
+            )
+        return others[rank(chat, others)[0]]
--- a/corianderdoor/core/errors.py
+++ b/corianderdoor/core/errors.py
@@ -24,6 +24,7 @@
     KEY_REUSED = "key-reused"
     IN_PROGRESS = "in-progress"
     TOO_LARGE = "too-large"
+    SLOW_BODY = "slow-body"
     QUARANTINED = "quarantined"
     LIMITED = "limited"
     OVERLOADED = "overloaded"
--- a/corianderdoor/core/messages.py
+++ b/corianderdoor/core/messages.py
@@ -6,8 +6,8 @@
 from typing import TypeAlias
 
 from .errors import Fault
-from .permits import Ask, PermitAnswer
 from .records import Record
+from .rules import Priority
 from .topology import Server
 
 
@@ -15,7 +15,7 @@
     """A caller's request as the core sees it; the body stays outside.
 
     Attributes:
-        id: Request id, unique per caller's attempt.
+        id: Request id, made up by the router and unique.
         workspace: The caller's workspace.
         chat: Chat id, empty if the request belongs to no chat.
         path: Request path.
@@ -24,7 +24,11 @@
         deadline_ms: Time left at arrival, in ms; None leaves it to the rule.
         key: Idempotency key, empty if none.
         weight: Expected work, in tokens.
-        fingerprint: Digest of what the backend server would run.
+        fingerprint: Digest of what the backend server would run; 0 if it
+            is not known.
+        traits: Digests of parts of it, which near copies share.
+        caller_id: The caller's own id of it, which may not be unique.
+        priority: What the caller asks for; None leaves it to the rule.
     """
 
     __slots__ = (
@@ -38,6 +42,9 @@
         "key",
         "weight",
         "fingerprint",
+        "traits",
+        "caller_id",
+        "priority",
     )
 
     def __init__(
@@ -51,7 +58,10 @@
         deadline_ms: int | None = None,
         key: str = "",
         weight: int = 1,
-        fingerprint: str = "",
+        fingerprint: int = 0,
+        traits: tuple[int, ...] = (),
+        caller_id: str = "",
+        priority: Priority | None = None,
     ) -> None:
         self.id = id
         self.workspace = workspace
@@ -63,6 +73,9 @@
         self.key = key
         self.weight = weight
         self.fingerprint = fingerprint
+        self.traits = traits
+        self.caller_id = caller_id
+        self.priority = priority
 
 
 class Stage(enum.Enum):
@@ -90,11 +103,24 @@
         id: Request id.
         stage: How far the attempt came.
         detail: What the adapter saw.
-        crashed: Whether the server's connection broke under the request.
+        crashed: Whether the connection broke under the request and the
+            server took no new one.
         retry_after_ms: When the server asked to be tried again, in ms.
+        silent: Whether the connection went silent.
+        accuses_server: Whether the server, not the connection, is at fault.
+        resumable: Whether the server can go on from the byte reached.
     """
 
-    __slots__ = ("id", "stage", "detail", "crashed", "retry_after_ms")
+    __slots__ = (
+        "id",
+        "stage",
+        "detail",
+        "crashed",
+        "retry_after_ms",
+        "silent",
+        "accuses_server",
+        "resumable",
+    )
 
     def __init__(
         self,
@@ -103,12 +129,18 @@
         detail: str,
         crashed: bool = False,
         retry_after_ms: int | None = None,
+        silent: bool = False,
+        accuses_server: bool = False,
+        resumable: bool = False,
     ) -> None:
         self.id = id
         self.stage = stage
         self.detail = detail
         self.crashed = crashed
         self.retry_after_ms = retry_after_ms
+        self.silent = silent
+        self.accuses_server = accuses_server
+        self.resumable = resumable
 
 
 class FirstByte(Record):
@@ -153,29 +185,8 @@
         self.id = id
 
 
-class PermitAnswered(Record):
-    """Event: a router answered an `AskPermit`, or did not in time.
-
-    Attributes:
-        id: Request id.
-        answer: The answer; None if there was none in time.
-    """
-
-    __slots__ = ("id", "answer")
-
-    def __init__(self, id: str, answer: PermitAnswer | None) -> None:
-        self.id = id
-        self.answer = answer
-
-
 Event: TypeAlias = (
-    Arrived
-    | Failed
-    | FirstByte
-    | Finished
-    | CallerLeft
-    | Waited
-    | PermitAnswered
+    Arrived | Failed | FirstByte | Finished | CallerLeft | Waited
 )
 
 
@@ -187,17 +198,45 @@
         server: Where to send it.
         attempt: Number of this attempt, from 1.
         timeout_ms: Time left until the deadline, in ms.
+        silence_ms: Longest time in which nothing may come, in ms.
     """
 
-    __slots__ = ("id", "server", "attempt", "timeout_ms")
+    __slots__ = ("id", "server", "attempt", "timeout_ms", "silence_ms")
 
     def __init__(
-        self, id: str, server: Server, attempt: int, timeout_ms: int
+        self,
+        id: str,
+        server: Server,
+        attempt: int,
+        timeout_ms: int,
+        silence_ms: int,
     ) -> None:
         self.id = id
         self.server = server
         self.attempt = attempt
         self.timeout_ms = timeout_ms
+        self.silence_ms = silence_ms
+
+
+class Resume(Record):
+    """Action: ask the server for the rest of a cut answer.
+
+    Attributes:
+        id: Request id.
+        server: The server that sent the first part.
+        timeout_ms: Time left until the deadline, in ms.
+        silence_ms: Longest time in which nothing may come, in ms.
+    """
+
+    __slots__ = ("id", "server", "timeout_ms", "silence_ms")
+
+    def __init__(
+        self, id: str, server: Server, timeout_ms: int, silence_ms: int
+    ) -> None:
+        self.id = id
+        self.server = server
+        self.timeout_ms = timeout_ms
+        self.silence_ms = silence_ms
 
 
 class Wait(Record):
@@ -239,23 +278,4 @@
         self.id = id
 
 
-class AskPermit(Record):
-    """Action: ask another router for a permit, then hand in the answer.
-
-    Attributes:
-        id: Request id.
-        home: Name of the router to ask.
-        ask: What to ask.
-        timeout_ms: How long to wait for the answer, in ms.
-    """
-
-    __slots__ = ("id", "home", "ask", "timeout_ms")
-
-    def __init__(self, id: str, home: str, ask: Ask, timeout_ms: int) -> None:
-        self.id = id
-        self.home = home
-        self.ask = ask
-        self.timeout_ms = timeout_ms
-
-
-Action: TypeAlias = Send | Wait | Refuse | Done | AskPermit
+Action: TypeAlias = Send | Resume | Wait | Refuse | Done
--- /dev/null
+++ b/corianderdoor/core/quarantine.py
@@ -0,0 +1,306 @@
+"""Stops a request that crashes each backend server that runs it.
+
+A request is known by its fingerprint, which must be the same byte for
+byte, and by traits, which near copies share: its chat, and the first and
+the last part of its body. Each crash of a server is evidence against the
+requests that ran on it; docs/design/quarantine.md states the rule.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import Final
+
+from .clock import MS_PER_SECOND
+from .errors import Fault, Kind
+from .messages import Req
+from .records import Record
+from .topology import Server
+
+WINDOW_MS: Final = 600_000
+FINGERPRINT_CRASHES: Final = 2
+TRAIT_CRASHES: Final = 3
+MAX_SUSPECTS: Final = 4_096
+MAX_HEALTHY: Final = 16_384
+MAX_REPORTS: Final = 64
+REPORT_MS: Final = 30_000
+ISOLATION_RETRY_MS: Final = MS_PER_SECOND
+
+
+class CrashReport(Record):
+    """Evidence that a router passes on to its peers.
+
+    Attributes:
+        key: Fingerprint or trait of a request that ran at the crash.
+        exact: Whether `key` is a fingerprint.
+        server: The server that crashed.
+        incarnation: The server's incarnation.
+        number: Counts the crashes of that incarnation.
+        sole: Whether no other request could have been the cause.
+        age_ms: Time since the crash.
+    """
+
+    __slots__ = (
+        "key",
+        "exact",
+        "server",
+        "incarnation",
+        "number",
+        "sole",
+        "age_ms",
+    )
+
+    def __init__(
+        self,
+        key: int,
+        exact: bool,
+        server: str,
+        incarnation: int,
+        number: int,
+        sole: bool,
+        age_ms: int,
+    ) -> None:
+        self.key = key
+        self.exact = exact
+        self.server = server
+        self.incarnation = incarnation
+        self.number = number
+        self.sole = sole
+        self.age_ms = age_ms
+
+
+class _Suspect:
+    """What is held against one fingerprint or trait."""
+
+    __slots__ = ("exact", "crashes", "successes")
+
+    def __init__(self, exact: bool) -> None:
+        self.exact = exact
+        self.crashes: dict[tuple[str, int, int], tuple[int, bool]] = {}
+        self.successes = 0
+
+    def expire(self, now_ms: int) -> None:
+        oldest_ms = now_ms - WINDOW_MS
+        for crash, (at_ms, _) in list(self.crashes.items()):
+            if at_ms < oldest_ms:
+                del self.crashes[crash]
+
+    @property
+    def cleared(self) -> bool:
+        return self.successes >= len(self.crashes)
+
+    @property
+    def guilty(self) -> bool:
+        if self.cleared:
+            return False
+        needed = FINGERPRINT_CRASHES if self.exact else TRAIT_CRASHES
+        found = len(self.crashes)
+        sole = any(sole for _, sole in self.crashes.values())
+        return found >= needed and (sole or found > needed)
+
+
+class _Run:
+    """One request on one server."""
+
+    __slots__ = ("req", "server", "started_ms")
+
+    def __init__(self, req: Req, server: Server, started_ms: int) -> None:
+        self.req = req
+        self.server = server
+        self.started_ms = started_ms
+
+
+class Quarantine:
+    """Correlates crashes with what ran, and refuses what is found guilty.
+
+    State is bounded: `MAX_SUSPECTS` keys under suspicion, `MAX_HEALTHY`
+    keys with a whole answer, and the runs in progress.
+    """
+
+    __slots__ = ("_suspects", "_healthy", "_runs", "_crashes", "_reports")
+
+    def __init__(self) -> None:
+        self._suspects: collections.OrderedDict[int, _Suspect] = (
+            collections.OrderedDict()
+        )
+        self._healthy: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._runs: dict[str, dict[str, _Run]] = {}
+        self._crashes: dict[str, tuple[int, int, int]] = {}
+        self._reports: collections.deque[tuple[int, CrashReport]] = (
+            collections.deque(maxlen=MAX_REPORTS)
+        )
+
+    def check(self, req: Req, now_ms: int) -> Fault | None:
+        """Returns why `req` may not run now, or None."""
+        if not self._suspects:
+            return None
+        for key in _keys(req):
+            if self._is_guilty(key, now_ms):
+                return Fault(
+                    Kind.QUARANTINED,
+                    "check-quarantine",
+                    "requests like this one crashed the servers that ran it",
+                )
+        if self._is_suspect(req, now_ms) and self._runs_elsewhere(req):
+            return Fault(
+                Kind.LIMITED,
+                "check-quarantine",
+                "a copy of this request runs, after one crashed its server",
+                retry_after_ms=ISOLATION_RETRY_MS,
+            )
+        return None
+
+    def avoided(self, req: Req, now_ms: int) -> frozenset[str]:
+        """Returns the servers on which `req` must not meet another suspect.
+
+        Empty for a request that is not under suspicion.
+        """
+        if not self._suspects or not self._is_suspect(req, now_ms):
+            return frozenset()
+        return frozenset(
+            name
+            for name, runs in self._runs.items()
+            if any(self._is_suspect(run.req, now_ms) for run in runs.values())
+        )
+
+    def record_start(self, req: Req, server: Server, now_ms: int) -> None:
+        """Notes that `req` was sent to `server`."""
+        run = _Run(req, server, now_ms)
+        self._runs.setdefault(server.name, {})[req.id] = run
+
+    def record_end(self, req: Req, server: Server) -> None:
+        """Notes that `req` runs on `server` no more."""
+        runs = self._runs.get(server.name)
+        if runs is None:
+            return
+        runs.pop(req.id, None)
+        if not runs:
+            del self._runs[server.name]
+
+    def record_success(self, req: Req) -> None:
+        """Notes a whole answer to `req`, which speaks for it."""
+        for key in _keys(req):
+            suspect = self._suspects.get(key)
+            if suspect is not None:
+                suspect.successes += 1
+        if req.fingerprint:
+            count = self._healthy.pop(req.fingerprint, 0)
+            self._healthy[req.fingerprint] = count + 1
+            if len(self._healthy) > MAX_HEALTHY:
+                self._healthy.popitem(last=False)
+
+    def record_crash(self, req: Req, server: Server, now_ms: int) -> None:
+        """Notes that `server` crashed under `req` and all that ran there.
+
+        Call it for each request that a crash hit, before `record_end`.
+        """
+        runs = self._runs.get(server.name, {})
+        run = runs.get(req.id)
+        if run is None:
+            return
+        crash = self._identify(run, now_ms)
+        if crash is None:
+            return
+        together = list(runs.values())
+        prior = [
+            other for other in together if self._is_suspect(other.req, now_ms)
+        ]
+        accused = prior or together
+        for other in accused:
+            for key in _keys(other.req):
+                exact = key == other.req.fingerprint
+                sole = len(accused) == 1
+                self._accuse(key, exact, crash, (now_ms, sole))
+                report = CrashReport(key, exact, *crash, sole, 0)
+                self._reports.append((now_ms, report))
+
+    def reports(self, now_ms: int) -> list[CrashReport]:
+        """Returns the latest evidence, for peers; they may get it twice."""
+        return [
+            CrashReport(
+                report.key,
+                report.exact,
+                report.server,
+                report.incarnation,
+                report.number,
+                report.sole,
+                now_ms - at_ms,
+            )
+            for at_ms, report in self._reports
+            if now_ms - at_ms <= REPORT_MS
+        ]
+
+    def merge(self, report: CrashReport, now_ms: int) -> None:
+        """Takes in the evidence of a peer."""
+        if not 0 <= report.age_ms <= WINDOW_MS:
+            return
+        crash = (report.server, report.incarnation, report.number)
+        seen = (now_ms - report.age_ms, report.sole)
+        self._accuse(report.key, report.exact, crash, seen)
+
+    def tick(self, now_ms: int) -> None:
+        """Forgets evidence that has expired; call about once a minute."""
+        for key, suspect in list(self._suspects.items()):
+            suspect.expire(now_ms)
+            if not suspect.crashes:
+                del self._suspects[key]
+
+    def _identify(self, run: _Run, now_ms: int) -> tuple[str, int, int] | None:
+        """Names the crash that ended `run`; None if it is noted already."""
+        server = run.server
+        incarnation, number, at_ms = self._crashes.get(server.name, (0, 0, -1))
+        if run.started_ms <= at_ms:
+            return None
+        number = number + 1 if incarnation == server.incarnation else 1
+        self._crashes[server.name] = (server.incarnation, number, now_ms)
+        if len(self._crashes) > MAX_SUSPECTS:
+            del self._crashes[next(iter(self._crashes))]
+        return server.name, server.incarnation, number
+
+    def _accuse(
+        self,
+        key: int,
+        exact: bool,
+        crash: tuple[str, int, int],
+        seen: tuple[int, bool],
+    ) -> None:
+        suspect = self._suspects.pop(key, None)
+        if suspect is None:
+            suspect = _Suspect(exact)
+            suspect.successes = self._healthy.get(key, 0)
+        suspect.crashes[crash] = seen
+        self._suspects[key] = suspect
+        if len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+
+    def _is_guilty(self, key: int, now_ms: int) -> bool:
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return False
+        suspect.expire(now_ms)
+        return suspect.guilty
+
+    def _is_suspect(self, req: Req, now_ms: int) -> bool:
+        for key in _keys(req):
+            suspect = self._suspects.get(key)
+            if suspect is None:
+                continue
+            suspect.expire(now_ms)
+            if not suspect.cleared:
+                return True
+        return False
+
+    def _runs_elsewhere(self, req: Req) -> bool:
+        return req.fingerprint != 0 and any(
+            run.req.fingerprint == req.fingerprint and run.req.id != req.id
+            for runs in self._runs.values()
+            for run in runs.values()
+        )
+
+
+def _keys(req: Req) -> tuple[int, ...]:
+    if not req.fingerprint:
+        return req.traits
+    return (req.fingerprint, *req.traits)
--- a/corianderdoor/core/retry.py
+++ b/corianderdoor/core/retry.py
@@ -11,6 +11,7 @@
 BACKOFF_BASE_MS: Final = 25
 BACKOFF_CAP_MS: Final = 1_000
 MAX_ATTEMPTS: Final = 3
+MAX_CRASHES: Final = 2
 
 
 class RetryBudget:
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -21,6 +21,7 @@
 from ..core.clock import Clock, MS_PER_SECOND, SystemClock
 from ..core.config import CONFIG_KEY, decode_config
 from ..core.dispatch import Dispatcher
+from ..core.drain import EntryDrain
 from ..core.placement import BoundedPlacement
 from ..core.retry import RetryBudget
 from ..core.topology import EntryHost, HostList, Server
@@ -31,6 +32,8 @@
 HOSTS_POLL_MS: Final = 1_000
 WATCH_MS: Final = 20_000
 STORE_RETRY_MS: Final = 500
+STOP_POLL_MS: Final = 20
+LAST_ANSWERS_S: Final = 5.0
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -49,6 +52,7 @@
         hosts_url: Base URL of the host list.
         load_bound: Highest load of a server, as a multiple of the mean.
         graceful_ms: How long a shutdown waits for answers, in ms.
+        linger_ms: How long a shutdown redirects callers at least, in ms.
     """
 
     name: Name
@@ -60,6 +64,7 @@
     hosts_url: str
     load_bound: Annotated[float, msgspec.Meta(gt=1.0, le=10.0)] = 1.5
     graceful_ms: Annotated[int, msgspec.Meta(ge=0)] = 120_000
+    linger_ms: Annotated[int, msgspec.Meta(ge=0)] = 2_000
 
 
 class Router:
@@ -73,6 +78,7 @@
         "_placement",
         "_dispatcher",
         "_listing",
+        "_drain",
     )
 
     def __init__(
@@ -92,12 +98,18 @@
             self._placement, Admission(), RetryBudget(rng)
         )
         self._listing = HostList()
+        self._drain = EntryDrain(settings.name, settings.data_centre)
 
     @property
     def dispatcher(self) -> Dispatcher:
         """The decision core of this router."""
         return self._dispatcher
 
+    @property
+    def drain(self) -> EntryDrain:
+        """Whether this host takes new work."""
+        return self._drain
+
     def entries(self) -> tuple[EntryHost, ...]:
         """Returns the entry hosts that the platform lists."""
         return self._listing.entries
@@ -125,6 +137,24 @@
                     log_event("hosts_failed", "WARNING", detail=fault.detail)
             await anyio.sleep(HOSTS_POLL_MS / MS_PER_SECOND)
 
+    async def finish(self) -> None:
+        """Sends new work elsewhere until the answers begun have ended."""
+        self._drain.stop()
+        began_ms = self._clock.now_ms()
+        log_event("router_stopping", in_progress=self._dispatcher.in_progress)
+        while self._must_wait(self._clock.now_ms() - began_ms):
+            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
+        left = self._dispatcher.in_progress
+        log_event(
+            "router_finished", "WARNING" if left else "INFO", in_progress=left
+        )
+
+    def _must_wait(self, waited_ms: int) -> bool:
+        if waited_ms < self._settings.linger_ms:
+            return True
+        in_progress = self._dispatcher.in_progress > 0
+        return in_progress and waited_ms < self._settings.graceful_ms
+
     def _take_config(self, versioned: Versioned) -> None:
         match decode_config(versioned.value, versioned.version):
             case Result(tag="ok", ok=cfg):
@@ -157,15 +187,20 @@
     hosts = HttpHosts(settings.hosts_url)
     backend = HttpBackend()
     router = Router(settings, clock, store, hosts, random.Random())
-    app = CallerApp(router.dispatcher, backend, clock, router.entries)
+    app = CallerApp(
+        router.dispatcher, backend, clock, router.entries, router.drain
+    )
     sock = bind_socket(settings.listen, settings.port)
+
+    async def stop() -> None:
+        await wait_for_signal()
+        await router.finish()
+
     async with anyio.create_task_group() as tg:
         tg.start_soon(router.follow_config)
         tg.start_soon(router.follow_hosts)
         log_event("router_started", port=sock.getsockname()[1])
-        await serve(
-            app, sock, wait_for_signal, settings.graceful_ms / MS_PER_SECOND
-        )
+        await serve(app, sock, stop, LAST_ANSWERS_S)
         log_event("router_stopped")
         tg.cancel_scope.cancel()
 
--- a/corianderdoor/ports/backend.py
+++ b/corianderdoor/ports/backend.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Protocol
 
 from expression import Result
@@ -46,22 +46,37 @@
     Attributes:
         stage: How far it came.
         detail: What was seen.
-        crashed: Whether the connection broke under the request.
+        broken: Whether the connection broke under the request.
+        silent: Whether nothing came for the agreed time.
+        accuses_server: Whether the server itself is at fault, by what this
+            attempt saw: it took no connection, or stayed silent on one
+            that had never worked.
         retry_after_ms: When the server asked to be tried again, in ms.
     """
 
-    __slots__ = ("stage", "detail", "crashed", "retry_after_ms")
+    __slots__ = (
+        "stage",
+        "detail",
+        "broken",
+        "silent",
+        "accuses_server",
+        "retry_after_ms",
+    )
 
     def __init__(
         self,
         stage: Stage,
         detail: str,
-        crashed: bool = False,
+        broken: bool = False,
+        silent: bool = False,
+        accuses_server: bool = False,
         retry_after_ms: int | None = None,
     ) -> None:
         self.stage = stage
         self.detail = detail
-        self.crashed = crashed
+        self.broken = broken
+        self.silent = silent
+        self.accuses_server = accuses_server
         self.retry_after_ms = retry_after_ms
 
 
@@ -84,7 +99,15 @@
     def headers(self) -> list[tuple[bytes, bytes]]:
         """The headers to pass on."""
 
-    def chunks(self) -> AsyncIterator[bytes]:
+    @property
+    def offset(self) -> int:
+        """Bytes of the body yielded so far, over all its parts."""
+
+    @property
+    def resume_token(self) -> str:
+        """What the server calls this stream; empty if it can't resume."""
+
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields the body; raises `AnswerCut` if it is not whole."""
 
     async def close(self) -> None:
@@ -95,6 +118,29 @@
     """Sends requests to backend servers."""
 
     async def send(
-        self, server: Server, call: Call, timeout_ms: int
+        self, server: Server, call: Call, timeout_ms: int, silence_ms: int
+    ) -> Result[Answer, AttemptFault]:
+        """Sends `call` and waits for the answer's headers.
+
+        Args:
+            server: Where to send it.
+            call: The request.
+            timeout_ms: Time left until the deadline, told to the server.
+            silence_ms: Longest time in which nothing may come.
+        """
+
+    async def resume(
+        self,
+        server: Server,
+        call: Call,
+        answer: Answer,
+        timeout_ms: int,
+        silence_ms: int,
     ) -> Result[Answer, AttemptFault]:
-        """Sends `call` and waits for the answer's headers."""
+        """Asks for the rest of a cut answer, from the byte it ended at."""
+
+    async def accepts(self, server: Server) -> bool:
+        """Tells whether `server` takes a new connection now."""
+
+    async def distrust(self, server: Server, answer: Answer) -> None:
+        """Takes no new request over the connections of a silent answer."""
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,103 @@
+"""Fake backend servers that speak bytes, for faults of the protocol."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+import re
+
+import anyio
+from anyio.abc import SocketStream
+
+from corianderdoor.core.topology import Server
+from corianderdoor.ports.backend import Call
+
+Script = Callable[["Conn"], Awaitable[None]]
+
+
+class Conn:
+    """One accepted connection; `number` counts them from 1."""
+
+    def __init__(self, server: "RawServer", stream: SocketStream) -> None:
+        self.server = server
+        self.stream = stream
+        self.number = server.accepted
+        self._buffer = b""
+
+    async def read_request(self) -> bytes:
+        """Reads one request with a content length and keeps its head."""
+        while b"\r\n\r\n" not in self._buffer:
+            self._buffer += await self.stream.receive()
+        head, _, rest = self._buffer.partition(b"\r\n\r\n")
+        found = re.search(rb"(?i)content-length: (\d+)", head)
+        length = int(found.group(1)) if found else 0
+        while len(rest) < length:
+            rest += await self.stream.receive()
+        self._buffer = rest[length:]
+        self.server.requests.append(head)
+        return head
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes as they are."""
+        await self.stream.send(data)
+
+    async def answer(self, head: bytes, body: bytes, *extra: bytes) -> None:
+        """Sends a whole answer that echoes the request's id."""
+        lines = [b"HTTP/1.1 200 OK", b"x-request-id: " + find_id(head)]
+        lines += [b"content-length: %d" % len(body), *extra]
+        await self.send(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    async def wait_closed(self) -> None:
+        """Returns when the other side has closed the connection."""
+        try:
+            while True:
+                await self.stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            self.server.closed.set()
+
+
+class RawServer:
+    """Runs a script for each connection on a free port."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.accepted = 0
+        self.requests: list[bytes] = []
+        self.closed = anyio.Event()
+        self.port = 0
+
+    def server(self, engine: bool = True) -> Server:
+        """Returns how the host list would name it."""
+        url = f"http://127.0.0.1:{self.port}"
+        return Server("e1", "h1", "dc-a", "redactor", url, 1, 9, engine)
+
+    async def handle(self, stream: SocketStream) -> None:
+        """Serves one connection."""
+        self.accepted += 1
+        async with stream:
+            try:
+                await self.script(Conn(self, stream))
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                self.closed.set()
+
+
+@asynccontextmanager
+async def raw_server(script: Script):
+    """Yields a running `RawServer`."""
+    server = RawServer(script)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    server.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, server.handle)
+        yield server
+        tg.cancel_scope.cancel()
+
+
+def find_id(head: bytes) -> bytes:
+    """Returns the request id in a request's head."""
+    found = re.search(rb"(?i)\r\nx-request-id: ([^\r]*)", head)
+    return found.group(1) if found else b""
+
+
+def build_call(method: str = "POST", id: str = "r1", **fields) -> Call:
+    """Returns a call with usual fields."""
+    headers = fields.pop("headers", [])
+    return Call(id, method, "/v1/chat", headers, fields.pop("body", b"{}"))
