--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,147 @@
+"""Measures the CPU cost of a streamed chunk for several relay designs.
+
+Each design runs in a process of its own between an engine and a caller in
+two more, on loopback. The cost is the relay's process CPU time over the
+chunks that the caller received. `paced` sends a chunk every 29 ms on each
+of many streams, the target of the service; `burst` sends without a pause.
+`through` and `direct` are first-byte times, asked in turns.
+
+    python bench/relay.py --out relay.json
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+from typing import Any, Final
+
+import httpx
+
+ROLES: Final = pathlib.Path(__file__).with_name("relay_roles.py")
+PACE_MS: Final = 29
+DESIGNS: Final = (
+    "asyncio+httpcore",
+    "uvloop+httpcore",
+    "uvloop+aiohttp",
+    "asyncio+aiohttp",
+    "uvloop+aiohttp+hold=5",
+    "uvloop+aiohttp+hold=20",
+    "uvloop+httpcore+engine-h2",
+    "uvloop+aiohttp+caller-h2",
+    "own",
+    "own+caller-h2",
+)
+HEADING: Final = (
+    f"{'design':28} {'paced us':>9} {'ratio':>6} {'gap p95':>8} "
+    f"{'burst us':>9} {'through':>8} {'direct':>7}"
+)
+
+
+def take_port() -> int:
+    """Returns a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def start(role: str, port: int, *args: str) -> subprocess.Popen[bytes]:
+    """Starts a serving role and waits until it accepts."""
+    command = [sys.executable, str(ROLES), role, "--port", str(port), *args]
+    proc = subprocess.Popen(command)
+    until = time.monotonic() + 20
+    while time.monotonic() < until:
+        with socket.socket() as sock:
+            if sock.connect_ex(("127.0.0.1", port)) == 0:
+                return proc
+        time.sleep(0.05)
+    proc.kill()
+    raise TimeoutError(f"{role} did not start")
+
+
+def ask(role: str, port: int, *args: str) -> dict[str, float]:
+    """Runs a caller's role to its end and returns what it saw."""
+    command = [sys.executable, str(ROLES), role, "--port", str(port), *args]
+    done = subprocess.run(command, stdout=subprocess.PIPE, check=True)
+    found: dict[str, float] = json.loads(done.stdout)
+    return found
+
+
+def read_cpu_ns(port: int) -> int:
+    """Returns the CPU time that the relay at `port` has used."""
+    with httpx.Client(trust_env=False) as client:
+        return int(client.get(f"http://127.0.0.1:{port}/cpu").text)
+
+
+def measure(design: str, engine_port: int, args: Any) -> dict[str, Any]:
+    """Measures one design."""
+    port = take_port()
+    engine = f"http://127.0.0.1:{engine_port}"
+    relay = start("relay", port, "--design", design, "--engine", engine)
+    h2 = ["--h2"] if "caller-h2" in design else []
+    row: dict[str, Any] = {"design": design}
+    try:
+        ask("load", port, "--streams", "20", "--chunks", "50", *h2)
+        for name, streams, chunks, pace in (
+            ("paced", args.streams, args.chunks, PACE_MS),
+            ("burst", 40, args.chunks * args.streams // 40, 0),
+        ):
+            load = ["--streams", str(streams), "--chunks", str(chunks)]
+            began_ns = read_cpu_ns(port)
+            seen = ask("load", port, *load, "--pace-ms", str(pace), *h2)
+            used_ns = read_cpu_ns(port) - began_ns
+            if seen["chunks"] != streams * chunks:
+                raise RuntimeError(f"{design}: {seen['chunks']} chunks")
+            row[f"{name}_us"] = used_ns / 1000 / seen["chunks"]
+            row[f"{name}_gap_p95_ms"] = seen["gap_p95_ms"]
+        other = ["--other-port", str(engine_port), "--streams", "200"]
+        row |= ask("first", port, *other)
+    finally:
+        relay.terminate()
+        relay.wait()
+    return row
+
+
+def print_row(row: dict[str, Any], base: dict[str, Any]) -> None:
+    """Prints one line of the table."""
+    print(
+        f"{row['design']:28} {row['paced_us']:9.1f} "
+        f"{row['paced_us'] / base['paced_us']:6.2f} "
+        f"{row['paced_gap_p95_ms']:8.1f} {row['burst_us']:9.1f} "
+        f"{row['through_ms']:8.2f} {row['direct_ms']:7.2f}",
+        flush=True,
+    )
+
+
+def main() -> int:
+    """Measures every design and prints a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", type=pathlib.Path)
+    parser.add_argument("--streams", type=int, default=80)
+    parser.add_argument("--chunks", type=int, default=100)
+    parser.add_argument("--designs", nargs="*", default=list(DESIGNS))
+    args = parser.parse_args()
+    engine_port = take_port()
+    engine = start("engine", engine_port)
+    try:
+        rows = []
+        print(HEADING)
+        for name in args.designs:
+            rows.append(measure(name, engine_port, args))
+            print_row(rows[-1], rows[0])
+    finally:
+        engine.terminate()
+        engine.wait()
+    if args.out:
+        found = {"cpus": os.cpu_count(), "rows": rows}
+        args.out.write_text(json.dumps(found, indent=1), encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/corianderdoor/core/addresses.py
+++ b/corianderdoor/core/addresses.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 from .config import Config
-from .placement import rank
 from .records import Record
+from .rendezvous import rank
 from .topology import EntryHost
 
 VALID_MS: Final = 30_000
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -15,15 +15,18 @@
 from .admission import Admission
 from .config import Config, EMPTY_CONFIG
 from .errors import Fault, Kind, Outcome
+from .flight import describe_deadline, describe_failure, Flight
 from .messages import (
     Action,
     Arrived,
+    AskPermit,
     CallerLeft,
     Done,
     Event,
     Failed,
     Finished,
     FirstByte,
+    PermitAnswered,
     Refuse,
     Req,
     Resume,
@@ -32,7 +35,7 @@
     Wait,
     Waited,
 )
-from .placement import Placement
+from .placement import Choice, Later, Placement
 from .quarantine import Quarantine
 from .retry import MAX_ATTEMPTS, MAX_CRASHES, RetryBudget
 from .rules import Rule
@@ -41,56 +44,9 @@
 from .topology import Server
 
 NOT_READY_RETRY_MS: Final = 1_000
-GIVEN_UP_RETRY_MS: Final = 1_000
 SERVER_ERROR_STATUS: Final = 500
 
 
-class Flight:
-    """The state of one request in progress.
-
-    Attributes:
-        req: The request.
-        rule: The rule that it matched.
-        deadline_at_ms: Monotonic time at which its answer must have ended.
-        attempt: Number of the present attempt, from 1.
-        server: The server that has it now, or None.
-        tried: Servers that are not asked again.
-        doubted: Servers that are asked again only if there is no other.
-        crashes: Servers that crashed under it.
-        answering: Whether the caller was sent a byte of an answer.
-        may_have_run: Whether the outcome of an attempt is unknown.
-    """
-
-    __slots__ = (
-        "req",
-        "rule",
-        "deadline_at_ms",
-        "attempt",
-        "server",
-        "tried",
-        "doubted",
-        "crashes",
-        "answering",
-        "may_have_run",
-    )
-
-    def __init__(self, req: Req, rule: Rule, deadline_at_ms: int) -> None:
-        self.req = req
-        self.rule = rule
-        self.deadline_at_ms = deadline_at_ms
-        self.attempt = 0
-        self.server: Server | None = None
-        self.tried: set[str] = set()
-        self.doubted: set[str] = set()
-        self.crashes = 0
-        self.answering = False
-        self.may_have_run = False
-
-    def allows_rerun(self) -> bool:
-        """Tells whether the request is idempotent."""
-        return self.rule.allows_rerun(self.req.method)
-
-
 class Dispatcher:
     """Decides what happens to each request of one router."""
 
@@ -201,23 +157,47 @@
     def _place(self, flight: Flight) -> Action:
         left_ms = flight.deadline_at_ms - self._now_ms
         if left_ms <= 0:
-            return self._give_up(flight, _deadline_fault(flight))
+            return self._give_up(flight, describe_deadline(flight))
         held = self._quarantine.check(flight.req, self._now_ms)
         if held is not None:
             return self._give_up(flight, held)
-        match self._choose(flight):
-            case Result(tag="ok", ok=server):
-                flight.server = server
-                flight.attempt += 1
-                self._quarantine.record_start(flight.req, server, self._now_ms)
-                silence_ms = choose_silence_ms(flight.allows_rerun(), left_ms)
-                return Send(
-                    flight.req.id, server, flight.attempt, left_ms, silence_ms
-                )
+        return self._follow(flight, self._choose(flight, left_ms))
+
+    def _follow(self, flight: Flight, chosen: Result[Choice, Fault]) -> Action:
+        match chosen:
+            case Result(tag="ok", ok=AskPermit() as ask):
+                return ask
+            case Result(tag="ok", ok=Later(delay_ms=delay_ms)):
+                return Wait(flight.req.id, delay_ms)
+            case Result(tag="ok", ok=Server() as server):
+                return self._start(flight, server)
             case Result(error=fault):
                 return self._give_up(flight, fault)
+        raise TypeError(f"unknown choice {chosen!r}")
+
+    @_on.register
+    def _(self, event: PermitAnswered) -> Action:
+        flight = self._flights.get(event.id)
+        if flight is None:
+            return Done(event.id)
+        if self._now_ms >= flight.deadline_at_ms:
+            return self._give_up(flight, describe_deadline(flight))
+        return self._follow(
+            flight,
+            self._placement.resume(flight.req, event.answer, self._now_ms),
+        )
 
-    def _choose(self, flight: Flight) -> Result[Server, Fault]:
+    def _start(self, flight: Flight, server: Server) -> Action:
+        flight.server = server
+        flight.attempt += 1
+        flight.sent_at_ms = self._now_ms
+        flight.first_token_ms = None
+        self._quarantine.record_start(flight.req, server, self._now_ms)
+        left_ms = flight.deadline_at_ms - self._now_ms
+        silence_ms = choose_silence_ms(flight.allows_rerun(), left_ms)
+        return Send(flight.req.id, server, flight.attempt, left_ms, silence_ms)
+
+    def _choose(self, flight: Flight, left_ms: int) -> Result[Choice, Fault]:
         """Chooses a server, the doubted ones only if there is no other."""
         req, pool = flight.req, flight.rule.pool
         passed_over = (
@@ -227,11 +207,13 @@
         )
         if passed_over - flight.tried:
             chosen = self._placement.choose(
-                req, pool, flight.tried | passed_over, self._now_ms
+                req, pool, flight.tried | passed_over, left_ms, self._now_ms
             )
             if chosen.is_ok():
                 return chosen
-        return self._placement.choose(req, pool, flight.tried, self._now_ms)
+        return self._placement.choose(
+            req, pool, flight.tried, left_ms, self._now_ms
+        )
 
     @_on.register
     def _(self, event: Waited) -> Action:
@@ -245,6 +227,8 @@
         flight = self._flights.get(event.id)
         if flight is not None:
             flight.answering = True
+            if flight.first_token_ms is None:
+                flight.first_token_ms = self._now_ms - flight.sent_at_ms
         return Done(event.id)
 
     @_on.register
@@ -256,6 +240,7 @@
             if event.status < SERVER_ERROR_STATUS:
                 self._budget.record_success()
                 self._quarantine.record_success(flight.req)
+                self._release_server(flight, served=True)
             self._close(flight)
         return Done(event.id)
 
@@ -271,7 +256,7 @@
         flight = self._flights.get(event.id)
         if flight is None:
             return Done(event.id)
-        fault = _describe_failure(flight, event)
+        fault = describe_failure(flight, event)
         if fault.outcome is Outcome.UNKNOWN:
             flight.may_have_run = True
         self._learn(flight, event)
@@ -326,11 +311,19 @@
         sent = event.stage in (Stage.SENT, Stage.ANSWER)
         return not sent or flight.allows_rerun()
 
-    def _release_server(self, flight: Flight) -> None:
-        if flight.server is not None:
-            self._placement.release(flight.req, flight.server, self._now_ms)
-            self._quarantine.record_end(flight.req, flight.server)
-            flight.server = None
+    def _release_server(self, flight: Flight, served: bool = False) -> None:
+        if flight.server is None:
+            self._placement.cancel(flight.req, self._now_ms)
+            return
+        self._placement.release(
+            flight.req,
+            flight.server,
+            self._now_ms,
+            served,
+            flight.first_token_ms,
+        )
+        self._quarantine.record_end(flight.req, flight.server)
+        flight.server = None
 
     def _close(self, flight: Flight) -> None:
         self._release_server(flight)
@@ -342,27 +335,3 @@
         if flight.may_have_run:
             fault = fault.with_outcome(Outcome.UNKNOWN)
         return Refuse(flight.req.id, fault)
-
-
-def _deadline_fault(flight: Flight) -> Fault:
-    detail = f"no attempt left within {flight.rule.deadline_ms} ms"
-    return Fault(
-        Kind.DEADLINE, "place", detail, retry_after_ms=GIVEN_UP_RETRY_MS
-    )
-
-
-def _describe_failure(flight: Flight, event: Failed) -> Fault:
-    outcome = Outcome.UNKNOWN
-    if event.stage in (Stage.CONNECT, Stage.REFUSED):
-        outcome = Outcome.NOT_RUN
-    retry_after_ms = event.retry_after_ms
-    if retry_after_ms is None:
-        retry_after_ms = GIVEN_UP_RETRY_MS
-    return Fault(
-        Kind.SERVER_FAILED,
-        f"attempt-{event.stage.value}",
-        event.detail,
-        peer=flight.server.name if flight.server else "",
-        outcome=outcome,
-        retry_after_ms=retry_after_ms,
-    )
--- a/corianderdoor/core/drain.py
+++ b/corianderdoor/core/drain.py
@@ -5,7 +5,7 @@
 from .addresses import in_service
 from .config import Config
 from .errors import Fault, Kind
-from .placement import rank
+from .rendezvous import rank
 from .topology import EntryHost
 
 DRAINING_RETRY_MS = 1_000
--- /dev/null
+++ b/corianderdoor/core/home_placement.py
@@ -0,0 +1,386 @@
+"""Placement by home routers: the whole fleet keeps one bound together."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator
+from functools import singledispatchmethod
+import random
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from .errors import Fault
+from .homes import Homes
+from .load_report import LoadReport
+from .load_sums import LoadDigest, LoadSums
+from .messages import AskPermit, Req
+from .permit_book import LEVEL_STEPS, PermitBook
+from .permits import (
+    Ask,
+    HandOff,
+    PeerMessage,
+    PermitAnswer,
+    Release,
+    Tier,
+    ToPeer,
+    Verdict,
+)
+from .placement import Choice, Later, no_server_fault, overload_fault
+from .rendezvous import Ring
+from .topology import EntryHost, Server
+
+ASK_TIMEOUT_MS: Final = 60
+TICK_MS: Final = 100
+DIGEST_MS: Final = 1_000
+WAIT_MS: Final = 100
+MAX_WAIT_MS: Final = 500
+MAX_ASKS: Final = 3
+MAX_LOOKS: Final = 16
+PERMIT_GRACE_MS: Final = 1_000
+ID_BITS: Final = 62
+
+
+class Search:
+    """The choice of a server for one request, while it goes on.
+
+    Attributes:
+        pool: Name of the pool.
+        weight: Work of the request, in tokens.
+        order: The servers still to be looked at.
+        looked: The servers that had no room.
+        server: The server whose home is being asked.
+        permit: Id of the permit asked for.
+        home: Name of the router being asked.
+        asks: How many routers were asked.
+        ttl_ms: When a permit expires if it is not released, in ms.
+        tier: How far the search has come.
+        over_mean: Whether the multiple of the mean was a reason to refuse.
+        first_ms: When the first search for this request began.
+    """
+
+    __slots__ = (
+        "pool",
+        "weight",
+        "order",
+        "looked",
+        "server",
+        "permit",
+        "home",
+        "asks",
+        "ttl_ms",
+        "tier",
+        "over_mean",
+        "first_ms",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        weight: int,
+        order: Iterator[Server],
+        ttl_ms: int,
+        first_ms: int,
+    ) -> None:
+        self.pool = pool
+        self.weight = weight
+        self.order = order
+        self.looked: list[Server] = []
+        self.server: Server | None = None
+        self.permit = 0
+        self.home = ""
+        self.asks = 0
+        self.ttl_ms = ttl_ms
+        self.tier = Tier.CHAT_ORDER
+        self.over_mean = False
+        self.first_ms = first_ms
+
+
+class HomePlacement:
+    """Chooses servers in a chat's order; their homes admit the work.
+
+    Room on a server whose home is this router costs no message. For any
+    other server, the home is asked for a permit. What it has to tell other
+    routers gathers in an outbox.
+    """
+
+    __slots__ = (
+        "_me",
+        "_sums",
+        "_book",
+        "_homes",
+        "_rings",
+        "_servers",
+        "_searches",
+        "_granted",
+        "_next_permit",
+        "_outbox",
+        "_digest_at_ms",
+    )
+
+    def __init__(
+        self, me: str, bound: float, rng: random.Random, first_seq: int = 0
+    ) -> None:
+        """Creates the placement of the router `me`.
+
+        Args:
+            me: Name of this router.
+            bound: Highest load of a server, as a multiple of the mean.
+            rng: Source of the first permit id.
+            first_seq: Larger after each restart, such as the Unix time.
+        """
+        self._me = me
+        self._sums = LoadSums()
+        self._book = PermitBook(me, bound, self._sums, first_seq)
+        self._homes = Homes()
+        self._rings: dict[str, Ring] = {}
+        self._servers: tuple[Server, ...] = ()
+        self._searches: dict[str, Search] = {}
+        self._granted: dict[str, tuple[str, int]] = {}
+        self._next_permit = rng.getrandbits(ID_BITS)
+        self._outbox: list[ToPeer] = []
+        self._digest_at_ms = -DIGEST_MS
+
+    @property
+    def book(self) -> PermitBook:
+        """The permits that this router gives."""
+        return self._book
+
+    @property
+    def homes(self) -> Homes:
+        """The home router of each server, by this router's view."""
+        return self._homes
+
+    def set_servers(self, servers: tuple[Server, ...], now_ms: int) -> None:
+        """Replaces the servers that may get new work."""
+        if servers == self._servers:
+            return
+        self._servers = servers
+        pools: dict[str, list[Server]] = {}
+        for server in servers:
+            pools.setdefault(server.pool, []).append(server)
+        for pool in [name for name in self._rings if name not in pools]:
+            del self._rings[pool]
+        for pool, members in pools.items():
+            self._rings.setdefault(pool, Ring()).replace(members)
+        names = {server.name for server in servers}
+        self._sums.keep_servers(names)
+        self._homes.keep_servers(names)
+        self._take_homes(now_ms)
+
+    def set_entries(self, entries: Iterable[EntryHost], now_ms: int) -> None:
+        """Replaces the routers that are live and take work."""
+        entries = tuple(entries)
+        if self._homes.set_entries(entries):
+            self._sums.keep_origins({entry.name for entry in entries})
+            self._take_homes(now_ms)
+
+    def first_home(self, pool: str, chat: str) -> str:
+        """Returns the home of the chat's first server, empty if none."""
+        ring = self._rings.get(pool)
+        if ring is None:
+            return ""
+        server = next(ring.order(chat), None)
+        return "" if server is None else self._homes.find(server)
+
+    def choose(
+        self,
+        req: Req,
+        pool: str,
+        excluded: Collection[str],
+        left_ms: int,
+        now_ms: int,
+    ) -> Result[Choice, Fault]:
+        """Reserves room on a server for `req`, or asks for it."""
+        ring = self._rings.get(pool)
+        if ring is None or all(s.name in excluded for s in ring.servers()):
+            return Error(no_server_fault(pool))
+        order = ring.order(req.chat or req.id)
+        left = (server for server in order if server.name not in excluded)
+        before = self._searches.get(req.id)
+        search = Search(
+            pool,
+            req.weight,
+            left,
+            left_ms + PERMIT_GRACE_MS,
+            now_ms if before is None else before.first_ms,
+        )
+        self._searches[req.id] = search
+        return self._go_on(req, search, now_ms)
+
+    def resume(
+        self, req: Req, answer: PermitAnswer | None, now_ms: int
+    ) -> Result[Choice, Fault]:
+        """Goes on with a choice after a router answered, or did not."""
+        search = self._searches[req.id]
+        server = search.server
+        assert server is not None
+        if answer is not None and answer.verdict is Verdict.GRANTED:
+            return self._take(req, search, server)
+        if answer is None:
+            self._tell(search.home, Release(search.permit, server.name))
+        else:
+            search.over_mean |= answer.verdict is Verdict.OVER_MEAN
+        search.looked.append(server)
+        search.server = None
+        return self._go_on(req, search, now_ms)
+
+    def cancel(self, req: Req, now_ms: int) -> None:
+        """Drops a choice that waits for an answer, if there is one."""
+        search = self._searches.pop(req.id, None)
+        if search is not None and search.server is not None:
+            release = Release(search.permit, search.server.name)
+            self._tell(search.home, release)
+
+    def release(
+        self,
+        req: Req,
+        server: Server,
+        now_ms: int,
+        served: bool = False,
+        first_token_ms: int | None = None,
+    ) -> None:
+        """Returns the room that was reserved."""
+        granted = self._granted.pop(req.id, None)
+        if granted is None:
+            return
+        home, permit = granted
+        release = Release(permit, server.name, served, first_token_ms)
+        if home == self._me:
+            self._book.release(self._me, release, now_ms)
+        else:
+            self._tell(home, release)
+
+    def take_report(self, report: LoadReport, now_ms: int) -> None:
+        """Takes the report of a server whose home this router is."""
+        self._book.take_report(report, now_ms)
+
+    def take_message(
+        self, peer: str, message: PeerMessage, now_ms: int
+    ) -> None:
+        """Takes a message of another router; answers go to the outbox."""
+        self._on_message(message, peer, now_ms)
+
+    def take_outbox(self) -> list[ToPeer]:
+        """Returns what is to be sent to other routers, once."""
+        outbox, self._outbox = self._outbox, []
+        return outbox
+
+    def tick(self, now_ms: int) -> LoadDigest | None:
+        """Drops what has expired; call about every `TICK_MS`.
+
+        Returns:
+            What to tell all routers; None if they know enough.
+        """
+        self._sums.tick(now_ms)
+        self._book.tick(now_ms)
+        due = now_ms - self._digest_at_ms >= DIGEST_MS
+        if not due and not self._book.has_news():
+            return None
+        self._digest_at_ms = now_ms
+        return self._book.digest()
+
+    @singledispatchmethod
+    def _on_message(
+        self, message: PeerMessage, peer: str, now_ms: int
+    ) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_on_message.register
+    def _(self, message: Ask, peer: str, now_ms: int) -> None:
+        self._tell(peer, self._book.ask(peer, message, now_ms))
+
+    @_on_message.register
+    def _(self, message: Release, peer: str, now_ms: int) -> None:
+        self._book.release(peer, message, now_ms)
+
+    @_on_message.register
+    def _(self, message: HandOff, peer: str, now_ms: int) -> None:
+        self._book.take_hand_off(message, now_ms)
+
+    @_on_message.register
+    def _(self, message: LoadDigest, peer: str, now_ms: int) -> None:
+        self._sums.record(message, now_ms)
+
+    def _go_on(
+        self, req: Req, search: Search, now_ms: int
+    ) -> Result[Choice, Fault]:
+        """Tries servers in turn until one has room or a router is asked."""
+        while True:
+            server = self._next_server(search)
+            if server is None:
+                return self._end_in_vain(req, search, now_ms)
+            search.permit = self._next_permit
+            self._next_permit += 1
+            ask = Ask(
+                search.permit,
+                server.name,
+                search.weight,
+                search.ttl_ms,
+                search.tier,
+            )
+            search.home = self._homes.find(server)
+            if search.home != self._me:
+                search.asks += 1
+                search.server = server
+                return Ok(AskPermit(req.id, search.home, ask, ASK_TIMEOUT_MS))
+            answer = self._book.ask(self._me, ask, now_ms)
+            if answer.verdict is Verdict.GRANTED:
+                return self._take(req, search, server)
+            search.over_mean |= answer.verdict is Verdict.OVER_MEAN
+            search.looked.append(server)
+
+    def _end_in_vain(
+        self, req: Req, search: Search, now_ms: int
+    ) -> Result[Choice, Fault]:
+        """Waits for a newer mean if that may help, else refuses."""
+        waited_ms = now_ms - search.first_ms
+        if search.over_mean and waited_ms < MAX_WAIT_MS:
+            return Ok(Later(WAIT_MS))
+        del self._searches[req.id]
+        return Error(overload_fault(search.pool))
+
+    def _next_server(self, search: Search) -> Server | None:
+        """Returns the next server worth a try, or None if none is left."""
+        near = search.tier is not Tier.CHAT_ORDER or (
+            len(search.looked) < MAX_LOOKS
+        )
+        if near and search.asks < MAX_ASKS:
+            server = next(search.order, None)
+            if server is not None:
+                return server
+        if search.tier is Tier.BELOW_MEAN:
+            return None
+        search.tier = Tier(search.tier + 1)
+        search.asks = 0
+        known = [*search.looked, *search.order]
+        known.sort(key=lambda item: self._expected_level(search, item))
+        search.looked = []
+        search.order = iter(known)
+        return next(search.order, None)
+
+    def _expected_level(self, search: Search, server: Server) -> float:
+        """Returns the server's load over the mean, with this request."""
+        mean = self._book.mean(search.pool, search.weight)
+        added = search.weight / (mean * server.capacity)
+        return self._sums.level(server.name) / LEVEL_STEPS + added
+
+    def _take(
+        self, req: Req, search: Search, server: Server
+    ) -> Result[Choice, Fault]:
+        self._granted[req.id] = (search.home, search.permit)
+        del self._searches[req.id]
+        return Ok(server)
+
+    def _take_homes(self, now_ms: int) -> None:
+        """Becomes the home of the servers that the view gives to it."""
+        homes = self._homes
+        mine = [s for s in self._servers if homes.find(s) == self._me]
+        by_name = {server.name: server for server in self._servers}
+        for handed in self._book.set_servers(mine, now_ms):
+            server = by_name.get(handed.server)
+            if server is not None:
+                self._tell(homes.find(server), handed)
+
+    def _tell(self, peer: str, message: PeerMessage) -> None:
+        if peer and peer != self._me:
+            self._outbox.append(ToPeer(peer, message))
--- /dev/null
+++ b/corianderdoor/core/homes.py
@@ -0,0 +1,75 @@
+"""The home router of each backend server."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+import xxhash
+
+from .topology import EntryHost, Server
+
+
+class Homes:
+    """Names the one router that admits work to a backend server.
+
+    The home is the first of the rendezvous order of the server's name over
+    the live routers of its data centre; without one there, over those of
+    its region; without one there, over all. Routers whose views agree name
+    the same home without a message. Answers are cached until the view of
+    the routers changes.
+    """
+
+    __slots__ = ("_entries", "_regions", "_cache")
+
+    def __init__(self) -> None:
+        self._entries: dict[str, EntryHost] = {}
+        self._regions: dict[str, str] = {}
+        self._cache: dict[str, tuple[str, str]] = {}
+
+    def set_entries(self, entries: Iterable[EntryHost]) -> bool:
+        """Replaces the live routers; returns whether they changed."""
+        fresh = {entry.name: entry for entry in entries}
+        if fresh == self._entries:
+            return False
+        self._entries = fresh
+        for entry in fresh.values():
+            self._regions[entry.data_centre] = entry.region
+        self._cache.clear()
+        return True
+
+    def entry(self, name: str) -> EntryHost | None:
+        """Returns the live router called `name`."""
+        return self._entries.get(name)
+
+    def region_of(self, data_centre: str) -> str:
+        """Returns the region of a data centre, empty if unknown."""
+        return self._regions.get(data_centre, "")
+
+    def keep_servers(self, names: Collection[str]) -> None:
+        """Forgets servers that are gone."""
+        for name in [n for n in self._cache if n not in names]:
+            del self._cache[name]
+
+    def find(self, server: Server) -> str:
+        """Returns the name of the server's home, empty without routers."""
+        kept = self._cache.get(server.name)
+        if kept is not None and kept[0] == server.data_centre:
+            return kept[1]
+        home = self._compute(server)
+        self._cache[server.name] = (server.data_centre, home)
+        return home
+
+    def _compute(self, server: Server) -> str:
+        entries = list(self._entries.values())
+        region = self.region_of(server.data_centre)
+        near = [e for e in entries if e.data_centre == server.data_centre]
+        if not near:
+            near = [e for e in entries if e.region == region]
+        best = max(
+            near or entries,
+            key=lambda entry: xxhash.xxh3_64_intdigest(
+                f"{server.name}\0{entry.name}".encode()
+            ),
+            default=None,
+        )
+        return "" if best is None else best.name
--- a/corianderdoor/core/messages.py
+++ b/corianderdoor/core/messages.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 from .errors import Fault
+from .permits import Ask, PermitAnswer
 from .records import Record
 from .rules import Priority
 from .topology import Server
@@ -185,8 +186,29 @@
         self.id = id
 
 
+class PermitAnswered(Record):
+    """Event: a router answered an `AskPermit`, or did not in time.
+
+    Attributes:
+        id: Request id.
+        answer: The answer; None if there was none in time.
+    """
+
+    __slots__ = ("id", "answer")
+
+    def __init__(self, id: str, answer: PermitAnswer | None) -> None:
+        self.id = id
+        self.answer = answer
+
+
 Event: TypeAlias = (
-    Arrived | Failed | FirstByte | Finished | CallerLeft | Waited
+    Arrived
+    | Failed
+    | FirstByte
+    | Finished
+    | CallerLeft
+    | Waited
+    | PermitAnswered
 )
 
 
@@ -278,4 +300,23 @@
         self.id = id
 
 
-Action: TypeAlias = Send | Resume | Wait | Refuse | Done
+class AskPermit(Record):
+    """Action: ask another router for a permit, then hand in the answer.
+
+    Attributes:
+        id: Request id.
+        home: Name of the router to ask.
+        ask: What to ask.
+        timeout_ms: How long to wait for the answer, in ms.
+    """
+
+    __slots__ = ("id", "home", "ask", "timeout_ms")
+
+    def __init__(self, id: str, home: str, ask: Ask, timeout_ms: int) -> None:
+        self.id = id
+        self.home = home
+        self.ask = ask
+        self.timeout_ms = timeout_ms
+
+
+Action: TypeAlias = Send | Resume | Wait | Refuse | Done | AskPermit
--- /dev/null
+++ b/corianderdoor/core/permit_book.py
@@ -0,0 +1,188 @@
+"""The home router's side: who may send work to its backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from .account import Account
+from .load_report import LoadReport
+from .load_sums import LoadDigest, LoadSums, PoolSum
+from .permits import Ask, HandOff, PermitAnswer, Release, Verdict
+from .topology import Server
+
+LEVEL_STEPS: Final = 16
+MAX_LEVEL: Final = 255
+NEWS_SHARE: Final = 8
+ENDED_KEEP_MS: Final = 2_000
+
+
+class PermitBook:
+    """Admits work to the servers whose home this router is.
+
+    A server's load is bounded by `bound` times the mean of its pool, by
+    its capacity and by its ramp. As only the home admits, the bound is
+    exact without a shared table; only the mean is told with a lag.
+    """
+
+    __slots__ = (
+        "_me",
+        "_bound",
+        "_sums",
+        "_accounts",
+        "_totals",
+        "_told",
+        "_ended",
+        "_seq",
+    )
+
+    def __init__(
+        self, me: str, bound: float, sums: LoadSums, first_seq: int
+    ) -> None:
+        """Creates the book of the router `me`.
+
+        Args:
+            me: Name of this router.
+            bound: Highest load of a server, as a multiple of the mean.
+            sums: What other routers tell of their servers.
+            first_seq: Larger after each restart, such as the Unix time.
+        """
+        self._me = me
+        self._bound = bound
+        self._sums = sums
+        self._accounts: dict[str, Account] = {}
+        self._totals: dict[str, tuple[int, int]] = {}
+        self._told: dict[str, tuple[int, int]] = {}
+        self._ended: dict[tuple[str, int], int] = {}
+        self._seq = first_seq
+
+    @property
+    def accounts(self) -> dict[str, Account]:
+        """The accounts by name of server."""
+        return self._accounts
+
+    def set_servers(
+        self, servers: Iterable[Server], now_ms: int
+    ) -> list[HandOff]:
+        """Makes this router the home of just `servers`.
+
+        Returns:
+            What the next homes of the servers given up need to know.
+        """
+        fresh: dict[str, Account] = {}
+        for server in servers:
+            old = self._accounts.pop(server.name, None)
+            if old is None:
+                fresh[server.name] = Account(server, now_ms, settled=False)
+            elif old.server.incarnation < server.incarnation:
+                fresh[server.name] = Account(server, now_ms, settled=True)
+            else:
+                old.server = server
+                fresh[server.name] = old
+        handed = [account.hand_off() for account in self._accounts.values()]
+        self._accounts = fresh
+        self._recount()
+        return handed
+
+    def ask(self, holder: str, ask: Ask, now_ms: int) -> PermitAnswer:
+        """Answers a router that asks for room, itself included."""
+        key = (holder, ask.id)
+        account = self._accounts.get(ask.server)
+        if account is None or key in self._ended:
+            return PermitAnswer(ask.id, Verdict.NOT_HOME)
+        if account.holds(key):
+            return PermitAnswer(ask.id, Verdict.GRANTED)
+        capacity = max(1, account.capacity)
+        mean = self.mean(account.server.pool, ask.weight) * capacity
+        verdict = account.judge(ask, self._bound * mean, mean, now_ms)
+        if verdict is Verdict.GRANTED:
+            account.grant(key, ask, now_ms)
+            self._count(account, ask.weight, 0)
+        return PermitAnswer(ask.id, verdict)
+
+    def release(self, holder: str, release: Release, now_ms: int) -> None:
+        """Takes a permit back; an ask that comes later gets none."""
+        key = (holder, release.id)
+        self._ended[key] = now_ms
+        account = self._accounts.get(release.server)
+        if account is not None:
+            load, capacity = account.load, account.capacity
+            account.release(key, release, now_ms)
+            self._count(
+                account, account.load - load, account.capacity - capacity
+            )
+
+    def take_report(self, report: LoadReport, now_ms: int) -> None:
+        """Takes a server's own report."""
+        account = self._accounts.get(report.server)
+        if account is not None:
+            account.take_report(report, now_ms)
+            self._recount()
+
+    def take_hand_off(self, handed: HandOff, now_ms: int) -> None:
+        """Takes a server over from its former home."""
+        account = self._accounts.get(handed.server)
+        if account is not None:
+            account.take_hand_off(handed, now_ms)
+            self._recount()
+
+    def digest(self) -> LoadDigest:
+        """Returns what other routers should know of these servers."""
+        self._seq += 1
+        self._told = dict(self._totals)
+        levels = tuple(
+            (name, self._level(account))
+            for name, account in self._accounts.items()
+        )
+        return LoadDigest(
+            self._me, self._seq, tuple(self.sums().values()), levels
+        )
+
+    def has_news(self) -> bool:
+        """Tells whether a pool's load has moved by much since `digest`."""
+        for pool, (load, _) in self._totals.items():
+            told, _ = self._told.get(pool, (0, 0))
+            if abs(load - told) * NEWS_SHARE > max(load, told):
+                return True
+        return False
+
+    def sums(self) -> dict[str, PoolSum]:
+        """Returns load and capacity of these servers by pool."""
+        return {
+            pool: PoolSum(pool, load, capacity)
+            for pool, (load, capacity) in self._totals.items()
+        }
+
+    def mean(self, pool: str, extra: int) -> float:
+        """Returns the mean load per unit of capacity, with `extra` added."""
+        load, capacity = self._sums.total(pool)
+        own_load, own_capacity = self._totals.get(pool, (0, 0))
+        return (load + own_load + extra) / max(1, capacity + own_capacity)
+
+    def tick(self, now_ms: int) -> None:
+        """Drops what has expired; call about once a second."""
+        for account in self._accounts.values():
+            account.tick(now_ms)
+        self._recount()
+        self._ended = {
+            key: at_ms
+            for key, at_ms in self._ended.items()
+            if now_ms - at_ms < ENDED_KEEP_MS
+        }
+
+    def _count(self, account: Account, load: int, capacity: int) -> None:
+        pool = account.server.pool
+        old_load, old_capacity = self._totals.get(pool, (0, 0))
+        self._totals[pool] = (old_load + load, old_capacity + capacity)
+
+    def _recount(self) -> None:
+        self._totals = {}
+        for account in self._accounts.values():
+            self._count(account, account.load, account.capacity)
+
+    def _level(self, account: Account) -> int:
+        if account.requests >= account.ramp.allowed:
+            return MAX_LEVEL
+        capacity = max(1, account.capacity)
+        mean = self.mean(account.server.pool, 1) * capacity
+        return min(MAX_LEVEL - 1, round(LEVEL_STEPS * account.load / mean))
--- /dev/null
+++ b/corianderdoor/core/permits.py
@@ -0,0 +1,144 @@
+"""Messages by which routers ask a server's home router for room."""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeAlias
+
+from .load_sums import LoadDigest
+from .records import Record
+
+
+class Verdict(enum.Enum):
+    """A home router's answer to a request for room on one server."""
+
+    GRANTED = "granted"
+    OVER_MEAN = "over-mean"  # more than the set multiple of the mean load
+    FULL = "full"  # as many requests as the server bears
+    COLD = "cold"  # as many requests as its ramp allows
+    LEAVING = "leaving"  # the server takes no new work
+    NOT_HOME = "not-home"  # this router does not admit to the server
+
+
+class Tier(enum.IntEnum):
+    """How far a search for room has come."""
+
+    CHAT_ORDER = 0  # the chat's own order, within what homes keep free
+    BEST_FIT = 1  # the least loaded by report, within the whole bound
+    BELOW_MEAN = 2  # any server at or below the mean
+
+
+class Ask(Record):
+    """Message: asks for a permit to send one request to one server.
+
+    Repeating it has the effect of once, as permits are known by id.
+
+    Attributes:
+        id: Id of the permit, unique per asking router.
+        server: Name of the server.
+        weight: Expected work of the request, in tokens.
+        ttl_ms: When the permit expires if it is not released, in ms.
+        tier: How far the search has come.
+    """
+
+    __slots__ = ("id", "server", "weight", "ttl_ms", "tier")
+
+    def __init__(
+        self,
+        id: int,
+        server: str,
+        weight: int,
+        ttl_ms: int,
+        tier: Tier = Tier.CHAT_ORDER,
+    ) -> None:
+        self.id = id
+        self.server = server
+        self.weight = weight
+        self.ttl_ms = ttl_ms
+        self.tier = tier
+
+
+class PermitAnswer(Record):
+    """Message: the answer to an `Ask`.
+
+    Attributes:
+        id: Id of the permit.
+        verdict: Whether there is room.
+    """
+
+    __slots__ = ("id", "verdict")
+
+    def __init__(self, id: int, verdict: Verdict) -> None:
+        self.id = id
+        self.verdict = verdict
+
+
+class Release(Record):
+    """Message: gives a permit back.
+
+    Attributes:
+        id: Id of the permit.
+        server: Name of the server.
+        served: Whether the server answered the request whole.
+        first_token_ms: Time to the first token; None if not known.
+    """
+
+    __slots__ = ("id", "server", "served", "first_token_ms")
+
+    def __init__(
+        self,
+        id: int,
+        server: str,
+        served: bool = False,
+        first_token_ms: int | None = None,
+    ) -> None:
+        self.id = id
+        self.server = server
+        self.served = served
+        self.first_token_ms = first_token_ms
+
+
+class HandOff(Record):
+    """Message: the former home of a server tells the new one its load.
+
+    Attributes:
+        server: Name of the server.
+        incarnation: Incarnation of the server.
+        work: Tokens of the requests in progress.
+        requests: Requests in progress.
+        allowed: Requests at once that its ramp allows.
+    """
+
+    __slots__ = ("server", "incarnation", "work", "requests", "allowed")
+
+    def __init__(
+        self,
+        server: str,
+        incarnation: int,
+        work: int,
+        requests: int,
+        allowed: int,
+    ) -> None:
+        self.server = server
+        self.incarnation = incarnation
+        self.work = work
+        self.requests = requests
+        self.allowed = allowed
+
+
+PeerMessage: TypeAlias = Ask | PermitAnswer | Release | HandOff | LoadDigest
+
+
+class ToPeer(Record):
+    """Action: send a message to another router.
+
+    Attributes:
+        peer: Name of the router.
+        message: What to send.
+    """
+
+    __slots__ = ("peer", "message")
+
+    def __init__(self, peer: str, message: PeerMessage) -> None:
+        self.peer = peer
+        self.message = message
--- a/corianderdoor/core/placement.py
+++ b/corianderdoor/core/placement.py
@@ -2,48 +2,109 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
-from typing import Final, Protocol
+from collections.abc import Collection
+from typing import Final, Protocol, TypeAlias
 
 from expression import Error, Ok, Result
-import xxhash
 
 from .errors import Fault, Kind
-from .messages import Req
+from .messages import AskPermit, Req
+from .permits import PermitAnswer
+from .records import Record
+from .rendezvous import rank
 from .topology import Server
 
 NO_SERVER_RETRY_MS: Final = 2_000
 OVERLOAD_RETRY_MS: Final = 1_000
 
 
-def rank(key: str, names: Iterable[str]) -> list[str]:
-    """Returns `names` in the rendezvous order of `key`.
+class Later(Record):
+    """A choice to try again soon, as there may be room by then.
 
-    Every caller that ranks the same names gets the same order, and adding
-    or removing a name moves only the keys that had it first.
+    Attributes:
+        delay_ms: When to try again, in ms.
     """
-    return sorted(
-        names,
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()),
-        reverse=True,
-    )
+
+    __slots__ = ("delay_ms",)
+
+    def __init__(self, delay_ms: int) -> None:
+        self.delay_ms = delay_ms
+
+
+Choice: TypeAlias = Server | AskPermit | Later
 
 
 class Placement(Protocol):
     """Chooses servers and keeps account of the work given to them."""
 
     def choose(
-        self, req: Req, pool: str, excluded: Collection[str], now_ms: int
-    ) -> Result[Server, Fault]:
-        """Reserves room on a server for `req`; `now_ms` is monotonic."""
-
-    def release(self, req: Req, server: Server, now_ms: int) -> None:
-        """Returns the room that `choose` reserved."""
+        self,
+        req: Req,
+        pool: str,
+        excluded: Collection[str],
+        left_ms: int,
+        now_ms: int,
+    ) -> Result[Choice, Fault]:
+        """Reserves room on a server for `req`, or asks for it.
+
+        Args:
+            req: The request.
+            pool: The pool that its rule names.
+            excluded: Names of servers that were tried.
+            left_ms: Time until the request's deadline.
+            now_ms: Monotonic time.
+        """
+
+    def resume(
+        self, req: Req, answer: PermitAnswer | None, now_ms: int
+    ) -> Result[Choice, Fault]:
+        """Goes on with a choice after a router answered, or did not."""
+
+    def cancel(self, req: Req, now_ms: int) -> None:
+        """Drops a choice that waits for an answer, if there is one."""
+
+    def release(
+        self,
+        req: Req,
+        server: Server,
+        now_ms: int,
+        served: bool = False,
+        first_token_ms: int | None = None,
+    ) -> None:
+        """Returns the room that was reserved.
+
+        Args:
+            req: The request.
+            server: The server that it was sent to.
+            now_ms: Monotonic time.
+            served: Whether the server answered it whole.
+            first_token_ms: Time to the first byte; None if none came.
+        """
 
     def set_servers(self, servers: tuple[Server, ...], now_ms: int) -> None:
         """Replaces the servers that may get new work."""
 
 
+def no_server_fault(pool: str) -> Fault:
+    """Returns the fault of a pool without servers."""
+    return Fault(
+        Kind.NO_SERVER,
+        "choose-server",
+        f"pool {pool} has no live backend server",
+        retry_after_ms=NO_SERVER_RETRY_MS,
+    )
+
+
+def overload_fault(pool: str) -> Fault:
+    """Returns the fault of a pool whose servers are all full."""
+    return Fault(
+        Kind.OVERLOADED,
+        "choose-server",
+        f"every backend server of pool {pool} is full",
+        retry_after_ms=OVERLOAD_RETRY_MS,
+    )
+
+
 class BoundedPlacement:
     """Rendezvous order with bounded load, by this router's own sight.
 
@@ -67,36 +128,41 @@
         self._pools = pools
 
     def choose(
-        self, req: Req, pool: str, excluded: Collection[str], now_ms: int
-    ) -> Result[Server, Fault]:
+        self,
+        req: Req,
+        pool: str,
+        excluded: Collection[str],
+        left_ms: int,
+        now_ms: int,
+    ) -> Result[Choice, Fault]:
         """Reserves room on the first server of the order that has any."""
         servers = self._pools.get(pool, {})
         names = [name for name in servers if name not in excluded]
         if not names:
-            detail = f"pool {pool} has no live backend server"
-            return Error(
-                Fault(
-                    Kind.NO_SERVER,
-                    "choose-server",
-                    detail,
-                    retry_after_ms=NO_SERVER_RETRY_MS,
-                )
-            )
+            return Error(no_server_fault(pool))
         for name in rank(req.chat or req.id, names):
             if self._has_room(servers[name], servers):
                 self._load[name] = self._load.get(name, 0) + 1
                 return Ok(servers[name])
-        detail = f"every backend server of pool {pool} is full"
-        return Error(
-            Fault(
-                Kind.OVERLOADED,
-                "choose-server",
-                detail,
-                retry_after_ms=OVERLOAD_RETRY_MS,
-            )
-        )
-
-    def release(self, req: Req, server: Server, now_ms: int) -> None:
+        return Error(overload_fault(pool))
+
+    def resume(
+        self, req: Req, answer: PermitAnswer | None, now_ms: int
+    ) -> Result[Choice, Fault]:
+        """Never comes to pass, as this placement asks no router."""
+        return Error(overload_fault(""))
+
+    def cancel(self, req: Req, now_ms: int) -> None:
+        """Does nothing, as no choice waits."""
+
+    def release(
+        self,
+        req: Req,
+        server: Server,
+        now_ms: int,
+        served: bool = False,
+        first_token_ms: int | None = None,
+    ) -> None:
         """Returns the room that `choose` reserved."""
         left = self._load.get(server.name, 0) - 1
         if left > 0:
--- /dev/null
+++ b/tests/test_home_placement.py
@@ -0,0 +1,225 @@
+"""Tests of the fleet-wide bound that home routers keep together."""
+
+import random
+
+from builders import build_req, build_server
+from expression import Result
+import pytest
+
+from corianderdoor.core import account
+from corianderdoor.core.home_placement import HomePlacement
+from corianderdoor.core.load_report import LoadReport
+from corianderdoor.core.messages import AskPermit
+from corianderdoor.core.permits import (
+    Ask,
+    PermitAnswer,
+    Release,
+    Tier,
+    Verdict,
+)
+from corianderdoor.core.placement import Later
+from corianderdoor.core.topology import EntryHost, Server
+
+POOL = "redactor"
+LEFT_MS = 10_000
+BOUND = 1.5
+
+
+class Routers:
+    """Some placements whose messages arrive at once."""
+
+    def __init__(self, count, servers, settled=True, warm=True):
+        self.now_ms = 0
+        names = [f"r{number}" for number in range(count)]
+        self.entries = [EntryHost(n, "dc-a", "reg", "", "") for n in names]
+        self.cores = {}
+        for name in names:
+            core = HomePlacement(name, BOUND, random.Random(len(self.cores)))
+            core.set_entries(self.entries, 0)
+            core.set_servers(tuple(servers), 0)
+            self.cores[name] = core
+            for held in core.book.accounts.values():
+                if warm:
+                    core.take_report(warm_report(held.server), 0)
+                if settled:
+                    held.take_hand_off(held.hand_off(), 0)
+
+    def pass_on(self):
+        """Delivers what is in the outboxes; returns the answers."""
+        answers = []
+        for name, core in self.cores.items():
+            for sent in core.take_outbox():
+                if isinstance(sent.message, PermitAnswer):
+                    answers.append(sent.message)
+                else:
+                    peer = self.cores[sent.peer]
+                    peer.take_message(name, sent.message, self.now_ms)
+        return answers
+
+    def tell_all(self):
+        """Exchanges digests between all routers."""
+        self.now_ms += 1_000
+        for name, core in self.cores.items():
+            digest = core.tick(self.now_ms)
+            for peer in self.cores.values():
+                if peer is not core and digest is not None:
+                    peer.take_message(name, digest, self.now_ms)
+
+    def place(self, router, req):
+        """Follows one request to its server; None if there is none."""
+        core = self.cores[router]
+        chosen = core.choose(req, POOL, (), LEFT_MS, self.now_ms)
+        while True:
+            match chosen:
+                case Result(tag="ok", ok=Server() as server):
+                    return server.name
+                case Result(tag="ok", ok=AskPermit() as action):
+                    home = self.cores[action.home]
+                    home.take_message(router, action.ask, self.now_ms)
+                    (answer,) = self.pass_on()
+                    chosen = core.resume(req, answer, self.now_ms)
+                case Result(tag="ok", ok=Later()):
+                    return None
+                case _:
+                    return None
+
+
+def warm_report(server, **fields):
+    """Returns the report of a server that has run for long."""
+    values = {"uptime_ms": 900_000, "completed": 9_999, **fields}
+    return LoadReport(server.name, server.incarnation, **values)
+
+
+def build_servers(count, capacity=64):
+    return [build_server(f"e{n}", capacity=capacity) for n in range(count)]
+
+
+@pytest.mark.parametrize("routers", [1, 8])
+def test_sum_of_all_routers_stays_within_the_multiple(routers):
+    fleet = Routers(routers, build_servers(10))
+    rng = random.Random(5)
+    load = {}
+    for number in range(300):
+        req = build_req(str(number), chat=f"hot-{number % 3}")
+        req.weight = rng.randint(50, 150)
+        name = fleet.place(f"r{rng.randrange(routers)}", req)
+        if name is not None:
+            load[name] = load.get(name, 0) + req.weight
+        if number % 5 == 0:
+            fleet.tell_all()
+    assert sum(load.values()) > 20_000
+    assert max(load.values()) <= BOUND * sum(load.values()) / 10
+
+
+def test_permit_that_is_asked_for_twice_counts_once():
+    fleet = Routers(2, build_servers(1))
+    home = next(c for c in fleet.cores.values() if c.book.accounts)
+    ask = Ask(7, "e0", 100, LEFT_MS)
+    for _ in range(2):
+        assert home.book.ask("r9", ask, 0).verdict is Verdict.GRANTED
+    assert home.book.accounts["e0"].load == 100
+
+
+def test_ask_that_arrives_after_its_release_gets_no_room():
+    fleet = Routers(1, build_servers(1))
+    book = fleet.cores["r0"].book
+    book.release("r9", Release(7, "e0"), 0)
+    late = book.ask("r9", Ask(7, "e0", 100, LEFT_MS), 5)
+    assert late.verdict is not Verdict.GRANTED
+
+
+def test_permit_of_a_lost_router_expires():
+    fleet = Routers(1, build_servers(1))
+    core = fleet.cores["r0"]
+    core.book.ask("r9", Ask(7, "e0", 100, LEFT_MS), 0)
+    core.tick(LEFT_MS - 1)
+    assert core.book.accounts["e0"].load == 100
+    core.tick(LEFT_MS)
+    assert core.book.accounts["e0"].load == 0
+
+
+def test_router_that_is_no_home_refuses():
+    fleet = Routers(2, build_servers(1))
+    other = next(c for c in fleet.cores.values() if not c.book.accounts)
+    answer = other.book.ask("r9", Ask(7, "e0", 100, LEFT_MS), 0)
+    assert answer.verdict is Verdict.NOT_HOME
+
+
+def fill(book, holder, count, tier=Tier.CHAT_ORDER):
+    """Asks for room on e0 `count` times; returns the tokens granted."""
+    granted = 0
+    for number in range(count):
+        ask = Ask(number, "e0", 10, LEFT_MS, tier)
+        if book.ask(holder, ask, 10).verdict is Verdict.GRANTED:
+            granted += 10
+    return granted
+
+
+def load_other(fleet):
+    """Puts 1,000 tokens on e1, so that the mean allows work on e0."""
+    book = fleet.cores["r0"].book
+    other = book.accounts["e1"]
+    other.take_hand_off(other.hand_off(), 0)
+    for number in range(100):
+        other.grant(("x", number), Ask(number, "e1", 10, LEFT_MS), 0)
+    book._recount()
+    return book
+
+
+def two_homes():
+    """Returns two books that believe themselves home of e0."""
+    servers = build_servers(2, capacity=1_000)
+    return [
+        load_other(Routers(1, servers, settled=settled))
+        for settled in (True, False)
+    ]
+
+
+def test_two_homes_in_belief_stay_within_the_bound_together():
+    old, new = two_homes()
+    total = fill(old, "a", 900) + fill(new, "b", 900)
+    mean = (total + 1_000) / 2
+    assert total <= BOUND * mean
+
+
+def test_two_homes_exceed_the_bound_without_the_handover(monkeypatch):
+    monkeypatch.setattr(account, "HANDOVER_MS", 0)
+    old, new = two_homes()
+    total = fill(old, "a", 900) + fill(new, "b", 900)
+    assert total > BOUND * (total + 1_000) / 2
+
+
+def test_new_home_admits_nothing_before_the_first_report():
+    servers = build_servers(2, capacity=1_000)
+    fleet = Routers(1, servers, settled=False, warm=False)
+    assert fill(load_other(fleet), "a", 1) == 0
+
+
+def test_new_home_counts_work_that_the_former_admitted():
+    fleet = Routers(1, build_servers(1), settled=False, warm=False)
+    core = fleet.cores["r0"]
+    server = core.book.accounts["e0"].server
+    core.take_report(warm_report(server, work=500, in_flight=5), 0)
+    assert core.book.accounts["e0"].load == 500
+
+
+def test_leaving_server_gets_no_permit():
+    fleet = Routers(1, build_servers(1))
+    core = fleet.cores["r0"]
+    server = core.book.accounts["e0"].server
+    core.take_report(warm_report(server, leaving=True), 0)
+    answer = core.book.ask("r9", Ask(7, "e0", 1, LEFT_MS), 0)
+    assert answer.verdict is Verdict.LEAVING
+
+
+def test_silent_home_delays_a_request_and_its_permit_is_returned():
+    fleet = Routers(2, build_servers(2))
+    req = build_req()
+    for core in fleet.cores.values():
+        chosen = core.choose(req, POOL, (), LEFT_MS, 0)
+        if isinstance(chosen.default_value(None), AskPermit):
+            core.resume(req, None, 60)
+            sent, *_ = core.take_outbox()
+            assert isinstance(sent.message, Release)
+            return
+    raise AssertionError("every server is at home at both routers")
