Run each minted idempotency key at most once, with no store

Cause: a payment that its caller sent again through another entry host ran again; nothing looked at the idempotency key.

Change: a router mints keys (GET /corianderdoor/v1/ticket) that name it and its incarnation. Only that process runs such a key and remembers in bounded memory how the run ended; other routers answer 307 to it, or `unknown` if it is gone. The key is authenticated by a secret that each incarnation draws for itself, so there is nothing to distribute or rotate. A keyed run goes on when its caller leaves, so that the repeat is told its outcome. Key state is scoped by workspace and request.

Conclusion: payments with minted keys run once and need no service.

--- a/corianderdoor/adapters/caller_http.py
+++ b/corianderdoor/adapters/caller_http.py
@@ -28,6 +28,7 @@
 )
 from .exchange import Exchange
 from .logs import log_event
+from .once import OnceGate, TICKET_PATH
 from .problems import OUTCOME_HEADER, send_problem, send_whole
 from .serving import Message, Receive, Scope, Send
 
@@ -41,7 +42,14 @@
 class CallerApp:
     """The ASGI application that callers connect to."""
 
-    __slots__ = ("_dispatcher", "_backend", "_clock", "_entries", "_drain")
+    __slots__ = (
+        "_dispatcher",
+        "_backend",
+        "_clock",
+        "_entries",
+        "_drain",
+        "_once",
+    )
 
     def __init__(
         self,
@@ -50,12 +58,14 @@
         clock: Clock,
         entries: Callable[[], tuple[EntryHost, ...]],
         drain: EntryDrain | None = None,
+        once: OnceGate | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._backend = backend
         self._clock = clock
         self._entries = entries
         self._drain = drain or EntryDrain("", "")
+        self._once = once
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -69,6 +79,8 @@
             await self._answer_address(scope, send)
         elif scope["path"] == READY_PATH:
             await self._answer_ready(send)
+        elif scope["path"] == TICKET_PATH and self._once is not None:
+            await self._once.answer_ticket(scope, send)
         else:
             await self._read(scope, receive, send)
 
@@ -87,7 +99,7 @@
             await self._refuse(body.error, caller_id, scope, receive, send)
             return
         req = build_req(scope, head, body.ok)
-        await self._route(req, scope, body.ok, receive, send)
+        await self._guard(req, scope, body.ok, receive, send)
 
     async def _refuse(
         self,
@@ -146,6 +158,24 @@
             _encode_address(answer),
         )
 
+    async def _guard(
+        self,
+        req: Req,
+        scope: Scope,
+        body: bytes,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Routes `req` unless its key forbids it."""
+
+        async def run(scope: Scope, receive: Receive, send: Send) -> None:
+            await self._route(req, scope, body, receive, send)
+
+        if self._once is None:
+            await run(scope, receive, send)
+        else:
+            await self._once.serve(req, body, scope, receive, send, run)
+
     async def _route(
         self,
         req: Req,
--- a/corianderdoor/adapters/problems.py
+++ b/corianderdoor/adapters/problems.py
@@ -18,6 +18,8 @@
     Kind.NO_RULE: 404,
     Kind.SLOW_BODY: 408,
     Kind.IN_PROGRESS: 409,
+    Kind.ALREADY_RUN: 409,
+    Kind.UNRESOLVED: 409,
     Kind.CONFLICT: 409,
     Kind.TOO_LARGE: 413,
     Kind.KEY_REUSED: 422,
--- a/corianderdoor/core/errors.py
+++ b/corianderdoor/core/errors.py
@@ -23,6 +23,8 @@
     NO_RULE = "no-rule"
     KEY_REUSED = "key-reused"
     IN_PROGRESS = "in-progress"
+    ALREADY_RUN = "already-run"
+    UNRESOLVED = "unresolved"
     TOO_LARGE = "too-large"
     SLOW_BODY = "slow-body"
     QUARANTINED = "quarantined"
--- /dev/null
+++ b/corianderdoor/core/tickets.py
@@ -0,0 +1,318 @@
+"""Idempotency keys that a router mints and that only it may run.
+
+A ticket names its minter and the minter's incarnation. Whatever that one
+process remembers is therefore all there is to know of the ticket, and no
+service has to be asked. The key that authenticates tickets is drawn at
+random by each incarnation and never leaves it.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections import OrderedDict
+import enum
+import hashlib
+import hmac
+import random
+from typing import Final
+
+import msgspec
+
+from .errors import Outcome
+from .once import (
+    Ending,
+    Kept,
+    Proceed,
+    Redirect,
+    Reject,
+    reject_draining,
+    reject_full,
+    reject_in_progress,
+    reject_reused,
+    reject_unknown,
+    replay_or_tell,
+    Verdict,
+)
+from .records import Record
+
+PREFIX: Final = "cdt1."
+TICKET_VALID_MS: Final = 600_000
+MAX_TICKETS: Final = 20_000
+MAX_KEPT_BYTES: Final = 4_000_000
+SECRET_BYTES: Final = 32
+MAC_BYTES: Final = 16
+NONCE_BITS: Final = 64
+
+
+class Ticket(Record):
+    """The content of a minted key.
+
+    Attributes:
+        minter: Name of the router that minted it.
+        incarnation: Incarnation of the minter.
+        nonce: Number that is unique within the incarnation.
+        expires_ms: Expiry by the minter's monotonic clock.
+    """
+
+    __slots__ = ("minter", "incarnation", "nonce", "expires_ms")
+
+    def __init__(
+        self, minter: str, incarnation: int, nonce: int, expires_ms: int
+    ) -> None:
+        self.minter = minter
+        self.incarnation = incarnation
+        self.nonce = nonce
+        self.expires_ms = expires_ms
+
+
+class _Wire(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """A ticket as it stands in the key."""
+
+    minter: str
+    incarnation: int
+    nonce: int
+    expires_ms: int
+
+
+class State(enum.Enum):
+    """What the minter knows of a used ticket."""
+
+    RUNNING = "running"
+    RUN = "run"
+    UNKNOWN = "unknown"
+
+
+class Place(enum.Enum):
+    """Where a ticket was minted, seen from the router that holds it."""
+
+    HERE = "here"
+    BEFORE = "before"  # by an earlier incarnation of this router
+    ELSEWHERE = "elsewhere"
+    GONE = "gone"  # by a router that is not listed
+
+
+class Move(enum.Enum):
+    """What a router does with a ticket."""
+
+    RUN = "run"
+    REPLAY = "replay"
+    WAIT = "wait"
+    UNKNOWN = "unknown"
+    FORWARD = "forward"
+
+
+def judge_ticket(place: Place, expired: bool, state: State | None) -> Move:
+    """Decides on a ticket; the one guard against a second run.
+
+    Args:
+        place: Where the ticket was minted.
+        expired: Whether its minter may have forgotten it.
+        state: What the minter knows of it; None if it was not used.
+    """
+    if place is Place.ELSEWHERE:
+        return Move.FORWARD
+    if place is not Place.HERE or expired:
+        return Move.UNKNOWN
+    match state:
+        case None:
+            return Move.RUN
+        case State.RUNNING:
+            return Move.WAIT
+        case State.RUN:
+            return Move.REPLAY
+        case _:
+            return Move.UNKNOWN
+
+
+class _Used:
+    """A used ticket in its minter's memory."""
+
+    __slots__ = ("state", "fingerprint", "expires_ms", "kept")
+
+    def __init__(self, fingerprint: bytes, expires_ms: int) -> None:
+        self.state = State.RUNNING
+        self.fingerprint = fingerprint
+        self.expires_ms = expires_ms
+        self.kept: Kept | None = None
+
+
+def is_ticket(key: str) -> bool:
+    """Tells whether `key` has the form reserved for minted keys."""
+    return key.startswith(PREFIX)
+
+
+def read_ticket(key: str) -> Ticket | None:
+    """Returns the content of a minted key, unauthenticated."""
+    try:
+        body = base64.urlsafe_b64decode(key.removeprefix(PREFIX))
+        wire = msgspec.msgpack.decode(body[MAC_BYTES:], type=_Wire)
+    except (binascii.Error, ValueError, msgspec.MsgspecError):
+        return None
+    return Ticket(wire.minter, wire.incarnation, wire.nonce, wire.expires_ms)
+
+
+class TicketDesk:
+    """Mints tickets and remembers the used ones until they expire."""
+
+    __slots__ = (
+        "_name",
+        "_incarnation",
+        "_secret",
+        "_rng",
+        "_used",
+        "_kept_bytes",
+        "_max_tickets",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        secret: bytes,
+        rng: random.Random,
+        max_tickets: int = MAX_TICKETS,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._secret = secret
+        self._rng = rng
+        self._used: OrderedDict[str, _Used] = OrderedDict()
+        self._kept_bytes = 0
+        self._max_tickets = max_tickets
+
+    def __len__(self) -> int:
+        return len(self._used)
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of the bodies kept for repeats."""
+        return self._kept_bytes
+
+    def mint(self, workspace: str, now_ms: int) -> str:
+        """Returns a new key that `workspace` may use once."""
+        body = msgspec.msgpack.encode(
+            _Wire(
+                self._name,
+                self._incarnation,
+                self._rng.getrandbits(NONCE_BITS),
+                now_ms + TICKET_VALID_MS,
+            )
+        )
+        mac = self._sign(workspace, body)
+        return PREFIX + base64.urlsafe_b64encode(mac + body).decode()
+
+    def admit(
+        self,
+        workspace: str,
+        key: str,
+        fingerprint: bytes,
+        routers: frozenset[str],
+        now_ms: int,
+        in_service: bool = True,
+    ) -> Verdict:
+        """Decides on a request that carries a minted key.
+
+        Args:
+            workspace: The caller's workspace.
+            key: The key.
+            fingerprint: Digest of the request.
+            routers: Names of the routers that the platform lists.
+            now_ms: Monotonic time.
+            in_service: Whether this router may begin new work.
+        """
+        self._forget(now_ms)
+        ticket = read_ticket(key)
+        if ticket is None:
+            return reject_unknown("the key has no form that a router mints")
+        place = self._locate(ticket, routers)
+        if place is Place.HERE and not self._is_mine(workspace, key):
+            return reject_unknown("this workspace was not given this key")
+        used = self._used.get(key)
+        if used is not None and used.fingerprint != fingerprint:
+            return reject_reused()
+        move = judge_ticket(
+            place, ticket.expires_ms <= now_ms, used.state if used else None
+        )
+        if move is Move.RUN and not in_service:
+            return reject_draining(self._name)
+        return self._carry_out(move, key, ticket, fingerprint)
+
+    def settle(self, key: str, ending: Ending) -> None:
+        """Notes how the run of `key` ended."""
+        used = self._used.get(key)
+        if used is None:
+            return
+        match ending.outcome:
+            case Outcome.NOT_RUN:
+                del self._used[key]
+            case Outcome.UNKNOWN:
+                used.state = State.UNKNOWN
+            case Outcome.RUN:
+                used.state = State.RUN
+                used.kept = self._fit(ending.kept)
+
+    def _carry_out(
+        self, move: Move, key: str, ticket: Ticket, fingerprint: bytes
+    ) -> Verdict:
+        match move:
+            case Move.RUN:
+                return self._begin(key, ticket, fingerprint)
+            case Move.REPLAY:
+                return replay_or_tell(self._used[key].kept)
+            case Move.WAIT:
+                return reject_in_progress(self._name)
+            case Move.FORWARD:
+                return Redirect(ticket.minter)
+            case Move.UNKNOWN:
+                return self._explain(key, ticket)
+
+    def _begin(self, key: str, ticket: Ticket, fingerprint: bytes) -> Verdict:
+        if len(self._used) >= self._max_tickets:
+            return reject_full("the table of used keys")
+        self._used[key] = _Used(fingerprint, ticket.expires_ms)
+        return Proceed()
+
+    def _explain(self, key: str, ticket: Ticket) -> Reject:
+        if key in self._used:
+            detail = "the first request with this key has no known end"
+        elif ticket.minter != self._name:
+            detail = f"the router {ticket.minter} that holds the key is gone"
+        elif ticket.incarnation != self._incarnation:
+            detail = f"the router {self._name} restarted since it gave the key"
+        else:
+            detail = "the key has expired"
+        return reject_unknown(detail, ticket.minter)
+
+    def _locate(self, ticket: Ticket, routers: frozenset[str]) -> Place:
+        if ticket.minter != self._name:
+            listed = ticket.minter in routers
+            return Place.ELSEWHERE if listed else Place.GONE
+        here = ticket.incarnation == self._incarnation
+        return Place.HERE if here else Place.BEFORE
+
+    def _is_mine(self, workspace: str, key: str) -> bool:
+        raw = base64.urlsafe_b64decode(key.removeprefix(PREFIX))
+        mac, body = raw[:MAC_BYTES], raw[MAC_BYTES:]
+        return hmac.compare_digest(mac, self._sign(workspace, body))
+
+    def _sign(self, workspace: str, body: bytes) -> bytes:
+        text = workspace.encode() + b"\0" + body
+        mac = hmac.new(self._secret, text, hashlib.sha256).digest()
+        return mac[:MAC_BYTES]
+
+    def _fit(self, kept: Kept | None) -> Kept | None:
+        if kept is None or self._kept_bytes + kept.size > MAX_KEPT_BYTES:
+            status = kept.status if kept else 0
+            return Kept(status, (), None)
+        self._kept_bytes += kept.size
+        return kept
+
+    def _forget(self, now_ms: int) -> None:
+        while self._used:
+            key, used = next(iter(self._used.items()))
+            if used.expires_ms > now_ms:
+                return
+            if used.kept is not None:
+                self._kept_bytes -= used.kept.size
+            del self._used[key]
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -14,6 +14,7 @@
 from ..adapters.caller_http import CallerApp
 from ..adapters.hosts_http import HttpHosts
 from ..adapters.logs import log_event, set_up_logs
+from ..adapters.once import build_gate
 from ..adapters.serving import bind_socket, serve
 from ..adapters.settings import Settings
 from ..adapters.store_http import HttpStore
@@ -187,8 +188,15 @@
     hosts = HttpHosts(settings.hosts_url)
     backend = HttpBackend()
     router = Router(settings, clock, store, hosts, random.Random())
+    gate = build_gate(
+        settings.name,
+        router.dispatcher,
+        router.entries,
+        clock,
+        router.drain,
+    )
     app = CallerApp(
-        router.dispatcher, backend, clock, router.entries, router.drain
+        router.dispatcher, backend, clock, router.entries, router.drain, gate
     )
     sock = bind_socket(settings.listen, settings.port)
 
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,111 @@
+"""Tests that a keyed request runs at most once, over real HTTP."""
+
+import anyio
+from once_fleet import once_fleet, PAYMENT
+import pytest
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_payment_sent_through_every_entry_host_runs_once():
+    async with once_fleet("r1", "r2", "r3") as fleet:
+        key = await fleet.mint("r1")
+        answers = [await fleet.pay(name, key) for name in ("r1", "r2", "r3")]
+        assert [resp.status_code for resp in answers] == [201] * 3
+        assert len({resp.content for resp in answers}) == 1
+        assert answers[2].headers["corianderdoor-replayed"] == "1"
+        assert len(fleet.service.records) == 1
+
+
+async def test_minted_key_runs_while_the_store_is_down():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.store.faults.set("down", -1)
+        key = await fleet.mint("r1")
+        for name in ("r2", "r1"):
+            assert (await fleet.pay(name, key)).status_code == 201
+        assert len(fleet.service.records) == 1
+
+
+async def test_minted_key_does_not_run_again_after_its_router_restarts():
+    async with once_fleet("r1", "r2") as fleet:
+        key = await fleet.mint("r1")
+        await fleet.pay("r1", key)
+        await fleet.replace("r1")
+        for name in ("r1", "r2"):
+            resp = await fleet.pay(name, key)
+            assert resp.status_code == 409
+            assert resp.json()["outcome"] == "unknown"
+        assert len(fleet.service.records) == 1
+
+
+async def test_repeat_while_the_first_is_in_progress_does_not_run():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.service.faults.set("slow", 1)
+        key = await fleet.mint("r1")
+        first = []
+
+        async def pay_first():
+            first.append(await fleet.pay("r1", key))
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(pay_first)
+            while not fleet.service.records:
+                await anyio.sleep(0.01)
+            resp = await fleet.pay("r2", key)
+            assert (resp.status_code, resp.json()["outcome"]) == (
+                409,
+                "unknown",
+            )
+            assert resp.headers["retry-after"]
+        assert first[0].status_code == 201
+        assert (await fleet.pay("r2", key)).content == first[0].content
+        assert len(fleet.service.records) == 1
+
+
+async def test_run_goes_on_when_the_caller_leaves_and_the_repeat_is_told():
+    async with once_fleet("r1") as fleet:
+        fleet.service.faults.set("slow", 1)
+        key = await fleet.mint("r1")
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(fleet.pay, "r1", key)
+            while not fleet.service.records:
+                await anyio.sleep(0.01)
+            tg.cancel_scope.cancel()
+        with anyio.fail_after(10):
+            resp = await fleet.pay("r1", key)
+            while resp.status_code == 409:
+                await anyio.sleep(0.05)
+                resp = await fleet.pay("r1", key)
+        assert resp.json() == {"number": 1}
+        assert len(fleet.service.records) == 1
+
+
+async def test_silent_backend_and_repeated_key_is_unknown():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.service.faults.set("silent", 1)
+        key = await fleet.mint("r1")
+        deadline = {"corianderdoor-deadline-ms": "200"}
+        for name in ("r1", "r2"):
+            resp = await fleet.pay(name, key, **deadline)
+            assert resp.json()["outcome"] == "unknown"
+        assert len(fleet.service.records) == 1
+
+
+async def test_key_with_a_different_body_is_refused_as_reused():
+    async with once_fleet("r1", "r2") as fleet:
+        key = await fleet.mint("r1")
+        await fleet.pay("r1", key)
+        resp = await fleet.pay("r2", key, PAYMENT + b" ")
+        assert (resp.status_code, resp.json()["outcome"]) == (422, "not-run")
+        assert len(fleet.service.records) == 1
+
+
+async def test_refused_payment_may_be_sent_again_with_its_key():
+    async with once_fleet("r1") as fleet:
+        fleet.service.faults.set("refuse", -1)
+        key = await fleet.mint("r1")
+        resp = await fleet.pay("r1", key)
+        assert resp.json()["outcome"] == "not-run"
+        fleet.service.faults.set("refuse", 0)
+        assert (await fleet.pay("r1", key)).status_code == 201
+        assert len(fleet.service.records) == 1
