Search once for a server, with the doubted ones last

Cause: the dispatcher searched a second time with the doubted servers when the first search found none. A search that asks another router for a permit ends later, in `resume`, and never came to the second.

Change: the placement takes the doubted servers as `avoided` and tries them after all others in the same search.

--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -199,20 +199,18 @@
 
     def _choose(self, flight: Flight, left_ms: int) -> Result[Choice, Fault]:
         """Chooses a server, the doubted ones only if there is no other."""
-        req, pool = flight.req, flight.rule.pool
-        passed_over = (
+        avoided = (
             flight.doubted
             | self._health.paused(self._now_ms)
-            | self._quarantine.avoided(req, self._now_ms)
+            | self._quarantine.avoided(flight.req, self._now_ms)
         )
-        if passed_over - flight.tried:
-            chosen = self._placement.choose(
-                req, pool, flight.tried | passed_over, left_ms, self._now_ms
-            )
-            if chosen.is_ok():
-                return chosen
         return self._placement.choose(
-            req, pool, flight.tried, left_ms, self._now_ms
+            flight.req,
+            flight.rule.pool,
+            flight.tried,
+            avoided,
+            left_ms,
+            self._now_ms,
         )
 
     @_on.register
--- a/corianderdoor/core/home_placement.py
+++ b/corianderdoor/core/home_placement.py
@@ -37,6 +37,7 @@
 MAX_ASKS: Final = 3
 MAX_LOOKS: Final = 16
 PERMIT_GRACE_MS: Final = 1_000
+AVOIDED_LEVEL: Final = 1_000
 ID_BITS: Final = 62
 
 
@@ -47,6 +48,7 @@
         pool: Name of the pool.
         weight: Work of the request, in tokens.
         order: The servers still to be looked at.
+        avoided: Names of servers to use only if no other has room.
         looked: The servers that had no room.
         server: The server whose home is being asked.
         permit: Id of the permit asked for.
@@ -62,6 +64,7 @@
         "pool",
         "weight",
         "order",
+        "avoided",
         "looked",
         "server",
         "permit",
@@ -78,12 +81,14 @@
         pool: str,
         weight: int,
         order: Iterator[Server],
+        avoided: Collection[str],
         ttl_ms: int,
         first_ms: int,
     ) -> None:
         self.pool = pool
         self.weight = weight
         self.order = order
+        self.avoided = avoided
         self.looked: list[Server] = []
         self.server: Server | None = None
         self.permit = 0
@@ -187,6 +192,7 @@
         req: Req,
         pool: str,
         excluded: Collection[str],
+        avoided: Collection[str],
         left_ms: int,
         now_ms: int,
     ) -> Result[Choice, Fault]:
@@ -195,12 +201,15 @@
         if ring is None or all(s.name in excluded for s in ring.servers()):
             return Error(no_server_fault(pool))
         order = ring.order(req.chat or req.id)
-        left = (server for server in order if server.name not in excluded)
+        left: Iterator[Server] = (s for s in order if s.name not in excluded)
+        if avoided:
+            left = iter(sorted(left, key=lambda s: s.name in avoided))
         before = self._searches.get(req.id)
         search = Search(
             pool,
             req.weight,
             left,
+            avoided,
             left_ms + PERMIT_GRACE_MS,
             now_ms if before is None else before.first_ms,
         )
@@ -362,6 +371,8 @@
         """Returns the server's load over the mean, with this request."""
         mean = self._book.mean(search.pool, search.weight)
         added = search.weight / (mean * server.capacity)
+        if server.name in search.avoided:
+            added += AVOIDED_LEVEL
         return self._sums.level(server.name) / LEVEL_STEPS + added
 
     def _take(
--- a/corianderdoor/core/placement.py
+++ b/corianderdoor/core/placement.py
@@ -42,6 +42,7 @@
         req: Req,
         pool: str,
         excluded: Collection[str],
+        avoided: Collection[str],
         left_ms: int,
         now_ms: int,
     ) -> Result[Choice, Fault]:
@@ -51,6 +52,7 @@
             req: The request.
             pool: The pool that its rule names.
             excluded: Names of servers that were tried.
+            avoided: Names of servers to use only if no other has room.
             left_ms: Time until the request's deadline.
             now_ms: Monotonic time.
         """
@@ -132,6 +134,7 @@
         req: Req,
         pool: str,
         excluded: Collection[str],
+        avoided: Collection[str],
         left_ms: int,
         now_ms: int,
     ) -> Result[Choice, Fault]:
@@ -140,7 +143,9 @@
         names = [name for name in servers if name not in excluded]
         if not names:
             return Error(no_server_fault(pool))
-        for name in rank(req.chat or req.id, names):
+        order = rank(req.chat or req.id, names)
+        order.sort(key=lambda name: name in avoided)
+        for name in order:
             if self._has_room(servers[name], servers):
                 self._load[name] = self._load.get(name, 0) + 1
                 return Ok(servers[name])
--- a/tests/test_home_placement.py
+++ b/tests/test_home_placement.py
@@ -68,7 +68,7 @@
     def place(self, router, req):
         """Follows one request to its server; None if there is none."""
         core = self.cores[router]
-        chosen = core.choose(req, POOL, (), LEFT_MS, self.now_ms)
+        chosen = core.choose(req, POOL, (), (), LEFT_MS, self.now_ms)
         while True:
             match chosen:
                 case Result(tag="ok", ok=Server() as server):
@@ -216,7 +216,7 @@
     fleet = Routers(2, build_servers(2))
     req = build_req()
     for core in fleet.cores.values():
-        chosen = core.choose(req, POOL, (), LEFT_MS, 0)
+        chosen = core.choose(req, POOL, (), (), LEFT_MS, 0)
         if isinstance(chosen.default_value(None), AskPermit):
             core.resume(req, None, 60)
             sent, *_ = core.take_outbox()
