--- /dev/null
+++ b/bench/driver.py
@@ -0,0 +1,215 @@
+"""Drives many core instances in virtual time, with lag, loss and a seed."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import json
+import pathlib
+import random
+from typing import Any
+
+from corianderdoor.core.load_report import LoadReport
+from corianderdoor.core.messages import Req
+from corianderdoor.core.topology import EntryHost, Server
+
+OUT = pathlib.Path(__file__).parent / "out"
+POOL = "redactor"
+MS_PER_TOKEN = 10.0
+WARM_MS, WARM_COMPLETED = 600_000, 10_000
+MIN_TOKENS, MAX_TOKENS, TAIL = 200, 30_000, 1.3
+
+
+class Loop:
+    """Virtual time and a network that delays and loses messages."""
+
+    def __init__(self, seed: int, lag_ms: float = 1.5, loss: float = 0.0):
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self._lag_ms = lag_ms
+        self._loss = loss
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Calls back after `delay_ms`."""
+        at_ms = self.now_ms + max(0.0, delay_ms)
+        heapq.heappush(self._queue, (at_ms, next(self._count), call))
+
+    def every(self, period_ms: float, call: Callable[[], None]) -> None:
+        """Calls back each `period_ms`, from a random phase."""
+
+        def again() -> None:
+            call()
+            self.after(period_ms, again)
+
+        self.after(self.rng.uniform(0, period_ms), again)
+
+    def send(self, call: Callable[[], None]) -> None:
+        """Delivers a message late, or not at all."""
+        if self.rng.random() >= self._loss:
+            self.after(self.rng.uniform(0.3, 1.7) * self._lag_ms, call)
+
+    def run(self, until_ms: float) -> None:
+        """Runs until `until_ms`."""
+        while self._queue and self._queue[0][0] <= until_ms:
+            at_ms, _, call = heapq.heappop(self._queue)
+            self.now_ms = int(at_ms)
+            call()
+        self.now_ms = int(until_ms)
+
+
+class SimServer:
+    """A backend server: work in progress, a prefix cache, what it bears."""
+
+    def __init__(self, info: Server, loop: Loop, cache_tokens: int = 400_000):
+        self.info = info
+        self.loop = loop
+        self.work: dict[str, int] = {}
+        self.total = 0
+        self.peak = 0
+        self.completed = WARM_COMPLETED
+        self.started_ms = loop.now_ms - WARM_MS
+        self.cold = False
+        self.overloaded = 0
+        self.cache: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.cache_tokens = cache_tokens
+        self.cached_sum = 0
+        self._reports: list[tuple[int, LoadReport]] = []
+
+    def bears(self) -> int:
+        """Returns how many requests at once it bears as it is now.
+
+        While cold, one, and one more for each completed request.
+        """
+        if not self.cold:
+            return self.info.capacity
+        return min(self.info.capacity, 1 + self.completed)
+
+    def begin(self, req: Req) -> int:
+        """Starts a request; returns the prompt tokens found in cache."""
+        self.work[req.id] = req.weight
+        self.total += req.weight
+        if len(self.work) > self.bears():
+            self.overloaded += 1
+        return self._touch(req.chat, req.weight)
+
+    def end(self, req: Req) -> None:
+        """Ends a request."""
+        if req.id in self.work:
+            self.total -= self.work.pop(req.id)
+            self.completed += 1
+
+    def report(self) -> LoadReport:
+        """Returns its state as it is now."""
+        return LoadReport(
+            self.info.name,
+            self.info.incarnation,
+            self.loop.now_ms - self.started_ms,
+            len(self.work),
+            self.total,
+            self.completed,
+        )
+
+    def _touch(self, chat: str, tokens: int) -> int:
+        found = self.cache.pop(chat, 0)
+        self.cached_sum += max(found, tokens) - found
+        self.cache[chat] = max(found, tokens)
+        while self.cached_sum > self.cache_tokens:
+            self.cached_sum -= self.cache.popitem(last=False)[1]
+        return min(found, tokens)
+
+
+def build_servers(
+    count: int, centres: int, rng: random.Random, capacities: tuple[int, ...]
+) -> list[Server]:
+    """Returns servers of unequal capacity, spread over data centres."""
+    return [
+        Server(
+            f"engine-{number}",
+            f"host-{number}",
+            f"dc-{number % centres}",
+            POOL,
+            "",
+            1,
+            rng.choice(capacities),
+        )
+        for number in range(count)
+    ]
+
+
+def build_entries(count: int, centres: int) -> list[EntryHost]:
+    """Returns entry hosts spread over data centres of one region."""
+    return [
+        EntryHost(f"router-{number}", f"dc-{number % centres}", "r", "", "")
+        for number in range(count)
+    ]
+
+
+def draw_weight(rng: random.Random) -> int:
+    """Returns a heavy-tailed count of tokens."""
+    return int(min(MAX_TOKENS, MIN_TOKENS * rng.paretovariate(TAIL)))
+
+
+def mean_weight() -> float:
+    """Returns the mean of `draw_weight`, by a fixed sample."""
+    rng = random.Random(0)
+    return sum(draw_weight(rng) for _ in range(100_000)) / 100_000
+
+
+def write_result(name: str, rows: list[dict[str, Any]]) -> None:
+    """Prints the rows as a table and writes them as JSON."""
+    OUT.mkdir(exist_ok=True)
+    path = OUT / f"{name}.json"
+    path.write_text(json.dumps(rows, indent=1), encoding="utf-8")
+    heads = list(rows[0])
+    cells = [[_show(row.get(head, "")) for head in heads] for row in rows]
+    widths = [
+        max(len(head), *(len(line[i]) for line in cells))
+        for i, head in enumerate(heads)
+    ]
+    for line in [heads, *cells]:
+        print("  ".join(c.rjust(w) for c, w in zip(line, widths)))
+
+
+def plot_bars(
+    name: str, rows: list[dict[str, Any]], group: str, value: str, bound: float
+) -> None:
+    """Writes a bar plot of `value` by policy, one group of bars a `group`."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    groups = list(dict.fromkeys(row[group] for row in rows))
+    policies = list(dict.fromkeys(row["policy"] for row in rows))
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for number, policy in enumerate(policies):
+        heights = [
+            next(
+                (
+                    row[value]
+                    for row in rows
+                    if row["policy"] == policy and row[group] == item
+                ),
+                0,
+            )
+            for item in groups
+        ]
+        places = [i + number / (len(policies) + 1) for i in range(len(groups))]
+        axes.bar(places, heights, 1 / (len(policies) + 1), label=policy)
+    axes.set_xticks(range(len(groups)), [f"{group}={g}" for g in groups])
+    axes.set_ylabel(value)
+    if bound:
+        axes.axhline(bound, color="black", linestyle="--", label="bound")
+    axes.legend(fontsize=7)
+    figure.savefig(OUT / f"{name}.svg")
+    pyplot.close(figure)
+
+
+def _show(cell: Any) -> str:
+    return f"{cell:.3f}" if isinstance(cell, float) else str(cell)
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,188 @@
+"""Skew of load over backend servers at 1, 8 and 330 routers' split sight.
+
+Each policy runs against the same arrivals: heavy-tailed requests of chats
+in workspaces of which a few surge, servers of unequal capacity, reports a
+second old. A router leaves and a tenth of the servers comes and goes while
+views differ for up to three seconds. Skew is a server's load per capacity
+over the mean of the pool, sampled in virtual time; a server that holds one
+request is left out, as no placement can split a request.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from typing import Any
+
+from driver import (
+    build_entries,
+    build_servers,
+    draw_weight,
+    Loop,
+    mean_weight,
+    MS_PER_TOKEN,
+    plot_bars,
+    SimServer,
+    write_result,
+)
+from policies import POLICIES, Policy
+
+from corianderdoor.core.messages import Req
+
+BOUND = 1.5
+VIEW_SPREAD_MS = 3_000
+SAMPLE_MS = 100
+STALE_ADDRESS = 0.1
+SURGE_CHATS = 40
+
+
+class Run:
+    """One policy under one seed."""
+
+    def __init__(self, args: argparse.Namespace, routers: int, kind: type):
+        self.args = args
+        self.loop = Loop(args.seed, loss=args.loss)
+        self.rng = random.Random(args.seed + 1)
+        self.fates = random.Random(args.seed + 2)
+        infos = build_servers(
+            args.servers, args.centres, self.rng, tuple(args.capacities)
+        )
+        self.sims = [SimServer(info, self.loop) for info in infos]
+        entries = build_entries(routers, min(args.centres, routers))
+        self.policy: Policy = kind(self.loop, entries, self.sims)
+        self.by_name = {sim.info.name: sim for sim in self.sims}
+        self.routers = [entry.name for entry in entries]
+        self.gone = ""
+        capacity = sum(info.capacity for info in infos)
+        busy_ms = mean_weight() * MS_PER_TOKEN
+        self.gap_ms = busy_ms / (args.use * capacity)
+        self.number = 0
+        self.refused = 0
+        self.skews: list[float] = []
+        self.raw_max = 0.0
+        self.over = 0
+        self.samples = 0
+
+    def go(self) -> dict[str, Any]:
+        """Runs and returns a row of the table."""
+        end_ms = self.args.seconds * 1_000
+        self.loop.after(0, self._arrive)
+        self.loop.after(end_ms * 0.4, self._lose_router)
+        self.loop.after(end_ms * 0.6, lambda: self._flap(out=True))
+        self.loop.after(end_ms * 0.7, lambda: self._flap(out=False))
+        self.loop.after(
+            end_ms * 0.35, lambda: self.loop.every(SAMPLE_MS, self._sample)
+        )
+        self.loop.run(end_ms)
+        self.skews.sort()
+        return {
+            "routers": len(self.routers),
+            "policy": self.policy.name,
+            "max_skew": self.skews[-1],
+            "p99_skew": self.skews[int(len(self.skews) * 0.99)],
+            "over_share": self.over / self.samples,
+            "max_with_single": self.raw_max,
+            "refused": self.refused,
+            "requests": self.number,
+            "waits": self.policy.waits,
+            "asks_per_request": self.policy.asks / self.number,
+            "digests": self.policy.digests,
+        }
+
+    def _arrive(self) -> None:
+        self.loop.after(self.rng.expovariate(1 / self.gap_ms), self._arrive)
+        self.number += 1
+        surging = self.args.seconds * 300 < self.loop.now_ms and (
+            self.rng.random() < self.args.surge
+        )
+        chats = SURGE_CHATS if surging else self.args.chats
+        chat = f"{'hot' if surging else 'chat'}-{self.rng.randrange(chats)}"
+        weight = draw_weight(self.rng)
+        req = Req(str(self.number), "w", "/", "POST", chat, weight=weight)
+        router = self.policy.entry_for(req, self.fates)
+        if router == self.gone or self.fates.random() < STALE_ADDRESS:
+            router = self.fates.choice(
+                [name for name in self.routers if name != self.gone]
+            )
+        self.policy.route(router, req, lambda s: self._begin(router, req, s))
+
+    def _begin(self, router: str, req: Req, server: Any) -> None:
+        if server is None:
+            self.refused += 1
+            return
+        sim = self.by_name[server.name]
+        sim.begin(req)
+        self.loop.after(
+            req.weight * MS_PER_TOKEN, lambda: self._end(router, req, sim)
+        )
+
+    def _end(self, router: str, req: Req, sim: SimServer) -> None:
+        sim.end(req)
+        if router != self.gone:
+            self.policy.finish(router, req, sim.info, True, 100)
+
+    def _lose_router(self) -> None:
+        if len(self.routers) == 1:
+            return
+        self.gone = self.routers[0]
+        live = getattr(self.policy, "live", set())
+        live.discard(self.gone)
+        for name in self.routers[1:]:
+            self.loop.after(
+                self.fates.uniform(0, VIEW_SPREAD_MS),
+                lambda name=name: self.policy.drop_router(self.gone, name),
+            )
+
+    def _flap(self, out: bool) -> None:
+        infos = [sim.info for sim in self.sims]
+        if out:
+            infos = infos[len(infos) // 10 :]
+        for name in self.routers:
+            if name != self.gone:
+                self.loop.after(
+                    self.fates.uniform(0, VIEW_SPREAD_MS),
+                    lambda name=name: self.policy.set_view(name, infos),
+                )
+
+    def _sample(self) -> None:
+        total = sum(sim.total for sim in self.sims)
+        capacity = sum(sim.info.capacity for sim in self.sims)
+        mean = total / capacity
+        for sim in self.sims:
+            skew = sim.total / sim.info.capacity / mean
+            self.raw_max = max(self.raw_max, skew)
+            if len(sim.work) > 1:
+                self.skews.append(skew)
+                self.samples += 1
+                self.over += skew > BOUND
+
+
+def main() -> None:
+    """Runs every policy at each number of routers."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--routers", type=int, nargs="*", default=[1, 8, 330])
+    parser.add_argument("--servers", type=int, default=120)
+    parser.add_argument(
+        "--capacities", type=int, nargs="*", default=[32, 64, 128]
+    )
+    parser.add_argument("--centres", type=int, default=3)
+    parser.add_argument("--seconds", type=int, default=40)
+    parser.add_argument("--chats", type=int, default=100_000)
+    parser.add_argument("--use", type=float, default=0.5)
+    parser.add_argument("--surge", type=float, default=0.2)
+    parser.add_argument("--loss", type=float, default=0.01)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--only", default="")
+    args = parser.parse_args()
+    rows = [
+        Run(args, routers, kind).go()
+        for routers in args.routers
+        for kind in POLICIES
+        if args.only in kind.name
+    ]
+    write_result("load", rows)
+    plot_bars("load", rows, "routers", "max_skew", BOUND)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,384 @@
+"""The policies that the benches compare, on one interface.
+
+`route(router, req, done)` calls `done(server or None)`, at once or later.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from driver import Loop, POOL, SimServer
+from expression import Result
+
+from corianderdoor.core.home_placement import HomePlacement, TICK_MS
+from corianderdoor.core.messages import AskPermit, Req
+from corianderdoor.core.permits import PermitAnswer
+from corianderdoor.core.placement import Later
+from corianderdoor.core.rendezvous import rank, Ring
+from corianderdoor.core.topology import EntryHost, Server
+
+Done = Callable[[Server | None], None]
+REPORT_LAG_MS = 1_000
+DIGEST_MS = 1_000
+LEFT_MS = 60_000
+
+
+class Policy:
+    """Base: each router's view of the servers, and its own sight."""
+
+    name = ""
+
+    def __init__(
+        self, loop: Loop, entries: list[EntryHost], servers: list[SimServer]
+    ) -> None:
+        self.loop = loop
+        self.entries = entries
+        self.sims = {sim.info.name: sim for sim in servers}
+        self.views = {e.name: [s.info for s in servers] for e in entries}
+        self.own: dict[str, dict[str, int]] = {e.name: {} for e in entries}
+        self.asks = 0
+        self.digests = 0
+        self.waits = 0
+
+    def entry_for(self, req: Req, rng: random.Random) -> str:
+        """Returns the entry host that an address answer names first."""
+        return rank(req.chat, [e.name for e in self.entries])[0]
+
+    def set_view(self, router: str, servers: list[Server]) -> None:
+        """Gives one router a new list of servers."""
+        self.views[router] = servers
+
+    def drop_router(self, router: str, at_router: str) -> None:
+        """Tells `at_router` that `router` is gone."""
+
+    def route(self, router: str, req: Req, done: Done) -> None:
+        """Chooses a server and counts it in the router's own sight."""
+        server = self.pick(router, req)
+        if server is not None:
+            own = self.own[router]
+            own[server.name] = own.get(server.name, 0) + req.weight
+        done(server)
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the server of this policy's choice."""
+        raise NotImplementedError
+
+    def finish(
+        self, router: str, req: Req, server: Server, ok: bool, ttft_ms: int
+    ) -> None:
+        """Takes the end of a request."""
+        self.own[router][server.name] -= req.weight
+
+    def sight(self, router: str, server: Server) -> float:
+        """Returns a server's load per capacity by the router's own sight."""
+        return self.own[router].get(server.name, 0) / server.capacity
+
+
+class RoundRobin(Policy):
+    """Each router takes its servers in turn."""
+
+    name = "round robin"
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.turn = {e.name: self.loop.rng.randrange(999) for e in args[1]}
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the next server in turn."""
+        self.turn[router] += 1
+        view = self.views[router]
+        return view[self.turn[router] % len(view)]
+
+
+class LeastOwn(Policy):
+    """Least loaded by the router's own sight, ties at random."""
+
+    name = "least loaded, own sight"
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the server with the least of this router's work."""
+        rng = self.loop.rng
+        return min(
+            self.views[router],
+            key=lambda s: (self.sight(router, s), rng.random()),
+        )
+
+
+class PowerOfTwo(Policy):
+    """The better of two by lagged reports plus own work since then."""
+
+    name = "power of two, lagged"
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.told: dict[str, float] = {}
+        self.since: dict[str, dict[str, int]] = {
+            e.name: {} for e in self.entries
+        }
+        self.loop.every(DIGEST_MS, self._report)
+
+    def _report(self) -> None:
+        snap = {
+            name: sim.total / sim.info.capacity
+            for name, sim in self.sims.items()
+        }
+        self.loop.after(REPORT_LAG_MS, lambda: self._take(snap))
+
+    def _take(self, snap: dict[str, float]) -> None:
+        self.told = snap
+        for since in self.since.values():
+            since.clear()
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the less loaded of two servers at random."""
+        since = self.since[router]
+        two = self.loop.rng.sample(self.views[router], 2)
+        best = min(
+            two,
+            key=lambda s: self.told.get(s.name, 0.0)
+            + since.get(s.name, 0) / s.capacity,
+        )
+        since[best.name] = since.get(best.name, 0) + req.weight
+        return best
+
+
+class AllSeeing(Policy):
+    """Least loaded by the true state of the moment: the limit."""
+
+    name = "all-seeing least loaded"
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the server with the least load after this request."""
+        return min(
+            self.views[router],
+            key=lambda s: (self.sims[s.name].total + req.weight) / s.capacity,
+        )
+
+
+class PlainHash(Policy):
+    """Consistent hashing without regard to load."""
+
+    name = "plain consistent hashing"
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.rings: dict[str, Ring] = {}
+        for entry in self.entries:
+            self.rings[entry.name] = Ring()
+            self.rings[entry.name].replace(self.views[entry.name])
+
+    def set_view(self, router: str, servers: list[Server]) -> None:
+        """Gives one router a new list of servers."""
+        self.rings[router].replace(servers)
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the first server of the chat's order."""
+        return next(self.rings[router].order(req.chat), None)
+
+
+class OwnBound(PlainHash):
+    """Bounded load by the router's own sight alone."""
+
+    name = "bounded hashing, own sight"
+    bound = 1.5
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the first server within the bound as this router sees."""
+        ring = self.rings[router]
+        own = self.own[router]
+        total = sum(own.values()) + req.weight
+        mean = total / sum(s.capacity for s in ring.servers())
+        for server in ring.order(req.chat):
+            load = own.get(server.name, 0)
+            if not load or load + req.weight <= (
+                self.bound * mean * server.capacity
+            ):
+                return server
+        return min(ring.servers(), key=lambda s: self.sight(router, s))
+
+
+class Shares(PlainHash):
+    """Each router may fill 1/n of every server's bound.
+
+    The mean is told with a lag, as for the home routers.
+    """
+
+    name = "per-router shares"
+    bound = 1.5
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.mean = 0.0
+        self.loop.every(DIGEST_MS, self._report)
+
+    def _report(self) -> None:
+        load = sum(sim.total for sim in self.sims.values())
+        capacity = sum(sim.info.capacity for sim in self.sims.values())
+        mean = load / capacity
+        self.loop.after(REPORT_LAG_MS, lambda: setattr(self, "mean", mean))
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the first server with room in this router's share."""
+        own = self.own[router]
+        share = self.bound * self.mean / len(self.entries)
+        ring = self.rings[router]
+        for server in ring.order(req.chat):
+            load = own.get(server.name, 0)
+            if not load or load + req.weight <= share * server.capacity:
+                return server
+        return min(ring.servers(), key=lambda s: self.sight(router, s))
+
+
+class HomeRouters(Policy):
+    """The product's own placement, one instance a router."""
+
+    name = "home routers"
+    bound = 1.5
+
+    def __init__(
+        self, loop: Loop, entries: list[EntryHost], servers: list[SimServer]
+    ) -> None:
+        super().__init__(loop, entries, servers)
+        self.live = {e.name for e in entries}
+        self.cores: dict[str, HomePlacement] = {}
+        self.known = {e.name: list(entries) for e in entries}
+        for entry in entries:
+            core = HomePlacement(entry.name, self.bound, loop.rng)
+            core.set_entries(entries, loop.now_ms)
+            core.set_servers(tuple(s.info for s in servers), loop.now_ms)
+            self.cores[entry.name] = core
+            self._start(entry.name, core)
+            for account in core.book.accounts.values():
+                sim = self.sims[account.server.name]
+                core.take_report(sim.report(), 0)
+                account.take_hand_off(account.hand_off(), 0)
+
+    def _start(self, name: str, core: HomePlacement) -> None:
+        loop = self.loop
+        loop.every(TICK_MS, lambda: self._tick(name, core))
+        loop.every(DIGEST_MS, lambda: self._poll(name, core))
+
+    def _tick(self, name: str, core: HomePlacement) -> None:
+        if name not in self.live:
+            return
+        digest = core.tick(self.loop.now_ms)
+        if digest is None:
+            return
+        self.digests += 1
+        for peer in self.live - {name}:
+            self._deliver(name, peer, digest)
+
+    def _deliver(self, name: str, peer: str, message: Any) -> None:
+        def take() -> None:
+            if peer in self.live:
+                core = self.cores[peer]
+                core.take_message(name, message, self.loop.now_ms)
+                self._flush(peer)
+
+        self.loop.send(take)
+
+    def _poll(self, name: str, core: HomePlacement) -> None:
+        for account in list(core.book.accounts.values()):
+            sim = self.sims.get(account.server.name)
+            if sim is not None:
+                self.loop.after(REPORT_LAG_MS, self._reporter(core, sim))
+
+    def _reporter(
+        self, core: HomePlacement, sim: SimServer
+    ) -> Callable[[], None]:
+        report = sim.report()
+        return lambda: core.take_report(report, self.loop.now_ms)
+
+    def _flush(self, name: str) -> None:
+        for sent in self.cores[name].take_outbox():
+            if isinstance(sent.message, PermitAnswer):
+                self._answer(sent.peer, sent.message)
+            else:
+                self._deliver(name, sent.peer, sent.message)
+
+    def entry_for(self, req: Req, rng: random.Random) -> str:
+        """Asks a random live router for the chat's entry host."""
+        asked = self.cores[rng.choice(sorted(self.live))]
+        home = asked.first_home(POOL, req.chat)
+        return home if home in self.live else rng.choice(sorted(self.live))
+
+    def set_view(self, router: str, servers: list[Server]) -> None:
+        """Gives one router a new list of servers."""
+        self.cores[router].set_servers(tuple(servers), self.loop.now_ms)
+        self._flush(router)
+
+    def drop_router(self, router: str, at_router: str) -> None:
+        """Tells `at_router` that `router` is gone."""
+        self.known[at_router] = [
+            e for e in self.known[at_router] if e.name != router
+        ]
+        self.cores[at_router].set_entries(
+            self.known[at_router], self.loop.now_ms
+        )
+        self._flush(at_router)
+
+    def route(self, router: str, req: Req, done: Done) -> None:
+        """Follows the core's choice, with its asks over the network."""
+        core = self.cores[router]
+        chosen = core.choose(req, POOL, (), (), LEFT_MS, self.loop.now_ms)
+        self._follow(router, req, chosen, done)
+
+    def _follow(self, router: str, req: Req, chosen: Any, done: Done) -> None:
+        match chosen:
+            case Result(tag="ok", ok=AskPermit() as action):
+                self.asks += 1
+                self._ask(router, req, action, done)
+            case Result(tag="ok", ok=Later(delay_ms=delay_ms)):
+                self.waits += 1
+                self.loop.after(
+                    delay_ms, lambda: self.route(router, req, done)
+                )
+            case Result(tag="ok", ok=server):
+                done(server)
+            case _:
+                done(None)
+
+    def _ask(
+        self, router: str, req: Req, action: AskPermit, done: Done
+    ) -> None:
+        waiting = [True]
+
+        def resume(answer: PermitAnswer | None) -> None:
+            if waiting.pop() if waiting else False:
+                chosen = self.cores[router].resume(
+                    req, answer, self.loop.now_ms
+                )
+                self._flush(router)
+                self._follow(router, req, chosen, done)
+
+        self._waiting[(router, action.ask.id)] = resume
+        self._deliver(router, action.home, action.ask)
+        self.loop.after(action.timeout_ms, lambda: resume(None))
+
+    def _answer(self, router: str, answer: PermitAnswer) -> None:
+        resume = self._waiting.pop((router, answer.id), None)
+        if resume is not None:
+            self.loop.send(lambda: resume(answer))
+
+    _waiting: dict[Any, Callable[[PermitAnswer | None], None]] = {}
+
+    def finish(
+        self, router: str, req: Req, server: Server, ok: bool, ttft_ms: int
+    ) -> None:
+        """Returns the permit."""
+        self.cores[router].release(req, server, self.loop.now_ms, ok, ttft_ms)
+        self._flush(router)
+
+
+POLICIES = (
+    RoundRobin,
+    LeastOwn,
+    PowerOfTwo,
+    PlainHash,
+    OwnBound,
+    Shares,
+    HomeRouters,
+    AllSeeing,
+)
--- a/corianderdoor/core/account.py
+++ b/corianderdoor/core/account.py
@@ -13,6 +13,8 @@
 # A home that has just taken over admits only the part of the bound that
 # settled homes leave free, so that two homes in belief stay within it.
 SETTLED_SHARE: Final = 0.9
+# The mean falls as other requests end, so none is filled to the brim.
+BEST_FIT_SHARE: Final = 0.95
 HANDOVER_MS: Final = 5_000
 
 PermitKey: TypeAlias = tuple[str, int]
@@ -98,7 +100,8 @@
             return self._judge_in_handover(ask, limit)
         if not self.requests:
             return Verdict.GRANTED
-        share = SETTLED_SHARE if ask.tier == Tier.CHAT_ORDER else 1.0
+        chat_order = ask.tier == Tier.CHAT_ORDER
+        share = SETTLED_SHARE if chat_order else BEST_FIT_SHARE
         if self.load + ask.weight <= share * limit:
             return Verdict.GRANTED
         if ask.tier == Tier.BELOW_MEAN and self.load <= mean:
