--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -6,16 +6,14 @@
 import pytest
 
 from corianderdoor.core.errors import Fault, Kind, Outcome
-from corianderdoor.core.lease import (
+from corianderdoor.core.lease import LeaseKeeper, LeaseTimes, Phase
+from corianderdoor.core.lease_messages import (
     decode_leader,
     GrantLease,
     LeaderRead,
     LeaderWritten,
     LeaseGranted,
-    LeaseKeeper,
     LeaseRenewed,
-    LeaseTimes,
-    Phase,
     ReadLeader,
     RenewLease,
     Resign,
