Bring engines to their desired state by fenced, declarative orders

Cause: a leader may be paused, answers may be lost, and not all engines check who gives them an order.

Change: core.reconcile gives an engine one order at a time and reads its state again after every answer or none. Engines that check numbers are told the new number before they are read. For others a new leader first waits for the longest order of the old one; an order that still arrives later is repaired within one re-read and the time of one order and its load. No action without the lease; nothing is torn down when it lapses.

Conclusion: the bound on harm to engines that do not check is one order per engine and paused leader, undone within reread + order + load time.

--- /dev/null
+++ b/corianderdoor/core/tracks.py
@@ -0,0 +1,158 @@
+"""What a leader knows and does about each engine."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from .desired import Goal
+from .orders import plan_steps, Report, Step
+from .records import Record
+from .topology import Server
+from .weight_loads import LoadKey
+
+BACKOFF_BASE_MS: Final = 1_000
+BACKOFF_CAP_MS: Final = 60_000
+MAX_DOUBLINGS: Final = 6
+
+
+class Track:
+    """What the leader knows and does about one engine.
+
+    Attributes:
+        server: The engine.
+        fenced: Whether it checks fencing numbers.
+        goal: What it should become; None if nothing is asked of it.
+        report: Its last report; None if it has to be read.
+        read_ms: When that was read, in ms.
+        call: The call under way; 0 if none.
+        load: Its queued or running weight load.
+        load_running: Whether that load was ordered.
+        raised: Whether it was told the fencing number.
+        not_before_ms: Until when it is left alone, in ms.
+        failures: Failed calls in a row.
+    """
+
+    __slots__ = (
+        "server",
+        "fenced",
+        "goal",
+        "report",
+        "read_ms",
+        "call",
+        "load",
+        "load_running",
+        "raised",
+        "not_before_ms",
+        "failures",
+    )
+
+    def __init__(
+        self, server: Server, fenced: bool, not_before_ms: int
+    ) -> None:
+        self.server = server
+        self.fenced = fenced
+        self.goal: Goal | None = None
+        self.reset(not_before_ms)
+
+    def reset(self, not_before_ms: int) -> None:
+        """Forgets all that an earlier leadership knew."""
+        self.report: Report | None = None
+        self.read_ms = 0
+        self.call = 0
+        self.load: LoadKey | None = None
+        self.load_running = False
+        self.raised = False
+        self.not_before_ms = not_before_ms
+        self.failures = 0
+
+    @property
+    def next_step(self) -> Step | None:
+        """The next difference between desired and reported state."""
+        if self.goal is None or self.report is None:
+            return None
+        return next(plan_steps(self.goal.spec, self.report), None)
+
+    @property
+    def loading(self) -> bool:
+        """Whether a weight load is under way."""
+        reported = self.report is not None and bool(self.report.loading)
+        return reported or self.load_running
+
+    @property
+    def changing(self) -> bool:
+        """Whether a weight load is queued or under way."""
+        return self.loading or self.load is not None
+
+    @property
+    def serves(self) -> bool:
+        """Whether it runs requests and is meant to."""
+        meant = self.goal is None or self.goal.serves
+        return meant and self.report is not None and self.report.serves
+
+    def holds(self, artifact: str) -> bool:
+        """Tells whether the engine reports an artifact as loaded."""
+        if self.report is None:
+            return False
+        name, _, version = artifact.rpartition("@")
+        held = (self.report.models.get(name), self.report.adapters.get(name))
+        return version in held
+
+    def back_off(self, now_ms: int) -> None:
+        """Leaves the engine alone for a while after a failure."""
+        delay_ms = BACKOFF_BASE_MS * 2 ** min(self.failures, MAX_DOUBLINGS)
+        self.failures += 1
+        self.not_before_ms = now_ms + min(delay_ms, BACKOFF_CAP_MS)
+
+
+class PoolView(Record):
+    """Counts over the engines of one pool.
+
+    Attributes:
+        size: Engines in the pool.
+        serving: Engines that serve and are meant to.
+        meant: Engines that are meant to serve.
+        changing: Serving engines with a weight load queued or under way.
+    """
+
+    __slots__ = ("size", "serving", "meant", "changing")
+
+    def __init__(self, tracks: Iterable[Track]) -> None:
+        self.size = self.serving = self.meant = self.changing = 0
+        for track in tracks:
+            self.size += 1
+            self.serving += track.serves
+            self.meant += track.goal is None or track.goal.serves
+            self.changing += track.serves and track.changing
+
+
+class Tracks:
+    """All engines, by name and by pool."""
+
+    __slots__ = ("_by_name", "_by_pool")
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, Track] = {}
+        self._by_pool: dict[str, dict[str, Track]] = {}
+
+    def __iter__(self) -> Iterator[Track]:
+        return iter(tuple(self._by_name.values()))
+
+    def get(self, name: str) -> Track | None:
+        """Returns the engine of that name."""
+        return self._by_name.get(name)
+
+    def put(self, track: Track) -> None:
+        """Adds an engine."""
+        name, pool = track.server.name, track.server.pool
+        self._by_name[name] = track
+        self._by_pool.setdefault(pool, {})[name] = track
+
+    def remove(self, track: Track) -> None:
+        """Removes an engine."""
+        del self._by_name[track.server.name]
+        del self._by_pool[track.server.pool][track.server.name]
+
+    def view(self, pool: str) -> PoolView:
+        """Returns the counts of a pool."""
+        return PoolView(self._by_pool.get(pool, {}).values())
--- /dev/null
+++ b/tests/orders_bench.py
@@ -0,0 +1,176 @@
+"""Virtual engines and a leadership for tests of giving orders."""
+
+import random
+
+from builders import build_server
+from expression import Error, Ok
+import msgspec
+
+from corianderdoor.adapters.engines_http import read_report
+from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.desired import decode_desired
+from corianderdoor.core.errors import Fault, Kind, Outcome
+from corianderdoor.core.orders import OrderKind
+from corianderdoor.core.reconcile import Reconciler, ReconcileTimes
+from corianderdoor.core.reconcile_messages import (
+    GiveOrder,
+    OrderAnswered,
+    ReadSize,
+    ReadState,
+    SizeRead,
+    StateRead,
+    TargetsSet,
+    Tick,
+)
+from corianderdoor.core.weight_loads import LoadLimits, LoadQueue
+from corianderdoor.standins.engine_orders import EngineOrders, OrderBody
+from corianderdoor.standins.faults import Faults
+
+LONGEST_MS = 2_000
+LOAD_MS = 3_000
+SIZE = 1_000
+MAX_EVENTS_PER_STEP = 10_000
+LIMITS = LoadLimits(1_000_000, 1_000_000, 100, 60_000)
+TIMES = ReconcileTimes(LONGEST_MS, 30_000, 0.25)
+LOST = Error(Fault(Kind.PEER_FAILED, "order", "", outcome=Outcome.UNKNOWN))
+REFUSED = Error(Fault(Kind.CONFLICT, "order", "old number"))
+DOWN = Error(Fault(Kind.PEER_FAILED, "order", "refused"))
+
+
+class Lease:
+    """A leadership that a test sets by hand."""
+
+    def __init__(self, fence=1, since_ms=0, end_ms=10**12):
+        self.number = fence
+        self.since_ms = since_ms
+        self.end_ms = end_ms
+
+    def fence(self, now_ms, needed_ms=0):
+        return self.number if now_ms + needed_ms < self.end_ms else None
+
+
+class Bench:
+    """One reconciler before engines that live in virtual time."""
+
+    def __init__(self, clock, engines, lease, desired, fenced=True, **kinds):
+        self.clock = clock
+        self.engines = engines
+        self.lease = lease
+        self.queue = LoadQueue(kinds.get("limits", LIMITS), rng(), 0)
+        pools = frozenset({"redactor"}) if fenced else frozenset()
+        self.core = Reconciler(
+            lease, kinds.get("times", TIMES), pools, self.queue
+        )
+        self.servers = tuple(build_server(name) for name in engines)
+        self.set_desired(desired)
+        self.given = []
+        self.reads = 0
+        self.lose = 0
+        self.down = set()
+        self.ends = []
+
+    def set_desired(self, text, awake=None):
+        desired = decode_desired(text.encode(), 1).default_value(None)
+        event = TargetsSet(self.servers, desired, awake or {})
+        self.pending = [event]
+
+    def run(self, duration_ms, step_ms=100):
+        """Lets virtual time pass; answers every call at once."""
+        for _ in range(duration_ms // step_ms):
+            self.clock.advance(step_ms)
+            self._end_loads()
+            todo = self.pending + [Tick()]
+            self.pending = []
+            left = MAX_EVENTS_PER_STEP
+            while todo:
+                left -= 1
+                assert left, "the reconciler goes round in circles"
+                todo += self._answer_all(self._handle(todo.pop(0)))
+
+    def _handle(self, event):
+        return self.core.handle(
+            event, self.clock.now_ms(), self.clock.wall_ms()
+        )
+
+    def _answer_all(self, actions):
+        return [self._answer(action) for action in actions]
+
+    def _answer(self, action):
+        if isinstance(action, ReadSize):
+            return SizeRead(action.artifact, Ok(SIZE))
+        name = action.server.name
+        if isinstance(action, ReadState):
+            self.reads += 1
+            return StateRead(name, action.call, self._read(name))
+        assert isinstance(action, GiveOrder)
+        self.given.append((self.clock.now_ms(), name, action.order))
+        return OrderAnswered(name, action.order, self._order(action))
+
+    def _read(self, name):
+        if name in self.down:
+            return DOWN
+        raw = msgspec.json.encode(self.engines[name].state())
+        return Ok(read_report(raw))
+
+    def _order(self, action):
+        name = action.server.name
+        if name in self.down:
+            return DOWN
+        status = self.deliver(name, action.order)
+        if self.lose:
+            self.lose -= 1
+            return LOST
+        return Ok(None) if status == 202 else REFUSED
+
+    def deliver(self, name, order):
+        """Hands an order to an engine; returns its status."""
+        step = order.step
+        body = OrderBody(
+            str(order.call),
+            order.fence,
+            step.kind,
+            step.name,
+            step.version,
+            order.not_after_ms,
+        )
+        status = self.engines[name].follow(body)
+        if status == 202 and step.loads:
+            end_ms = self.clock.now_ms() + LOAD_MS
+            self.ends.append((end_ms, name, body))
+        return status
+
+    def _end_loads(self):
+        now_ms = self.clock.now_ms()
+        for end_ms, name, body in [e for e in self.ends if e[0] <= now_ms]:
+            self.engines[name].end_load(body, loaded=True)
+        self.ends = [e for e in self.ends if e[0] > now_ms]
+
+    def kinds(self, name=None):
+        """Returns the kinds of the orders given, but for raised numbers."""
+        return [
+            order.step.kind
+            for _, server, order in self.given
+            if name in (None, server)
+            and order.step.kind is not OrderKind.RAISE_FENCE
+        ]
+
+
+def rng():
+    """Returns a seeded source of randomness."""
+    return random.Random(7)
+
+
+def build_engines(clock, count=1, checks=True):
+    """Returns engines by name."""
+    return {
+        f"e{number}": EngineOrders(clock, Faults(), int, 1, checks)
+        for number in range(count)
+    }
+
+
+def build_bench(desired, count=1, checks=True, lease=None, **kinds):
+    """Returns a bench with its own clock and engines."""
+    clock = ManualClock()
+    engines = build_engines(clock, count, checks)
+    lease = lease or Lease()
+    return Bench(clock, engines, lease, desired, fenced=checks, **kinds)
