Keep workspace limits over all routers, with one home each

Cause: each router enforced the whole limit, so N routers admitted up to N times what the operators had set. Change: core.quota, core.quota_home and core.limits: the rendezvous of a workspace and pool names a home that hands out parts of the rate, single tokens and places; the dispatcher holds a request back while it asks. core.admission is gone. Codec kinds for the messages. bench/quota.py.

--- /dev/null
+++ b/bench/quota.py
@@ -0,0 +1,201 @@
+"""Measures how workspace limits hold over many routers, and their cost.
+
+Drives the cores directly with lag, loss and a seed. The baseline splits
+each limit evenly over the routers. Bounds: never more than the limit; a
+daemon's whole control traffic is at most 14 KB/s.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import pathlib
+import random
+import sys
+import time
+from typing import Any
+
+from corianderdoor.adapters.keyring import Keyring
+import corianderdoor.adapters.peer_capnp  # noqa: F401 - its codecs
+from corianderdoor.adapters.peer_codec import Sealer
+from corianderdoor.core.placement import rank
+from corianderdoor.core.quota import ASK_RETRY_MS, Quota, Verdict
+from corianderdoor.core.quota_home import MIN_BURST, QuotaHome
+from corianderdoor.core.rules import Rule
+
+STEP_MS = 10
+SECONDS = 15
+LAG_MS = (1, 60)
+LOSS = 0.01
+ROUTERS = (8, 24, 72)
+REQUESTS_A_ROUTER = 70
+SURGING = 20  # one workspace in so many offers SURGE times its limit
+SURGE = 3.0
+USUAL = 0.4
+IP_UDP_BYTES = 28
+
+
+class Fleet:
+    """Routers with quotas and homes, joined by late, lossy messages."""
+
+    def __init__(self, routers: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.names = [f"entry-{number}" for number in range(routers)]
+        self.quotas = [Quota() for _ in self.names]
+        self.homes = [QuotaHome() for _ in self.names]
+        for part in (*self.quotas, *self.homes):
+            part.set_routers(routers)
+        self.now = 0
+        self.mail: list[tuple[int, int, Any]] = []
+        self.sent = [0] * routers
+        self.bytes = [0] * routers
+        self.home_of: dict[str, int] = {}
+        self.sealer = Sealer(Keyring(["k" * 32]), "entry-0", 1)
+
+    def post(self, sender: int, message: Any, deliver: Any) -> None:
+        """Sends a message; it arrives late or is lost."""
+        raw = self.sealer.seal("entry-1", message).default_value(b"")
+        self.sent[sender] += 1
+        self.bytes[sender] += len(raw) + IP_UDP_BYTES
+        if self.rng.random() >= LOSS:
+            at_ms = self.now + self.rng.randint(*LAG_MS)
+            heapq.heappush(self.mail, (at_ms, sum(self.sent), deliver))
+
+    def step(self) -> None:
+        """Moves time on and delivers what is due."""
+        self.now += STEP_MS
+        while self.mail and self.mail[0][0] <= self.now:
+            heapq.heappop(self.mail)[2]()
+        for number, quota in enumerate(self.quotas):
+            if self.now % ASK_RETRY_MS == 0:
+                quota.tick(self.now)
+            for ask in quota.take_outgoing():
+                self.ask(number, ask)
+
+    def ask(self, number: int, ask: Any) -> None:
+        """Sends a router's message to the home of its slot."""
+        key = ask.slot.key()
+        if key not in self.home_of:
+            self.home_of[key] = self.names.index(rank(key, self.names)[0])
+        home = self.home_of[key]
+
+        def answer() -> None:
+            name = self.names[number]
+            grant = self.homes[home].answer(name, 1, ask, self.now)
+            if grant is not None:
+                take = self.quotas[number].take_grant
+                self.post(home, grant, lambda: take(grant, self.now))
+
+        self.post(number, ask, answer)
+
+
+def offer(fleet: Fleet, rules: list[Rule], weights: list[float]) -> Any:
+    """Offers the peak's requests; returns admitted and refused counts."""
+    routers = len(fleet.names)
+    admitted = [0] * len(rules)
+    refused, waited, waiting = 0, 0, []
+    started = time.process_time()
+    for _ in range(SECONDS * 1_000 // STEP_MS):
+        fleet.step()
+        offers = [(number, w, True) for number, w in waiting]
+        waiting = []
+        count = REQUESTS_A_ROUTER * routers * STEP_MS // 1_000
+        chosen = fleet.rng.choices(range(len(rules)), weights, k=count)
+        for workspace in chosen:
+            # Chats of one workspace lean to some of the routers.
+            lean = fleet.rng.random() ** 3
+            number = (workspace * 7 + int(lean * routers)) % routers
+            offers.append((number, workspace, False))
+        for number, workspace, again in offers:
+            quota, rule = fleet.quotas[number], rules[workspace]
+            verdict = quota.admit(f"w{workspace}", rule, fleet.now, again)
+            if verdict is Verdict.ADMITTED:
+                admitted[workspace] += 1
+                quota.release(f"w{workspace}", rule)
+            elif verdict is Verdict.PENDING:
+                waited += not again
+                waiting.append((number, workspace))
+            else:
+                refused += 1
+    cpu_s = time.process_time() - started
+    return admitted, refused, waited, cpu_s
+
+
+def split_evenly(rules: list[Rule], demand: Any, surging: Any) -> float:
+    """Returns what an even split admits of the calm workspaces' work."""
+    served = offered = 0.0
+    for number, rates in enumerate(demand):
+        if number in surging:
+            continue
+        part = rules[number].rate / len(rates)
+        served += sum(min(part, rate) for rate in rates)
+        offered += sum(rates)
+    return served / offered
+
+
+def list_demand(
+    fleet: Fleet, weights: list[float], total: int
+) -> list[list[float]]:
+    """Returns requests/s by workspace and router, by the same lean."""
+    routers = len(fleet.names)
+    edges = [(number / routers) ** (1 / 3) for number in range(routers + 1)]
+    parts = [edges[i + 1] - edges[i] for i in range(routers)]
+    whole = sum(weights)
+    return [[total * weight / whole * p for p in parts] for weight in weights]
+
+
+def measure(routers: int) -> dict[str, float]:
+    """Runs one size: some workspaces surge, the rest keep to 40%."""
+    fleet = Fleet(routers, seed=routers)
+    workspaces = min(700, routers * 10)
+    total = REQUESTS_A_ROUTER * routers
+    weights = [1 / (1 + number) ** 0.8 for number in range(workspaces)]
+    rules = []
+    for weight in weights:
+        rule = Rule(1)
+        rule.pool = "redactor"
+        rate = total * weight / sum(weights)
+        surges = len(rules) % SURGING == SURGING // 2
+        rule.rate = max(1, int(rate / (SURGE if surges else USUAL)))
+        rules.append(rule)
+    admitted, refused, waited, cpu_s = offer(fleet, rules, weights)
+    ratios = [
+        count / max(rule.rate * (SECONDS + 2), rule.rate * SECONDS + MIN_BURST)
+        for count, rule in zip(admitted, rules, strict=True)
+    ]
+    surging = range(SURGING // 2, len(rules), SURGING)
+    limit = sum(rules[number].rate for number in surging)
+    calm = sum(admitted) - sum(admitted[number] for number in surging)
+    calm_offered = sum(
+        total * weight / sum(weights)
+        for number, weight in enumerate(weights)
+        if number not in surging
+    )
+    demand = list_demand(fleet, weights, total)
+    return {
+        "routers": routers,
+        "workspaces": workspaces,
+        "worst_over_limit": max(ratios),
+        "surge_used": sum(admitted[number] for number in surging)
+        / (limit * SECONDS),
+        "calm_served": calm / (calm_offered * SECONDS),
+        "calm_even_split": split_evenly(rules, demand, surging),
+        "bytes_s_mean": sum(fleet.bytes) / routers / SECONDS,
+        "bytes_s_worst": max(fleet.bytes) / SECONDS,
+        "us_a_request": cpu_s / (total * SECONDS) * 1e6,
+    }
+
+
+def main() -> int:
+    """Prints a table; writes JSON to the path given, if any."""
+    rows = [measure(routers) for routers in ROUTERS]
+    print("  ".join(f"{name:>16}" for name in rows[0]))
+    for row in rows:
+        print("  ".join(f"{value:16.3f}" for value in row.values()))
+    if len(sys.argv) > 1:
+        pathlib.Path(sys.argv[1]).write_text(json.dumps(rows), "utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/relay_roles.py
+++ b/bench/relay_roles.py
@@ -19,10 +19,10 @@
 from corianderdoor.adapters.backend_http import HttpBackend
 from corianderdoor.adapters.caller_http import CallerApp
 from corianderdoor.adapters.serving import bind_socket, serve
-from corianderdoor.core.admission import Admission
 from corianderdoor.core.clock import SystemClock
 from corianderdoor.core.config import Config
 from corianderdoor.core.dispatch import Dispatcher
+from corianderdoor.core.limits import Limits
 from corianderdoor.core.placement import BoundedPlacement
 from corianderdoor.core.retry import RetryBudget
 from corianderdoor.core.rules import parse_rules
@@ -146,7 +146,7 @@
         server = Server("e", "h", "dc", "p", engine, 1, MANY)
         placement.set_servers((server,), 0)
         dispatcher = Dispatcher(
-            placement, Admission(), RetryBudget(random.Random(1))
+            placement, Limits("entry-1"), RetryBudget(random.Random(1))
         )
         dispatcher.set_config(Config(1, "c", "bench", text, rules))
         self._app = CallerApp(dispatcher, backend, SystemClock(), tuple)
--- /dev/null
+++ b/corianderdoor/adapters/peer_quota.py
@@ -0,0 +1,71 @@
+"""Codec of the messages about workspace limits."""
+
+from __future__ import annotations
+
+from ..core.quota_messages import QuotaAsk, QuotaGrant, Slot
+from .peer_codec import Builder, decodes, encode_body, read_name, Reader
+
+
+@encode_body.register
+def _(body: QuotaAsk, out: Builder) -> None:
+    part = out.init("quotaAsk")
+    _write_slot(body.slot, part)
+    part.seq = body.seq
+    part.inUse = body.in_use
+    part.wantSlots = body.want_slots
+    part.wantTokens = body.want_tokens
+    part.demand = body.demand
+
+
+@encode_body.register
+def _(body: QuotaGrant, out: Builder) -> None:
+    part = out.init("quotaGrant")
+    _write_slot(body.slot, part)
+    part.seq = body.seq
+    part.slots = body.slots
+    part.tokens = body.tokens
+    part.share = body.share
+    part.holdMs = body.hold_ms
+    part.retryMs = body.retry_ms
+
+
+@decodes("quotaAsk")
+def _read_ask(raw: Reader) -> QuotaAsk:
+    return QuotaAsk(
+        _read_slot(raw.slot),
+        raw.seq,
+        raw.inUse,
+        raw.wantSlots,
+        raw.wantTokens,
+        raw.demand,
+    )
+
+
+@decodes("quotaGrant")
+def _read_grant(raw: Reader) -> QuotaGrant:
+    return QuotaGrant(
+        _read_slot(raw.slot),
+        raw.seq,
+        raw.slots,
+        raw.tokens,
+        raw.share,
+        raw.holdMs,
+        raw.retryMs,
+    )
+
+
+def _write_slot(slot: Slot, part: Builder) -> None:
+    out = part.init("slot")
+    out.workspace = slot.workspace
+    out.pool = slot.pool
+    out.rate = slot.rate
+    out.concurrency = slot.concurrency
+
+
+def _read_slot(raw: Reader) -> Slot:
+    return Slot(
+        read_name(raw.workspace),
+        read_name(raw.pool),
+        raw.rate,
+        raw.concurrency,
+    )
--- a/corianderdoor/adapters/peers.capnp
+++ b/corianderdoor/adapters/peers.capnp
@@ -16,6 +16,8 @@
     ping @4 :Ping;
     indirectPing @5 :IndirectPing;
     ack @6 :Ack;
+    quotaAsk @7 :QuotaAsk;
+    quotaGrant @8 :QuotaGrant;
   }
 }
 
@@ -51,3 +53,30 @@
   id @0 :UInt32;
   gossip @1 :Gossip;
 }
+
+# A limit of a workspace in a pool.
+struct QuotaSlot {
+  workspace @0 :Text;
+  pool @1 :Text;
+  rate @2 :UInt32;
+  concurrency @3 :UInt32;
+}
+
+struct QuotaAsk {
+  slot @0 :QuotaSlot;
+  seq @1 :UInt64;
+  inUse @2 :UInt32;
+  wantSlots @3 :UInt32;
+  wantTokens @4 :UInt32;
+  demand @5 :UInt32;
+}
+
+struct QuotaGrant {
+  slot @0 :QuotaSlot;
+  seq @1 :UInt64;
+  slots @2 :UInt32;
+  tokens @3 :UInt32;
+  share @4 :UInt32;
+  holdMs @5 :UInt32;
+  retryMs @6 :UInt32;
+}
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -12,10 +12,10 @@
 
 from expression import Result
 
-from .admission import Admission
 from .config import Config, EMPTY_CONFIG
 from .errors import Fault, Kind, Outcome
 from .flight import describe_deadline, describe_failure, Flight
+from .limits import Limits
 from .messages import (
     Action,
     Arrived,
@@ -28,7 +28,6 @@
     FirstByte,
     PermitAnswered,
     Refuse,
-    Req,
     Resume,
     Send,
     Stage,
@@ -37,8 +36,8 @@
 )
 from .placement import Choice, Later, Placement
 from .quarantine import Quarantine
+from .quota import PENDING_MS, Verdict
 from .retry import MAX_ATTEMPTS, MAX_CRASHES, RetryBudget
-from .rules import Rule
 from .server_health import ServerHealth
 from .timeouts import choose_silence_ms
 from .topology import Server
@@ -53,7 +52,7 @@
     __slots__ = (
         "_cfg",
         "_placement",
-        "_admission",
+        "_limits",
         "_budget",
         "_quarantine",
         "_health",
@@ -65,13 +64,13 @@
     def __init__(
         self,
         placement: Placement,
-        admission: Admission,
+        limits: Limits,
         budget: RetryBudget,
         quarantine: Quarantine | None = None,
     ) -> None:
         self._cfg = EMPTY_CONFIG
         self._placement = placement
-        self._admission = admission
+        self._limits = limits
         self._budget = budget
         self._quarantine = quarantine or Quarantine()
         self._health = ServerHealth()
@@ -141,17 +140,24 @@
         if rule is None:
             detail = f"no rule matches {req.method} {req.path}"
             return Refuse(req.id, Fault(Kind.NO_RULE, "match-rule", detail))
-        return self._admit(req, rule)
-
-    def _admit(self, req: Req, rule: Rule) -> Action:
-        refusal = self._admission.admit(req.workspace, rule, self._now_ms)
-        if refusal is not None:
-            return Refuse(req.id, refusal)
         budget_ms = rule.deadline_ms
         if req.deadline_ms is not None:
             budget_ms = min(budget_ms, req.deadline_ms)
         flight = Flight(req, rule, self._now_ms + budget_ms)
         self._flights[req.id] = flight
+        return self._admit(flight)
+
+    def _admit(self, flight: Flight, waited: bool = False) -> Action:
+        if self._now_ms >= flight.deadline_at_ms:
+            return self._give_up(flight, describe_deadline(flight))
+        verdict = self._limits.admit(
+            flight.req.workspace, flight.rule, self._now_ms, waited
+        )
+        if isinstance(verdict, Fault):
+            return self._give_up(flight, verdict)
+        if verdict is Verdict.PENDING:
+            return Wait(flight.req.id, PENDING_MS)
+        flight.admitted = True
         return self._place(flight)
 
     def _place(self, flight: Flight) -> Action:
@@ -218,6 +224,8 @@
         flight = self._flights.get(event.id)
         if flight is None:
             return Done(event.id)
+        if not flight.admitted:
+            return self._admit(flight, waited=True)
         return self._place(flight)
 
     @_on.register
@@ -325,7 +333,8 @@
 
     def _close(self, flight: Flight) -> None:
         self._release_server(flight)
-        self._admission.release(flight.req.workspace, flight.rule)
+        if flight.admitted:
+            self._limits.release(flight.req.workspace, flight.rule)
         del self._flights[flight.req.id]
 
     def _give_up(self, flight: Flight, fault: Fault) -> Action:
--- a/corianderdoor/core/flight.py
+++ b/corianderdoor/core/flight.py
@@ -19,6 +19,7 @@
         req: The request.
         rule: The rule that it matched.
         deadline_at_ms: Monotonic time at which its answer must have ended.
+        admitted: Whether its workspace's limit has let it in.
         attempt: Number of the present attempt, from 1.
         server: The server that has it now, or None.
         tried: Servers that are not asked again.
@@ -32,6 +33,7 @@
         "req",
         "rule",
         "deadline_at_ms",
+        "admitted",
         "attempt",
         "server",
         "sent_at_ms",
@@ -47,6 +49,7 @@
         self.req = req
         self.rule = rule
         self.deadline_at_ms = deadline_at_ms
+        self.admitted = False
         self.attempt = 0
         self.server: Server | None = None
         self.sent_at_ms = 0
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -18,11 +18,11 @@
 from ..adapters.serving import bind_socket, serve
 from ..adapters.settings import Settings
 from ..adapters.store_http import HttpStore
-from ..core.admission import Admission
 from ..core.clock import Clock, MS_PER_SECOND, SystemClock
 from ..core.config import CONFIG_KEY, decode_config
 from ..core.dispatch import Dispatcher
 from ..core.drain import EntryDrain
+from ..core.limits import Limits
 from ..core.placement import BoundedPlacement
 from ..core.retry import RetryBudget
 from ..core.topology import EntryHost, HostList, Server
@@ -96,7 +96,7 @@
         self._hosts = hosts
         self._placement = BoundedPlacement(settings.load_bound)
         self._dispatcher = Dispatcher(
-            self._placement, Admission(), RetryBudget(rng)
+            self._placement, Limits(settings.name), RetryBudget(rng)
         )
         self._listing = HostList()
         self._drain = EntryDrain(settings.name, settings.data_centre)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,9 +2,9 @@
 
 import random
 
-from corianderdoor.core.admission import Admission
 from corianderdoor.core.config import Config
 from corianderdoor.core.dispatch import Dispatcher
+from corianderdoor.core.limits import Limits
 from corianderdoor.core.messages import Req
 from corianderdoor.core.placement import BoundedPlacement
 from corianderdoor.core.retry import RetryBudget
@@ -50,7 +50,7 @@
     placement = BoundedPlacement(bound)
     placement.set_servers(servers, 0)
     dispatcher = Dispatcher(
-        placement, Admission(), RetryBudget(random.Random(1))
+        placement, Limits("entry-1"), RetryBudget(random.Random(1))
     )
     dispatcher.set_config(build_config(1, text))
     return dispatcher
--- a/tests/test_weight_loads.py
+++ b/tests/test_weight_loads.py
@@ -2,7 +2,8 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from corianderdoor.core import weight_loads
 from corianderdoor.core.weight_loads import LoadLimits, LoadQueue, Priority
