Claim callers' own idempotency keys in the key-value service

Cause: a key that the caller made up is known to no router by itself, and each router of a fleet sees only its own share of the repeats.

Change: a router claims the key before it sends the request. A lost answer is resolved by reading the segment again and finding the own claim. All requests of a shard are led (307) to one home router, which saves writes; the fence alone keeps a key from running twice when routers disagree about the home. A repeat gets the stored answer, `in-progress` or `unresolved`; another body is refused as reused. With the service down a new key is refused `not-run` before a byte is sent, and known keys are answered from memory.

Conclusion: own keys run once across entry hosts, restarts, and lost answers.

--- /dev/null
+++ b/corianderdoor/adapters/claim_keeper.py
@@ -0,0 +1,173 @@
+"""Carries the claims on callers' own keys to the key-value service."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from expression import Result
+
+from ..core.claim_log import shard_of, slot_key
+from ..core.claim_messages import (
+    Action,
+    Ask,
+    Decide,
+    Drop,
+    Event,
+    Outrun,
+    ReadFailed,
+    ReadSlot,
+    Settle,
+    SlotRead,
+    Tick,
+    WakeAt,
+    WriteFailed,
+    WriteLost,
+    WriteSlot,
+    Written,
+)
+from ..core.claims import ClaimBook
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.errors import Fault, Kind, Outcome
+from ..core.once import Ending, Proceed, Reject, Verdict
+from ..ports.store import Store
+
+CLAIM_TIMEOUT_MS: Final = 5_000
+CLAIM_RETRY_MS: Final = 1_000
+FLUSH_TIMEOUT_MS: Final = 1_500
+FLUSH_POLL_MS: Final = 20
+
+
+class _Waiter:
+    """A request that waits for its verdict."""
+
+    __slots__ = ("decided", "verdict")
+
+    def __init__(self) -> None:
+        self.decided = anyio.Event()
+        self.verdict: Verdict | None = None
+
+
+class ClaimKeeper:
+    """Runs the claim books of one router against the service."""
+
+    __slots__ = ("_owner", "_store", "_clock", "_books", "_waiters", "_tasks")
+
+    def __init__(self, owner: str, store: Store, clock: Clock) -> None:
+        self._owner = owner
+        self._store = store
+        self._clock = clock
+        self._books: dict[int, ClaimBook] = {}
+        self._waiters: dict[str, _Waiter] = {}
+        self._tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Serves the books, for ever."""
+        async with anyio.create_task_group() as tg:
+            self._tasks = tg
+            await anyio.sleep_forever()
+
+    async def admit(self, ask: Ask) -> Verdict:
+        """Returns the verdict on a request once the log holds its claim."""
+        waiter = _Waiter()
+        self._waiters[ask.id] = waiter
+        shard = shard_of(ask.digest)
+        try:
+            self._handle(shard, ask)
+            with anyio.move_on_after(CLAIM_TIMEOUT_MS / MS_PER_SECOND):
+                await waiter.decided.wait()
+        except BaseException:
+            if isinstance(waiter.verdict, Proceed):
+                self.settle(ask.digest, Ending(Outcome.NOT_RUN))
+            raise
+        finally:
+            del self._waiters[ask.id]
+            if waiter.verdict is None:
+                self._handle(shard, Drop(ask.id))
+        if waiter.verdict is not None:
+            return waiter.verdict
+        return Reject(
+            Fault(
+                Kind.STORE_FAILED,
+                "claim-key",
+                "the key could not be claimed in time",
+                retry_after_ms=CLAIM_RETRY_MS,
+            )
+        )
+
+    async def flush(self) -> None:
+        """Waits a little until the log holds every ending."""
+        with anyio.move_on_after(FLUSH_TIMEOUT_MS / MS_PER_SECOND):
+            while any(book.unwritten for book in self._books.values()):
+                await anyio.sleep(FLUSH_POLL_MS / MS_PER_SECOND)
+
+    def settle(self, digest: bytes, ending: Ending) -> None:
+        """Notes how the run of a claimed key ended."""
+        self._handle(shard_of(digest), Settle(digest, ending))
+
+    def _handle(self, shard: int, event: Event) -> None:
+        book = self._books.get(shard)
+        if book is None:
+            book = self._books[shard] = ClaimBook(self._owner)
+        actions = book.handle(
+            event, self._clock.now_ms(), self._clock.wall_ms()
+        )
+        for action in actions:
+            self._act(action, shard)
+
+    @singledispatchmethod
+    def _act(self, action: Action, shard: int) -> None:
+        raise TypeError(f"unknown action {type(action).__name__}")
+
+    @_act.register
+    def _(self, action: Decide, shard: int) -> None:
+        waiter = self._waiters.get(action.id)
+        if waiter is not None:
+            waiter.verdict = action.verdict
+            waiter.decided.set()
+
+    @_act.register
+    def _(self, action: ReadSlot, shard: int) -> None:
+        self._start(self._read, shard, action)
+
+    @_act.register
+    def _(self, action: WriteSlot, shard: int) -> None:
+        self._start(self._write, shard, action)
+
+    @_act.register
+    def _(self, action: WakeAt, shard: int) -> None:
+        self._start(self._wake, shard, action)
+
+    def _start(self, job: object, shard: int, action: Action) -> None:
+        assert self._tasks is not None, "run() has not begun"
+        self._tasks.start_soon(job, shard, action)  # type: ignore[arg-type]
+
+    async def _read(self, shard: int, action: ReadSlot) -> None:
+        match await self._store.read(slot_key(shard, action.slot)):
+            case Result(tag="ok", ok=None):
+                self._handle(shard, SlotRead(action.slot, 0, b""))
+            case Result(tag="ok", ok=found) if found is not None:
+                self._handle(
+                    shard, SlotRead(action.slot, found.version, found.value)
+                )
+            case _:
+                self._handle(shard, ReadFailed(action.slot))
+
+    async def _write(self, shard: int, action: WriteSlot) -> None:
+        key = slot_key(shard, action.slot)
+        match await self._store.write(key, action.value, action.version):
+            case Result(tag="ok", ok=version):
+                self._handle(shard, Written(version))
+            case Result(error=fault) if fault.kind is Kind.CONFLICT:
+                self._handle(shard, Outrun())
+            case Result(error=fault) if fault.outcome is Outcome.NOT_RUN:
+                self._handle(shard, WriteFailed())
+            case _:
+                self._handle(shard, WriteLost())
+
+    async def _wake(self, shard: int, action: WakeAt) -> None:
+        delay_ms = max(0, action.at_ms - self._clock.now_ms())
+        await anyio.sleep(delay_ms / MS_PER_SECOND)
+        self._handle(shard, Tick())
--- a/corianderdoor/adapters/once.py
+++ b/corianderdoor/adapters/once.py
@@ -11,21 +11,24 @@
 import anyio
 import msgspec
 
+from ..core.addresses import in_service
+from ..core.claim_log import choose_home
+from ..core.claim_messages import Ask
 from ..core.clock import Clock
 from ..core.dispatch import Dispatcher
 from ..core.drain import EntryDrain
 from ..core.errors import Fault, Kind, Outcome
 from ..core.messages import Req
 from ..core.once import (
+    digest_key,
     digest_request,
-    Ending,
-    Kept,
     Proceed,
     Redirect,
     Reject,
     Replay,
     Verdict,
 )
+from ..core.rules import Rule
 from ..core.tickets import (
     is_ticket,
     SECRET_BYTES,
@@ -33,82 +36,32 @@
     TicketDesk,
 )
 from ..core.topology import EntryHost
+from ..ports.store import Store
 from .caller_request import read_target
+from .claim_keeper import ClaimKeeper
 from .logs import log_event
 from .problems import OUTCOME_HEADER, send_problem, send_whole
+from .recorder import Recorder
 from .serving import Message, Receive, Scope, Send
 
 TICKET_PATH: Final = "/corianderdoor/v1/ticket"
 REPLAYED: Final = (b"corianderdoor-replayed", b"1")
+HOP: Final = b"corianderdoor-hop=1"
+MAX_LIMIT_MS: Final = 600_000
 TEMPORARY_REDIRECT: Final = 307
-MAX_KEPT_BODY_BYTES: Final = 16_000
-MAX_KEPT_HEADER_BYTES: Final = 2_000
 INCARNATION_RANDOM_BITS: Final = 20
-NOT_KEPT: Final = frozenset(
-    {
-        "connection",
-        "content-length",
-        "date",
-        "server",
-        "transfer-encoding",
-        "x-request-id",
-    }
-)
-
 Run = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
-class Recorder:
-    """Passes an answer on to the caller and keeps what a repeat needs.
-
-    The caller's going does not end the run: its repeat will want the
-    outcome.
-    """
+class _Keyed:
+    """A request with the digests under which its key is known."""
 
-    __slots__ = ("_send", "_status", "_headers", "_parts", "_size", "_whole")
-
-    def __init__(self, send: Send) -> None:
-        self._send: Send | None = send
-        self._status = 0
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._parts: list[bytes] = []
-        self._size = 0
-        self._whole = False
-
-    async def send(self, message: Message) -> None:
-        """Keeps and passes on one message of the answer."""
-        self._keep(message)
-        if self._send is None:
-            return
-        try:
-            await self._send(message)
-        except Exception as exc:
-            log_event("caller_left", detail=type(exc).__name__)
-            self._send = None
-
-    def ending(self) -> Ending:
-        """Returns what is known of the run, once it is over."""
-        said = dict(self._headers).get(OUTCOME_HEADER, b"").decode("latin-1")
-        if said == Outcome.NOT_RUN.value:
-            return Ending(Outcome.NOT_RUN)
-        if not self._whole or said == Outcome.UNKNOWN.value:
-            return Ending(Outcome.UNKNOWN)
-        body = b"".join(self._parts)
-        kept = body if self._size <= MAX_KEPT_BODY_BYTES else None
-        return Ending(
-            Outcome.RUN, Kept(self._status, _pick(self._headers), kept)
-        )
+    __slots__ = ("req", "digest", "fingerprint")
 
-    def _keep(self, message: Message) -> None:
-        if message["type"] == "http.response.start":
-            self._status = message["status"]
-            self._headers = list(message["headers"])
-            return
-        part = message.get("body", b"")
-        self._size += len(part)
-        if self._size <= MAX_KEPT_BODY_BYTES:
-            self._parts.append(bytes(part))
-        self._whole = not message.get("more_body", False)
+    def __init__(self, req: Req, fingerprint: bytes) -> None:
+        self.req = req
+        self.digest = digest_key(req.workspace, req.key)
+        self.fingerprint = fingerprint
 
 
 class OnceGate:
@@ -117,6 +70,7 @@
     __slots__ = (
         "_name",
         "_desk",
+        "_keeper",
         "_dispatcher",
         "_entries",
         "_clock",
@@ -127,6 +81,7 @@
         self,
         name: str,
         desk: TicketDesk,
+        keeper: ClaimKeeper,
         dispatcher: Dispatcher,
         entries: Callable[[], tuple[EntryHost, ...]],
         clock: Clock,
@@ -134,11 +89,20 @@
     ) -> None:
         self._name = name
         self._desk = desk
+        self._keeper = keeper
         self._dispatcher = dispatcher
         self._entries = entries
         self._clock = clock
         self._drain = drain
 
+    async def run(self) -> None:
+        """Serves the claims on callers' own keys, for ever."""
+        await self._keeper.run()
+
+    async def flush(self) -> None:
+        """Waits a little until the outcomes so far are stored."""
+        await self._keeper.flush()
+
     async def answer_ticket(self, scope: Scope, send: Send) -> None:
         """Gives a caller a key that only this router will run."""
         headers = dict(scope["headers"])
@@ -183,10 +147,18 @@
             send: Sends to the caller.
             run: Serves the request with no regard to its key.
         """
-        if not self._needs_gate(req):
+        rule = self._find_rule(req)
+        if rule is None or not self._guards(req):
             await run(scope, receive, send)
             return
-        verdict = await self._judge(req, scope, body)
+        scope, hopped = _take_hop(scope)
+        keyed = _Keyed(
+            req, digest_request(req.method, read_target(scope), body)
+        )
+        if is_ticket(req.key):
+            verdict = self._judge_ticket(keyed)
+        else:
+            verdict = await self._judge_own(keyed, rule, hopped)
         log_event(
             "key_checked",
             request_id=req.id,
@@ -194,13 +166,16 @@
             verdict=type(verdict).__name__,
         )
         if isinstance(verdict, Proceed):
-            await self._run(req, scope, send, run)
+            await self._run(keyed, scope, send, run)
         else:
             await self._answer(verdict, req, scope, send)
 
-    def _needs_gate(self, req: Req) -> bool:
-        if not req.key:
-            return False
+    def _guards(self, req: Req) -> bool:
+        """Tells whether the gate decides; new work may have to move on."""
+        return is_ticket(req.key) or (req.key != "" and self._is_in_service())
+
+    def _find_rule(self, req: Req) -> Rule | None:
+        """Returns the rule of a request that may run once at most."""
         rule = self._dispatcher.cfg.rules.find(
             req.workspace,
             req.path,
@@ -208,26 +183,44 @@
             req.model,
             self._clock.wall_ms(),
         )
-        return rule is not None and not rule.allows_rerun(req.method)
+        if rule is None or rule.allows_rerun(req.method):
+            return None
+        return rule
 
-    async def _judge(self, req: Req, scope: Scope, body: bytes) -> Verdict:
-        if not is_ticket(req.key):
-            return Proceed()
+    def _judge_ticket(self, keyed: _Keyed) -> Verdict:
         return self._desk.admit(
-            req.workspace,
-            req.key,
-            digest_request(req.method, read_target(scope), body),
+            keyed.req.workspace,
+            keyed.req.key,
+            keyed.fingerprint,
             frozenset(entry.name for entry in self._entries()),
             self._clock.now_ms(),
             self._is_in_service(),
         )
 
-    async def _run(self, req: Req, scope: Scope, send: Send, run: Run) -> None:
+    async def _judge_own(
+        self, keyed: _Keyed, rule: Rule, hopped: bool
+    ) -> Verdict:
+        serving = in_service(self._entries(), self._dispatcher.cfg)
+        names = [entry.name for entry in serving]
+        home = choose_home(keyed.digest, names)
+        if home not in (None, self._name) and not hopped:
+            return Redirect(home or "", final=False)
+        limit_ms = min(rule.deadline_ms, keyed.req.deadline_ms or MAX_LIMIT_MS)
+        return await self._keeper.admit(
+            Ask(keyed.req.id, keyed.digest, keyed.fingerprint, limit_ms)
+        )
+
+    async def _run(
+        self, keyed: _Keyed, scope: Scope, send: Send, run: Run
+    ) -> None:
         recorder = Recorder(send)
         try:
             await run(scope, _wait_for_nothing, recorder.send)
         finally:
-            self._desk.settle(req.key, recorder.ending())
+            if is_ticket(keyed.req.key):
+                self._desk.settle(keyed.req.key, recorder.ending())
+            else:
+                self._keeper.settle(keyed.digest, recorder.ending())
 
     @singledispatchmethod
     async def _answer(
@@ -270,7 +263,7 @@
             await send_problem(send, fault, req.caller_id)
             return
         headers = [
-            (b"location", address.encode() + read_target(scope)),
+            (b"location", address.encode() + _add_hop(verdict, scope)),
             (b"x-request-id", req.caller_id.encode()),
             (OUTCOME_HEADER, Outcome.NOT_RUN.value.encode()),
         ]
@@ -301,6 +294,7 @@
     entries: Callable[[], tuple[EntryHost, ...]],
     clock: Clock,
     drain: EntryDrain,
+    store: Store,
 ) -> OnceGate:
     """Returns the gate of a router that starts now."""
     started_ms = clock.wall_ms()
@@ -312,23 +306,27 @@
         secrets.token_bytes(SECRET_BYTES),
         random.Random(secrets.randbits(64)),
     )
-    return OnceGate(name, desk, dispatcher, entries, clock, drain)
+    keeper = ClaimKeeper(f"{name}/{incarnation}", store, clock)
+    return OnceGate(name, desk, keeper, dispatcher, entries, clock, drain)
+
+
+def _take_hop(scope: Scope) -> tuple[Scope, bool]:
+    """Returns `scope` without the mark of a redirect, if it has one."""
+    query: bytes = scope["query_string"]
+    rest = query.removesuffix(HOP).removesuffix(b"&")
+    if not query.endswith(HOP):
+        return scope, False
+    return {**scope, "query_string": rest}, True
+
+
+def _add_hop(verdict: Redirect, scope: Scope) -> bytes:
+    """Returns the target to redirect to, marked unless it is final."""
+    target = read_target(scope)
+    if verdict.final:
+        return target
+    return target + (b"&" if b"?" in target else b"?") + HOP
 
 
 async def _wait_for_nothing() -> Message:
     await anyio.sleep_forever()
     raise AssertionError("unreachable")
-
-
-def _pick(
-    headers: list[tuple[bytes, bytes]],
-) -> tuple[tuple[str, str], ...]:
-    kept: list[tuple[str, str]] = []
-    left = MAX_KEPT_HEADER_BYTES
-    for raw_name, raw_value in headers:
-        name = raw_name.decode("latin-1").lower()
-        left -= len(raw_name) + len(raw_value)
-        if name in NOT_KEPT or left < 0:
-            continue
-        kept.append((name, raw_value.decode("latin-1")))
-    return tuple(kept)
--- /dev/null
+++ b/corianderdoor/adapters/recorder.py
@@ -0,0 +1,91 @@
+"""Keeps of an answer in passing what a repeat of its key needs."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.errors import Outcome
+from ..core.once import Ending, Kept
+from .logs import log_event
+from .problems import OUTCOME_HEADER
+from .serving import Message, Send
+
+MAX_KEPT_BODY_BYTES: Final = 16_000
+MAX_KEPT_HEADER_BYTES: Final = 2_000
+NOT_KEPT: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "server",
+        "transfer-encoding",
+        "x-request-id",
+    }
+)
+
+
+class Recorder:
+    """Passes an answer on to the caller and keeps what a repeat needs.
+
+    The caller's going does not end the run: its repeat will want the
+    outcome.
+    """
+
+    __slots__ = ("_send", "_status", "_headers", "_parts", "_size", "_whole")
+
+    def __init__(self, send: Send) -> None:
+        self._send: Send | None = send
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._whole = False
+
+    async def send(self, message: Message) -> None:
+        """Keeps and passes on one message of the answer."""
+        self._keep(message)
+        if self._send is None:
+            return
+        try:
+            await self._send(message)
+        except Exception as exc:
+            log_event("caller_left", detail=type(exc).__name__)
+            self._send = None
+
+    def ending(self) -> Ending:
+        """Returns what is known of the run, once it is over."""
+        said = dict(self._headers).get(OUTCOME_HEADER, b"").decode("latin-1")
+        if said == Outcome.NOT_RUN.value:
+            return Ending(Outcome.NOT_RUN)
+        if not self._whole or said == Outcome.UNKNOWN.value:
+            return Ending(Outcome.UNKNOWN)
+        body = b"".join(self._parts)
+        kept = body if self._size <= MAX_KEPT_BODY_BYTES else None
+        return Ending(
+            Outcome.RUN, Kept(self._status, _pick(self._headers), kept)
+        )
+
+    def _keep(self, message: Message) -> None:
+        if message["type"] == "http.response.start":
+            self._status = message["status"]
+            self._headers = list(message["headers"])
+            return
+        part = message.get("body", b"")
+        self._size += len(part)
+        if self._size <= MAX_KEPT_BODY_BYTES:
+            self._parts.append(bytes(part))
+        self._whole = not message.get("more_body", False)
+
+
+def _pick(
+    headers: list[tuple[bytes, bytes]],
+) -> tuple[tuple[str, str], ...]:
+    kept: list[tuple[str, str]] = []
+    left = MAX_KEPT_HEADER_BYTES
+    for raw_name, raw_value in headers:
+        name = raw_name.decode("latin-1").lower()
+        left -= len(raw_name) + len(raw_value)
+        if name in NOT_KEPT or left < 0:
+            continue
+        kept.append((name, raw_value.decode("latin-1")))
+    return tuple(kept)
--- /dev/null
+++ b/corianderdoor/core/claim_log.py
@@ -0,0 +1,209 @@
+"""The stored log of claims: a ring of segments for each shard of keys.
+
+Only one segment, the head, is open. Every commit rewrites the head under
+the version at which its writer last saw it. The commit that fills the head
+also seals it, and a sealed segment is never written again until the ring
+comes round. A writer that holds every earlier segment sealed, and whose
+commit on the head succeeds, has therefore seen every claim before its own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from expression import Error, Ok, Result
+import msgspec
+
+from .errors import Fault, Kind, Outcome
+from .once import Ending, Kept
+from .records import Record
+from .rendezvous import rank
+
+SHARDS: Final = 32
+SLOTS: Final = 48
+SEGMENT_BYTES: Final = 100_000
+MAX_SEGMENT_BYTES: Final = 900_000
+KEEP_MS: Final = 600_000
+MAX_STORED_BODY_BYTES: Final = 1_000
+STORED_HEADERS: Final = frozenset({"content-type", "location"})
+MAX_STORED_HEADER_CHARS: Final = 256
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    """One entry of the log, as stored.
+
+    Attributes:
+        digest: Digest of workspace and key.
+        owner: The router incarnation that claimed it.
+        number: Tells the claims of one owner apart.
+        at_ms: Unix time of the entry.
+        outcome: Empty in a claim; else the outcome of the claimed run.
+        fingerprint: Digest of the request, in a claim.
+        until_ms: Unix time at which the run has ended, in a claim.
+        status: HTTP status, if it has run.
+        headers: Headers to repeat, if it has run.
+        body: Body to repeat; None if it was too large.
+    """
+
+    digest: bytes
+    owner: str
+    number: int
+    at_ms: int
+    outcome: str = ""
+    fingerprint: bytes = b""
+    until_ms: int = 0
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+
+
+class Segment(msgspec.Struct, array_like=True, frozen=True):
+    """One record of the key-value service.
+
+    Attributes:
+        serial: Position in the log; the slot is the serial modulo `SLOTS`.
+        sealed: Whether the next segment is the head.
+        entries: The entries, oldest first.
+    """
+
+    serial: int
+    sealed: bool = False
+    entries: tuple[Entry, ...] = ()
+
+
+class Claim(Record):
+    """What the log says of one key.
+
+    Attributes:
+        owner: The router incarnation that may run it.
+        number: The number of its claim.
+        fingerprint: Digest of the claimed request.
+        until_ms: Unix time at which the run has ended.
+        outcome: The outcome, None if the log has none.
+        kept: The answer, if the outcome is `run`.
+    """
+
+    __slots__ = (
+        "owner",
+        "number",
+        "fingerprint",
+        "until_ms",
+        "outcome",
+        "kept",
+    )
+
+    def __init__(
+        self,
+        owner: str,
+        number: int,
+        fingerprint: bytes,
+        until_ms: int,
+        outcome: Outcome | None = None,
+        kept: Kept | None = None,
+    ) -> None:
+        self.owner = owner
+        self.number = number
+        self.fingerprint = fingerprint
+        self.until_ms = until_ms
+        self.outcome = outcome
+        self.kept = kept
+
+
+def shard_of(digest: bytes, shards: int = SHARDS) -> int:
+    """Returns the shard that holds the key with `digest`."""
+    return int.from_bytes(digest[:4], "big") % shards
+
+
+def choose_home(digest: bytes, routers: Iterable[str]) -> str | None:
+    """Returns the router at which a shard's requests should meet.
+
+    That they meet saves writes; what keeps a key from running twice is the
+    version of the head. None if there is no router.
+    """
+    order = rank(f"claims/{shard_of(digest)}", routers)
+    return order[0] if order else None
+
+
+def slot_key(shard: int, slot: int) -> str:
+    """Returns the key of a slot's record in the key-value service."""
+    return f"corianderdoor/claims/{shard}/{slot}"
+
+
+def encode_segment(segment: Segment) -> bytes:
+    """Returns the stored form of `segment`."""
+    return msgspec.msgpack.encode(segment)
+
+
+def decode_segment(raw: bytes) -> Result[Segment, Fault]:
+    """Reads a stored segment."""
+    try:
+        return Ok(msgspec.msgpack.decode(raw, type=Segment))
+    except msgspec.MsgspecError as exc:
+        fault = Fault(Kind.STORE_FAILED, "decode-claims", str(exc))
+        return Error(fault)
+
+
+def find_holes(serials: dict[int, tuple[int, bool]], slots: int) -> set[int]:
+    """Returns the slots that must be read again before a commit.
+
+    Args:
+        serials: Serial and sealed mark of each slot that holds a segment.
+        slots: Number of slots in the ring.
+    """
+    if not serials:
+        return set()
+    head = max(serial for serial, _ in serials.values())
+    holes = set()
+    for serial in range(max(0, head - slots + 1), head):
+        if serials.get(serial % slots) != (serial, True):
+            holes.add(serial % slots)
+    return holes
+
+
+def apply_entry(claims: dict[bytes, Claim], entry: Entry) -> None:
+    """Adds one entry of the log to what is known of the keys."""
+    if not entry.outcome:
+        claims[entry.digest] = Claim(
+            entry.owner, entry.number, entry.fingerprint, entry.until_ms
+        )
+        return
+    claim = claims.get(entry.digest)
+    if claim is None or not ends_claim(entry, claim):
+        return
+    if entry.outcome == Outcome.NOT_RUN.value:
+        del claims[entry.digest]
+        return
+    claim.outcome = Outcome(entry.outcome)
+    if claim.outcome is Outcome.RUN:
+        claim.kept = Kept(entry.status, entry.headers, entry.body)
+
+
+def ends_claim(entry: Entry, claim: Claim) -> bool:
+    """Tells whether `entry` ends this claim and no other of its key."""
+    return (entry.owner, entry.number) == (claim.owner, claim.number)
+
+
+def build_ending(
+    digest: bytes, owner: str, number: int, at_ms: int, ending: Ending
+) -> Entry:
+    """Returns the entry that notes how a claimed run ended."""
+    kept = ending.kept
+    if kept is None:
+        return Entry(digest, owner, number, at_ms, ending.outcome.value)
+    fits = len(kept.body or b"") <= MAX_STORED_BODY_BYTES
+    headers = tuple(
+        (name, value)
+        for name, value in kept.headers
+        if name in STORED_HEADERS and len(value) <= MAX_STORED_HEADER_CHARS
+    )
+    return Entry(
+        digest,
+        owner,
+        number,
+        at_ms,
+        ending.outcome.value,
+        status=kept.status,
+        headers=headers,
+        body=kept.body if fits else None,
+    )
--- a/corianderdoor/core/once.py
+++ b/corianderdoor/core/once.py
@@ -66,12 +66,14 @@
 
     Attributes:
         router: Name of that router.
+        final: Whether the caller must go there and nowhere else.
     """
 
-    __slots__ = ("router",)
+    __slots__ = ("router", "final")
 
-    def __init__(self, router: str) -> None:
+    def __init__(self, router: str, final: bool = True) -> None:
         self.router = router
+        self.final = final
 
 
 class Reject(Record):
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -194,6 +194,7 @@
         router.entries,
         clock,
         router.drain,
+        store,
     )
     app = CallerApp(
         router.dispatcher, backend, clock, router.entries, router.drain, gate
@@ -207,8 +208,10 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(router.follow_config)
         tg.start_soon(router.follow_hosts)
+        tg.start_soon(gate.run)
         log_event("router_started", port=sock.getsockname()[1])
         await serve(app, sock, stop, LAST_ANSWERS_S)
+        await gate.flush()
         log_event("router_stopped")
         tg.cancel_scope.cancel()
 
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -109,7 +109,9 @@
             router.entries,
             self.clock,
             router.drain,
+            HttpStore(self.store_url),
         )
+        self._tg.start_soon(gate.run)
         self._apps[name] = CallerApp(
             router.dispatcher,
             HttpBackend(),
@@ -132,10 +134,10 @@
         )
         return resp.json()["key"]
 
-    async def pay(self, name, key, body=PAYMENT, **headers):
+    async def pay(self, name, key, body=PAYMENT, query="", **headers):
         """Sends a payment to the router `name` and follows redirects."""
         return await self.http.post(
-            self.urls[name] + "/payments",
+            self.urls[name] + "/payments" + query,
             headers={
                 "corianderdoor-workspace": "w1",
                 "idempotency-key": key,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -4,6 +4,8 @@
 from once_fleet import once_fleet, PAYMENT
 import pytest
 
+HOPPED = "?corianderdoor-hop=1"
+
 pytestmark = pytest.mark.anyio
 
 
@@ -109,3 +111,77 @@
         fleet.service.faults.set("refuse", 0)
         assert (await fleet.pay("r1", key)).status_code == 201
         assert len(fleet.service.records) == 1
+
+
+async def test_own_key_through_every_entry_host_runs_once():
+    async with once_fleet("r1", "r2", "r3") as fleet:
+        answers = [
+            await fleet.pay(name, "order-7") for name in ("r1", "r2", "r3")
+        ]
+        assert [resp.status_code for resp in answers] == [201] * 3
+        assert len({resp.content for resp in answers}) == 1
+        assert len(fleet.service.records) == 1
+
+
+async def test_own_key_of_two_workspaces_names_two_operations():
+    async with once_fleet("r1") as fleet:
+        await fleet.pay("r1", "order-7")
+        other = {"corianderdoor-workspace": "w2"}
+        assert (await fleet.pay("r1", "order-7", **other)).status_code == 201
+        assert len(fleet.service.records) == 2
+
+
+async def test_own_key_is_refused_not_run_while_the_store_is_down():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.store.faults.set("down", -1)
+        resp = await fleet.pay("r1", "order-7")
+        assert (resp.status_code, resp.json()["outcome"]) == (503, "not-run")
+        assert resp.headers["retry-after"]
+        assert fleet.service.records == []
+        fleet.store.faults.set("down", 0)
+        await anyio.sleep(1.1)
+        assert (await fleet.pay("r2", "order-7")).status_code == 201
+
+
+async def test_own_key_runs_once_when_the_stores_answers_are_lost():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.store.faults.set("lose-answer", 2)
+        for name in ("r1", "r2"):
+            assert (await fleet.pay(name, "order-7")).status_code == 201
+        assert len(fleet.service.records) == 1
+
+
+async def test_claim_with_lost_answer_and_replaced_router_is_not_run_again():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.store.faults.set("lose-answer", 1)
+        fleet.service.faults.set("slow", 1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(fleet.pay, "r1", "order-7")
+            while not fleet.service.records:
+                await anyio.sleep(0.01)
+            for name in ("r1", "r2"):
+                await fleet.replace(name)
+            for name in ("r2", "r1"):
+                resp = await fleet.pay(name, "order-7")
+                assert resp.json()["outcome"] == "unknown"
+            tg.cancel_scope.cancel()
+        assert len(fleet.service.records) == 1
+
+
+async def test_own_key_with_a_different_body_is_refused_as_reused():
+    async with once_fleet("r1", "r2") as fleet:
+        await fleet.pay("r1", "order-7")
+        resp = await fleet.pay("r2", "order-7", PAYMENT + b" ")
+        assert (resp.status_code, resp.json()["outcome"]) == (422, "not-run")
+
+
+async def test_own_key_is_claimed_by_whoever_holds_it_if_the_home_is_gone():
+    async with once_fleet("r1", "r2") as fleet:
+        for name in ("r1", "r2"):
+            with anyio.fail_after(10):
+                resp = await fleet.pay(name, "order-7", query=HOPPED)
+                while resp.status_code == 409:
+                    await anyio.sleep(0.05)
+                    resp = await fleet.pay(name, "order-7", query=HOPPED)
+            assert resp.json() == {"number": 1}
+        assert len(fleet.service.records) == 1
