Count every request's end, its first chunk and its pace

Cause: the metrics had no source; no part of the request path told them. Change: the exchange keeps when the answer began, went on and how many events it held, and hands one end a request to the telemetry port; refusals carry the pool of their rule; the router pushes to an OTLP collector when its settings name one.

--- a/corianderdoor/adapters/caller_http.py
+++ b/corianderdoor/adapters/caller_http.py
@@ -16,6 +16,7 @@
 from ..core.messages import Action, CallerLeft, Event, Req
 from ..core.topology import EntryHost
 from ..ports.backend import Backend
+from ..ports.telemetry import NoTelemetry, Telemetry
 from .caller_request import (
     build_call,
     build_req,
@@ -40,7 +41,11 @@
 
 
 class CallerApp:
-    """The ASGI application that callers connect to."""
+    """The ASGI application that callers connect to.
+
+    Attributes:
+        telemetry: Takes what there is to count.
+    """
 
     __slots__ = (
         "_dispatcher",
@@ -49,6 +54,7 @@
         "_entries",
         "_drain",
         "_once",
+        "telemetry",
     )
 
     def __init__(
@@ -59,6 +65,7 @@
         entries: Callable[[], tuple[EntryHost, ...]],
         drain: EntryDrain | None = None,
         once: OnceGate | None = None,
+        telemetry: Telemetry | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._backend = backend
@@ -66,6 +73,7 @@
         self._entries = entries
         self._drain = drain or EntryDrain("", "")
         self._once = once
+        self.telemetry: Telemetry = telemetry or NoTelemetry()
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -225,6 +233,10 @@
                 self.handle(CallerLeft(req.id))
                 log_event("caller_left", request_id=req.id)
 
+    def now_ms(self) -> int:
+        """Returns monotonic time in ms."""
+        return self._clock.now_ms()
+
     def handle(self, event: Event) -> Action:
         """Hands an event to the dispatcher at the present time."""
         return self._dispatcher.handle(
--- a/corianderdoor/adapters/exchange.py
+++ b/corianderdoor/adapters/exchange.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ..core.clock import MS_PER_SECOND
-from ..core.errors import Fault
+from ..core.errors import Fault, Outcome
 from ..core.messages import (
     Action,
     Arrived,
@@ -24,20 +24,61 @@
 from ..core.messages import Stage, Wait, Waited
 from ..core.topology import Server
 from ..ports.backend import Answer, AnswerCut, AttemptFault, Backend, Call
+from ..ports.telemetry import RequestEnd, Telemetry
 from .logs import log_event
-from .problems import send_problem
+from .problems import send_problem, STATUS_BY_KIND
 from .serving import Send
 
 DEADLINE_MARGIN_MS = 50
+EVENT_END = b"\n\n"
+MIN_EVENTS = 3  # the end marker of a stream counts as one
 
 
 class Handler(Protocol):
     """Hands events to the dispatcher."""
 
+    @property
+    def telemetry(self) -> Telemetry:
+        """Takes what there is to count."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in ms."""
+
     def handle(self, event: Event) -> Action:
         """Returns what to do after `event`, which happened now."""
 
 
+class Pace:
+    """When the answer of one request began and how it went on."""
+
+    __slots__ = ("arrived_ms", "first_ms", "last_ms", "events")
+
+    def __init__(self, now_ms: int) -> None:
+        self.arrived_ms = now_ms
+        self.first_ms: int | None = None
+        self.last_ms = now_ms
+        self.events = 0
+
+    def add(self, chunk: bytes, now_ms: int) -> None:
+        """Counts the events that end in `chunk`, one if there is none."""
+        if self.first_ms is None:
+            self.first_ms = now_ms
+        self.last_ms = now_ms
+        self.events += chunk.count(EVENT_END) or 1
+
+    def first_chunk_ms(self) -> int | None:
+        """Returns the time to the first byte of the body, in ms."""
+        if self.first_ms is None:
+            return None
+        return self.first_ms - self.arrived_ms
+
+    def gap_ms(self) -> float | None:
+        """Returns the mean time between events, in ms."""
+        if self.first_ms is None or self.events < MIN_EVENTS:
+            return None
+        return (self.last_ms - self.first_ms) / (self.events - 1)
+
+
 class Exchange:
     """Follows the dispatcher's actions for one request.
 
@@ -54,6 +95,8 @@
         "_send",
         "_started",
         "_answer",
+        "_pace",
+        "_pool",
     )
 
     def __init__(
@@ -72,6 +115,8 @@
         self._send = send
         self._started = False
         self._answer: Answer | None = None
+        self._pace = Pace(core.now_ms())
+        self._pool = ""
 
     async def run(self) -> None:
         """Serves the request to its end.
@@ -90,6 +135,8 @@
                 break
         self.ended = True
         if isinstance(action, Refuse):
+            self._pool = action.pool
+            self._record(STATUS_BY_KIND[action.fault.kind], action.fault)
             await self._refuse(action.fault)
 
     async def _refuse(self, fault: Fault) -> None:
@@ -108,6 +155,22 @@
             raise AnswerCut(AttemptFault(Stage.ANSWER, fault.detail))
         await send_problem(self._send, fault, self._req.caller_id)
 
+    def _record(self, status: int, fault: Fault | None) -> None:
+        pace = self._pace
+        self._core.telemetry.record_end(
+            RequestEnd(
+                self._req.workspace,
+                self._pool,
+                self._req.method,
+                status,
+                fault.outcome if fault else Outcome.RUN,
+                fault.kind if fault else None,
+                self._core.now_ms() - pace.arrived_ms,
+                pace.first_chunk_ms(),
+                pace.gap_ms(),
+            )
+        )
+
     async def _attempt(self, action: SendAction | Resume) -> Action:
         limit_ms = action.timeout_ms + DEADLINE_MARGIN_MS
         with anyio.move_on_after(limit_ms / MS_PER_SECOND):
@@ -118,6 +181,7 @@
 
     async def _send_and_relay(self, action: SendAction | Resume) -> Action:
         limits = (action.timeout_ms, action.silence_ms)
+        self._pool = action.server.pool
         if isinstance(action, Resume):
             assert self._answer is not None
             sent = await self._backend.resume(
@@ -141,6 +205,7 @@
             return await self._fail(server, exc.fault, answer)
         finally:
             await answer.close()
+        self._record(answer.status, None)
         action = self._core.handle(Finished(self._req.id, answer.status))
         await self._send({"type": "http.response.body", "body": b""})
         return action
@@ -148,6 +213,7 @@
     async def _pass_on(self, answer: Answer, chunk: bytes) -> None:
         if not self._started:
             await self._start(answer)
+        self._pace.add(chunk, self._core.now_ms())
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": True}
         )
--- a/corianderdoor/adapters/otel.py
+++ b/corianderdoor/adapters/otel.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from typing import Any, Final, TypeAlias
 
+import anyio
 from expression import Error, Ok, Result
 from google.protobuf.json_format import MessageToJson
 import httpx
@@ -35,6 +36,7 @@
 from ..core.clock import MS_PER_SECOND
 from ..core.errors import Fault, Kind
 from ..ports.telemetry import RequestEnd
+from .logs import log_event
 
 SERVICE_PREFIX: Final = "corianderdoor-"
 OBJECTIVE_COUNTER: Final = "corianderdoor.objective.events"
@@ -48,6 +50,7 @@
 METER: Final = "corianderdoor"
 SERVER_ERROR_STATUS: Final = 500
 PUSH_TIMEOUT_S: Final = 5.0
+PUSH_EVERY_S: Final = 60.0
 SECONDS_BOUNDS: Final = (
     0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12, 10.24,
     20.48, 40.96, 81.92,
@@ -269,6 +272,16 @@
     return Ok(None)
 
 
+async def push_for_ever(url: str, telemetry: OtelTelemetry) -> None:
+    """Pushes all metrics every `PUSH_EVERY_S`; never returns."""
+    async with httpx.AsyncClient(trust_env=False) as client:
+        while True:
+            await anyio.sleep(PUSH_EVERY_S)
+            pushed = await push_metrics(client, url, telemetry)
+            if pushed.is_error():
+                log_event("push_failed", "WARNING", detail=pushed.error.detail)
+
+
 def _view(name: str, bounds: tuple[float, ...]) -> View:
     return View(
         instrument_name=name,
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -341,4 +341,4 @@
         self._close(flight)
         if flight.may_have_run:
             fault = fault.with_outcome(Outcome.UNKNOWN)
-        return Refuse(flight.req.id, fault)
+        return Refuse(flight.req.id, fault, flight.rule.pool)
--- a/corianderdoor/core/messages.py
+++ b/corianderdoor/core/messages.py
@@ -282,13 +282,15 @@
     Attributes:
         id: Request id.
         fault: What to tell the caller.
+        pool: The pool that its rule chose, empty if no rule matched.
     """
 
-    __slots__ = ("id", "fault")
+    __slots__ = ("id", "fault", "pool")
 
-    def __init__(self, id: str, fault: Fault) -> None:
+    def __init__(self, id: str, fault: Fault, pool: str = "") -> None:
         self.id = id
         self.fault = fault
+        self.pool = pool
 
 
 class Done(Record):
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -15,6 +15,7 @@
 from ..adapters.hosts_http import HttpHosts
 from ..adapters.logs import log_event, set_up_logs
 from ..adapters.once import build_gate
+from ..adapters.otel import OtelTelemetry, push_for_ever
 from ..adapters.serving import bind_socket, serve
 from ..adapters.settings import Settings
 from ..adapters.store_http import HttpStore
@@ -54,6 +55,8 @@
         load_bound: Highest load of a server, as a multiple of the mean.
         graceful_ms: How long a shutdown waits for answers, in ms.
         linger_ms: How long a shutdown redirects callers at least, in ms.
+        metrics_url: OTLP collector that metrics are pushed to, ending in
+            "/v1/metrics"; empty for none.
     """
 
     name: Name
@@ -66,6 +69,7 @@
     load_bound: Annotated[float, msgspec.Meta(gt=1.0, le=10.0)] = 1.5
     graceful_ms: Annotated[int, msgspec.Meta(ge=0)] = 120_000
     linger_ms: Annotated[int, msgspec.Meta(ge=0)] = 2_000
+    metrics_url: str = ""
 
 
 class Router:
@@ -196,8 +200,17 @@
         router.drain,
         store,
     )
+    telemetry = OtelTelemetry(
+        "router", settings.name, clock.wall_ms(), settings.data_centre
+    )
     app = CallerApp(
-        router.dispatcher, backend, clock, router.entries, router.drain, gate
+        router.dispatcher,
+        backend,
+        clock,
+        router.entries,
+        router.drain,
+        gate,
+        telemetry,
     )
     sock = bind_socket(settings.listen, settings.port)
 
@@ -209,6 +222,8 @@
         tg.start_soon(router.follow_config)
         tg.start_soon(router.follow_hosts)
         tg.start_soon(gate.run)
+        if settings.metrics_url:
+            tg.start_soon(push_for_ever, settings.metrics_url, telemetry)
         log_event("router_started", port=sock.getsockname()[1])
         await serve(app, sock, stop, LAST_ANSWERS_S)
         await gate.flush()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -16,11 +16,14 @@
 from corianderdoor.client import Client
 from corianderdoor.core.clock import SystemClock
 from corianderdoor.core.config import CONFIG_KEY, encode_config
+from corianderdoor.core.errors import Kind, Outcome
 from corianderdoor.daemons.router import Router, RouterSettings
+from corianderdoor.ports.telemetry import NoTelemetry
 from corianderdoor.standins.engine import EngineStandin
 from corianderdoor.standins.hosts import HostsStandin
 from corianderdoor.standins.store import StoreStandin
 
+GRACEFUL_S = 0.05
 CHAT = {"model": "redactor", "chat": "c1", "prompt_tokens": 300}
 
 
@@ -31,7 +34,7 @@
     url = f"http://127.0.0.1:{sock.getsockname()[1]}"
     stop = anyio.Event()
     async with anyio.create_task_group() as tg:
-        tg.start_soon(serve, app, sock, stop.wait, 1.0)
+        tg.start_soon(serve, app, sock, stop.wait, GRACEFUL_S)
         try:
             yield url
         finally:
@@ -39,7 +42,7 @@
 
 
 @asynccontextmanager
-async def running_fleet():
+async def running_fleet(telemetry=None):
     """Yields an engine and the URL of a router in front of it."""
     clock = SystemClock()
     store, hosts = StoreStandin(clock), HostsStandin(clock)
@@ -67,7 +70,13 @@
             random.Random(1),
         )
         backend = HttpBackend()
-        app = CallerApp(router.dispatcher, backend, clock, router.entries)
+        app = CallerApp(
+            router.dispatcher,
+            backend,
+            clock,
+            router.entries,
+            telemetry=telemetry,
+        )
         async with serving(app) as url, anyio.create_task_group() as tg:
             hosts.put(list_hosts(url, engine_url))
             tg.start_soon(router.follow_hosts)
@@ -129,3 +138,33 @@
                 "POST", "/v1/chat", content=json.dumps(CHAT).encode()
             )
         await client.close()
+
+
+class Ends(NoTelemetry):
+    """Keeps the ends of requests."""
+
+    def __init__(self):
+        self.ends = []
+
+    def record_end(self, end):
+        self.ends.append(end)
+
+
+@pytest.mark.anyio
+async def test_every_end_is_counted_once_with_its_pace():
+    telemetry = Ends()
+    async with running_fleet(telemetry) as (engine, url):
+        client = Client([url], "w1")
+        body = json.dumps(CHAT).encode()
+        await client.request("POST", "/v1/chat", "c1", content=body)
+        engine.faults.set("cut", 1)
+        with pytest.raises(Exception, match="(?i)incomplete|closed"):
+            await client.request("POST", "/v1/chat", content=body)
+        await client.request("GET", "/nowhere")
+        await client.close()
+    whole, cut, no_rule = telemetry.ends
+    assert (whole.pool, whole.fault) == ("redactor", None)
+    assert whole.first_chunk_ms is not None and whole.gap_ms is not None
+    assert cut.fault is Kind.SERVER_FAILED
+    assert cut.outcome is Outcome.UNKNOWN
+    assert (no_rule.pool, no_rule.fault) == ("", Kind.NO_RULE)
