Wire permits, load sums and load reports into the router daemon

Cause: the daemon placed by its own sight; the fleet's bound was in the core only. A router that joined held its servers back for 5 s although the former home was there to ask.

Change: codec of the load messages; LoadSharing carries them over the peers' datagrams, reads GET /load of this router's servers each second and tells digests; an exchange waits for a permit, asked for at most twice in 60 ms. A caller that says what it will send is told the home of its chat's server first. A new home asks the former one to hand over, which ends the handover in a round trip. A request waits for a cold server up to 2 s, as for the mean. The engine stand-in tells work, completed requests and cached tokens, and can be cold: slow, and falls over at more than it bears. Settings: control_port, fleet_keys. A router without placement of its own keeps the bound alone, as before.

--- a/corianderdoor/adapters/caller_http.py
+++ b/corianderdoor/adapters/caller_http.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from typing import Final
+from urllib.parse import parse_qsl
 
 import anyio
 import msgspec
@@ -13,9 +14,11 @@
 from ..core.dispatch import Dispatcher
 from ..core.drain import EntryDrain
 from ..core.errors import Fault, Kind, Outcome
-from ..core.messages import Action, CallerLeft, Event, Req
+from ..core.messages import Action, AskPermit, CallerLeft, Event, Req
+from ..core.permits import PermitAnswer
 from ..core.topology import EntryHost
 from ..ports.backend import Backend
+from ..ports.permits import Permits
 from ..ports.telemetry import NoTelemetry, Telemetry
 from .caller_request import (
     build_call,
@@ -55,6 +58,7 @@
         "_drain",
         "_once",
         "telemetry",
+        "_permits",
     )
 
     def __init__(
@@ -66,6 +70,7 @@
         drain: EntryDrain | None = None,
         once: OnceGate | None = None,
         telemetry: Telemetry | None = None,
+        permits: Permits | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._backend = backend
@@ -74,6 +79,7 @@
         self._drain = drain or EntryDrain("", "")
         self._once = once
         self.telemetry: Telemetry = telemetry or NoTelemetry()
+        self._permits = permits
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -156,9 +162,13 @@
         await send_whole(send, 200 if ready else 503, [], b"")
 
     async def _answer_address(self, scope: Scope, send: Send) -> None:
-        query = scope["query_string"].decode("latin-1")
-        chat = query.partition("chat=")[2].partition("&")[0]
-        answer = answer_address(chat, self._entries(), self._dispatcher.cfg)
+        query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        answer = answer_address(
+            query.get("chat", ""),
+            self._entries(),
+            self._dispatcher.cfg,
+            self._find_home(query),
+        )
         await send_whole(
             send,
             200,
@@ -166,6 +176,24 @@
             _encode_address(answer),
         )
 
+    def _find_home(self, query: dict[str, str]) -> str:
+        """Returns the home of the server that the request would get first.
+
+        A caller that does not say what it will send gets any entry host.
+        """
+        if self._permits is None or "path" not in query:
+            return ""
+        rule = self._dispatcher.cfg.rules.find(
+            query.get("workspace", ""),
+            query["path"],
+            query.get("method", "POST"),
+            query.get("model", ""),
+            self._clock.wall_ms(),
+        )
+        if rule is None:
+            return ""
+        return self._permits.find_home(rule.pool, query.get("chat", ""))
+
     async def _guard(
         self,
         req: Req,
@@ -239,9 +267,18 @@
 
     def handle(self, event: Event) -> Action:
         """Hands an event to the dispatcher at the present time."""
-        return self._dispatcher.handle(
+        action = self._dispatcher.handle(
             event, self._clock.now_ms(), self._clock.wall_ms()
         )
+        if self._permits is not None:
+            self._permits.flush()
+        return action
+
+    async def ask(self, action: AskPermit) -> PermitAnswer | None:
+        """Asks another router for a permit; None without an answer."""
+        if self._permits is None:
+            return None
+        return await self._permits.ask(action)
 
     def _mark_last(self, send: Send) -> Send:
         """Announces the connection's end on answers begun while stopping."""
--- a/corianderdoor/adapters/exchange.py
+++ b/corianderdoor/adapters/exchange.py
@@ -12,16 +12,19 @@
 from ..core.messages import (
     Action,
     Arrived,
+    AskPermit,
     Event,
     Failed,
     Finished,
     FirstByte,
+    PermitAnswered,
     Refuse,
     Req,
     Resume,
 )
 from ..core.messages import Send as SendAction
 from ..core.messages import Stage, Wait, Waited
+from ..core.permits import PermitAnswer
 from ..core.topology import Server
 from ..ports.backend import Answer, AnswerCut, AttemptFault, Backend, Call
 from ..ports.telemetry import RequestEnd, Telemetry
@@ -47,6 +50,9 @@
     def handle(self, event: Event) -> Action:
         """Returns what to do after `event`, which happened now."""
 
+    async def ask(self, action: AskPermit) -> PermitAnswer | None:
+        """Asks another router for a permit."""
+
 
 class Pace:
     """When the answer of one request began and how it went on."""
@@ -131,6 +137,11 @@
             elif isinstance(action, Wait):
                 await anyio.sleep(action.delay_ms / MS_PER_SECOND)
                 action = self._core.handle(Waited(self._req.id))
+            elif isinstance(action, AskPermit):
+                answer = await self._core.ask(action)
+                action = self._core.handle(
+                    PermitAnswered(self._req.id, answer)
+                )
             else:
                 break
         self.ended = True
--- a/corianderdoor/adapters/peers.capnp
+++ b/corianderdoor/adapters/peers.capnp
@@ -18,6 +18,7 @@
     ack @6 :Ack;
     quotaAsk @7 :QuotaAsk;
     quotaGrant @8 :QuotaGrant;
+    load @9 :LoadMessage;
   }
 }
 
@@ -80,3 +81,65 @@
   holdMs @5 :UInt32;
   retryMs @6 :UInt32;
 }
+
+# Messages by which routers keep the bound on the load of servers.
+struct LoadMessage {
+  union {
+    ask @0 :PermitAsk;
+    answer @1 :PermitAnswer;
+    release @2 :PermitRelease;
+    handOff @3 :HandOff;
+    takeOver @4 :TakeOver;
+    digest @5 :LoadDigest;
+  }
+}
+
+struct PermitAsk {
+  id @0 :UInt64;
+  server @1 :Text;
+  weight @2 :UInt32;
+  ttlMs @3 :UInt32;
+  tier @4 :UInt8;
+}
+
+struct PermitAnswer {
+  id @0 :UInt64;
+  verdict @1 :Text;
+}
+
+struct PermitRelease {
+  id @0 :UInt64;
+  server @1 :Text;
+  served @2 :Bool;
+  firstTokenMs @3 :Int32 = -1;
+}
+
+struct HandOff {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  work @2 :UInt64;
+  requests @3 :UInt32;
+  allowed @4 :UInt32;
+}
+
+struct TakeOver {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct LoadDigest {
+  seq @0 :UInt64;
+  sums @1 :List(PoolSum);
+  levels @2 :List(Level);
+}
+
+struct PoolSum {
+  pool @0 :Text;
+  load @1 :UInt64;
+  capacity @2 :UInt32;
+}
+
+struct Level {
+  server @0 :Text;
+  level @1 :UInt8;
+}
--- a/corianderdoor/client.py
+++ b/corianderdoor/client.py
@@ -50,7 +50,7 @@
         self._http = http or httpx.AsyncClient(
             trust_env=False, max_redirects=MAX_REDIRECTS
         )
-        self._kept: dict[str, tuple[int, list[str]]] = {}
+        self._kept: dict[tuple[str, str], tuple[int, list[str]]] = {}
 
     @asynccontextmanager
     async def stream(
@@ -71,7 +71,9 @@
         sent = {"corianderdoor-workspace": self._workspace, **(headers or {})}
         if chat:
             sent["corianderdoor-chat"] = chat
-        addresses = await self._find(chat)
+        asked = {"chat": chat, "method": method, "path": path}
+        asked["model"] = sent.get("corianderdoor-model", "")
+        addresses = await self._find(asked)
         for number, address in enumerate(addresses, start=1):
             req = self._http.build_request(
                 method,
@@ -85,7 +87,7 @@
                     req, stream=True, follow_redirects=True
                 )
             except (httpx.ConnectError, httpx.ConnectTimeout):
-                self._kept.pop(chat, None)
+                self._kept.pop((chat, path), None)
                 if number == len(addresses):
                     raise
                 continue
@@ -115,25 +117,29 @@
         """Closes every connection."""
         await self._http.aclose()
 
-    async def _find(self, chat: str) -> list[str]:
-        kept = self._kept.get(chat)
+    async def _find(self, asked: dict[str, str]) -> list[str]:
+        slot = (asked["chat"], asked["path"])
+        kept = self._kept.get(slot)
         if kept is not None and kept[0] > self._clock.now_ms():
             return kept[1]
         for seed in self._seeds:
-            match await self._ask(seed, chat):
+            match await self._ask(seed, asked):
                 case Result(tag="ok", ok=answer):
                     addresses = [host.address for host in answer.hosts]
                     until_ms = self._clock.now_ms() + answer.valid_ms
-                    self._kept[chat] = (until_ms, addresses)
+                    self._kept[slot] = (until_ms, addresses)
                     return addresses
                 case _:
                     continue
         raise httpx.ConnectError("no entry host answered the address request")
 
-    async def _ask(self, seed: str, chat: str) -> Result[_Answer, Fault]:
+    async def _ask(
+        self, seed: str, asked: dict[str, str]
+    ) -> Result[_Answer, Fault]:
         try:
             resp = await self._http.get(
-                seed + ADDRESS_PATH, params={"chat": chat}
+                seed + ADDRESS_PATH,
+                params={"workspace": self._workspace, **asked},
             )
             resp.raise_for_status()
             answer = msgspec.json.decode(resp.content, type=_Answer)
--- a/corianderdoor/core/account.py
+++ b/corianderdoor/core/account.py
@@ -81,6 +81,15 @@
         """Requests at once that the server may get as it is now."""
         return 0 if self.leaving else self.ramp.allowed
 
+    @property
+    def has_report(self) -> bool:
+        """Whether the server, or its former home, has told its load."""
+        return self._reported
+
+    def in_handover(self, now_ms: int) -> bool:
+        """Tells whether another router may believe itself the home."""
+        return now_ms < self._settled_at_ms
+
     def judge(
         self, ask: Ask, limit: float, mean: float, now_ms: int
     ) -> Verdict:
@@ -96,7 +105,7 @@
             return Verdict.LEAVING
         if self.requests >= self.ramp.allowed:
             return Verdict.FULL if self.ramp.warm else Verdict.COLD
-        if now_ms < self._settled_at_ms:
+        if self.in_handover(now_ms):
             return self._judge_in_handover(ask, limit)
         if not self.requests:
             return Verdict.GRANTED
@@ -111,6 +120,8 @@
     def _judge_in_handover(self, ask: Ask, limit: float) -> Verdict:
         if not self._reported:
             return Verdict.OVER_MEAN
+        if not self.requests:
+            return Verdict.GRANTED
         within = self.load + ask.weight <= SETTLED_SHARE * limit
         own = self.work + ask.weight <= (1 - SETTLED_SHARE) * limit
         return Verdict.GRANTED if within and own else Verdict.OVER_MEAN
@@ -151,11 +162,12 @@
         """Ends the handover: the former home admits no more."""
         if handed.incarnation != self.server.incarnation:
             return
-        if now_ms >= self._settled_at_ms:
+        if not self.in_handover(now_ms):
             return
         self._other_work.inherit(handed.work)
         self._other_requests.inherit(handed.requests)
         self.ramp.allowed = max(self.ramp.allowed, handed.allowed)
+        self._reported = True
         self._settled_at_ms = now_ms
 
     def hand_off(self) -> HandOff:
--- a/corianderdoor/core/addresses.py
+++ b/corianderdoor/core/addresses.py
@@ -41,13 +41,20 @@
 
 
 def answer_address(
-    chat: str, entries: tuple[EntryHost, ...], cfg: Config
+    chat: str,
+    entries: tuple[EntryHost, ...],
+    cfg: Config,
+    home: str = "",
 ) -> AddressAnswer:
     """Orders the entry hosts in service by the rendezvous of `chat`.
 
     The same chat gets the same order from every entry host with the same
-    view, so that its requests meet in one place.
+    view, so that its requests meet in one place. The entry host `home`
+    comes first if it is in service: there, the chat's backend server costs
+    no message.
     """
     by_name = {entry.name: entry for entry in in_service(entries, cfg)}
-    names = rank(chat, by_name)[:MAX_HOSTS]
+    order = rank(chat, by_name)
+    order.sort(key=lambda name: name != home)
+    names = order[:MAX_HOSTS]
     return AddressAnswer(tuple(by_name[name] for name in names))
--- a/corianderdoor/core/home_placement.py
+++ b/corianderdoor/core/home_placement.py
@@ -21,12 +21,14 @@
     PeerMessage,
     PermitAnswer,
     Release,
+    TakeOver,
     Tier,
     ToPeer,
     Verdict,
 )
 from .placement import Choice, Later, no_server_fault, overload_fault
 from .rendezvous import Ring
+from .search import Search
 from .topology import EntryHost, Server
 
 ASK_TIMEOUT_MS: Final = 60
@@ -34,72 +36,15 @@
 DIGEST_MS: Final = 1_000
 WAIT_MS: Final = 100
 MAX_WAIT_MS: Final = 2_000
+GONE_KEEP_MS: Final = 10_000
 MAX_ASKS: Final = 3
 MAX_LOOKS: Final = 16
 PERMIT_GRACE_MS: Final = 1_000
+PASSING: Final = frozenset({Verdict.OVER_MEAN, Verdict.COLD})
 AVOIDED_LEVEL: Final = 1_000
 ID_BITS: Final = 62
 
 
-class Search:
-    """The choice of a server for one request, while it goes on.
-
-    Attributes:
-        pool: Name of the pool.
-        weight: Work of the request, in tokens.
-        order: The servers still to be looked at.
-        avoided: Names of servers to use only if no other has room.
-        looked: The servers that had no room.
-        server: The server whose home is being asked.
-        permit: Id of the permit asked for.
-        home: Name of the router being asked.
-        asks: How many routers were asked.
-        ttl_ms: When a permit expires if it is not released, in ms.
-        tier: How far the search has come.
-        over_mean: Whether the multiple of the mean was a reason to refuse.
-        first_ms: When the first search for this request began.
-    """
-
-    __slots__ = (
-        "pool",
-        "weight",
-        "order",
-        "avoided",
-        "looked",
-        "server",
-        "permit",
-        "home",
-        "asks",
-        "ttl_ms",
-        "tier",
-        "over_mean",
-        "first_ms",
-    )
-
-    def __init__(
-        self,
-        pool: str,
-        weight: int,
-        order: Iterator[Server],
-        avoided: Collection[str],
-        ttl_ms: int,
-        first_ms: int,
-    ) -> None:
-        self.pool = pool
-        self.weight = weight
-        self.order = order
-        self.avoided = avoided
-        self.looked: list[Server] = []
-        self.server: Server | None = None
-        self.permit = 0
-        self.home = ""
-        self.asks = 0
-        self.ttl_ms = ttl_ms
-        self.tier = Tier.CHAT_ORDER
-        self.over_mean = False
-        self.first_ms = first_ms
-
-
 class HomePlacement:
     """Chooses servers in a chat's order; their homes admit the work.
 
@@ -120,6 +65,7 @@
         "_next_permit",
         "_outbox",
         "_digest_at_ms",
+        "_gone",
     )
 
     def __init__(
@@ -135,7 +81,7 @@
         """
         self._me = me
         self._sums = LoadSums()
-        self._book = PermitBook(me, bound, self._sums, first_seq)
+        self._book = PermitBook(bound, self._sums, first_seq)
         self._homes = Homes()
         self._rings: dict[str, Ring] = {}
         self._servers: tuple[Server, ...] = ()
@@ -144,6 +90,7 @@
         self._next_permit = rng.getrandbits(ID_BITS)
         self._outbox: list[ToPeer] = []
         self._digest_at_ms = -DIGEST_MS
+        self._gone: dict[str, int] = {}
 
     @property
     def book(self) -> PermitBook:
@@ -175,8 +122,11 @@
     def set_entries(self, entries: Iterable[EntryHost], now_ms: int) -> None:
         """Replaces the routers that are live and take work."""
         entries = tuple(entries)
+        before = self._homes.names()
         if self._homes.set_entries(entries):
-            self._sums.keep_origins({entry.name for entry in entries})
+            names = self._homes.names()
+            self._sums.keep_origins(names)
+            self._gone.update(dict.fromkeys(before - names, now_ms))
             self._take_homes(now_ms)
 
     def first_home(self, pool: str, chat: str) -> str:
@@ -228,7 +178,7 @@
         if answer is None:
             self._tell(search.home, Release(search.permit, server.name))
         else:
-            search.over_mean |= answer.verdict is Verdict.OVER_MEAN
+            search.may_pass |= answer.verdict in PASSING
         search.looked.append(server)
         search.server = None
         return self._go_on(req, search, now_ms)
@@ -282,6 +232,12 @@
         """
         self._sums.tick(now_ms)
         self._book.tick(now_ms)
+        self._gone = {
+            name: at_ms
+            for name, at_ms in self._gone.items()
+            if now_ms - at_ms < GONE_KEEP_MS
+        }
+        self._ask_former_homes(now_ms)
         due = now_ms - self._digest_at_ms >= DIGEST_MS
         if not due and not self._book.has_news():
             return None
@@ -306,9 +262,17 @@
     def _(self, message: HandOff, peer: str, now_ms: int) -> None:
         self._book.take_hand_off(message, now_ms)
 
+    @_on_message.register
+    def _(self, message: TakeOver, peer: str, now_ms: int) -> None:
+        if peer in self._gone and peer not in self._homes.names():
+            return
+        handed = self._book.give_up(message.server, now_ms)
+        if handed is not None:
+            self._tell(peer, handed)
+
     @_on_message.register
     def _(self, message: LoadDigest, peer: str, now_ms: int) -> None:
-        self._sums.record(message, now_ms)
+        self._sums.record(peer, message, now_ms)
 
     def _go_on(
         self, req: Req, search: Search, now_ms: int
@@ -335,15 +299,15 @@
             answer = self._book.ask(self._me, ask, now_ms)
             if answer.verdict is Verdict.GRANTED:
                 return self._take(req, search, server)
-            search.over_mean |= answer.verdict is Verdict.OVER_MEAN
+            search.may_pass |= answer.verdict in PASSING
             search.looked.append(server)
 
     def _end_in_vain(
         self, req: Req, search: Search, now_ms: int
     ) -> Result[Choice, Fault]:
-        """Waits for a newer mean if that may help, else refuses."""
+        """Waits if there may be room soon, else refuses."""
         waited_ms = now_ms - search.first_ms
-        if search.over_mean and waited_ms < MAX_WAIT_MS:
+        if search.may_pass and waited_ms < MAX_WAIT_MS:
             return Ok(Later(WAIT_MS))
         del self._searches[req.id]
         return Error(overload_fault(search.pool))
@@ -392,6 +356,16 @@
             if server is not None:
                 self._tell(homes.find(server), handed)
 
+        self._ask_former_homes(now_ms)
+
+    def _ask_former_homes(self, now_ms: int) -> None:
+        """Asks former homes for the servers that are not handed off yet."""
+        for server in self._book.in_handover(now_ms):
+            self._tell(
+                self._homes.find_former(server),
+                TakeOver(server.name, server.incarnation),
+            )
+
     def _tell(self, peer: str, message: PeerMessage) -> None:
         if peer and peer != self._me:
             self._outbox.append(ToPeer(peer, message))
--- a/corianderdoor/core/homes.py
+++ b/corianderdoor/core/homes.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Collection, Iterable
 
-import xxhash
-
+from .rendezvous import rank
 from .topology import EntryHost, Server
 
 
@@ -24,7 +23,7 @@
     def __init__(self) -> None:
         self._entries: dict[str, EntryHost] = {}
         self._regions: dict[str, str] = {}
-        self._cache: dict[str, tuple[str, str]] = {}
+        self._cache: dict[str, tuple[str, tuple[str, str]]] = {}
 
     def set_entries(self, entries: Iterable[EntryHost]) -> bool:
         """Replaces the live routers; returns whether they changed."""
@@ -37,6 +36,10 @@
         self._cache.clear()
         return True
 
+    def names(self) -> set[str]:
+        """Returns the names of the live routers."""
+        return set(self._entries)
+
     def entry(self, name: str) -> EntryHost | None:
         """Returns the live router called `name`."""
         return self._entries.get(name)
@@ -52,24 +55,28 @@
 
     def find(self, server: Server) -> str:
         """Returns the name of the server's home, empty without routers."""
+        return self._pair(server)[0]
+
+    def find_former(self, server: Server) -> str:
+        """Returns who was the home before this one joined, empty if none."""
+        return self._pair(server)[1]
+
+    def _pair(self, server: Server) -> tuple[str, str]:
         kept = self._cache.get(server.name)
         if kept is not None and kept[0] == server.data_centre:
             return kept[1]
-        home = self._compute(server)
-        self._cache[server.name] = (server.data_centre, home)
-        return home
-
-    def _compute(self, server: Server) -> str:
-        entries = list(self._entries.values())
-        region = self.region_of(server.data_centre)
-        near = [e for e in entries if e.data_centre == server.data_centre]
-        if not near:
-            near = [e for e in entries if e.region == region]
-        best = max(
-            near or entries,
-            key=lambda entry: xxhash.xxh3_64_intdigest(
-                f"{server.name}\0{entry.name}".encode()
-            ),
-            default=None,
+        names = rank(server.name, self._candidates(server))
+        pair = (
+            names[0] if names else "",
+            names[1] if len(names) > 1 else "",
         )
-        return "" if best is None else best.name
+        self._cache[server.name] = (server.data_centre, pair)
+        return pair
+
+    def _candidates(self, server: Server) -> list[str]:
+        entries = self._entries.values()
+        centre, region = server.data_centre, self.region_of(server.data_centre)
+        near = [e.name for e in entries if e.data_centre == centre]
+        if not near:
+            near = [e.name for e in entries if e.region == region]
+        return near or list(self._entries)
--- a/corianderdoor/core/load_sums.py
+++ b/corianderdoor/core/load_sums.py
@@ -31,22 +31,19 @@
     """Message: what a router knows at first hand of its servers' load.
 
     Attributes:
-        origin: Name of the router.
         seq: Grows with each digest of that router.
         sums: One for each pool in which it admits.
         levels: Each server's load as a multiple of the mean, in sixteenths.
     """
 
-    __slots__ = ("origin", "seq", "sums", "levels")
+    __slots__ = ("seq", "sums", "levels")
 
     def __init__(
         self,
-        origin: str,
         seq: int,
         sums: tuple[PoolSum, ...],
         levels: tuple[tuple[str, int], ...] = (),
     ) -> None:
-        self.origin = origin
         self.seq = seq
         self.sums = sums
         self.levels = levels
@@ -66,14 +63,14 @@
         self._totals: dict[str, tuple[int, int]] = {}
         self._levels: dict[str, int] = {}
 
-    def record(self, digest: LoadDigest, now_ms: int) -> bool:
-        """Takes a digest; returns False if it is not newer than the last."""
-        last = self._digests.get(digest.origin)
+    def record(self, origin: str, digest: LoadDigest, now_ms: int) -> bool:
+        """Takes a router's digest; returns False if it is not the newest."""
+        last = self._digests.get(origin)
         if last is not None and digest.seq <= last[0].seq:
             return False
         if last is not None:
             self._count(last[0].sums, -1)
-        self._digests[digest.origin] = (digest, now_ms)
+        self._digests[origin] = (digest, now_ms)
         self._count(digest.sums, 1)
         self._levels.update(digest.levels)
         return True
--- a/corianderdoor/core/permit_book.py
+++ b/corianderdoor/core/permit_book.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from .account import Account
+from .account import Account, HANDOVER_MS
 from .load_report import LoadReport
 from .load_sums import LoadDigest, LoadSums, PoolSum
 from .permits import Ask, HandOff, PermitAnswer, Release, Verdict
@@ -26,34 +26,31 @@
     """
 
     __slots__ = (
-        "_me",
         "_bound",
         "_sums",
         "_accounts",
         "_totals",
         "_told",
         "_ended",
+        "_given_up",
         "_seq",
     )
 
-    def __init__(
-        self, me: str, bound: float, sums: LoadSums, first_seq: int
-    ) -> None:
-        """Creates the book of the router `me`.
+    def __init__(self, bound: float, sums: LoadSums, first_seq: int) -> None:
+        """Creates an empty book.
 
         Args:
-            me: Name of this router.
             bound: Highest load of a server, as a multiple of the mean.
             sums: What other routers tell of their servers.
             first_seq: Larger after each restart, such as the Unix time.
         """
-        self._me = me
         self._bound = bound
         self._sums = sums
         self._accounts: dict[str, Account] = {}
         self._totals: dict[str, tuple[int, int]] = {}
         self._told: dict[str, tuple[int, int]] = {}
         self._ended: dict[tuple[str, int], int] = {}
+        self._given_up: dict[str, int] = {}
         self._seq = first_seq
 
     @property
@@ -71,6 +68,8 @@
         """
         fresh: dict[str, Account] = {}
         for server in servers:
+            if server.name in self._given_up:
+                continue
             old = self._accounts.pop(server.name, None)
             if old is None:
                 fresh[server.name] = Account(server, now_ms, settled=False)
@@ -126,6 +125,27 @@
             account.take_hand_off(handed, now_ms)
             self._recount()
 
+    def give_up(self, name: str, now_ms: int) -> HandOff | None:
+        """Gives a server up to the home that asks for it.
+
+        Returns:
+            What the new home needs to know; None if this was not the home.
+        """
+        account = self._accounts.pop(name, None)
+        if account is None:
+            return None
+        self._given_up[name] = now_ms
+        self._recount()
+        return account.hand_off()
+
+    def in_handover(self, now_ms: int) -> list[Server]:
+        """Returns the servers that another home may still believe its own."""
+        return [
+            account.server
+            for account in self._accounts.values()
+            if account.in_handover(now_ms)
+        ]
+
     def digest(self) -> LoadDigest:
         """Returns what other routers should know of these servers."""
         self._seq += 1
@@ -134,9 +154,7 @@
             (name, self._level(account))
             for name, account in self._accounts.items()
         )
-        return LoadDigest(
-            self._me, self._seq, tuple(self.sums().values()), levels
-        )
+        return LoadDigest(self._seq, tuple(self.sums().values()), levels)
 
     def has_news(self) -> bool:
         """Tells whether a pool's load has moved by much since `digest`."""
@@ -169,6 +187,11 @@
             for key, at_ms in self._ended.items()
             if now_ms - at_ms < ENDED_KEEP_MS
         }
+        self._given_up = {
+            name: at_ms
+            for name, at_ms in self._given_up.items()
+            if now_ms - at_ms < HANDOVER_MS
+        }
 
     def _count(self, account: Account, load: int, capacity: int) -> None:
         pool = account.server.pool
--- a/corianderdoor/core/permits.py
+++ b/corianderdoor/core/permits.py
@@ -126,7 +126,24 @@
         self.allowed = allowed
 
 
-PeerMessage: TypeAlias = Ask | PermitAnswer | Release | HandOff | LoadDigest
+class TakeOver(Record):
+    """Message: a new home asks the former one to hand a server off.
+
+    Attributes:
+        server: Name of the server.
+        incarnation: Incarnation of the server.
+    """
+
+    __slots__ = ("server", "incarnation")
+
+    def __init__(self, server: str, incarnation: int) -> None:
+        self.server = server
+        self.incarnation = incarnation
+
+
+PeerMessage: TypeAlias = (
+    Ask | PermitAnswer | Release | HandOff | TakeOver | LoadDigest
+)
 
 
 class ToPeer(Record):
--- /dev/null
+++ b/corianderdoor/daemons/load_sharing.py
@@ -0,0 +1,159 @@
+"""The tasks by which a router shares the load bound with its peers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+from expression import Result
+
+from ..adapters.logs import log_event
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.home_placement import HomePlacement, TICK_MS
+from ..core.load_sums import LoadDigest
+from ..core.messages import AskPermit
+from ..core.permits import (
+    Ask,
+    HandOff,
+    PeerMessage,
+    PermitAnswer,
+    Release,
+    TakeOver,
+)
+from ..core.topology import EntryHost, Server
+from ..ports.loads import Loads
+from ..ports.peers import Peers, Sender
+
+REPORT_MS: Final = 1_000
+SENDS: Final = 2
+
+
+class LoadSharing:
+    """Carries permits and load sums between the placement and its peers."""
+
+    __slots__ = (
+        "_name",
+        "_placement",
+        "_peers",
+        "_loads",
+        "_clock",
+        "_waiting",
+        "_entries",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        placement: HomePlacement,
+        peers: Peers,
+        loads: Loads,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._placement = placement
+        self._peers = peers
+        self._loads = loads
+        self._clock = clock
+        self._waiting: dict[int, tuple[anyio.Event, list[PermitAnswer]]] = {}
+        self._entries: tuple[EntryHost, ...] = ()
+        peers.listen(Ask, self._take)
+        peers.listen(Release, self._take)
+        peers.listen(HandOff, self._take)
+        peers.listen(TakeOver, self._take)
+        peers.listen(LoadDigest, self._take)
+        peers.listen(PermitAnswer, self._take_answer)
+
+    def set_entries(self, entries: tuple[EntryHost, ...]) -> None:
+        """Replaces the live routers, this one included."""
+        for entry in entries:
+            if entry.name != self._name:
+                self._peers.learn(entry.name, entry.control)
+        live = {entry.name for entry in entries}
+        for old in self._entries:
+            if old.name not in live:
+                self._peers.forget(old.name)
+        self._entries = entries
+        self._placement.set_entries(entries, self._clock.now_ms())
+        self.flush()
+
+    async def ask(self, action: AskPermit) -> PermitAnswer | None:
+        """Asks for a permit, a second time after half of the time."""
+        answered = anyio.Event()
+        answers: list[PermitAnswer] = []
+        self._waiting[action.ask.id] = (answered, answers)
+        try:
+            for _ in range(SENDS):
+                self._peers.send(action.home, action.ask)
+                limit_ms = action.timeout_ms / SENDS
+                with anyio.move_on_after(limit_ms / MS_PER_SECOND):
+                    await answered.wait()
+                    return answers[0]
+            return None
+        finally:
+            del self._waiting[action.ask.id]
+
+    def find_home(self, pool: str, chat: str) -> str:
+        """Returns the home of the chat's first server, empty if none."""
+        return self._placement.first_home(pool, chat)
+
+    def leave(self) -> None:
+        """Hands this router's servers off to their next homes."""
+        others = [e for e in self._entries if e.name != self._name]
+        self._placement.set_entries(others, self._clock.now_ms())
+        self.flush()
+
+    def flush(self) -> None:
+        """Sends what the placement has to tell other routers."""
+        for sent in self._placement.take_outbox():
+            self._peers.send(sent.peer, sent.message)
+
+    async def run_ticks(self) -> None:
+        """Tells the load of this router's servers to all, for ever."""
+        while True:
+            digest = self._placement.tick(self._clock.now_ms())
+            if digest is not None:
+                for entry in self._entries:
+                    if entry.name != self._name:
+                        self._peers.send(entry.name, digest)
+            self.flush()
+            await anyio.sleep(TICK_MS / MS_PER_SECOND)
+
+    async def run_reports(self) -> None:
+        """Reads the reports of this router's servers, for ever."""
+        while True:
+            began_ms = self._clock.now_ms()
+            async with anyio.create_task_group() as tg:
+                for account in self._placement.book.accounts.values():
+                    tg.start_soon(self._read, account.server)
+            spent_ms = self._clock.now_ms() - began_ms
+            left_ms = max(0, self._next_report_ms() - spent_ms)
+            await anyio.sleep(left_ms / MS_PER_SECOND)
+
+    def _next_report_ms(self) -> int:
+        """Reads soon again while there is no server to read from."""
+        return REPORT_MS if self._placement.book.accounts else TICK_MS
+
+    async def _read(self, server: Server) -> None:
+        match await self._loads.read(server):
+            case Result(tag="ok", ok=report):
+                self._placement.take_report(report, self._clock.now_ms())
+            case Result(error=fault):
+                log_event(
+                    "load_report_failed",
+                    "WARNING",
+                    peer=server.name,
+                    detail=fault.detail,
+                )
+
+    def _take(self, sender: Sender, message: PeerMessage) -> None:
+        self._placement.take_message(
+            sender.name, message, self._clock.now_ms()
+        )
+        self.flush()
+
+    def _take_answer(self, sender: Sender, message: PermitAnswer) -> None:
+        waiting = self._waiting.get(message.id)
+        if waiting is not None:
+            answered, answers = waiting
+            answers.append(message)
+            answered.set()
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -13,23 +13,29 @@
 from ..adapters.backend_http import HttpBackend
 from ..adapters.caller_http import CallerApp
 from ..adapters.hosts_http import HttpHosts
+from ..adapters.keyring import Keyring
+from ..adapters.loads_http import HttpLoads
 from ..adapters.logs import log_event, set_up_logs
 from ..adapters.once import build_gate
 from ..adapters.otel import OtelTelemetry, push_for_ever
+from ..adapters.peer_capnp import bind_datagrams, UdpPeers
 from ..adapters.serving import bind_socket, serve
 from ..adapters.settings import Settings
 from ..adapters.store_http import HttpStore
+from ..core.addresses import in_service
 from ..core.clock import Clock, MS_PER_SECOND, SystemClock
 from ..core.config import CONFIG_KEY, decode_config
 from ..core.dispatch import Dispatcher
 from ..core.drain import EntryDrain
+from ..core.home_placement import HomePlacement
 from ..core.limits import Limits
-from ..core.placement import BoundedPlacement
+from ..core.placement import BoundedPlacement, Placement
 from ..core.retry import RetryBudget
 from ..core.topology import EntryHost, HostList, Server
 from ..ports.hosts import Hosts
 from ..ports.store import Store, Versioned
 from .command import run_daemon, wait_for_signal
+from .load_sharing import LoadSharing
 
 HOSTS_POLL_MS: Final = 1_000
 WATCH_MS: Final = 20_000
@@ -57,6 +63,8 @@
         linger_ms: How long a shutdown redirects callers at least, in ms.
         metrics_url: OTLP collector that metrics are pushed to, ending in
             "/v1/metrics"; empty for none.
+        control_port: Port for datagrams between daemons; 0 takes any.
+        fleet_keys: Shared keys of the fleet, the one to sign with first.
     """
 
     name: Name
@@ -70,6 +78,10 @@
     graceful_ms: Annotated[int, msgspec.Meta(ge=0)] = 120_000
     linger_ms: Annotated[int, msgspec.Meta(ge=0)] = 2_000
     metrics_url: str = ""
+    control_port: Port = 0
+    fleet_keys: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)] = (
+        "change-me",
+    )
 
 
 class Router:
@@ -81,6 +93,7 @@
         "_store",
         "_hosts",
         "_placement",
+        "_sharing",
         "_dispatcher",
         "_listing",
         "_drain",
@@ -93,12 +106,25 @@
         store: Store,
         hosts: Hosts,
         rng: random.Random,
+        placement: Placement | None = None,
     ) -> None:
+        """Creates a router.
+
+        Args:
+            settings: Its settings.
+            clock: The clock of all its parts.
+            store: The key-value service.
+            hosts: The list of hosts.
+            rng: Source of jitter.
+            placement: Shares the load bound with other routers; without it
+                the router keeps the bound alone.
+        """
         self._settings = settings
         self._clock = clock
         self._store = store
         self._hosts = hosts
-        self._placement = BoundedPlacement(settings.load_bound)
+        self._placement = placement or BoundedPlacement(settings.load_bound)
+        self._sharing: LoadSharing | None = None
         self._dispatcher = Dispatcher(
             self._placement, Limits(settings.name), RetryBudget(rng)
         )
@@ -115,6 +141,10 @@
         """Whether this host takes new work."""
         return self._drain
 
+    def share_load(self, sharing: LoadSharing) -> None:
+        """Tells `sharing` from now on which routers are live."""
+        self._sharing = sharing
+
     def entries(self) -> tuple[EntryHost, ...]:
         """Returns the entry hosts that the platform lists."""
         return self._listing.entries
@@ -145,6 +175,8 @@
     async def finish(self) -> None:
         """Sends new work elsewhere until the answers begun have ended."""
         self._drain.stop()
+        if self._sharing is not None:
+            self._sharing.leave()
         began_ms = self._clock.now_ms()
         log_event("router_stopping", in_progress=self._dispatcher.in_progress)
         while self._must_wait(self._clock.now_ms() - began_ms):
@@ -170,6 +202,11 @@
                 log_event("config_refused", "ERROR", detail=fault.detail)
 
     def _update_servers(self) -> None:
+        if self._sharing is not None and not self._drain.stopping:
+            cfg = self._dispatcher.cfg
+            self._sharing.set_entries(
+                tuple(in_service(self._listing.entries, cfg))
+            )
         self._placement.set_servers(
             tuple(filter(self._takes_work, self._listing.servers)),
             self._clock.now_ms(),
@@ -191,7 +228,17 @@
     store = HttpStore(settings.store_url)
     hosts = HttpHosts(settings.hosts_url)
     backend = HttpBackend()
-    router = Router(settings, clock, store, hosts, random.Random())
+    rng = random.Random()
+    started_ms = clock.wall_ms()
+    placement = HomePlacement(
+        settings.name, settings.load_bound, rng, started_ms
+    )
+    router = Router(settings, clock, store, hosts, rng, placement)
+    peers = UdpPeers(
+        Keyring(list(settings.fleet_keys)), settings.name, started_ms
+    )
+    sharing = LoadSharing(settings.name, placement, peers, HttpLoads(), clock)
+    router.share_load(sharing)
     gate = build_gate(
         settings.name,
         router.dispatcher,
@@ -211,8 +258,10 @@
         router.drain,
         gate,
         telemetry,
+        sharing,
     )
     sock = bind_socket(settings.listen, settings.port)
+    await peers.open(bind_datagrams(settings.listen, settings.control_port))
 
     async def stop() -> None:
         await wait_for_signal()
@@ -224,6 +273,8 @@
         tg.start_soon(gate.run)
         if settings.metrics_url:
             tg.start_soon(push_for_ever, settings.metrics_url, telemetry)
+        tg.start_soon(sharing.run_ticks)
+        tg.start_soon(sharing.run_reports)
         log_event("router_started", port=sock.getsockname()[1])
         await serve(app, sock, stop, LAST_ANSWERS_S)
         await gate.flush()
--- a/corianderdoor/standins/engine.py
+++ b/corianderdoor/standins/engine.py
@@ -5,17 +5,21 @@
                               "answer_tokens"}; answers with server-sent
                               events, one token each, ending in [DONE];
                               X-Cached-Tokens tells the cached prefix
-    GET /load                 load report: in_flight, capacity, incarnation,
-                              uptime_ms
+    GET /load                 load report: in_flight, work (tokens of the
+                              bodies in progress, four bytes each),
+                              capacity, completed, cached_tokens,
+                              incarnation, uptime_ms, leaving
     POST /standin/fault?kind=K&count=N
-                              slow, silent, cut, cross, refuse, crash
+                              slow, silent, cut, cross, refuse, crash,
+                              leave; cold: slow, and crashes at more than
+                              one request and one more per completed one
     GET /standin/records      requests run so far, as [id, chat, key]
 """
 
 from __future__ import annotations
 
 import collections
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import os
 from typing import Any, Final
 
@@ -31,6 +35,7 @@
 
 SLOW_FACTOR: Final = 20
 SILENCE_S: Final = 3_600
+BYTES_PER_TOKEN: Final = 4
 CRASH_EXIT_CODE: Final = 70
 
 
@@ -43,6 +48,10 @@
     answer_tokens: int = 8
 
 
+def _exit() -> None:
+    os._exit(CRASH_EXIT_CODE)
+
+
 class EngineStandin:
     """Streams tokens and keeps prompt prefixes in a bounded cache."""
 
@@ -55,6 +64,10 @@
         "_incarnation",
         "_capacity",
         "_in_flight",
+        "_work",
+        "_completed",
+        "_completed_before_cold",
+        "_fall",
         "_cache",
         "_cache_tokens",
         "_token_ms",
@@ -69,6 +82,7 @@
         cache_tokens: int = 100_000,
         token_ms: float = 5.0,
         prefill_tokens_per_ms: float = 50.0,
+        fall: Callable[[], None] = _exit,
     ) -> None:
         self.faults = Faults()
         self.records: list[tuple[str, str, str]] = []
@@ -78,6 +92,10 @@
         self._incarnation = clock.wall_ms()
         self._capacity = capacity
         self._in_flight = 0
+        self._work = 0
+        self._completed = 0
+        self._completed_before_cold = 0
+        self._fall = fall
         self._cache: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -97,7 +115,8 @@
         )
 
     async def _chat(self, req: Request) -> Response:
-        body = msgspec.json.decode(await req.body(), type=ChatBody)
+        raw = await req.body()
+        body = msgspec.json.decode(raw, type=ChatBody)
         request_id = req.headers.get("x-request-id", "")
         echoed = "another" if self.faults.take("cross") else request_id
         headers = {"x-request-id": echoed, "x-server": self._name}
@@ -105,7 +124,9 @@
             headers["corianderdoor-outcome"] = "not-run"
             return Response(status_code=503, headers=headers)
         if self.faults.take("crash"):
-            os._exit(CRASH_EXIT_CODE)
+            _exit()
+        if self._in_flight >= self._bears():
+            self._fall()
         if self.faults.take("silent"):
             await anyio.sleep(SILENCE_S)
         key = req.headers.get("idempotency-key", "")
@@ -113,16 +134,18 @@
         cached = self._touch_cache(body)
         headers["x-cached-tokens"] = str(cached)
         return StreamingResponse(
-            self._stream(body, cached),
+            self._stream(body, cached, 1 + len(raw) // BYTES_PER_TOKEN),
             headers=headers,
             media_type="text/event-stream",
         )
 
     async def _stream(
-        self, body: ChatBody, cached: int
+        self, body: ChatBody, cached: int, work: int
     ) -> AsyncIterator[bytes]:
         self._in_flight += 1
-        factor = SLOW_FACTOR if self.faults.take("slow") else 1
+        self._work += work
+        slow = self.faults.take("slow") or self._is_cold()
+        factor = SLOW_FACTOR if slow else 1
         cut_at = body.answer_tokens // 2 if self.faults.take("cut") else -1
         try:
             fresh = max(0, body.prompt_tokens - cached)
@@ -133,9 +156,21 @@
                     raise ConnectionAbortedError("told to cut")
                 yield b'data: {"token": %d}\n\n' % number
                 await anyio.sleep(factor * self._token_ms / MS_PER_SECOND)
+            self._completed += 1
             yield b"data: [DONE]\n\n"
         finally:
             self._in_flight -= 1
+            self._work -= work
+
+    def _is_cold(self) -> bool:
+        return self._bears() < self._capacity
+
+    def _bears(self) -> int:
+        """Returns how many requests at once it bears as it is now."""
+        if "cold" not in self.faults.listing():
+            return self._capacity
+        warmed = self._completed - self._completed_before_cold
+        return min(self._capacity, 1 + warmed)
 
     def _touch_cache(self, body: ChatBody) -> int:
         """Returns the cached tokens of the prompt and caches it whole."""
@@ -150,7 +185,11 @@
         report: dict[str, Any] = {
             "name": self._name,
             "in_flight": self._in_flight,
+            "work": self._work,
             "capacity": self._capacity,
+            "completed": self._completed,
+            "cached_tokens": sum(self._cache.values()),
+            "leaving": "leave" in self.faults.listing(),
             "incarnation": self._incarnation,
             "uptime_ms": self._clock.now_ms() - self._started_ms,
         }
@@ -160,6 +199,9 @@
         self.faults.set(
             req.query_params["kind"], int(req.query_params["count"])
         )
+        if req.query_params["kind"] == "cold":
+            self._completed_before_cold = self._completed
+            self._cache.clear()
         return JSONResponse(self.faults.listing())
 
     async def _records(self, req: Request) -> Response:
--- a/corianderdoor/standins/service.py
+++ b/corianderdoor/standins/service.py
@@ -4,6 +4,7 @@
     POST /payments            records a payment; 201 {"number": N}
     POST /callbacks           books a callback; 201 {"number": N}
     GET /accounts/ID          account status
+    GET /load                 load report: in_flight, completed, uptime_ms
     POST /standin/fault?kind=K&count=N
                               slow, silent (after recording), refuse, crash
     GET /standin/records      calls run so far, as [path, id, key]
@@ -20,7 +21,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from ..core.clock import MS_PER_SECOND
+from ..core.clock import Clock, MS_PER_SECOND, SystemClock
 from .engine import CRASH_EXIT_CODE, SILENCE_S
 from .faults import Faults
 
@@ -30,12 +31,22 @@
 class ServiceStandin:
     """Records each call that it runs."""
 
-    __slots__ = ("faults", "records", "_name")
+    __slots__ = (
+        "faults",
+        "records",
+        "_name",
+        "_clock",
+        "_started_ms",
+        "_in_flight",
+    )
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, clock: Clock | None = None) -> None:
         self.faults = Faults()
         self.records: list[tuple[str, str, str]] = []
         self._name = name
+        self._clock = clock or SystemClock()
+        self._started_ms = self._clock.now_ms()
+        self._in_flight = 0
 
     def app(self) -> Starlette:
         """Returns the ASGI application."""
@@ -44,12 +55,20 @@
                 Route("/payments", self._run, methods=["POST"]),
                 Route("/callbacks", self._run, methods=["POST"]),
                 Route("/accounts/{account}", self._account, methods=["GET"]),
+                Route("/load", self._load, methods=["GET"]),
                 Route("/standin/fault", self._fault, methods=["POST"]),
                 Route("/standin/records", self._records, methods=["GET"]),
             ]
         )
 
     async def _run(self, req: Request) -> Response:
+        self._in_flight += 1
+        try:
+            return await self._record(req)
+        finally:
+            self._in_flight -= 1
+
+    async def _record(self, req: Request) -> Response:
         request_id = req.headers.get("x-request-id", "")
         headers = {"x-request-id": request_id, "x-server": self._name}
         if self.faults.take("refuse"):
@@ -74,6 +93,14 @@
         account = req.path_params["account"]
         return JSONResponse({"account": account, "owed": 0}, 200, headers)
 
+    async def _load(self, req: Request) -> Response:
+        report = {
+            "in_flight": self._in_flight,
+            "completed": len(self.records),
+            "uptime_ms": self._clock.now_ms() - self._started_ms,
+        }
+        return JSONResponse(report)
+
     async def _fault(self, req: Request) -> Response:
         self.faults.set(
             req.query_params["kind"], int(req.query_params["count"])
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -96,6 +96,8 @@
             "region": "region-1",
             "listen": "127.0.0.1",
             "port": port,
+            "control_port": control,
+            "fleet_keys": ["demo-key"],
             "store_url": self.urls["store"],
             "hosts_url": self.urls["hosts"],
             "graceful_ms": 5_000,
--- a/tests/test_home_placement.py
+++ b/tests/test_home_placement.py
@@ -8,6 +8,7 @@
 
 from corianderdoor.core import account
 from corianderdoor.core.home_placement import HomePlacement
+from corianderdoor.core.homes import Homes
 from corianderdoor.core.load_report import LoadReport
 from corianderdoor.core.messages import AskPermit
 from corianderdoor.core.permits import (
@@ -223,3 +224,36 @@
             assert isinstance(sent.message, Release)
             return
     raise AssertionError("every server is at home at both routers")
+
+
+def test_joining_router_takes_over_from_the_former_home_at_once():
+    server = build_server("e0", capacity=64)
+    fleet = Routers(2, [server])
+    for core in fleet.cores.values():
+        core.set_entries([fleet.entries[0]], 0)
+    fleet.pass_on()
+    first = fleet.cores["r0"]
+    fill(first.book, "a", 5)
+    load = first.book.accounts["e0"].load
+    joined = next(
+        number
+        for number in range(2, 99)
+        if winner(server, f"r{number}") == f"r{number}"
+    )
+    late = HomePlacement(f"r{joined}", BOUND, random.Random(9))
+    entries = [EntryHost(f"r{n}", "dc-a", "reg", "", "") for n in (0, joined)]
+    late.set_servers((server,), 10)
+    late.set_entries(entries, 10)
+    fleet.cores = {"r0": first, f"r{joined}": late}
+    fleet.pass_on()
+    fleet.pass_on()
+    assert "e0" not in first.book.accounts
+    assert not late.book.accounts["e0"].in_handover(11)
+    assert late.book.accounts["e0"].load == load
+
+
+def winner(server, other):
+    homes = Homes()
+    entries = [EntryHost(n, "dc-a", "reg", "", "") for n in ("r0", other)]
+    homes.set_entries(entries)
+    return homes.find(server)
