--- a/corianderdoor/core/clock.py
+++ b/corianderdoor/core/clock.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import time
-from typing import Protocol
+from typing import Final, Protocol
 
+# Goes on while the machine is suspended, where the system has it: a lease
+# runs out during a suspension as well.
+CLOCK_ID: Final = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 NS_PER_MS = 1_000_000
 MS_PER_SECOND = 1_000
 
@@ -26,7 +29,7 @@
 
     def now_ms(self) -> int:
         """Returns monotonic time in ms."""
-        return time.monotonic_ns() // NS_PER_MS
+        return time.clock_gettime_ns(CLOCK_ID) // NS_PER_MS
 
     def wall_ms(self) -> int:
         """Returns time since the Unix epoch in ms."""
--- a/corianderdoor/core/reconcile.py
+++ b/corianderdoor/core/reconcile.py
@@ -150,6 +150,7 @@
         if fence is None or fence == self._fence:
             return
         self._fence = fence
+        self._denied.clear()
         for track in self._tracks:
             self._let_go(track)
             track.reset(self._settle_end_ms(track.fenced))
--- a/corianderdoor/core/tracks.py
+++ b/corianderdoor/core/tracks.py
@@ -52,11 +52,11 @@
     ) -> None:
         self.server = server
         self.fenced = fenced
-        self.goal: Goal | None = None
         self.reset(not_before_ms)
 
     def reset(self, not_before_ms: int) -> None:
-        """Forgets all that an earlier leadership knew."""
+        """Forgets all that an earlier leadership knew and wanted."""
+        self.goal: Goal | None = None
         self.report: Report | None = None
         self.read_ms = 0
         self.call = 0
--- a/corianderdoor/standins/__main__.py
+++ b/corianderdoor/standins/__main__.py
@@ -10,14 +10,17 @@
 
 from .. import VERSION
 from ..adapters.serving import App, bind_socket, serve
-from ..core.clock import SystemClock
+from ..core.clock import Clock, SystemClock
+from ..core.weight_loads import LoadLimits
 from ..daemons.command import wait_for_signal
 from .engine import EngineStandin
+from .engine_orders import EngineOrders
 from .hosts import HostsStandin
 from .service import ServiceStandin
 from .store import StoreStandin
+from .weights import WeightsStandin
 
-KINDS = ("engine", "service", "store", "hosts")
+KINDS = ("engine", "service", "store", "hosts", "weights")
 
 
 def build_app(args: argparse.Namespace) -> App:
@@ -25,17 +28,35 @@
     clock = SystemClock()
     match args.kind:
         case "engine":
-            return EngineStandin(
-                args.name, clock, args.capacity, token_ms=args.token_ms
-            ).app()
+            return _build_engine(args, clock)
         case "service":
             return ServiceStandin(args.name).app()
         case "store":
             return StoreStandin(clock).app()
+        case "weights":
+            limits = LoadLimits(args.rate, args.rate, 1, 1)
+            return WeightsStandin(clock, limits, args.size).app()
         case _:
             return HostsStandin(clock, args.lag_ms).app()
 
 
+def _build_engine(args: argparse.Namespace, clock: Clock) -> App:
+    engine = EngineStandin(
+        args.name, clock, args.capacity, token_ms=args.token_ms
+    )
+    orders = EngineOrders(
+        clock,
+        engine.faults,
+        lambda: engine.in_flight,
+        incarnation=clock.wall_ms(),
+        checks=not args.unfenced,
+        weights_url=args.weights,
+    )
+    app = engine.app()
+    app.router.routes.extend(orders.routes())
+    return orders.refuse_when_idle(app)
+
+
 async def _serve(args: argparse.Namespace) -> None:
     sock = bind_socket(args.listen, args.port)
     await serve(build_app(args), sock, wait_for_signal, graceful_s=0.1)
@@ -55,6 +76,12 @@
     parser.add_argument("--capacity", type=int, default=8)
     parser.add_argument("--token-ms", type=float, default=5.0)
     parser.add_argument("--lag-ms", type=int, default=0)
+    parser.add_argument("--weights", default="", help="weight store URL")
+    parser.add_argument(
+        "--unfenced", action="store_true", help="ignore fencing numbers"
+    )
+    parser.add_argument("--rate", type=int, default=10**9, help="bytes a s")
+    parser.add_argument("--size", type=int, default=10**8, help="bytes")
     args = parser.parse_args()
     anyio.run(
         _serve, args, backend_options={"loop_factory": uvloop.new_event_loop}
--- a/corianderdoor/standins/engine.py
+++ b/corianderdoor/standins/engine.py
@@ -103,6 +103,11 @@
         self._token_ms = token_ms
         self._prefill_tokens_per_ms = prefill_tokens_per_ms
 
+    @property
+    def in_flight(self) -> int:
+        """Requests in progress."""
+        return self._in_flight
+
     def app(self) -> Starlette:
         """Returns the ASGI application."""
         return Starlette(
--- a/corianderdoor/standins/engine_orders.py
+++ b/corianderdoor/standins/engine_orders.py
@@ -25,14 +25,17 @@
 import httpx
 import msgspec
 from starlette.background import BackgroundTask
+from starlette.datastructures import Headers
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from ..adapters.serving import App, Receive, Scope, Send
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.orders import accepts_fence, OrderKind, Role
 from .faults import Faults
 
+CHAT_PATH: Final = "/v1/chat"
 LATE_ORDER_MS: Final = 1_500
 LOAD_TIMEOUT_S: Final = 600.0
 ACCEPTED: Final = 202
@@ -102,6 +105,25 @@
             Route("/standin/orders", self._listing, methods=["GET"]),
         ]
 
+    def refuse_when_idle(self, app: App) -> App:
+        """Returns `app`, but with chats refused while the role is idle."""
+
+        async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
+            chat = scope.get("path") == CHAT_PATH
+            if chat and self.role is Role.IDLE:
+                headers = {
+                    "corianderdoor-outcome": "not-run",
+                    "x-request-id": Headers(scope=scope).get(
+                        "x-request-id", ""
+                    ),
+                }
+                resp = Response(status_code=503, headers=headers)
+                await resp(scope, receive, send)
+                return
+            await app(scope, receive, send)
+
+        return wrapped
+
     def state(self) -> dict[str, Any]:
         """Returns the state as it is reported."""
         return {
--- a/corianderdoor/tools/ctl.py
+++ b/corianderdoor/tools/ctl.py
@@ -24,6 +24,7 @@
 from ..core.errors import Fault, Outcome
 from ..core.rules import parse_rules, RuleSet
 from ..ports.store import Store
+from .orders import add_orders_parser, run_orders
 
 EXIT_DONE: Final = 0
 EXIT_REFUSED: Final = 1
@@ -109,6 +110,7 @@
     apply.add_argument("rules", type=pathlib.Path)
     apply.add_argument("--store", required=True, help="key-value service URL")
     apply.add_argument("--author", default=getpass.getuser())
+    add_orders_parser(commands)
     return parser
 
 
@@ -117,6 +119,8 @@
     args = _build_parser().parse_args(argv)
     if args.command == "check":
         return _check(args)
+    if args.command == "orders":
+        return anyio.run(run_orders, args)
     return anyio.run(_apply, args)
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -270,3 +270,16 @@
 )
 def test_malformed_desired_state_is_refused_whole(text):
     assert decode_desired(text.encode(), 1).is_error()
+
+
+def test_new_leadership_gives_no_order_from_what_an_earlier_one_wanted():
+    bench = build_bench(V1)
+    bench.run(10_000)
+    bench.engines["e0"].models.clear()
+    bench.lease.number = 5
+    given = len(bench.kinds())
+    bench.run(20_000)
+    assert len(bench.kinds()) == given
+    bench.set_desired(V2)
+    bench.run(20_000)
+    assert bench.engines["e0"].models == {"redactor": "v2"}
