--- a/corianderdoor/core/quarantine.py
+++ b/corianderdoor/core/quarantine.py
@@ -203,11 +203,7 @@
         crash = self._identify(run, now_ms)
         if crash is None:
             return
-        together = list(runs.values())
-        prior = [
-            other for other in together if self._is_suspect(other.req, now_ms)
-        ]
-        accused = prior or together
+        accused = self._find_accused(list(runs.values()), now_ms)
         for other in accused:
             for key in _keys(other.req):
                 exact = key == other.req.fingerprint
@@ -247,6 +243,19 @@
             if not suspect.crashes:
                 del self._suspects[key]
 
+    def _find_accused(self, runs: list[_Run], now_ms: int) -> list[_Run]:
+        """Returns which of the runs that a crash hit may have caused it.
+
+        Those under suspicion before; else those with no whole answer yet.
+        """
+        prior = [run for run in runs if self._is_suspect(run.req, now_ms)]
+        if prior:
+            return prior
+        unproved = [
+            run for run in runs if run.req.fingerprint not in self._healthy
+        ]
+        return unproved or runs
+
     def _identify(self, run: _Run, now_ms: int) -> tuple[str, int, int] | None:
         """Names the crash that ended `run`; None if it is noted already."""
         server = run.server
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -56,6 +56,7 @@
     return dispatcher
 
 
-def build_req(id: str = "r1", path: str = "/v1/chat", **fields: str) -> Req:
+def build_req(id: str = "r1", path: str = "/v1/chat", **fields: object) -> Req:
     """Returns a request with usual fields."""
-    return Req(id, fields.pop("workspace", "w1"), path, "POST", **fields)
+    workspace = str(fields.pop("workspace", "w1"))
+    return Req(id, workspace, path, "POST", **fields)  # type: ignore[arg-type]
