--- a/corianderdoor/adapters/caller_http.py
+++ b/corianderdoor/adapters/caller_http.py
@@ -137,7 +137,7 @@
             outcome=fault.outcome.value,
             detail=fault.detail,
         )
-        if fault.kind not in UNREAD_KINDS:
+        if fault.kind not in UNREAD_KINDS and await _discard_body(receive):
             await send_problem(send, fault, caller_id)
             return
         extra: tuple[tuple[bytes, bytes], ...] = ()
@@ -301,14 +301,16 @@
     scope.cancel()
 
 
-async def _discard_body(receive: Receive) -> None:
+async def _discard_body(receive: Receive) -> bool:
+    """Reads a body to its end; returns False if it is long or slow."""
     size = 0
     with anyio.move_on_after(DISCARD_TIMEOUT_S):
         while size <= MAX_BODY_BYTES:
             message = await receive()
             size += len(message.get("body", b""))
             if not message.get("more_body", False):
-                return
+                return True
+    return False
 
 
 def _encode_address(answer: AddressAnswer) -> bytes:
--- a/corianderdoor/adapters/serving.py
+++ b/corianderdoor/adapters/serving.py
@@ -9,7 +9,7 @@
 import hypercorn.asyncio
 from hypercorn.config import Config
 
-from . import h2_cut
+from . import hypercorn_h2
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -22,11 +22,15 @@
 
 
 def bind_socket(host: str, port: int) -> socket.socket:
-    """Returns a bound TCP socket; port 0 takes any free port."""
+    """Returns a listening TCP socket; port 0 takes any free port.
+
+    Callers that connect before it is served wait in its backlog.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
+    sock.listen(LISTEN_BACKLOG)
     return sock
 
 
@@ -40,11 +44,11 @@
 
     Args:
         app: The ASGI application.
-        sock: A bound socket; it is closed at the end.
+        sock: A listening socket; it is closed at the end.
         stop: Returns when the server has to stop accepting.
         graceful_s: How long requests in progress may go on, in s.
     """
-    h2_cut.install()
+    hypercorn_h2.install()
     cfg = Config()
     cfg.bind = [f"fd://{sock.detach()}"]
     cfg.backlog = LISTEN_BACKLOG
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -101,3 +101,19 @@
     """Returns a call with usual fields."""
     headers = fields.pop("headers", [])
     return Call(id, method, "/v1/chat", headers, fields.pop("body", b"{}"))
+
+
+async def read_http(sock) -> tuple[int, dict[str, str], bytes]:
+    """Reads one response with a content length from a socket."""
+    raw = b""
+    while b"\r\n\r\n" not in raw:
+        raw += await sock.receive()
+    head, _, body = raw.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = {
+        name.lower(): value
+        for name, _, value in (line.partition(": ") for line in lines[1:])
+    }
+    while len(body) < int(headers["content-length"]):
+        body += await sock.receive()
+    return int(lines[0].split()[1]), headers, body
