--- /dev/null
+++ b/corianderdoor/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, for a model checker."""
