Measure the return of a cold data centre, and take crashes as evidence

Cause: the ramp was tested in one account only. A server that broke under a request kept its ramp until its next report. Slow first tokens made a warm server cold at once, although load alone brings them about.

Change: bench/cold.py lets a third of 60 servers return cold at half load. A crash begins the ramp anew; three slow first tokens in a row halve it; a restart or a lost prefix cache begins it anew.

--- /dev/null
+++ b/bench/cold.py
@@ -0,0 +1,181 @@
+"""A data centre of cold servers returns under load.
+
+A cold server is slow, bears one request and one more for each that it has
+completed, and falls over when given more: what it held is lost and it
+starts again. The table gives falls, requests lost in them, the highest
+number of requests given beyond what a server bore, requests refused
+although servers elsewhere had room, and when the data centre carried nine
+tenths of its part of the load. The bound is what the servers bear: no
+falls, nothing beyond.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from typing import Any
+
+from driver import (
+    build_entries,
+    build_servers,
+    draw_weight,
+    Loop,
+    mean_weight,
+    MS_PER_TOKEN,
+    plot_bars,
+    SimServer,
+    write_result,
+)
+from policies import HomeRouters, LeastOwn, Policy, PowerOfTwo, RoundRobin
+
+from corianderdoor.core.messages import Req
+import corianderdoor.core.slow_start as slow_start
+
+CENTRE = "dc-1"
+COLD_SLOWDOWN = 2
+DEADLINE_MS = 60_000  # then the router cancels
+VIEW_SPREAD_MS = 3_000
+SHARE = 0.9
+
+
+class NoRamp(HomeRouters):
+    """Home routers that believe every server warm."""
+
+    name = "home routers, no ramp"
+
+
+class Run:
+    """One policy under one seed."""
+
+    def __init__(self, args: argparse.Namespace, kind: type):
+        self.args = args
+        self.loop = Loop(args.seed, loss=args.loss)
+        self.rng = random.Random(args.seed + 1)
+        self.fates = random.Random(args.seed + 2)
+        infos = build_servers(args.servers, 3, self.rng, (16,))
+        self.sims = {i.name: SimServer(i, self.loop) for i in infos}
+        self.cold = [i for i in infos if i.data_centre == CENTRE]
+        self.warm = [i for i in infos if i.data_centre != CENTRE]
+        entries = build_entries(args.routers, 3)
+        self.policy: Policy = kind(
+            self.loop, entries, list(self.sims.values())
+        )
+        self.routers = [entry.name for entry in entries]
+        for name in self.routers:
+            self.policy.set_view(name, self.warm)
+        busy_ms = mean_weight() * MS_PER_TOKEN
+        self.gap_ms = busy_ms / (args.use * 16 * len(self.warm))
+        self.returned_ms = int(args.seconds * 1_000 * 0.125)
+        self.generation: dict[str, int] = {}
+        self.number = self.refused = self.lost = self.falls = 0
+        self.beyond = 0
+        self.carried_ms = -1
+
+    def go(self) -> dict[str, Any]:
+        """Runs and returns a row of the table."""
+        self.loop.after(0, self._arrive)
+        self.loop.after(self.returned_ms, self._return)
+        self.loop.run(self.args.seconds * 1_000)
+        return {
+            "policy": self.policy.name,
+            "routers": len(self.routers),
+            "falls": self.falls,
+            "lost": self.lost,
+            "beyond": self.beyond,
+            "refused": self.refused,
+            "requests": self.number,
+            "carried_after_s": self.carried_ms / 1_000,
+        }
+
+    def _return(self) -> None:
+        for info in self.cold:
+            self._start_cold(self.sims[info.name])
+        for name in self.routers:
+            self.loop.after(
+                self.fates.uniform(0, VIEW_SPREAD_MS),
+                lambda name=name: self.policy.set_view(
+                    name, [*self.warm, *self.cold]
+                ),
+            )
+        self.loop.every(200, self._watch)
+
+    def _start_cold(self, sim: SimServer) -> None:
+        sim.cold = True
+        sim.completed = 0
+        sim.started_ms = self.loop.now_ms
+        sim.work.clear()
+        sim.total = 0
+
+    def _watch(self) -> None:
+        cold = sum(self.sims[i.name].total for i in self.cold)
+        total = sum(sim.total for sim in self.sims.values())
+        part = len(self.cold) / len(self.sims)
+        if self.carried_ms < 0 and cold >= SHARE * part * total:
+            self.carried_ms = self.loop.now_ms - self.returned_ms
+
+    def _arrive(self) -> None:
+        self.loop.after(self.rng.expovariate(1 / self.gap_ms), self._arrive)
+        self.number += 1
+        chat = f"chat-{self.rng.randrange(50_000)}"
+        weight = draw_weight(self.rng)
+        req = Req(str(self.number), "w", "/", "POST", chat, weight=weight)
+        router = self.policy.entry_for(req, self.fates)
+        self.policy.route(router, req, lambda s: self._begin(router, req, s))
+
+    def _begin(self, router: str, req: Req, server: Any) -> None:
+        if server is None:
+            self.refused += 1
+            return
+        sim = self.sims[server.name]
+        over = len(sim.work) + 1 - sim.bears()
+        if sim.cold and over > 0:
+            self.beyond = max(self.beyond, over)
+            self._fall(sim)
+            self.policy.finish(router, req, sim.info, False, 0)
+            return
+        sim.begin(req)
+        slow = COLD_SLOWDOWN if sim.cold and sim.bears() < 16 else 1
+        began = self.generation.get(server.name, 0)
+        self.loop.after(
+            min(DEADLINE_MS, req.weight * MS_PER_TOKEN * slow),
+            lambda: self._end(router, req, sim, began),
+        )
+
+    def _fall(self, sim: SimServer) -> None:
+        name = sim.info.name
+        self.generation[name] = self.generation.get(name, 0) + 1
+        self.falls += 1
+        self.lost += len(sim.work) + 1
+        self._start_cold(sim)
+
+    def _end(self, router: str, req: Req, sim: SimServer, began: int) -> None:
+        ok = began == self.generation.get(sim.info.name, 0)
+        if ok:
+            sim.end(req)
+        slow = COLD_SLOWDOWN if sim.cold and sim.bears() < 16 else 1
+        self.policy.finish(router, req, sim.info, ok, 100 * slow)
+
+
+def main() -> None:
+    """Runs every policy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--routers", type=int, nargs="*", default=[8, 57])
+    parser.add_argument("--servers", type=int, default=60)
+    parser.add_argument("--seconds", type=int, default=240)
+    parser.add_argument("--use", type=float, default=0.5)
+    parser.add_argument("--loss", type=float, default=0.01)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    rows = []
+    counts = args.routers
+    for args.routers in counts:
+        for kind in (RoundRobin, LeastOwn, PowerOfTwo, NoRamp, HomeRouters):
+            first = 16 if kind is NoRamp else 1
+            slow_start.COLD_REQUESTS = first  # type: ignore[misc]
+            rows.append(Run(args, kind).go())
+    write_result("cold", rows)
+    plot_bars("cold", rows, "routers", "falls", 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -368,7 +368,9 @@
         self, router: str, req: Req, server: Server, ok: bool, ttft_ms: int
     ) -> None:
         """Returns the permit."""
-        self.cores[router].release(req, server, self.loop.now_ms, ok, ttft_ms)
+        self.cores[router].release(
+            req, server, self.loop.now_ms, ok, ttft_ms, not ok
+        )
         self._flush(router)
 
 
--- a/corianderdoor/adapters/peer_load.py
+++ b/corianderdoor/adapters/peer_load.py
@@ -62,6 +62,7 @@
     part.id = body.id
     part.server = body.server
     part.served = body.served
+    part.crashed = body.crashed
     if body.first_token_ms is not None:
         part.firstTokenMs = body.first_token_ms
 
@@ -120,6 +121,7 @@
         read_name(raw.server),
         raw.served,
         None if first_ms == NO_TIME_MS else first_ms,
+        raw.crashed,
     )
 
 
--- a/corianderdoor/adapters/peers.capnp
+++ b/corianderdoor/adapters/peers.capnp
@@ -112,6 +112,7 @@
   server @1 :Text;
   served @2 :Bool;
   firstTokenMs @3 :Int32 = -1;
+  crashed @4 :Bool;
 }
 
 struct HandOff {
--- a/corianderdoor/core/account.py
+++ b/corianderdoor/core/account.py
@@ -145,8 +145,8 @@
             self.ramp.take_completion(
                 permit.weight, release.first_token_ms, now_ms
             )
-        elif release.first_token_ms is not None:
-            self.ramp.take_failure(now_ms)
+        elif release.crashed:
+            self.ramp.take_crash(now_ms)
 
     def take_report(self, report: LoadReport, now_ms: int) -> None:
         """Compares the server's own report with the permits given."""
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -266,6 +266,8 @@
         if fault.outcome is Outcome.UNKNOWN:
             flight.may_have_run = True
         self._learn(flight, event)
+        if event.crashed:
+            self._release_server(flight, crashed=True)
         if flight.answering:
             return self._resume(flight, event, fault)
         self._release_server(flight)
@@ -317,7 +319,9 @@
         sent = event.stage in (Stage.SENT, Stage.ANSWER)
         return not sent or flight.allows_rerun()
 
-    def _release_server(self, flight: Flight, served: bool = False) -> None:
+    def _release_server(
+        self, flight: Flight, served: bool = False, crashed: bool = False
+    ) -> None:
         if flight.server is None:
             self._placement.cancel(flight.req, self._now_ms)
             return
@@ -327,6 +331,7 @@
             self._now_ms,
             served,
             flight.first_token_ms,
+            crashed,
         )
         self._quarantine.record_end(flight.req, flight.server)
         flight.server = None
--- a/corianderdoor/core/home_placement.py
+++ b/corianderdoor/core/home_placement.py
@@ -197,13 +197,14 @@
         now_ms: int,
         served: bool = False,
         first_token_ms: int | None = None,
+        crashed: bool = False,
     ) -> None:
         """Returns the room that was reserved."""
         granted = self._granted.pop(req.id, None)
         if granted is None:
             return
         home, permit = granted
-        release = Release(permit, server.name, served, first_token_ms)
+        release = Release(permit, server.name, served, first_token_ms, crashed)
         if home == self._me:
             self._book.release(self._me, release, now_ms)
         else:
--- a/corianderdoor/core/permits.py
+++ b/corianderdoor/core/permits.py
@@ -81,9 +81,10 @@
         server: Name of the server.
         served: Whether the server answered the request whole.
         first_token_ms: Time to the first token; None if not known.
+        crashed: Whether the server broke under the request.
     """
 
-    __slots__ = ("id", "server", "served", "first_token_ms")
+    __slots__ = ("id", "server", "served", "first_token_ms", "crashed")
 
     def __init__(
         self,
@@ -91,11 +92,13 @@
         server: str,
         served: bool = False,
         first_token_ms: int | None = None,
+        crashed: bool = False,
     ) -> None:
         self.id = id
         self.server = server
         self.served = served
         self.first_token_ms = first_token_ms
+        self.crashed = crashed
 
 
 class HandOff(Record):
--- a/corianderdoor/core/placement.py
+++ b/corianderdoor/core/placement.py
@@ -72,6 +72,7 @@
         now_ms: int,
         served: bool = False,
         first_token_ms: int | None = None,
+        crashed: bool = False,
     ) -> None:
         """Returns the room that was reserved.
 
@@ -81,6 +82,7 @@
             now_ms: Monotonic time.
             served: Whether the server answered it whole.
             first_token_ms: Time to the first byte; None if none came.
+            crashed: Whether the server broke under it.
         """
 
     def set_servers(self, servers: tuple[Server, ...], now_ms: int) -> None:
@@ -167,6 +169,7 @@
         now_ms: int,
         served: bool = False,
         first_token_ms: int | None = None,
+        crashed: bool = False,
     ) -> None:
         """Returns the room that `choose` reserved."""
         left = self._load.get(server.name, 0) - 1
--- a/corianderdoor/core/slow_start.py
+++ b/corianderdoor/core/slow_start.py
@@ -21,10 +21,14 @@
     """How many requests at once one incarnation of a server may get.
 
     It starts at `COLD_REQUESTS` and doubles each time as many requests as
-    are allowed have completed at a normal speed, at most once in
-    `ROUND_MIN_MS`. Only the server's home holds its ramp, so that the
-    fleet spends it once. A new home reads the ramp from the server's own
-    count of completed requests; without a report the server is cold.
+    are allowed have completed, at most once in `ROUND_MIN_MS`. Only the
+    server's home holds its ramp, so that the fleet spends it once. A new
+    home reads the ramp from the server's own count of completed requests;
+    without a report the server is cold.
+
+    A restart, a crash or the loss of the prefix cache makes the server cold
+    at once. `COLD_STREAK` slow first tokens in a row only halve what it may
+    get, as they may also come from load.
     """
 
     __slots__ = (
@@ -38,6 +42,7 @@
         "_baseline",
         "_streak",
         "_judged",
+        "_was_warm",
     )
 
     def __init__(self, capacity: int, incarnation: int, now_ms: int) -> None:
@@ -51,6 +56,7 @@
         self._baseline = 0.0
         self._streak = 0
         self._judged = False
+        self._was_warm = False
 
     @property
     def warm(self) -> bool:
@@ -84,11 +90,14 @@
         ):
             self._streak += 1
             if self._streak >= COLD_STREAK:
-                self._chill(now_ms)
+                self._set(max(COLD_REQUESTS, self.allowed // 2), now_ms)
             return
         self._streak = 0
         self._completed += 1
-        if self.warm or self._completed < self.allowed:
+        if self.warm:
+            self._was_warm = True
+            return
+        if self._completed < self.allowed:
             return
         if now_ms - self._raised_at_ms < ROUND_MIN_MS:
             return
@@ -96,21 +105,18 @@
         self._completed = 0
         self._raised_at_ms = now_ms
 
-    def take_failure(self, now_ms: int) -> None:
-        """Goes back to half after a request that the server broke under."""
-        if not self.warm:
-            self.allowed = max(COLD_REQUESTS, self.allowed // 2)
-            self._completed = 0
-            self._raised_at_ms = now_ms
+    def take_crash(self, now_ms: int) -> None:
+        """Begins anew after the server broke under a request."""
+        self._chill(now_ms)
 
     def _is_slow(self, ms_per_token: float) -> bool:
         if self._baseline == 0.0:
             self._baseline = ms_per_token
         slow = ms_per_token > COLD_FACTOR * self._baseline
         if not slow:
-            gain = BASELINE_GAIN * (ms_per_token - self._baseline)
-            self._baseline += gain
-        return slow and self.warm
+            change = ms_per_token - self._baseline
+            self._baseline += BASELINE_GAIN * change
+        return slow and self._was_warm
 
     def _restarted(self, report: LoadReport) -> bool:
         if report.incarnation > self._incarnation:
@@ -135,7 +141,12 @@
         self.allowed = max(self.allowed, min(self._capacity, reached))
 
     def _chill(self, now_ms: int) -> None:
-        self.allowed = min(COLD_REQUESTS, self._capacity)
+        self._was_warm = False
+        self._baseline = 0.0
+        self._set(min(COLD_REQUESTS, self._capacity), now_ms)
+
+    def _set(self, allowed: int, now_ms: int) -> None:
+        self.allowed = allowed
         self._completed = 0
         self._streak = 0
         self._raised_at_ms = now_ms
