Follow redirects in the client, resume streams, pass priorities on

Cause: the client let its library follow redirects, which drops the authorization on the way to another host and follows any 307, also one that does not say that nothing ran. The engine stand-in could not resume, so that the resume of the exchange had never met an engine. A caller could not ask for a lower priority, and servers were not told any. Connections to servers that left stayed.

Change: the client moves on only where no byte was written or a host says "not run". The stand-in publishes the interface to resume by exact byte. The lower of the rule's and the caller's priority goes to the server. The router drops connections and notes of unlisted servers twice a minute.

Conclusion: a request that may have run is never sent to another host.

--- a/corianderdoor/adapters/exchange.py
+++ b/corianderdoor/adapters/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import aclosing
-from typing import Protocol
+from typing import Final, Protocol
 
 import anyio
 
@@ -32,7 +32,8 @@
 from .problems import send_problem, STATUS_BY_KIND
 from .serving import Send
 
-DEADLINE_MARGIN_MS = 50
+PRIORITY: Final = b"corianderdoor-priority"
+DEADLINE_MARGIN_MS: Final = 50
 EVENT_END = b"\n\n"
 MIN_EVENTS = 3  # the end marker of a stream counts as one
 
@@ -199,7 +200,9 @@
                 action.server, self._call, self._answer, *limits
             )
         else:
-            sent = await self._backend.send(action.server, self._call, *limits)
+            priority = action.priority.name.lower().encode()
+            call = self._call.add_header(PRIORITY, priority)
+            sent = await self._backend.send(action.server, call, *limits)
         if sent.is_error():
             return await self._fail(action.server, sent.error)
         return await self._relay(action.server, sent.ok)
--- a/corianderdoor/client.py
+++ b/corianderdoor/client.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Mapping
+import collections
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Final
 
@@ -11,10 +12,11 @@
 import msgspec
 
 from .core.clock import Clock, SystemClock
-from .core.errors import Fault, Kind
+from .core.errors import Fault, Kind, Outcome
 
 ADDRESS_PATH: Final = "/corianderdoor/v1/address"
 MAX_REDIRECTS: Final = 3
+OUTCOME: Final = "corianderdoor-outcome"
 
 
 class _Host(msgspec.Struct):
@@ -47,9 +49,7 @@
         self._seeds = seeds
         self._workspace = workspace
         self._clock = clock or SystemClock()
-        self._http = http or httpx.AsyncClient(
-            trust_env=False, max_redirects=MAX_REDIRECTS
-        )
+        self._http = http or httpx.AsyncClient(trust_env=False)
         self._kept: dict[tuple[str, str], tuple[int, list[str]]] = {}
 
     @asynccontextmanager
@@ -74,28 +74,46 @@
         asked = {"chat": chat, "method": method, "path": path}
         asked["model"] = sent.get("corianderdoor-model", "")
         addresses = await self._find(asked)
-        for number, address in enumerate(addresses, start=1):
-            req = self._http.build_request(
-                method,
-                address + path,
-                headers=sent,
-                content=content,
-                timeout=timeout_s,
-            )
+        resp = await self._send(
+            asked,
+            [address + path for address in addresses],
+            lambda url: self._http.build_request(
+                method, url, headers=sent, content=content, timeout=timeout_s
+            ),
+        )
+        try:
+            yield resp
+        finally:
+            await resp.aclose()
+
+    async def _send(
+        self,
+        asked: dict[str, str],
+        urls: list[str],
+        build: Callable[[str], httpx.Request],
+    ) -> httpx.Response:
+        """Sends to the first host that takes the request.
+
+        It moves on only where no byte was written, or where a host says
+        that it did not run the request and names another.
+        """
+        waiting = collections.deque(urls)
+        redirects = 0
+        while True:
+            url = waiting.popleft()
             try:
-                resp = await self._http.send(
-                    req, stream=True, follow_redirects=True
-                )
+                resp = await self._http.send(build(url), stream=True)
             except (httpx.ConnectError, httpx.ConnectTimeout):
-                self._kept.pop((chat, path), None)
-                if number == len(addresses):
+                self._kept.pop((asked["chat"], asked["path"]), None)
+                if not waiting:
                     raise
                 continue
-            try:
-                yield resp
-            finally:
-                await resp.aclose()
-            return
+            if redirects == MAX_REDIRECTS or not _was_sent_on(resp):
+                return resp
+            redirects += 1
+            self._kept.pop((asked["chat"], asked["path"]), None)
+            await resp.aclose()
+            waiting.appendleft(resp.headers["location"])
 
     async def request(
         self,
@@ -151,3 +169,11 @@
                 Fault(Kind.NOT_READY, "ask-address", "no entry host", seed)
             )
         return Ok(answer)
+
+
+def _was_sent_on(resp: httpx.Response) -> bool:
+    return (
+        resp.status_code == httpx.codes.TEMPORARY_REDIRECT
+        and resp.headers.get(OUTCOME) == Outcome.NOT_RUN.value
+        and "location" in resp.headers
+    )
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -93,6 +93,11 @@
         """The correlation of crashes, which peers add to."""
         return self._quarantine
 
+    def keep_servers(self, names: frozenset[str], now_ms: int) -> None:
+        """Forgets what is known of all servers but `names`."""
+        self._health.keep(names)
+        self._quarantine.tick(now_ms)
+
     def set_config(self, cfg: Config) -> bool:
         """Puts `cfg` in force; returns False if it is not newer."""
         if cfg.revision <= self._cfg.revision:
@@ -201,7 +206,14 @@
         self._quarantine.record_start(flight.req, server, self._now_ms)
         left_ms = flight.deadline_at_ms - self._now_ms
         silence_ms = choose_silence_ms(flight.allows_rerun(), left_ms)
-        return Send(flight.req.id, server, flight.attempt, left_ms, silence_ms)
+        return Send(
+            flight.req.id,
+            server,
+            flight.attempt,
+            left_ms,
+            silence_ms,
+            flight.priority(),
+        )
 
     def _choose(self, flight: Flight, left_ms: int) -> Result[Choice, Fault]:
         """Chooses a server, the doubted ones only if there is no other."""
--- a/corianderdoor/core/flight.py
+++ b/corianderdoor/core/flight.py
@@ -6,7 +6,7 @@
 
 from .errors import Fault, Kind, Outcome
 from .messages import Failed, Req, Stage
-from .rules import Rule
+from .rules import Priority, Rule
 from .topology import Server
 
 GIVEN_UP_RETRY_MS: Final = 1_000
@@ -60,6 +60,13 @@
         self.answering = False
         self.may_have_run = False
 
+    def priority(self) -> Priority:
+        """Returns the rule's priority, or a lower one that was asked for."""
+        asked = self.req.priority
+        if asked is None:
+            return self.rule.priority
+        return max(asked, self.rule.priority)
+
     def allows_rerun(self) -> bool:
         """Tells whether the request is idempotent."""
         return self.rule.allows_rerun(self.req.method)
--- a/corianderdoor/core/messages.py
+++ b/corianderdoor/core/messages.py
@@ -221,9 +221,17 @@
         attempt: Number of this attempt, from 1.
         timeout_ms: Time left until the deadline, in ms.
         silence_ms: Longest time in which nothing may come, in ms.
+        priority: How late the server should shed it.
     """
 
-    __slots__ = ("id", "server", "attempt", "timeout_ms", "silence_ms")
+    __slots__ = (
+        "id",
+        "server",
+        "attempt",
+        "timeout_ms",
+        "silence_ms",
+        "priority",
+    )
 
     def __init__(
         self,
@@ -232,12 +240,14 @@
         attempt: int,
         timeout_ms: int,
         silence_ms: int,
+        priority: Priority = Priority.NORMAL,
     ) -> None:
         self.id = id
         self.server = server
         self.attempt = attempt
         self.timeout_ms = timeout_ms
         self.silence_ms = silence_ms
+        self.priority = priority
 
 
 class Resume(Record):
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -40,6 +40,7 @@
 HOSTS_POLL_MS: Final = 1_000
 WATCH_MS: Final = 20_000
 STORE_RETRY_MS: Final = 500
+TRIM_MS: Final = 30_000
 STOP_POLL_MS: Final = 20
 LAST_ANSWERS_S: Final = 5.0
 
@@ -172,6 +173,17 @@
                     log_event("hosts_failed", "WARNING", detail=fault.detail)
             await anyio.sleep(HOSTS_POLL_MS / MS_PER_SECOND)
 
+    async def trim(self, backend: HttpBackend) -> None:
+        """Drops connections and notes of unlisted servers, for ever."""
+        while True:
+            await anyio.sleep(TRIM_MS / MS_PER_SECOND)
+            servers = self._listing.servers
+            await backend.keep(servers)
+            self._dispatcher.keep_servers(
+                frozenset(server.name for server in servers),
+                self._clock.now_ms(),
+            )
+
     async def finish(self) -> None:
         """Sends new work elsewhere until the answers begun have ended."""
         self._drain.stop()
@@ -270,6 +282,7 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(router.follow_config)
         tg.start_soon(router.follow_hosts)
+        tg.start_soon(router.trim, backend)
         tg.start_soon(gate.run)
         if settings.metrics_url:
             tg.start_soon(push_for_ever, settings.metrics_url, telemetry)
--- a/corianderdoor/ports/backend.py
+++ b/corianderdoor/ports/backend.py
@@ -39,6 +39,11 @@
         self.headers = headers
         self.body = body
 
+    def add_header(self, name: bytes, value: bytes) -> Call:
+        """Returns a copy of this call with one more header."""
+        headers = [*self.headers, (name, value)]
+        return Call(self.id, self.method, self.path, headers, self.body)
+
 
 class AttemptFault(Record):
     """Why an attempt ended without a whole answer.
--- a/corianderdoor/standins/__main__.py
+++ b/corianderdoor/standins/__main__.py
@@ -42,7 +42,11 @@
 
 def _build_engine(args: argparse.Namespace, clock: Clock) -> App:
     engine = EngineStandin(
-        args.name, clock, args.capacity, token_ms=args.token_ms
+        args.name,
+        clock,
+        args.capacity,
+        token_ms=args.token_ms,
+        resumes=args.resumes,
     )
     orders = EngineOrders(
         clock,
@@ -74,6 +78,7 @@
     parser.add_argument("--listen", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--capacity", type=int, default=8)
+    parser.add_argument("--resumes", action="store_true")
     parser.add_argument("--token-ms", type=float, default=5.0)
     parser.add_argument("--lag-ms", type=int, default=0)
     parser.add_argument("--weights", default="", help="weight store URL")
--- a/corianderdoor/standins/engine.py
+++ b/corianderdoor/standins/engine.py
@@ -5,6 +5,14 @@
                               "answer_tokens"}; answers with server-sent
                               events, one token each, ending in [DONE];
                               X-Cached-Tokens tells the cached prefix
+    GET /corianderdoor/v1/resume
+                              the rest of a cut answer, if the engine was
+                              started with `resumes`: the first part came
+                              with the header Corianderdoor-Resume, a token;
+                              the request repeats it with X-Request-Id and
+                              Corianderdoor-Resume-Offset, the bytes of the
+                              body that arrived. 206 echoes the last two;
+                              404: the stream can't go on at that byte
     GET /load                 load report: in_flight, work (tokens of the
                               bodies in progress, four bytes each),
                               capacity, completed, cached_tokens,
@@ -19,7 +27,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 import os
 from typing import Any, Final
 
@@ -32,11 +40,14 @@
 
 from ..core.clock import Clock, MS_PER_SECOND
 from .faults import Faults
+from .resume import OFFSET, REQUEST_ID, ResumableStreams, TOKEN
 
 SLOW_FACTOR: Final = 20
 SILENCE_S: Final = 3_600
 BYTES_PER_TOKEN: Final = 4
 CRASH_EXIT_CODE: Final = 70
+RESUME_PATH: Final = "/corianderdoor/v1/resume"
+LAST_EVENT: Final = b"data: [DONE]\n\n"
 
 
 class ChatBody(msgspec.Struct):
@@ -48,6 +59,10 @@
     answer_tokens: int = 8
 
 
+def _tokens(count: int) -> Iterator[bytes]:
+    return (b'data: {"token": %d}\n\n' % number for number in range(count))
+
+
 def _exit() -> None:
     os._exit(CRASH_EXIT_CODE)
 
@@ -72,6 +87,7 @@
         "_cache_tokens",
         "_token_ms",
         "_prefill_tokens_per_ms",
+        "_streams",
     )
 
     def __init__(
@@ -83,6 +99,7 @@
         token_ms: float = 5.0,
         prefill_tokens_per_ms: float = 50.0,
         fall: Callable[[], None] = _exit,
+        resumes: bool = False,
     ) -> None:
         self.faults = Faults()
         self.records: list[tuple[str, str, str]] = []
@@ -102,6 +119,7 @@
         self._cache_tokens = cache_tokens
         self._token_ms = token_ms
         self._prefill_tokens_per_ms = prefill_tokens_per_ms
+        self._streams = ResumableStreams() if resumes else None
 
     @property
     def in_flight(self) -> int:
@@ -113,6 +131,7 @@
         return Starlette(
             routes=[
                 Route("/v1/chat", self._chat, methods=["POST"]),
+                Route(RESUME_PATH, self._resume, methods=["GET"]),
                 Route("/load", self._load, methods=["GET"]),
                 Route("/standin/fault", self._fault, methods=["POST"]),
                 Route("/standin/records", self._records, methods=["GET"]),
@@ -138,6 +157,9 @@
         self.records.append((request_id, body.chat, key))
         cached = self._touch_cache(body)
         headers["x-cached-tokens"] = str(cached)
+        if self._streams is not None:
+            whole = b"".join(_tokens(body.answer_tokens)) + LAST_EVENT
+            headers[TOKEN] = self._streams.add(request_id, whole)
         return StreamingResponse(
             self._stream(body, cached, 1 + len(raw) // BYTES_PER_TOKEN),
             headers=headers,
@@ -156,17 +178,26 @@
             fresh = max(0, body.prompt_tokens - cached)
             prefill_ms = fresh / self._prefill_tokens_per_ms
             await anyio.sleep(factor * prefill_ms / MS_PER_SECOND)
-            for number in range(body.answer_tokens):
+            for number, event in enumerate(_tokens(body.answer_tokens)):
                 if number == cut_at:
                     raise ConnectionAbortedError("told to cut")
-                yield b'data: {"token": %d}\n\n' % number
+                yield event
                 await anyio.sleep(factor * self._token_ms / MS_PER_SECOND)
             self._completed += 1
-            yield b"data: [DONE]\n\n"
+            yield LAST_EVENT
         finally:
             self._in_flight -= 1
             self._work -= work
 
+    async def _resume(self, req: Request) -> Response:
+        rest = self._streams.find_rest(req) if self._streams else None
+        if rest is None:
+            return Response(status_code=404)
+        headers = {
+            name: req.headers[name] for name in (REQUEST_ID, TOKEN, OFFSET)
+        }
+        return Response(rest, 206, headers, "text/event-stream")
+
     def _is_cold(self) -> bool:
         return self._bears() < self._capacity
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -99,13 +99,20 @@
         assert len({resp.content for resp in seen}) == 2
 
 
-async def test_deadline_and_caller_id_reach_the_server(client):
+@pytest.mark.parametrize(
+    ("asked", "given"), [("critical", b"normal"), ("low", b"low")]
+)
+async def test_deadline_id_and_priority_reach_the_server(client, asked, given):
     async with site(answer_all) as here:
         await here.post(
-            client, x_request_id="mine", corianderdoor_deadline_ms="4000"
+            client,
+            x_request_id="mine",
+            corianderdoor_deadline_ms="4000",
+            corianderdoor_priority=asked,
         )
         head = here.fake.requests[0].lower()
         assert b"corianderdoor-caller-request-id: mine" in head
+        assert b"corianderdoor-priority: " + given in head
         left = head.partition(b"corianderdoor-deadline-ms: ")[2]
         assert 0 < int(left.partition(b"\r\n")[0]) <= 4000
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -42,11 +42,11 @@
 
 
 @asynccontextmanager
-async def running_fleet(telemetry=None):
+async def running_fleet(telemetry=None, resumes=False):
     """Yields an engine and the URL of a router in front of it."""
     clock = SystemClock()
     store, hosts = StoreStandin(clock), HostsStandin(clock)
-    engine = EngineStandin("e1", clock, token_ms=0.0)
+    engine = EngineStandin("e1", clock, token_ms=0.0, resumes=resumes)
     store.write(CONFIG_KEY, encode_config(build_config()), 0)
     async with (
         serving(store.app()) as store_url,
@@ -168,3 +168,19 @@
     assert cut.fault is Kind.SERVER_FAILED
     assert cut.outcome is Outcome.UNKNOWN
     assert (no_rule.pool, no_rule.fault) == ("", Kind.NO_RULE)
+
+
+@pytest.mark.anyio
+async def test_cut_answer_of_an_engine_that_resumes_arrives_whole():
+    async with running_fleet(resumes=True) as (engine, url):
+        client = Client([url], "w1")
+        bodies = []
+        for cuts in (0, 1):
+            engine.faults.set("cut", cuts)
+            resp = await client.request(
+                "POST", "/v1/chat", content=json.dumps(CHAT).encode()
+            )
+            bodies.append(resp.content)
+        assert bodies[0] == bodies[1]
+        assert len(engine.records) == 2
+        await client.close()
