Watch over the daemons with probes, second opinions and rumours

Cause: routers have to know which others live without a call on the key-value service for each heartbeat.

Digests over 16 buckets carry what rumours missed.

--- /dev/null
+++ b/bench/drive.py
@@ -0,0 +1,73 @@
+"""Runs instances of core parts that exchange messages by name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from bench.driver import Loop
+
+
+class Instance(Protocol):
+    """One instance of a core part."""
+
+    due_ms: int
+
+    def wake(self, now_ms: int) -> list[tuple[str, Any]]:
+        """Is due; returns (receiver, message) pairs."""
+
+    def receive(
+        self, sender: str, message: Any, now_ms: int
+    ) -> list[tuple[str, Any]]:
+        """Takes a message; returns (receiver, message) pairs."""
+
+
+class Drive(Loop):
+    """Wakes instances when they are due and delivers what they transmit.
+
+    Attributes:
+        up: Instances that run; take one out to stop or pause it.
+        loss: Share of the messages that are lost.
+        sent: Called with (sender, receiver, message) at each transmission.
+        cut: Tells of (sender, receiver) whether nothing passes now.
+        lag: Bounds of the lag of (sender, receiver), in ms.
+    """
+
+    def __init__(self, seed: int, lag_ms: tuple[int, int], loss: float):
+        super().__init__(seed)
+        self.up: dict[str, Instance] = {}
+        self.loss = loss
+        self.sent: Callable[[str, str, Any], None] = lambda *_: None
+        self.cut: Callable[[str, str], bool] = lambda *_: False
+        self.lag: Callable[[str, str], tuple[int, int]] = lambda *_: lag_ms
+
+    def start(self, name: str, instance: Instance) -> None:
+        """Lets an instance run from now on."""
+        self.up[name] = instance
+        self._plan(name)
+
+    def transmit(self, sender: str, pairs: list[tuple[str, Any]]) -> None:
+        """Sends messages on their way, with lag and loss."""
+        for to, message in pairs:
+            self.sent(sender, to, message)
+            if self.cut(sender, to) or self.rng.random() < self.loss:
+                continue
+            lag_ms = self.rng.randint(*self.lag(sender, to))
+            self.after(
+                lag_ms, lambda t=to, m=message: self._give(sender, t, m)
+            )
+
+    def _give(self, sender: str, to: str, message: Any) -> None:
+        if to in self.up:
+            pairs = self.up[to].receive(sender, message, self.now_ms)
+            self.transmit(to, pairs)
+            self._plan(to)
+
+    def _wake(self, name: str) -> None:
+        if name in self.up and self.up[name].due_ms <= self.now_ms:
+            self.transmit(name, self.up[name].wake(self.now_ms))
+            self._plan(name)
+
+    def _plan(self, name: str) -> None:
+        due_ms = self.up[name].due_ms
+        self.after(due_ms - self.now_ms, lambda: self._wake(name))
--- a/corianderdoor/adapters/peer_codec.py
+++ b/corianderdoor/adapters/peer_codec.py
@@ -202,9 +202,9 @@
     """Returns `text` if it may be a name.
 
     Raises:
-        ValueError: It is empty or over `MAX_NAME_CHARS`.
+        ValueError: It is empty, too long or not ASCII.
     """
-    if not 0 < len(text) <= MAX_NAME_CHARS:
+    if not 0 < len(text) <= MAX_NAME_CHARS or not text.isascii():
         raise ValueError("bad name")
     return str(text)
 
--- a/corianderdoor/adapters/peers.capnp
+++ b/corianderdoor/adapters/peers.capnp
@@ -19,6 +19,10 @@
     quotaAsk @7 :QuotaAsk;
     quotaGrant @8 :QuotaGrant;
     load @9 :LoadMessage;
+    nack @10 :Nack;
+    syncRequest @11 :SyncRequest;
+    syncPage @12 :SyncPage;
+    configNotice @13 :ConfigNotice;
   }
 }
 
@@ -36,7 +40,8 @@
 # What membership datagrams have in common.
 struct Gossip {
   revision @0 :UInt64;
-  updates @1 :List(Update);
+  digest @1 :UInt32;
+  updates @2 :List(Update);
 }
 
 struct Ping {
@@ -55,6 +60,24 @@
   gossip @1 :Gossip;
 }
 
+struct Nack {
+  id @0 :UInt32;
+}
+
+struct SyncRequest {
+  digests @0 :List(UInt32);
+}
+
+struct SyncPage {
+  updates @0 :List(Update);
+}
+
+# The sender holds this revision and serves it to those that pull.
+struct ConfigNotice {
+  revision @0 :UInt64;
+  ask @1 :Bool;
+}
+
 # A limit of a workspace in a pool.
 struct QuotaSlot {
   workspace @0 :Text;
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,17 +22,23 @@
     Ack,
     Gossip,
     IndirectPing,
+    Nack,
     Ping,
     State,
+    SyncPage,
+    SyncRequest,
     Update,
 )
 
 OLD, NEW = "old-key-0123456789", "new-key-0123456789"
-UPDATE = Update("r2", 1_800_000_000_000, 3, State.SUSPECT, "ip:1", "dc", "re")
+UPDATE = Update("r2", 1_800_000_000_000, 3, State.DEAD, "ip:1", "dc", "re")
 KINDS = (
-    Ping(1, Gossip(7, (UPDATE,))),
+    Ping(1, Gossip(7, 2**32 - 1, (UPDATE,))),
     IndirectPing(2, "r3", Gossip()),
     Ack(3, Gossip(2**63)),
+    Nack(4),
+    SyncRequest(tuple(range(16))),
+    SyncPage((UPDATE, UPDATE)),
 )
 
 
@@ -89,7 +95,7 @@
 
 
 def test_message_over_the_limit_does_not_leave():
-    many = Ping(1, Gossip(1, (UPDATE,) * 64))
+    many = Ping(1, Gossip(1, 1, (UPDATE,) * 64))
     sealed = Sealer(Keyring([OLD]), "r1", 5).seal("r2", many)
     assert sealed.is_error()
 
@@ -118,7 +124,7 @@
     for place, value in changes:
         packed[place % len(packed)] = value
     peers = UdpPeers(keyring, "r2", 1)
-    for kind in (Ping, IndirectPing, Ack):
+    for kind in map(type, KINDS):
         peers.listen(kind, lambda sender, body: hash(body))
     peers.take(keyring.sign(b"r2", bytes(packed)) + bytes(packed))
     assert peers.counts["failed_handler"] == 0
