Let the client send a payment until its outcome is known

Cause: a caller had to handle keys, redirects and repeats itself, and a wrong word about a repeat leads it to pay twice.

Change: `Client.request_once` has a router mint the key, or takes the caller's own. While no byte was written, the key of a lost entry host is exchanged; from then on the same key is sent again and a refusal is no longer taken for `not-run`. A host that redirects to one that is gone is asked to serve itself. `make demo` sends a payment three times through three entry hosts with either kind of key and counts the runs in the services' own records.

--- a/corianderdoor/client.py
+++ b/corianderdoor/client.py
@@ -5,12 +5,14 @@
 import collections
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+import functools
 from typing import Final
 
 from expression import Error, Ok, Result
 import httpx
 import msgspec
 
+from .client_once import OnceCall, Payload
 from .core.clock import Clock, SystemClock
 from .core.errors import Fault, Kind, Outcome
 
@@ -131,6 +133,41 @@
             await resp.aread()
             return resp
 
+    async def request_once(
+        self,
+        method: str,
+        path: str,
+        key: str = "",
+        headers: Mapping[str, str] | None = None,
+        content: bytes = b"",
+        timeout_s: float = 60.0,
+    ) -> Result[httpx.Response, Fault]:
+        """Sends a request that must not run twice, until it is answered.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            key: The caller's own idempotency key; empty has a router mint
+                one, which needs no key-value service.
+            headers: Headers to add.
+            content: Body.
+            timeout_s: Longest time for all repeats together, in s.
+
+        Returns:
+            The whole answer of the one run, or a fault whose outcome tells
+            whether the operation has run.
+        """
+        sent = {"corianderdoor-workspace": self._workspace, **(headers or {})}
+        asked = {"chat": "", "method": method, "path": path, "model": ""}
+        call = OnceCall(
+            self._http,
+            functools.partial(self._find, asked),
+            self._clock,
+            Payload(method, path, sent, content),
+            key,
+        )
+        return await call.run(timeout_s)
+
     async def close(self) -> None:
         """Closes every connection."""
         await self._http.aclose()
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -34,15 +34,41 @@
         )
 
 
-async def show_payment(client: Client, fleet: Fleet) -> None:
-    """Sends one payment."""
-    resp = await client.request(
-        "POST",
-        "/payments",
-        headers={"idempotency-key": "payment-2026-12-0001"},
-        content=b'{"family": "f-9", "amount": 41000}',
-    )
-    print(f"payment: status={resp.status_code} {resp.text}")
+PAYMENT = b'{"family": "f-9", "amount": 41000}'
+OWN_KEY = "payment-2026-12-0001"
+
+
+async def show_payment(fleet: Fleet) -> None:
+    """Sends a payment through three entry hosts; it runs once."""
+    entries = [entry["address"] for entry in fleet.listing["entries"]]
+    workspace = {"corianderdoor-workspace": "maule-norte"}
+    async with httpx.AsyncClient(trust_env=False, headers=workspace) as http:
+        minted = await http.get(entries[0] + "/corianderdoor/v1/ticket")
+        for key in (minted.json()["key"], OWN_KEY):
+            for entry in entries[:3]:
+                resp = await http.post(
+                    entry + "/payments",
+                    headers={"idempotency-key": key},
+                    content=PAYMENT,
+                    follow_redirects=True,
+                )
+                resp.raise_for_status()
+                again = resp.headers.get("corianderdoor-replayed", "0")
+                print(f"payment {key[:20]}: {resp.text} replayed={again}")
+            runs = await count_runs(http, fleet, key)
+            print(f"payment {key[:20]}: sent 3 times, ran {runs} time(s)")
+            assert runs == 1
+
+
+async def count_runs(http: httpx.AsyncClient, fleet: Fleet, key: str) -> int:
+    """Counts in the services' own records how often `key` ran."""
+    runs = 0
+    for server in fleet.listing["servers"]:
+        if server["engine"]:
+            continue
+        resp = await http.get(server["address"] + "/standin/records")
+        runs += sum(record[2] == key for record in resp.json())
+    return runs
 
 
 async def run(fleet: Fleet) -> None:
@@ -51,7 +77,7 @@
     client = Client(seeds, "maule-norte")
     try:
         await show_chat(client)
-        await show_payment(client, fleet)
+        await show_payment(fleet)
     finally:
         await client.close()
 
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -48,6 +48,7 @@
         self.service = ServiceStandin("s1")
         self.urls = {}
         self._apps = {}
+        self._views = {}
 
     async def start(self, stack, names):
         """Starts the stand-ins and the routers `names`."""
@@ -112,6 +113,7 @@
             HttpStore(self.store_url),
         )
         self._tg.start_soon(gate.run)
+        self._views[name] = router.entries
         self._apps[name] = CallerApp(
             router.dispatcher,
             HttpBackend(),
@@ -126,6 +128,15 @@
             while not (router.dispatcher.cfg.revision and router.entries()):
                 await anyio.sleep(0.01)
 
+    async def list_and_wait(self, names):
+        """Lists just these routers and waits until every router knows."""
+        self.list_routers(names)
+        wanted = {self.urls[name] for name in names}
+        with anyio.fail_after(10):
+            for entries in self._views.values():
+                while {entry.address for entry in entries()} != wanted:
+                    await anyio.sleep(0.05)
+
     async def mint(self, name):
         """Returns a key minted by the router `name`."""
         resp = await self.http.get(
--- /dev/null
+++ b/tests/test_client_once.py
@@ -0,0 +1,118 @@
+"""Tests of the client's sending of requests that must not run twice."""
+
+import httpx
+from once_fleet import once_fleet, PAYMENT
+import pytest
+
+from corianderdoor.client import Client
+from corianderdoor.core.errors import Kind, Outcome
+
+pytestmark = pytest.mark.anyio
+GONE = "http://127.0.0.1:9"
+
+
+class LosingTransport(httpx.AsyncHTTPTransport):
+    """Loses the answers to the first `count` payments."""
+
+    def __init__(self, count):
+        super().__init__()
+        self.count = count
+
+    async def handle_async_request(self, request):
+        resp = await super().handle_async_request(request)
+        if request.url.path == "/payments" and self.count:
+            self.count -= 1
+            await resp.aread()
+            raise httpx.ReadError("lost", request=request)
+        return resp
+
+
+def build_client(fleet, lost=0):
+    """Returns a client that loses the answers to `lost` payments."""
+    http = httpx.AsyncClient(transport=LosingTransport(lost))
+    return Client(list(fleet.urls.values()), "w1", http=http)
+
+
+@pytest.mark.parametrize("key", ["", "order-7"], ids=["minted", "own"])
+async def test_payment_with_lost_answers_runs_once_and_is_answered(key):
+    async with once_fleet("r1", "r2") as fleet:
+        client = build_client(fleet, lost=2)
+        done = await client.request_once("POST", "/payments", key, {}, PAYMENT)
+        assert done.ok.json() == {"number": 1}
+        assert len(fleet.service.records) == 1
+        await client.close()
+
+
+async def test_payment_goes_on_while_the_store_is_down():
+    async with once_fleet("r1", "r2") as fleet:
+        fleet.store.faults.set("down", -1)
+        client = build_client(fleet, lost=1)
+        done = await client.request_once(
+            "POST", "/payments", content=PAYMENT, timeout_s=5
+        )
+        assert done.ok.status_code == 201
+        fault = (
+            await client.request_once(
+                "POST", "/payments", "order-7", content=PAYMENT, timeout_s=2
+            )
+        ).error
+        assert fault.kind is Kind.STORE_FAILED
+        assert fault.outcome is Outcome.NOT_RUN
+        assert len(fleet.service.records) == 1
+        await client.close()
+
+
+async def test_key_of_a_host_that_cannot_be_reached_is_exchanged():
+    async with once_fleet("r1", "r2") as fleet:
+        client = build_client(fleet)
+        ask = client._http.get
+        minted = []
+
+        async def get(url, **kwargs):
+            resp = await ask(url, **kwargs)
+            if url.endswith("/ticket") and not minted:
+                minted.append(resp.json()["key"])
+                return httpx.Response(
+                    200,
+                    json={"key": minted[0], "address": GONE},
+                    request=resp.request,
+                )
+            return resp
+
+        client._http.get = get
+        done = await client.request_once("POST", "/payments", content=PAYMENT)
+        assert done.ok.status_code == 201
+        (record,) = fleet.service.records
+        assert record[2] != minted[0]
+        await client.close()
+
+
+async def test_own_key_is_served_elsewhere_when_its_home_is_gone():
+    async with once_fleet("r1", "r2") as fleet:
+        client = build_client(fleet)
+        for name in ("r1", "r2"):
+            kept, fleet.urls[name] = fleet.urls[name], GONE
+            await fleet.list_and_wait(["r1", "r2"])
+            client._kept.clear()
+            done = await client.request_once(
+                "POST", "/payments", "order-7", content=PAYMENT, timeout_s=8
+            )
+            assert done.ok.json() == {"number": 1}
+            fleet.urls[name] = kept
+        assert len(fleet.service.records) == 1
+        await client.close()
+
+
+async def test_silent_backend_ends_as_unknown_and_is_not_sent_again():
+    async with once_fleet("r1") as fleet:
+        fleet.service.faults.set("silent", 1)
+        client = build_client(fleet)
+        done = await client.request_once(
+            "POST",
+            "/payments",
+            headers={"corianderdoor-deadline-ms": "300"},
+            content=PAYMENT,
+        )
+        assert done.error.outcome is Outcome.UNKNOWN
+        assert len(fleet.service.records) == 1
+        await client.close()
