Remember where chats went, and measure reuse of prompt caches

Cause: a chat that had moved to another server for want of room went back to the first of its order with its next turn, and its prefix was computed anew each time.

Change: a memory of fixed size at each router, sixteen bytes a slot, four slots a set, the oldest of a set giving way; a chat goes first to where it went last and counts as unknown after two hours. bench/cache.py lets engines leave, join and flap under returning chats.

Tests: seen to fail with the expiry and with the use of the memory off.

--- /dev/null
+++ b/bench/cache.py
@@ -0,0 +1,217 @@
+"""Share of prompt tokens found in cache as engines leave, join and flap.
+
+Chats return after pauses of about a minute with a prompt that has grown.
+Engines keep prefixes in a limited cache, which a leave empties. During the
+run two engines leave for good, two join and one flaps five times; routers
+learn of each up to three seconds apart. One caller in ten uses an old
+address. The all-seeing router knows every cache and every load, and is the
+limit.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from typing import Any
+
+from driver import (
+    build_entries,
+    build_servers,
+    Loop,
+    plot_bars,
+    SimServer,
+    write_result,
+)
+from policies import (
+    AllSeeing,
+    HomeRouters,
+    LeastOwn,
+    PlainHash,
+    Policy,
+    PowerOfTwo,
+    RoundRobin,
+)
+
+from corianderdoor.core.messages import Req
+from corianderdoor.core.topology import Server
+
+BOUND = 1.5
+PAUSE_MS = 60_000
+FIRST_TOKENS, TURN_TOKENS, MAX_TOKENS = 400, 300, 8_000
+MS_PER_TOKEN = 2.0
+VIEW_SPREAD_MS = 3_000
+STALE_ADDRESS = 0.1
+
+
+class CacheSeeing(AllSeeing):
+    """Most cached tokens within the bound, else least loaded."""
+
+    name = "all-seeing, cache first"
+
+    def pick(self, router: str, req: Req) -> Server | None:
+        """Returns the server with the longest cached prefix."""
+        view = self.views[router]
+        sims = self.sims
+        total = sum(sims[s.name].total for s in view) + req.weight
+        limit = BOUND * total / sum(s.capacity for s in view)
+        fits = [
+            s
+            for s in view
+            if sims[s.name].total + req.weight <= limit * s.capacity
+        ]
+        if not fits:
+            return super().pick(router, req)
+        return max(
+            fits,
+            key=lambda s: (
+                min(sims[s.name].cache.get(req.chat, 0), req.weight),
+                -sims[s.name].total / s.capacity,
+            ),
+        )
+
+
+class Run:
+    """One policy under one seed."""
+
+    def __init__(self, args: argparse.Namespace, kind: type):
+        self.args = args
+        self.loop = Loop(args.seed, loss=args.loss)
+        self.rng = random.Random(args.seed + 1)
+        self.fates = random.Random(args.seed + 2)
+        infos = build_servers(args.servers, 3, self.rng, (16, 32))
+        self.sims = {
+            i.name: SimServer(i, self.loop, args.cache_tokens) for i in infos
+        }
+        entries = build_entries(args.routers, min(3, args.routers))
+        self.policy: Policy = kind(
+            self.loop, entries, list(self.sims.values())
+        )
+        self.routers = [entry.name for entry in entries]
+        self.live = {i.name: i for i in infos}
+        for info in infos[:2]:
+            self._change(info, out=True)
+        self.tokens = [FIRST_TOKENS] * args.chats
+        self.asked = self.found = self.number = self.refused = 0
+        self.skews: list[float] = []
+
+    def go(self) -> dict[str, Any]:
+        """Runs and returns a row of the table."""
+        end_ms = self.args.seconds * 1_000
+        for chat in range(self.args.chats):
+            self.loop.after(self._pause_ms(), lambda c=chat: self._turn(c))
+        infos = [sim.info for sim in self.sims.values()]
+        for number in range(2):
+            join, leave = infos[number], infos[2 + number]
+            at_ms = end_ms * (0.4 + 0.1 * number)
+            self.loop.after(at_ms, lambda i=join: self._change(i, out=False))
+            self.loop.after(at_ms, lambda i=leave: self._change(i, out=True))
+        for number in range(10):
+            self.loop.after(
+                end_ms * (0.6 + 0.03 * number),
+                lambda out=number % 2 == 0: self._change(infos[4], out),
+            )
+        self.loop.after(
+            end_ms * 0.35, lambda: self.loop.every(500, self._sample)
+        )
+        self.loop.run(end_ms)
+        self.skews.sort()
+        return {
+            "routers": len(self.routers),
+            "policy": self.policy.name,
+            "found_share": self.found / self.asked,
+            "max_skew": self.skews[-1],
+            "p99_skew": self.skews[int(0.99 * len(self.skews))],
+            "refused": self.refused,
+            "requests": self.number,
+            "asks_per_request": self.policy.asks / self.number,
+        }
+
+    def _pause_ms(self) -> float:
+        return self.rng.expovariate(1 / PAUSE_MS)
+
+    def _change(self, info: Server, out: bool) -> None:
+        if out:
+            self.live.pop(info.name, None)
+            self.sims[info.name].cache.clear()
+            self.sims[info.name].cached_sum = 0
+        else:
+            self.live[info.name] = info
+        view = list(self.live.values())
+        for name in self.routers:
+            self.loop.after(
+                self.fates.uniform(
+                    0, VIEW_SPREAD_MS if self.loop.now_ms else 0
+                ),
+                lambda name=name: self.policy.set_view(name, view),
+            )
+
+    def _turn(self, chat: int) -> None:
+        self.loop.after(self._pause_ms(), lambda: self._turn(chat))
+        self.number += 1
+        weight = self.tokens[chat]
+        self.tokens[chat] = min(MAX_TOKENS, weight + TURN_TOKENS)
+        req = Req(
+            str(self.number), "w", "/", "POST", f"chat-{chat}", weight=weight
+        )
+        router = self.policy.entry_for(req, self.fates)
+        if self.fates.random() < STALE_ADDRESS:
+            router = self.fates.choice(self.routers)
+        self.policy.route(router, req, lambda s: self._begin(router, req, s))
+
+    def _begin(self, router: str, req: Req, server: Any) -> None:
+        if server is None:
+            self.refused += 1
+            return
+        sim = self.sims[server.name]
+        found = sim.begin(req)
+        if self.loop.now_ms > self.args.seconds * 350:
+            self.asked += req.weight
+            self.found += found
+        self.loop.after(
+            req.weight * MS_PER_TOKEN, lambda: self._end(router, req, sim)
+        )
+
+    def _end(self, router: str, req: Req, sim: SimServer) -> None:
+        sim.end(req)
+        self.policy.finish(router, req, sim.info, True, 100)
+
+    def _sample(self) -> None:
+        live = [self.sims[name] for name in self.live]
+        mean = sum(s.total for s in live) / sum(s.info.capacity for s in live)
+        self.skews += [
+            s.total / s.info.capacity / mean for s in live if len(s.work) > 1
+        ]
+
+
+def main() -> None:
+    """Runs every policy at each number of routers."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--routers", type=int, nargs="*", default=[1, 8, 60])
+    parser.add_argument("--servers", type=int, default=32)
+    parser.add_argument("--chats", type=int, default=6_000)
+    parser.add_argument("--cache-tokens", type=int, default=2_000_000)
+    parser.add_argument("--seconds", type=int, default=400)
+    parser.add_argument("--loss", type=float, default=0.01)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--only", default="")
+    args = parser.parse_args()
+    kinds = (
+        RoundRobin,
+        LeastOwn,
+        PowerOfTwo,
+        PlainHash,
+        HomeRouters,
+        CacheSeeing,
+    )
+    rows = []
+    counts = args.routers
+    for args.routers in counts:
+        rows += [
+            Run(args, kind).go() for kind in kinds if args.only in kind.name
+        ]
+    write_result("cache", rows)
+    plot_bars("cache", rows, "routers", "found_share", 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/corianderdoor/core/home_placement.py
+++ b/corianderdoor/core/home_placement.py
@@ -9,6 +9,7 @@
 
 from expression import Error, Ok, Result
 
+from .affinity import ChatMemory
 from .errors import Fault
 from .homes import Homes
 from .load_report import LoadReport
@@ -66,6 +67,7 @@
         "_outbox",
         "_digest_at_ms",
         "_gone",
+        "_memory",
     )
 
     def __init__(
@@ -91,6 +93,7 @@
         self._outbox: list[ToPeer] = []
         self._digest_at_ms = -DIGEST_MS
         self._gone: dict[str, int] = {}
+        self._memory = ChatMemory()
 
     @property
     def book(self) -> PermitBook:
@@ -137,6 +140,18 @@
         server = next(ring.order(chat), None)
         return "" if server is None else self._homes.find(server)
 
+    def _order(self, req: Req, ring: Ring, now_ms: int) -> Iterator[Server]:
+        """Yields the servers for `req`, the one with its cache first."""
+        if not req.chat:
+            yield from ring.order(req.id)
+            return
+        kept = ring.get(self._memory.find(req.chat, now_ms))
+        if kept is not None:
+            yield kept
+        for server in ring.order(req.chat):
+            if server is not kept:
+                yield server
+
     def choose(
         self,
         req: Req,
@@ -148,9 +163,9 @@
     ) -> Result[Choice, Fault]:
         """Reserves room on a server for `req`, or asks for it."""
         ring = self._rings.get(pool)
-        if ring is None or all(s.name in excluded for s in ring.servers()):
+        if ring is None or _has_no_other(ring, excluded):
             return Error(no_server_fault(pool))
-        order = ring.order(req.chat or req.id)
+        order = self._order(req, ring, now_ms)
         left: Iterator[Server] = (s for s in order if s.name not in excluded)
         if avoided:
             left = iter(sorted(left, key=lambda s: s.name in avoided))
@@ -174,7 +189,7 @@
         server = search.server
         assert server is not None
         if answer is not None and answer.verdict is Verdict.GRANTED:
-            return self._take(req, search, server)
+            return self._take(req, search, server, now_ms)
         if answer is None:
             self._tell(search.home, Release(search.permit, server.name))
         else:
@@ -299,7 +314,7 @@
                 return Ok(AskPermit(req.id, search.home, ask, ASK_TIMEOUT_MS))
             answer = self._book.ask(self._me, ask, now_ms)
             if answer.verdict is Verdict.GRANTED:
-                return self._take(req, search, server)
+                return self._take(req, search, server, now_ms)
             search.may_pass |= answer.verdict in PASSING
             search.looked.append(server)
 
@@ -341,8 +356,10 @@
         return self._sums.level(server.name) / LEVEL_STEPS + added
 
     def _take(
-        self, req: Req, search: Search, server: Server
+        self, req: Req, search: Search, server: Server, now_ms: int
     ) -> Result[Choice, Fault]:
+        if req.chat:
+            self._memory.remember(req.chat, server.name, now_ms)
         self._granted[req.id] = (search.home, search.permit)
         del self._searches[req.id]
         return Ok(server)
@@ -370,3 +387,9 @@
     def _tell(self, peer: str, message: PeerMessage) -> None:
         if peer and peer != self._me:
             self._outbox.append(ToPeer(peer, message))
+
+
+def _has_no_other(ring: Ring, excluded: Collection[str]) -> bool:
+    if len(ring) > len(excluded):
+        return False
+    return all(server.name in excluded for server in ring.servers())
--- /dev/null
+++ b/tests/test_affinity.py
@@ -0,0 +1,59 @@
+"""Tests of the memory of chats and of what placement makes of it."""
+
+import random
+
+from builders import build_req
+from test_home_placement import build_servers, POOL, Routers
+
+from corianderdoor.core.affinity import ChatMemory, KEEP_MS, WAYS
+from corianderdoor.core.home_placement import HomePlacement
+
+
+def test_chat_is_found_where_it_went_last():
+    memory = ChatMemory()
+    memory.remember("c1", "e1", 0)
+    memory.remember("c1", "e2", 1_000)
+    assert memory.find("c1", 2_000) == "e2"
+    assert memory.find("c2", 2_000) == ""
+
+
+def test_chat_back_after_hours_is_unknown():
+    memory = ChatMemory()
+    memory.remember("c1", "e1", 0)
+    assert memory.find("c1", KEEP_MS) == "e1"
+    assert memory.find("c1", KEEP_MS + 1_000) == ""
+
+
+def test_memory_keeps_its_size_and_the_latest_chats():
+    memory = ChatMemory(sets=1)
+    before = memory.size_bytes
+    for number in range(10):
+        memory.remember(f"c{number}", "e1", number * 1_000)
+    known = [n for n in range(10) if memory.find(f"c{n}", 10_000)]
+    assert known == list(range(10 - WAYS, 10))
+    assert memory.size_bytes == before == 16 * WAYS
+
+
+def test_chat_stays_with_the_server_it_overflowed_to():
+    fleet = Routers(1, build_servers(8))
+    core = fleet.cores["r0"]
+    first = fleet.place("r0", build_req("r1", chat="c1"))
+    core._memory.remember("c1", "e7" if first != "e7" else "e6", 0)
+    moved = fleet.place("r0", build_req("r2", chat="c1"))
+    assert moved == ("e7" if first != "e7" else "e6")
+
+
+def test_chats_of_a_leaving_server_move_to_the_same_next_choice_everywhere():
+    servers = build_servers(8)
+    joined_late = servers[3:] + servers[:3]
+    orders = []
+    for view in (servers, joined_late):
+        core = HomePlacement("r9", 1.5, random.Random(1))
+        core.set_servers(tuple(view), 0)
+        before = [s.name for s in core._rings[POOL].order("c1")]
+        left = tuple(s for s in view if s.name != before[0])
+        core.set_servers(left, 1)
+        after = [s.name for s in core._rings[POOL].order("c1")]
+        assert after == before[1:]
+        orders.append(after)
+    assert orders[0] == orders[1]
