--- a/corianderdoor/core/rendezvous.py
+++ b/corianderdoor/core/rendezvous.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from array import array
-from bisect import bisect
+from bisect import bisect, bisect_left, insort
 from collections.abc import Iterable, Iterator
 from typing import Final
 
@@ -13,7 +13,8 @@
 
 POINTS_PER_SLOT: Final = 8
 MIN_POINTS: Final = 16
-MAX_POINTS: Final = 128
+MAX_POINTS: Final = 64
+FEW_CHANGES: Final = 64
 SLOT_BITS: Final = 16
 SLOT_MASK: Final = (1 << SLOT_BITS) - 1
 HASH_MASK: Final = (1 << 64) - 1 - SLOT_MASK
@@ -40,12 +41,13 @@
     bytes a point: the upper bits are the hash, the lower the server's slot.
     """
 
-    __slots__ = ("_points", "_servers", "_slots")
+    __slots__ = ("_points", "_servers", "_slots", "_free")
 
     def __init__(self) -> None:
         self._points = array("Q")
         self._servers: list[Server | None] = []
         self._slots: dict[str, int] = {}
+        self._free: list[int] = []
 
     def __len__(self) -> int:
         return len(self._slots)
@@ -53,27 +55,50 @@
     def replace(self, servers: Iterable[Server]) -> None:
         """Makes `servers` the members; unchanged ones keep their points."""
         wanted = {server.name: server for server in servers}
-        gone = {
-            slot
-            for name, slot in self._slots.items()
-            if not self._keeps(wanted.get(name), slot)
-        }
-        kept = [p for p in self._points if p & SLOT_MASK not in gone]
-        for slot in gone:
-            old = self._servers[slot]
-            self._servers[slot] = None
-            if old is not None:
-                del self._slots[old.name]
-        free = [i for i, old in enumerate(self._servers) if old is None]
+        gone = [
+            server
+            for server in self.servers()
+            if not _same_points(server, wanted.get(server.name))
+        ]
+        gone_points = self._drop_members(gone)
+        new_points: list[int] = []
         for name, server in wanted.items():
-            if name in self._slots:
-                self._servers[self._slots[name]] = server
-            else:
-                slot = free.pop() if free else self._grow()
-                self._slots[name] = slot
-                self._servers[slot] = server
-                kept.extend(_points_of(server, slot))
-        self._points = array("Q", sorted(kept))
+            slot = self._slots.get(name)
+            if slot is None:
+                slot = self._take_slot(name)
+                new_points.extend(_points_of(server, slot))
+            self._servers[slot] = server
+        if len(gone) + len(new_points) // MIN_POINTS <= FEW_CHANGES:
+            self._patch(gone_points, new_points)
+        else:
+            kept = set(self._points).difference(gone_points)
+            self._points = array("Q", sorted([*kept, *new_points]))
+
+    def _drop_members(self, servers: list[Server]) -> list[int]:
+        """Frees the slots of `servers` and returns their points."""
+        points: list[int] = []
+        for server in servers:
+            slot = self._slots.pop(server.name)
+            points.extend(_points_of(server, slot))
+            self._servers[slot] = None
+            self._free.append(slot)
+        return points
+
+    def _take_slot(self, name: str) -> int:
+        if self._free:
+            slot = self._free.pop()
+        else:
+            slot = len(self._servers)
+            self._servers.append(None)
+        self._slots[name] = slot
+        return slot
+
+    def _patch(self, gone: list[int], new: list[int]) -> None:
+        """Changes few points in place, which is faster than sorting all."""
+        for point in gone:
+            del self._points[bisect_left(self._points, point)]
+        for point in new:
+            insort(self._points, point)
 
     def order(self, key: str) -> Iterator[Server]:
         """Yields every server once, in the order of `key`."""
@@ -101,17 +126,9 @@
         slot = self._slots.get(name)
         return None if slot is None else self._servers[slot]
 
-    def _keeps(self, server: Server | None, slot: int) -> bool:
-        old = self._servers[slot]
-        return (
-            server is not None
-            and old is not None
-            and server.capacity == old.capacity
-        )
-
-    def _grow(self) -> int:
-        self._servers.append(None)
-        return len(self._servers) - 1
+
+def _same_points(old: Server, new: Server | None) -> bool:
+    return new is not None and new.capacity == old.capacity
 
 
 def _points_of(server: Server, slot: int) -> Iterator[int]:
