Keep left incarnations out and hold flapping servers back

Cause: the router took the platform's list as it was, so that a stale list brought a server back that had left, and a flapping one moved its chats each time.

Change: core.liveness joins the list, its leaving marks and the servers' own word by incarnation; from the second departure within ten minutes on, a server is held out for 30 s after it, doubling up to 8 min, but never the last of its pool.

Tests: seen to fail with each of these off: the record of left incarnations, the order of incarnations, the free first departure, the last of a pool.

--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -29,6 +29,7 @@
 from ..core.drain import EntryDrain
 from ..core.home_placement import HomePlacement
 from ..core.limits import Limits
+from ..core.liveness import Liveness
 from ..core.placement import BoundedPlacement, Placement
 from ..core.retry import RetryBudget
 from ..core.topology import EntryHost, HostList, Server
@@ -97,6 +98,7 @@
         "_sharing",
         "_dispatcher",
         "_listing",
+        "_liveness",
         "_drain",
     )
 
@@ -130,6 +132,7 @@
             self._placement, Limits(settings.name), RetryBudget(rng)
         )
         self._listing = HostList()
+        self._liveness = Liveness()
         self._drain = EntryDrain(settings.name, settings.data_centre)
 
     @property
@@ -168,6 +171,7 @@
             match await self._hosts.list_hosts():
                 case Result(tag="ok", ok=listing):
                     self._listing = listing
+                    self._liveness.take_list(listing, self._clock.now_ms())
                     self._update_servers()
                 case Result(error=fault):
                     log_event("hosts_failed", "WARNING", detail=fault.detail)
@@ -214,21 +218,21 @@
                 log_event("config_refused", "ERROR", detail=fault.detail)
 
     def _update_servers(self) -> None:
+        now_ms = self._clock.now_ms()
         if self._sharing is not None and not self._drain.stopping:
             cfg = self._dispatcher.cfg
             self._sharing.set_entries(
                 tuple(in_service(self._listing.entries, cfg))
             )
         self._placement.set_servers(
-            tuple(filter(self._takes_work, self._listing.servers)),
-            self._clock.now_ms(),
+            tuple(filter(self._takes_work, self._liveness.live(now_ms))),
+            now_ms,
         )
 
     def _takes_work(self, server: Server) -> bool:
         cfg = self._dispatcher.cfg
         return (
-            server.name not in self._listing.leaving
-            and server.data_centre not in cfg.drained_centres
+            server.data_centre not in cfg.drained_centres
             and server.host not in cfg.drained_hosts
         )
 
