--- a/corianderdoor/adapters/hypercorn_h2.py
+++ b/corianderdoor/adapters/hypercorn_h2.py
@@ -1,14 +1,17 @@
-"""Three repairs of hypercorn's HTTP/2.
+"""Repairs of hypercorn's HTTP/2.
 
 When an application ends without the end of its answer, hypercorn closes an
 HTTP/1.1 connection, but leaves an HTTP/2 stream open for ever; here the
 stream is reset. A body that goes on after its answer has ended breaks the
 whole connection; here it is thrown away. And each window that a caller opens
-wakes every stream of its connection; here only those with something to send.
+wakes every stream of its connection; here only those with something to send,
+and the order of streams costs the same for one stream as for a hundred.
 """
 
 from __future__ import annotations
 
+from typing import Any
+
 import h2.errors
 import h2.events
 import h2.exceptions
@@ -16,10 +19,16 @@
 from hypercorn.protocol.events import Event, StreamClosed
 from hypercorn.protocol.h2 import H2Protocol
 
+from .h2_scheduler import RoundRobin
+
 
 class RepairedH2Protocol(H2Protocol):
     """hypercorn's HTTP/2 that hurts no stream for another one's sake."""
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.priority = RoundRobin()  # type: ignore[assignment]
+
     async def stream_send(self, event: Event) -> None:
         """Sends an event of a stream."""
         if isinstance(event, StreamClosed):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -219,6 +219,22 @@
         assert "twice" in resp.json()["detail"]
 
 
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nhost: x\r\nbad header\r\n\r\n", 400),
+        (b"GET /\xff HTTP/1.1\r\nhost: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nhost: x\r\na: " + b"x" * 70_000, 431),
+    ],
+)
+async def test_malformed_head_is_refused(head, status):
+    async with site(answer_all) as here:
+        async with await anyio.connect_tcp("127.0.0.1", here.port) as sock:
+            await sock.send(head)
+            with anyio.fail_after(10):
+                assert (await read_http(sock))[0] == status
+
+
 async def test_too_long_a_body_is_refused_before_it_is_sent():
     async with site(answer_all) as here:
         async with await anyio.connect_tcp("127.0.0.1", here.port) as sock:
@@ -373,3 +389,29 @@
         assert resp.status_code == 503
         assert resp.json()["type"].endswith(":draining")
         assert resp.headers["retry-after"]
+
+
+async def test_caller_may_upgrade_to_http2():
+    caller = h2.connection.H2Connection()
+    settings = caller.initiate_upgrade_connection()
+    async with site(answer_all) as here:
+        async with await anyio.connect_tcp("127.0.0.1", here.port) as sock:
+            await sock.send(
+                b"GET /corianderdoor/v1/ready HTTP/1.1\r\nhost: x\r\n"
+                b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
+                b"http2-settings: " + settings + b"\r\n\r\n"
+            )
+            raw = b""
+            while b"\r\n\r\n" not in raw:
+                raw += await sock.receive()
+            head, _, rest = raw.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 101 ")
+            await sock.send(caller.data_to_send())
+            names = []
+            with anyio.fail_after(5):
+                while "StreamEnded" not in names:
+                    for event in caller.receive_data(rest):
+                        names.append(type(event).__name__)
+                    if "StreamEnded" not in names:
+                        rest = await sock.receive()
+            assert "ResponseReceived" in names
