Leave the outcomes of minted keys behind at a planned stop

Change: a router that stops writes one record, under a lease of the keys' validity. Others replay its answers; a key that the record would have to hold and does not was never used, and is told `not-run`. Without a record, as after a crash, the word stays `unknown`. The client follows a 307 only if it says `not-run`, since a backend server may answer 307.

The test of a gone minter now asserts the verdict that asks for the record, and that without one the outcome is `unknown` as before.

--- a/corianderdoor/adapters/once.py
+++ b/corianderdoor/adapters/once.py
@@ -14,14 +14,16 @@
 from ..core.addresses import in_service
 from ..core.claim_log import choose_home
 from ..core.claim_messages import Ask
-from ..core.clock import Clock
+from ..core.clock import Clock, MS_PER_SECOND
 from ..core.dispatch import Dispatcher
 from ..core.drain import EntryDrain
 from ..core.errors import Fault, Kind, Outcome
 from ..core.messages import Req
+from ..core.minted_record import judge_left
 from ..core.once import (
     digest_key,
     digest_request,
+    LookUp,
     Proceed,
     Redirect,
     Reject,
@@ -40,6 +42,7 @@
 from .caller_request import read_target
 from .claim_keeper import ClaimKeeper
 from .logs import log_event
+from .minted_store import MintedStore
 from .problems import OUTCOME_HEADER, send_problem, send_whole
 from .recorder import Recorder
 from .serving import Message, Receive, Scope, Send
@@ -48,6 +51,7 @@
 REPLAYED: Final = (b"corianderdoor-replayed", b"1")
 HOP: Final = b"corianderdoor-hop=1"
 MAX_LIMIT_MS: Final = 600_000
+LEAVE_TIMEOUT_MS: Final = 1_500
 TEMPORARY_REDIRECT: Final = 307
 INCARNATION_RANDOM_BITS: Final = 20
 Run = Callable[[Scope, Receive, Send], Awaitable[None]]
@@ -71,6 +75,7 @@
         "_name",
         "_desk",
         "_keeper",
+        "_minted",
         "_dispatcher",
         "_entries",
         "_clock",
@@ -82,6 +87,7 @@
         name: str,
         desk: TicketDesk,
         keeper: ClaimKeeper,
+        minted: MintedStore,
         dispatcher: Dispatcher,
         entries: Callable[[], tuple[EntryHost, ...]],
         clock: Clock,
@@ -90,6 +96,7 @@
         self._name = name
         self._desk = desk
         self._keeper = keeper
+        self._minted = minted
         self._dispatcher = dispatcher
         self._entries = entries
         self._clock = clock
@@ -100,7 +107,12 @@
         await self._keeper.run()
 
     async def flush(self) -> None:
-        """Waits a little until the outcomes so far are stored."""
+        """Stores the outcomes so far, once nothing more will run."""
+        record = self._desk.leave(self._clock.now_ms())
+        with anyio.move_on_after(LEAVE_TIMEOUT_MS / MS_PER_SECOND):
+            await self._minted.leave(
+                self._name, self._desk.incarnation, record
+            )
         await self._keeper.flush()
 
     async def answer_ticket(self, scope: Scope, send: Send) -> None:
@@ -156,7 +168,7 @@
             req, digest_request(req.method, read_target(scope), body)
         )
         if is_ticket(req.key):
-            verdict = self._judge_ticket(keyed)
+            verdict = await self._judge_ticket(keyed)
         else:
             verdict = await self._judge_own(keyed, rule, hopped)
         log_event(
@@ -187,8 +199,8 @@
             return None
         return rule
 
-    def _judge_ticket(self, keyed: _Keyed) -> Verdict:
-        return self._desk.admit(
+    async def _judge_ticket(self, keyed: _Keyed) -> Verdict:
+        verdict = self._desk.admit(
             keyed.req.workspace,
             keyed.req.key,
             keyed.fingerprint,
@@ -196,6 +208,10 @@
             self._clock.now_ms(),
             self._is_in_service(),
         )
+        if not isinstance(verdict, LookUp):
+            return verdict
+        record = await self._minted.find(verdict)
+        return judge_left(record, verdict, keyed.digest, keyed.fingerprint)
 
     async def _judge_own(
         self, keyed: _Keyed, rule: Rule, hopped: bool
@@ -307,7 +323,10 @@
         random.Random(secrets.randbits(64)),
     )
     keeper = ClaimKeeper(f"{name}/{incarnation}", store, clock)
-    return OnceGate(name, desk, keeper, dispatcher, entries, clock, drain)
+    minted = MintedStore(store, clock)
+    return OnceGate(
+        name, desk, keeper, minted, dispatcher, entries, clock, drain
+    )
 
 
 def _take_hop(scope: Scope) -> tuple[Scope, bool]:
--- a/corianderdoor/client_once.py
+++ b/corianderdoor/client_once.py
@@ -183,7 +183,7 @@
         """
         resp = await self._post(address + self._payload.path, timeout_s)
         for _ in range(MAX_REDIRECTS):
-            if resp.status_code != httpx.codes.TEMPORARY_REDIRECT:
+            if not _was_sent_on(resp):
                 return resp
             target = resp.headers["location"]
             try:
@@ -223,7 +223,7 @@
         if fault.kind is Kind.DRAINING and not (self._own or self._doubt):
             self._key = ""
             return Error(fault), RETRY_MS
-        if resp.status_code == httpx.codes.TEMPORARY_REDIRECT:
+        if _was_sent_on(resp):
             return Error(fault), RETRY_MS
         return Error(fault), fault.retry_after_ms or 0
 
@@ -249,3 +249,12 @@
         return Fault(
             Kind.PEER_FAILED, "send-once", detail, self._minter, outcome
         )
+
+
+def _was_sent_on(resp: httpx.Response) -> bool:
+    """Tells whether a router redirected; a backend server may as well."""
+    return (
+        resp.status_code == httpx.codes.TEMPORARY_REDIRECT
+        and resp.headers.get(OUTCOME) == Outcome.NOT_RUN.value
+        and "location" in resp.headers
+    )
--- a/corianderdoor/core/once.py
+++ b/corianderdoor/core/once.py
@@ -85,7 +85,24 @@
         self.fault = fault
 
 
-Verdict: TypeAlias = Proceed | Replay | Redirect | Reject
+class LookUp(Record):
+    """Verdict: only what a gone router left behind tells of this key.
+
+    Attributes:
+        minter: Name of the router that minted the key.
+        incarnation: The incarnation that minted it.
+        expires_ms: Expiry by that incarnation's monotonic clock.
+    """
+
+    __slots__ = ("minter", "incarnation", "expires_ms")
+
+    def __init__(self, minter: str, incarnation: int, expires_ms: int) -> None:
+        self.minter = minter
+        self.incarnation = incarnation
+        self.expires_ms = expires_ms
+
+
+Verdict: TypeAlias = Proceed | Replay | Redirect | LookUp | Reject
 
 
 class Ending(Record):
--- a/corianderdoor/core/tickets.py
+++ b/corianderdoor/core/tickets.py
@@ -20,12 +20,14 @@
 import msgspec
 
 from .errors import Outcome
+from .minted_record import describe_used, encode_record
 from .once import (
+    digest_key,
     Ending,
     Kept,
+    LookUp,
     Proceed,
     Redirect,
-    Reject,
     reject_draining,
     reject_full,
     reject_in_progress,
@@ -128,10 +130,13 @@
 class _Used:
     """A used ticket in its minter's memory."""
 
-    __slots__ = ("state", "fingerprint", "expires_ms", "kept")
+    __slots__ = ("state", "digest", "fingerprint", "expires_ms", "kept")
 
-    def __init__(self, fingerprint: bytes, expires_ms: int) -> None:
+    def __init__(
+        self, digest: bytes, fingerprint: bytes, expires_ms: int
+    ) -> None:
         self.state = State.RUNNING
+        self.digest = digest
         self.fingerprint = fingerprint
         self.expires_ms = expires_ms
         self.kept: Kept | None = None
@@ -236,7 +241,29 @@
         )
         if move is Move.RUN and not in_service:
             return reject_draining(self._name)
-        return self._carry_out(move, key, ticket, fingerprint)
+        if move is Move.RUN:
+            digest = digest_key(workspace, key)
+            return self._begin(key, ticket, digest, fingerprint)
+        return self._carry_out(move, key, ticket)
+
+    def leave(self, now_ms: int) -> bytes:
+        """Returns the record of what is known, when nothing more will run."""
+        self._forget(now_ms)
+        used = [
+            describe_used(
+                item.digest,
+                item.fingerprint,
+                Outcome.RUN if item.state is State.RUN else Outcome.UNKNOWN,
+                item.kept,
+            )
+            for item in self._used.values()
+        ]
+        return encode_record(now_ms, used)
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that mints."""
+        return self._incarnation
 
     def settle(self, key: str, ending: Ending) -> None:
         """Notes how the run of `key` ended."""
@@ -252,37 +279,32 @@
                 used.state = State.RUN
                 used.kept = self._fit(ending.kept)
 
-    def _carry_out(
-        self, move: Move, key: str, ticket: Ticket, fingerprint: bytes
-    ) -> Verdict:
+    def _carry_out(self, move: Move, key: str, ticket: Ticket) -> Verdict:
         match move:
-            case Move.RUN:
-                return self._begin(key, ticket, fingerprint)
             case Move.REPLAY:
                 return replay_or_tell(self._used[key].kept)
             case Move.WAIT:
                 return reject_in_progress(self._name)
             case Move.FORWARD:
                 return Redirect(ticket.minter)
-            case Move.UNKNOWN:
+            case _:
                 return self._explain(key, ticket)
 
-    def _begin(self, key: str, ticket: Ticket, fingerprint: bytes) -> Verdict:
+    def _begin(
+        self, key: str, ticket: Ticket, digest: bytes, fingerprint: bytes
+    ) -> Verdict:
         if len(self._used) >= self._max_tickets:
             return reject_full("the table of used keys")
-        self._used[key] = _Used(fingerprint, ticket.expires_ms)
+        self._used[key] = _Used(digest, fingerprint, ticket.expires_ms)
         return Proceed()
 
-    def _explain(self, key: str, ticket: Ticket) -> Reject:
+    def _explain(self, key: str, ticket: Ticket) -> Verdict:
+        if self._locate(ticket, frozenset()) is not Place.HERE:
+            return LookUp(ticket.minter, ticket.incarnation, ticket.expires_ms)
+        detail = "the key has expired"
         if key in self._used:
             detail = "the first request with this key has no known end"
-        elif ticket.minter != self._name:
-            detail = f"the router {ticket.minter} that holds the key is gone"
-        elif ticket.incarnation != self._incarnation:
-            detail = f"the router {self._name} restarted since it gave the key"
-        else:
-            detail = "the key has expired"
-        return reject_unknown(detail, ticket.minter)
+        return reject_unknown(detail, self._name)
 
     def _locate(self, ticket: Ticket, routers: frozenset[str]) -> Place:
         if ticket.minter != self._name:
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -49,6 +49,7 @@
         self.urls = {}
         self._apps = {}
         self._views = {}
+        self._gates = {}
 
     async def start(self, stack, names):
         """Starts the stand-ins and the routers `names`."""
@@ -114,6 +115,7 @@
         )
         self._tg.start_soon(gate.run)
         self._views[name] = router.entries
+        self._gates[name] = gate
         self._apps[name] = CallerApp(
             router.dispatcher,
             HttpBackend(),
@@ -137,6 +139,11 @@
                 while {entry.address for entry in entries()} != wanted:
                     await anyio.sleep(0.05)
 
+    async def stop_and_replace(self, name):
+        """Replaces a router that had time to leave its outcomes behind."""
+        await self._gates[name].flush()
+        await self.replace(name)
+
     async def mint(self, name):
         """Returns a key minted by the router `name`."""
         resp = await self.http.get(
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -40,6 +40,27 @@
         assert len(fleet.service.records) == 1
 
 
+async def test_planned_restart_leaves_the_outcomes_of_minted_keys():
+    async with once_fleet("r1", "r2") as fleet:
+        used, unused = await fleet.mint("r1"), await fleet.mint("r1")
+        first = await fleet.pay("r1", used)
+        await fleet.stop_and_replace("r1")
+        assert (await fleet.pay("r2", used)).content == first.content
+        resp = await fleet.pay("r2", unused)
+        assert (resp.status_code, resp.json()["outcome"]) == (503, "not-run")
+        assert len(fleet.service.records) == 1
+
+
+async def test_minted_keys_are_unknown_if_their_record_cannot_be_read():
+    async with once_fleet("r1") as fleet:
+        unused = await fleet.mint("r1")
+        await fleet.stop_and_replace("r1")
+        fleet.store.faults.set("down", -1)
+        resp = await fleet.pay("r1", unused)
+        assert (resp.status_code, resp.json()["outcome"]) == (409, "unknown")
+        assert fleet.service.records == []
+
+
 async def test_repeat_while_the_first_is_in_progress_does_not_run():
     async with once_fleet("r1", "r2") as fleet:
         fleet.service.faults.set("slow", 1)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -5,7 +5,21 @@
 import pytest
 
 from corianderdoor.core.errors import Kind, Outcome
-from corianderdoor.core.once import Ending, Kept, Proceed, Redirect, Replay
+from corianderdoor.core.minted_record import (
+    decode_record,
+    encode_record,
+    judge_left,
+    UsedKey,
+)
+from corianderdoor.core.once import (
+    digest_key,
+    Ending,
+    Kept,
+    LookUp,
+    Proceed,
+    Redirect,
+    Replay,
+)
 from corianderdoor.core.tickets import TICKET_VALID_MS, TicketDesk
 
 ROUTERS = frozenset({"r1", "r2"})
@@ -61,15 +75,58 @@
     assert ask(build_desk("r2"), key) == Redirect("r1")
 
 
-@pytest.mark.parametrize(
+def ask_after_the_end(desk, left, key, fingerprint=b"f"):
+    """Hands in a key whose minter is gone and left the record `left`."""
+    asked = desk.admit("w1", key, fingerprint, frozenset({"r2"}), 0)
+    assert asked == LookUp("r1", 7, TICKET_VALID_MS)
+    record = decode_record(left).ok if left else None
+    return judge_left(record, asked, digest_key("w1", key), fingerprint)
+
+
+gone = pytest.mark.parametrize(
     "desk", [build_desk("r1", 8), build_desk("r2")], ids=["new", "other"]
 )
-def test_key_of_a_gone_minter_is_unknown_and_not_run(desk):
+
+
+@gone
+def test_key_of_a_minter_that_left_nothing_is_unknown_and_not_run(desk):
     key = build_desk("r1", 7).mint("w1", 0)
-    verdict = desk.admit("w1", key, b"f", frozenset({"r2"}), 0)
+    verdict = ask_after_the_end(desk, b"", key)
     assert verdict.fault.outcome is Outcome.UNKNOWN
 
 
+@gone
+def test_record_of_a_stopped_minter_tells_what_its_keys_did(desk):
+    minter = build_desk("r1", 7)
+    keys = [minter.mint("w1", 0) for _ in range(4)]
+    endings = [Ending(Outcome.RUN, KEPT), Ending(Outcome.UNKNOWN)]
+    for key, ending in zip(keys, endings):
+        ask(minter, key)
+        minter.settle(key, ending)
+    ask(minter, keys[2])  # its run never ends
+    left = minter.leave(1_000)
+    assert ask_after_the_end(desk, left, keys[0]) == Replay(KEPT)
+    for key in keys[1:3]:
+        fault = ask_after_the_end(desk, left, key).fault
+        assert fault.outcome is Outcome.UNKNOWN
+    unused = ask_after_the_end(desk, left, keys[3]).fault
+    assert (unused.kind, unused.outcome) == (Kind.DRAINING, Outcome.NOT_RUN)
+    other = ask_after_the_end(desk, left, keys[0], b"g").fault
+    assert other.kind is Kind.KEY_REUSED
+
+
+def test_key_that_the_record_may_have_lost_is_unknown():
+    minter = build_desk("r1", 7)
+    key = minter.mint("w1", 0)
+    desk = build_desk("r1", 8)
+    late = minter.leave(TICKET_VALID_MS)
+    cut = encode_record(0, [UsedKey(b"d", b"x" * 10, "run")] * 40_000)
+    for left in (late, cut):
+        fault = ask_after_the_end(desk, left, key).fault
+        assert fault.outcome is Outcome.UNKNOWN
+    assert len(cut) < 1_000_000
+
+
 def test_expired_key_is_not_run():
     desk = build_desk()
     key = desk.mint("w1", 0)
