--- a/corianderdoor/core/claims.py
+++ b/corianderdoor/core/claims.py
@@ -55,7 +55,7 @@
     Verdict,
 )
 
-COMMIT_GAP_MS: Final = 200
+COMMIT_GAP_MS: Final = 250
 STORE_BACKOFF_MS: Final = 1_000
 MAX_WAITING: Final = 2_000
 MAX_ENDINGS: Final = 4_000
