Make the test of a change set while no one led fail with its guard off

Change: the watch ends early in the test, and the desired state is read later than all else.

Seen to fail with the guard off: a new lease's first read of the desired state.

--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -20,6 +20,7 @@
 from corianderdoor.core.orders import Order, OrderKind, Step
 from corianderdoor.core.topology import Server
 from corianderdoor.core.weight_loads import LoadLimits
+from corianderdoor.daemons import controller as controller_daemon
 from corianderdoor.daemons.controller import Controller, ControllerSettings
 from corianderdoor.standins.engine_orders import EngineOrders
 from corianderdoor.standins.faults import Faults
@@ -224,7 +225,8 @@
 async def test_change_set_while_no_one_led_comes_before_any_order(
     monkeypatch,
 ):
-    monkeypatch.setattr(SlowStore, "delay_s", 1.5)
+    monkeypatch.setattr(SlowStore, "delay_s", 4.0)
+    monkeypatch.setattr(controller_daemon, "WATCH_MS", 200)
     async with running_place() as place, anyio.create_task_group() as tg:
         version = place.store.write(
             DESIRED_KEY, json.dumps(DESIRED).encode(), 0
