Check leadership by lease and fenced orders by model checking

Cause: lost answers, pauses and clocks of different rates meet in more orders than tests can list.

Change: specs.lease has two controllers, the service and one engine that checks fencing numbers or does not; any step may come at any time, any answer may be late or lost, a controller may stop between any two steps. Five of the eleven guards are the functions that the daemon runs.

--- /dev/null
+++ b/corianderdoor/specs/lease.py
@@ -0,0 +1,372 @@
+"""Specification of leadership by lease and of fenced orders.
+
+Two controllers, the key-value service and one engine. Any step may come at
+any time, so a controller may be paused between any two of its steps and any
+answer may be late or lost. Time passes in ticks; a controller's clock may
+lag behind the service's by the margin in each lease period. Orders stay in
+the network for at most `LONGEST` ticks once their first byte is written.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import enum
+from typing import Final, NamedTuple
+
+import minicheck
+
+from ..core.lease import lease_end_ms, lease_holds, owns_record
+from ..core.orders import accepts_fence, settle_end_ms
+from ..core.records import Record
+
+TTL: Final = 3
+MARGIN: Final = 1
+LONGEST: Final = 1
+MAX_VERSION: Final = 2
+NO_OWNER: Final = ""
+NAMES: Final = ("a", "b")
+NONE: Final = -1
+
+
+class Guards(Record):
+    """The guards of the protocol; a test takes out one at a time.
+
+    Those that are functions are the functions of the core.
+
+    Attributes:
+        lease_end: Until when a lease may be relied on.
+        lease_holds: Whether it still holds.
+        owns_record: Whether a record was written under one's own lease.
+        accepts_fence: Whether an engine follows an order.
+        settle_end: When a new leader may first read an engine.
+        from_sending: A lease counts from before the call was sent.
+        compare: The service writes only over the version last seen.
+        read_unknown: A write without an answer is followed by a read.
+        answer_only: Only an answered renewal extends the lease.
+        last_check: The lease is checked right before the first byte.
+        raise_first: An engine that checks numbers is told the new one
+            before it is read.
+    """
+
+    __slots__ = (
+        "lease_end",
+        "lease_holds",
+        "owns_record",
+        "accepts_fence",
+        "settle_end",
+        "from_sending",
+        "compare",
+        "read_unknown",
+        "answer_only",
+        "last_check",
+        "raise_first",
+    )
+
+    def __init__(self) -> None:
+        self.lease_end: Callable[[int, int, int], int] = lease_end_ms
+        self.lease_holds: Callable[[int, int], bool] = lease_holds
+        self.owns_record: Callable[[str, str], bool] = owns_record
+        self.accepts_fence: Callable[[int, int], bool] = accepts_fence
+        self.settle_end: Callable[[int, int, bool], int] = settle_end_ms
+        self.from_sending = True
+        self.compare = True
+        self.read_unknown = True
+        self.answer_only = True
+        self.last_check = True
+        self.raise_first = True
+
+
+class Phase(enum.IntEnum):
+    """What a controller is doing about the lease."""
+
+    STANDBY = 0
+    GRANTING = 1  # the grant was sent
+    GRANTED = 2  # the service granted, the answer may still be under way
+    UNKNOWN = 3  # the claim was written or not, its answer was lost
+    LEADING = 4
+
+
+class Ctl(NamedTuple):
+    """One controller; times are ticks left by its own clock."""
+
+    phase: Phase = Phase.STANDBY
+    left: int = 0
+    renewal: int = NONE
+    slack: int = 0
+    fence: int = 0
+    settle: int = 0
+    raised: bool = False
+    read: bool = False
+    checked: bool = False
+    network: int = NONE
+    network_fence: int = 0
+
+
+class State(NamedTuple):
+    """The whole state; a tuple, as the checker needs one."""
+
+    a: Ctl = Ctl()
+    b: Ctl = Ctl()
+    owner: str = NO_OWNER
+    version: int = 0
+    last_version: int = 0
+    lease_a: int = 0
+    lease_b: int = 0
+    seen: int = 0
+    read_fence: int = 0
+    last_leader: int = 0
+    fence_fell: bool = False
+    late_order: bool = False
+    read_broken: bool = False
+
+
+Steps = Iterator[tuple[str, State]]
+
+
+class LeaseSpec:
+    """The transitions, under guards and for one kind of engine."""
+
+    __slots__ = ("_guards", "_checks")
+
+    def __init__(self, guards: Guards, checks: bool) -> None:
+        self._guards = guards
+        self._checks = checks
+
+    def protocol(self) -> minicheck.Protocol:
+        """Returns the specification in the checker's form."""
+        return minicheck.Protocol(
+            name="lease",
+            candidate=False,
+            fields=State._fields,
+            initial=State(),
+            transitions=self.steps,
+            invariants={
+                "one_leader": self._has_one_leader,
+                "fences_grow": lambda state: not state["fence_fell"],
+                "no_late_order": lambda state: not state["late_order"],
+                "reads_stay_true": lambda state: not state["read_broken"],
+            },
+        )
+
+    def steps(self, state: State) -> list[tuple[str, State]]:
+        """Returns every step that may come next."""
+        found = list(self._ticks(state))
+        for name in NAMES:
+            found += self._lease_steps(state, name)
+            found += self._order_steps(state, name)
+        return found
+
+    def _has_one_leader(self, state: dict[str, Ctl]) -> bool:
+        return not all(self._leads(state[name]) for name in NAMES)
+
+    def _leads(self, ctl: Ctl) -> bool:
+        holds = self._guards.lease_holds(0, ctl.left)
+        return ctl.phase is Phase.LEADING and holds
+
+    # Time
+
+    def _ticks(self, state: State) -> Steps:
+        for lag_a in (False, True):
+            for lag_b in (False, True):
+                if lag_a > state.a.slack or lag_b > state.b.slack:
+                    continue
+                yield f"tick lag={int(lag_a)}{int(lag_b)}", _pass_time(
+                    state, lag_a, lag_b
+                )
+
+    # The lease
+
+    def _lease_steps(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        match ctl.phase:
+            case Phase.STANDBY:
+                if state.owner == NO_OWNER:
+                    left = self._guards.lease_end(0, TTL, MARGIN)
+                    new = ctl._replace(
+                        phase=Phase.GRANTING, left=left, slack=MARGIN
+                    )
+                    yield f"{name} asks", _put(state, name, new)
+            case Phase.GRANTING:
+                new = ctl._replace(phase=Phase.GRANTED, slack=MARGIN)
+                after = _put(state, name, new)
+                yield f"{name} granted", _set_lease(after, name, TTL)
+                yield f"{name} not granted", _stand_by(state, name)
+            case Phase.GRANTED:
+                yield from self._claim(state, name)
+            case Phase.UNKNOWN:
+                yield from self._confirm(state, name)
+            case Phase.LEADING:
+                yield from self._renew(state, name)
+
+    def _claim(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        if not self._guards.from_sending:
+            left = self._guards.lease_end(0, TTL, MARGIN)
+            ctl = ctl._replace(left=left)
+            state = _put(state, name, ctl)
+        if not self._guards.lease_holds(0, ctl.left):
+            yield f"{name} gives up", _stand_by(state, name)
+            return
+        free = state.owner == NO_OWNER or not self._guards.compare
+        if not free or not _lease_of(state, name):
+            yield f"{name} is beaten", _stand_by(state, name)
+            yield f"{name} claim unknown", self._lose_claim(state, name)
+            return
+        if state.last_version >= MAX_VERSION:
+            return
+        version = state.last_version + 1
+        written = state._replace(
+            owner=name, version=version, last_version=version
+        )
+        yield f"{name} claims", self._lead(written, name, version)
+        yield f"{name} claim lost", self._lose_claim(written, name)
+
+    def _lose_claim(self, state: State, name: str) -> State:
+        if not self._guards.read_unknown:
+            return self._lead(state, name, state.last_version)
+        ctl: Ctl = getattr(state, name)
+        return _put(state, name, ctl._replace(phase=Phase.UNKNOWN))
+
+    def _confirm(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        mine = self._guards.owns_record(state.owner, name)
+        if mine and self._guards.lease_holds(0, ctl.left):
+            yield f"{name} confirms", self._lead(state, name, state.version)
+        else:
+            yield f"{name} stands by", _stand_by(state, name)
+
+    def _lead(self, state: State, name: str, fence: int) -> State:
+        ctl: Ctl = getattr(state, name)
+        settle = self._guards.settle_end(0, LONGEST, self._checks)
+        new = ctl._replace(phase=Phase.LEADING, fence=fence, settle=settle)
+        return _put(state, name, new)._replace(
+            last_leader=max(fence, state.last_leader),
+            fence_fell=state.fence_fell or fence <= state.last_leader,
+        )
+
+    def _renew(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        if not self._guards.lease_holds(0, ctl.left):
+            yield f"{name} lapses", _stand_by(state, name)
+            return
+        renewed = self._guards.lease_end(0, TTL, MARGIN)
+        if ctl.renewal != NONE:
+            left = ctl.renewal if self._guards.from_sending else renewed
+            new = ctl._replace(left=left, renewal=NONE)
+            yield f"{name} renewal answered", _put(state, name, new)
+            lost = ctl._replace(renewal=NONE)
+            yield f"{name} renewal lost", _put(state, name, lost)
+        elif _lease_of(state, name):
+            new = ctl._replace(renewal=renewed, slack=MARGIN)
+            after = _put(state, name, new)
+            yield f"{name} renews", _set_lease(after, name, TTL)
+        if not self._guards.answer_only:
+            # The call never reached the service.
+            new = ctl._replace(left=renewed)
+            yield f"{name} assumes renewal", _put(state, name, new)
+
+    # Orders
+
+    def _order_steps(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        if ctl.network != NONE:
+            yield from self._deliver(state, name)
+        if ctl.checked:
+            yield from self._write(state, name)
+        if not self._leads(ctl):
+            return
+        if self._checks and not ctl.raised:
+            if self._guards.accepts_fence(state.seen, ctl.fence):
+                new = ctl._replace(raised=True)
+                raised = max(state.seen, ctl.fence)
+                after = _put(state, name, new)._replace(seen=raised)
+                yield f"{name} raises", after
+        if not ctl.read and self._may_read(ctl):
+            fence = max(ctl.fence, state.read_fence)
+            after = _put(state, name, ctl._replace(read=True))
+            yield f"{name} reads", after._replace(read_fence=fence)
+        if ctl.read and not ctl.checked and ctl.network == NONE:
+            new = ctl._replace(checked=True)
+            yield f"{name} decides", _put(state, name, new)
+
+    def _may_read(self, ctl: Ctl) -> bool:
+        if self._checks and self._guards.raise_first:
+            return ctl.raised
+        return ctl.settle <= 0
+
+    def _write(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        if self._guards.last_check and not self._leads(ctl):
+            return
+        new = ctl._replace(
+            checked=False, network=LONGEST, network_fence=ctl.fence
+        )
+        current = state.owner == name and state.version == ctl.fence
+        late = state.late_order or not current
+        yield f"{name} writes", _put(state, name, new)._replace(
+            late_order=late
+        )
+
+    def _deliver(self, state: State, name: str) -> Steps:
+        ctl: Ctl = getattr(state, name)
+        fence = ctl.network_fence
+        new = _put(state, name, ctl._replace(network=NONE, network_fence=0))
+        if not self._checks:
+            broken = state.read_broken or fence < state.read_fence
+            yield f"{name} order followed", new._replace(read_broken=broken)
+        elif self._guards.accepts_fence(state.seen, fence):
+            broken = state.read_broken or fence < state.read_fence
+            yield f"{name} order followed", new._replace(
+                seen=max(state.seen, fence), read_broken=broken
+            )
+        else:
+            yield f"{name} order refused", new
+
+
+def _put(state: State, name: str, ctl: Ctl) -> State:
+    if name == "a":
+        return state._replace(a=ctl)
+    return state._replace(b=ctl)
+
+
+def _stand_by(state: State, name: str) -> State:
+    ctl: Ctl = getattr(state, name)
+    new = Ctl(network=ctl.network, network_fence=ctl.network_fence)
+    return _put(state, name, new)
+
+
+def _lease_of(state: State, name: str) -> int:
+    return state.lease_a if name == "a" else state.lease_b
+
+
+def _set_lease(state: State, name: str, ticks: int) -> State:
+    if name == "a":
+        return state._replace(lease_a=ticks)
+    return state._replace(lease_b=ticks)
+
+
+def _pass_time(state: State, lag_a: bool, lag_b: bool) -> State:
+    new = state._replace(
+        a=_age(state.a, lag_a),
+        b=_age(state.b, lag_b),
+        lease_a=max(0, state.lease_a - 1),
+        lease_b=max(0, state.lease_b - 1),
+    )
+    if new.owner != NO_OWNER and not _lease_of(new, new.owner):
+        new = new._replace(owner=NO_OWNER, version=0)
+    return new
+
+
+def _age(ctl: Ctl, lags: bool) -> Ctl:
+    gone = ctl.network == 0
+    ctl = ctl._replace(
+        network=max(NONE, ctl.network - 1),
+        network_fence=0 if gone else ctl.network_fence,
+    )
+    if lags:
+        return ctl._replace(slack=ctl.slack - 1)
+    return ctl._replace(
+        left=max(0, ctl.left - 1),
+        renewal=max(0, ctl.renewal - 1) if ctl.renewal != NONE else NONE,
+        settle=max(0, ctl.settle - 1),
+    )
