Show on real processes that a paused leader gives no order

Cause: virtual time can't show what the system does to a stopped process.

Fleet can start controllers and the weight store.

Seen to fail with the guard off: with the check of the holder's clock out, the script fails because the resumed process never notices that it no longer leads. It gave no late order even so, as its watch had brought it the newer desired state; late orders as such are shown by tests of the core and by the specification.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup demo test check format lint types lock wheel
+.PHONY: setup demo test paused check format lint types lock wheel
 
 setup: $(STAMP)
 
@@ -28,6 +28,9 @@
 types: setup
 	$(PY) -m mypy
 
+paused: setup
+	$(PY) scripts/check_paused_leader.py
+
 check: format lint types test
 
 lock: setup
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -70,10 +70,17 @@
         self._folder.cleanup()
 
     def add_server(
-        self, kind: str, name: str, pool: str, centre: str, capacity: int = 8
+        self,
+        kind: str,
+        name: str,
+        pool: str,
+        centre: str,
+        capacity: int = 8,
+        args: list[str] | None = None,
     ) -> None:
         """Starts a backend server of `kind` and lists it."""
-        self._start_standin(kind, name, ["--capacity", str(capacity)])
+        flags = ["--capacity", str(capacity), *(args or [])]
+        self._start_standin(kind, name, flags)
         self.listing["servers"].append(
             {
                 "name": name,
@@ -117,6 +124,22 @@
         )
         self.start_router(name)
 
+    def start_weights(self) -> None:
+        """Starts the weight store."""
+        self._start_standin("weights")
+
+    def add_controller(self, name: str, **extra: Any) -> None:
+        """Starts a controller."""
+        urls = {
+            f"{kind}_url": self.urls[kind]
+            for kind in ("store", "hosts", "weights")
+        }
+        path = self.folder / f"{name}.json"
+        settings = {"name": name, **urls, **extra}
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        module = "corianderdoor.daemons.controller"
+        self._start(name, [sys.executable, "-m", module, str(path)])
+
     def start_router(self, name: str) -> None:
         """Starts the router whose settings were written before."""
         path = self.folder / f"{name}.json"
