Measure the controller and raise the worth of a priority step

Cause: with 60 s a step, a load that recovers a pool waited behind a whole rollout.

Change: bench/controller.py measures fail-over by lease length, calls for upkeep, waits for weight loads by priority, and the forecast's error across clock changes, with baselines in the same run. weights_ageing_ms goes from 60 s to 1,800 s.

--- /dev/null
+++ b/bench/controller.py
@@ -0,0 +1,369 @@
+"""Measures the controller: fail-over, upkeep, the load queue, the forecast.
+
+All in virtual time with fixed seeds, on the parts that the daemon runs.
+
+    python bench/controller.py [--json FILE] [--plot FILE]
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Iterator
+import datetime
+import heapq
+import json
+import math
+import pathlib
+import random
+import statistics
+import sys
+from typing import Any, Final
+import zoneinfo
+
+from expression import Error, Ok
+
+from corianderdoor.core.errors import Fault, Kind
+from corianderdoor.core.forecast import DayProfile, SLOT_MS
+from corianderdoor.core.lease import LeaseKeeper, LeaseTimes
+from corianderdoor.core.lease_messages import (
+    GrantLease,
+    LeaderRead,
+    LeaderRecord,
+    LeaderWritten,
+    LeaseAction,
+    LeaseEvent,
+    LeaseGranted,
+    LeaseRenewed,
+    ReadLeader,
+    RenewLease,
+    Tick,
+    WriteLeader,
+)
+from corianderdoor.core.weight_loads import LoadLimits, LoadQueue, Priority
+
+HOUR_MS: Final = 3_600_000
+DAY_MS: Final = 24 * HOUR_MS
+RUNS: Final = 40
+CALL_MS: Final = 5
+SIZES: Final = (2 * 10**9, 14 * 10**9, 40 * 10**9)
+CONFLICT: Final = Error(Fault(Kind.CONFLICT, "store-write", ""))
+ENDED: Final = Error(Fault(Kind.LEASE_LOST, "renew-lease", ""))
+Row = dict[str, Any]
+
+
+class Service:
+    """The key-value service, as far as a lease needs it."""
+
+    def __init__(self) -> None:
+        self.leases: dict[str, int] = {}
+        self.record: LeaderRecord | None = None
+        self.ttl_ms = 0
+        self.calls = 0
+        self.version = 0
+
+    def answer(self, action: LeaseAction, now_ms: int) -> LeaseEvent:
+        """Runs one call and returns its answer."""
+        self.calls += 1
+        record = self.record
+        if record and self.leases.get(record.lease, 0) <= now_ms:
+            self.record = None
+        match action:
+            case ReadLeader(call=call):
+                return LeaderRead(call, Ok(self.record))
+            case GrantLease(call=call, ttl_ms=ttl_ms):
+                self.ttl_ms = ttl_ms
+                lease = f"lease-{self.calls}"
+                self.leases[lease] = now_ms + ttl_ms
+                return LeaseGranted(call, Ok(lease))
+            case RenewLease(call=call, lease=lease):
+                if self.leases.get(lease, 0) <= now_ms:
+                    return LeaseRenewed(call, ENDED)
+                self.leases[lease] = now_ms + self.ttl_ms
+                return LeaseRenewed(call, Ok(None))
+            case WriteLeader(call=call, lease=lease):
+                if self.record is not None:
+                    return LeaderWritten(call, CONFLICT)
+                self.version += 1
+                self.record = LeaderRecord("holder", lease, self.version)
+                return LeaderWritten(call, Ok(self.version))
+
+
+class Controllers:
+    """Many lease keepers before one service, in virtual time."""
+
+    def __init__(self, times: LeaseTimes, count: int, seed: int) -> None:
+        rng = random.Random(seed)
+        self.service = Service()
+        self.keepers = []
+        self.due: list[tuple[int, int]] = []
+        for number in range(count):
+            keeper = LeaseKeeper(
+                f"c{number}", times, random.Random(rng.random()), 0
+            )
+            keeper.set_controllers(count, 0)
+            self.keepers.append(keeper)
+            heapq.heappush(self.due, (keeper.next_ms, number))
+        self.dead: set[int] = set()
+
+    def run(self, end_ms: int, until_led: bool = False) -> int:
+        """Runs to `end_ms`, or until one leads; returns the time."""
+        while self.due and self.due[0][0] <= end_ms:
+            now_ms, number = heapq.heappop(self.due)
+            if number in self.dead:
+                continue
+            done_ms = self._step(self.keepers[number], now_ms)
+            next_ms = max(self.keepers[number].next_ms, done_ms + 1)
+            heapq.heappush(self.due, (next_ms, number))
+            if until_led and self.leader(done_ms) is not None:
+                return done_ms
+        return end_ms
+
+    def _step(self, keeper: LeaseKeeper, now_ms: int) -> int:
+        todo = list(keeper.handle(Tick(), now_ms))
+        while todo:
+            answer = self.service.answer(todo.pop(), now_ms)
+            now_ms += CALL_MS
+            todo += keeper.handle(answer, now_ms)
+        return now_ms
+
+    def leader(self, now_ms: int) -> int | None:
+        """Returns who may give orders now."""
+        for number, keeper in enumerate(self.keepers):
+            alive = number not in self.dead
+            if alive and keeper.fence(now_ms) is not None:
+                return number
+        return None
+
+
+def build_times(ttl_ms: int) -> LeaseTimes:
+    """Returns the daemon's proportions for a lease of that length."""
+    return LeaseTimes(ttl_ms, ttl_ms // 9, ttl_ms // 3, 1_000)
+
+
+def measure_failover() -> Iterator[Row]:
+    """Kills the leader at a random time; how long no one leads."""
+    for ttl_ms in (3_000, 9_000, 30_000):
+        for count in (3, 8, 330):
+            gaps = []
+            for seed in range(RUNS):
+                fleet = Controllers(build_times(ttl_ms), count, seed)
+                start_ms = fleet.run(HOUR_MS, until_led=True)
+                kill_ms = start_ms + random.Random(seed).randint(
+                    ttl_ms, 3 * ttl_ms
+                )
+                fleet.run(kill_ms)
+                leader = fleet.leader(kill_ms)
+                if leader is not None:
+                    fleet.dead.add(leader)
+                led_ms = fleet.run(kill_ms + HOUR_MS, until_led=True)
+                gaps.append(led_ms - kill_ms)
+            yield {
+                "lease_s": ttl_ms / 1000,
+                "controllers": count,
+                "median_s": statistics.median(gaps) / 1000,
+                "worst_s": max(gaps) / 1000,
+            }
+
+
+def measure_upkeep() -> Iterator[Row]:
+    """Calls on the service in an hour of steady leadership."""
+    times = build_times(9_000)
+    for count in (3, 8, 60, 330):
+        fleet = Controllers(times, count, 1)
+        fleet.run(60_000)
+        before = fleet.service.calls
+        fleet.run(60_000 + HOUR_MS)
+        each = (count - 1) * HOUR_MS // times.poll_ms
+        renewals = HOUR_MS // times.renew_ms
+        yield {
+            "controllers": count,
+            "calls_per_hour": fleet.service.calls - before,
+            "each_polls_alone": renewals + each,
+        }
+
+
+def measure_queue() -> Iterator[Row]:
+    """Waits by priority, by the delay that a step of priority is worth.
+
+    Steady: loads of all priorities at 90 % of the store's rate. Burst: 150
+    loads of a rollout at once, then all priorities at 60 %.
+    """
+    for scene, load, burst in (("steady", 0.9, 0), ("burst", 0.6, 150)):
+        for ageing_ms in (1, 60_000, 600_000, 1_800_000):
+            limits = LoadLimits(10**9, 20 * 10**9, 8, ageing_ms)
+            waits = run_queue(limits, load, burst)
+            row: Row = {"scene": scene, "ageing_s": ageing_ms // 1000}
+            for priority in Priority:
+                found = sorted(waits[priority])
+                name = priority.name.lower()
+                row[f"{name}_median_s"] = round(
+                    statistics.median(found) / 1000
+                )
+                row[f"{name}_worst_s"] = round(found[-1] / 1000)
+            yield row
+
+
+def run_queue(
+    limits: LoadLimits, load: float, burst: int
+) -> dict[Priority, list[int]]:
+    """Feeds one queue for three hours; returns the waits in ms."""
+    rng = random.Random(5)
+    queue = LoadQueue(limits, rng, 0)
+    gap_ms = statistics.mean(SIZES) / limits.bytes_per_s / load * 1000
+    waits: dict[Priority, list[int]] = {item: [] for item in Priority}
+    queued: dict[tuple[str, str], tuple[int, Priority]] = {}
+    next_ms = 0.0
+    for now_ms in range(0, 3 * HOUR_MS, 100):
+        arrived = [Priority.ROLLOUT] * (burst if now_ms == 0 else 0)
+        while next_ms <= now_ms:
+            arrived.append(rng.choice(list(Priority)))
+            next_ms += rng.expovariate(1 / gap_ms)
+        for priority in arrived:
+            key = (f"engine-{now_ms}-{len(queued)}", "model")
+            queue.add(key, rng.choice(SIZES), priority, now_ms)
+            queued[key] = (now_ms, priority)
+        for key in queue.take(now_ms):
+            start_ms, priority = queued.pop(key)
+            waits[priority].append(now_ms - start_ms)
+            queue.finish(key)
+    for start_ms, priority in queued.values():
+        # Those still waiting count with what they have waited.
+        waits[priority].append(3 * HOUR_MS - start_ms)
+    return waits
+
+
+def shape_load(wall_ms: int, zone: zoneinfo.ZoneInfo) -> float:
+    """The load at a time: two peaks of the local day."""
+    when = datetime.datetime.fromtimestamp(wall_ms / 1000, zone)
+    hour = when.hour + when.minute / 60
+    morning = math.exp(-((hour - 9.5) ** 2) / 2)
+    evening = 0.6 * math.exp(-((hour - 18) ** 2) / 4)
+    return 10 + 100 * (morning + evening)
+
+
+def learn_days(
+    zone_name: str, local_zone: str, start_ms: int, end_ms: int
+) -> DayProfile:
+    """Learns the days of `local_zone` by the clock of `zone_name`."""
+    rng = random.Random(11)
+    zone = zoneinfo.ZoneInfo(local_zone)
+    profile = DayProfile(zone_name)
+    for wall_ms in range(start_ms, end_ms, SLOT_MS // 3):
+        noise = rng.gauss(1, 0.05)
+        profile.observe(wall_ms, shape_load(wall_ms, zone) * noise)
+    return profile
+
+
+def measure_forecast() -> Iterator[Row]:
+    """Error in the week after a clock change, learned in the weeks before."""
+    changes = {"April": (2026, 4, 5), "September": (2026, 9, 6)}
+    for place in ("America/Santiago", "Africa/Addis_Ababa"):
+        for month, date in changes.items():
+            when = datetime.datetime(*date, tzinfo=datetime.UTC)
+            change_ms = int(when.timestamp() * 1000)
+            row: Row = {"place": place, "change": month}
+            for rule, zone in (("local", place), ("fixed_utc", "UTC")):
+                profile = learn_days(
+                    zone, place, change_ms - 21 * DAY_MS, change_ms
+                )
+                row |= measure_error(profile, place, change_ms, rule)
+            yield row
+
+
+def measure_error(
+    profile: DayProfile, place: str, start_ms: int, rule: str
+) -> Row:
+    """Mean error and worst shortfall of a frozen profile over a week."""
+    zone = zoneinfo.ZoneInfo(place)
+    errors, short = [], 0.0
+    for wall_ms in range(start_ms, start_ms + 7 * DAY_MS, SLOT_MS):
+        real = statistics.mean(
+            shape_load(wall_ms + part * SLOT_MS // 3, zone)
+            for part in range(3)
+        )
+        expected = profile.expected(wall_ms) or 0.0
+        errors.append(abs(expected - real) / real)
+        short = max(short, (real - expected) / real)
+    return {
+        f"{rule}_mean_error": round(statistics.mean(errors), 3),
+        f"{rule}_worst_shortfall": round(short, 3),
+    }
+
+
+MEASURES: Final[dict[str, Callable[[], Iterator[Row]]]] = {
+    "failover": measure_failover,
+    "upkeep": measure_upkeep,
+    "queue": measure_queue,
+    "forecast": measure_forecast,
+}
+
+
+def print_table(title: str, rows: list[Row]) -> None:
+    """Prints one measure."""
+    heads = list(rows[0])
+    lines = [heads] + [[str(row[head]) for head in heads] for row in rows]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(heads))]
+    print(f"\n{title}")
+    for line in lines:
+        cells = zip(line, widths, strict=True)
+        print("  ".join(cell.rjust(width) for cell, width in cells))
+
+
+def plot(results: dict[str, list[Row]], path: pathlib.Path) -> None:
+    """Draws fail-over by lease length and the forecast's error."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4))
+    for count in (3, 8, 330):
+        rows = [r for r in results["failover"] if r["controllers"] == count]
+        left.plot(
+            [r["lease_s"] for r in rows],
+            [r["worst_s"] for r in rows],
+            marker="o",
+            label=f"{count} controllers",
+        )
+    left.set(xlabel="lease, s", ylabel="worst time without a leader, s")
+    left.legend()
+    rows = results["forecast"]
+    names = [f"{r['place'].split('/')[1]}\n{r['change']}" for r in rows]
+    spots = range(len(rows))
+    right.bar(
+        [at - 0.2 for at in spots],
+        [r["local_worst_shortfall"] for r in rows],
+        0.4,
+        label="local time",
+    )
+    right.bar(
+        [at + 0.2 for at in spots],
+        [r["fixed_utc_worst_shortfall"] for r in rows],
+        0.4,
+        label="fixed UTC",
+    )
+    right.set_xticks(list(spots), names)
+    right.set_ylabel("worst shortfall, share of the load")
+    right.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> int:
+    """Runs every measure."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--json", type=pathlib.Path)
+    parser.add_argument("--plot", type=pathlib.Path)
+    args = parser.parse_args()
+    results = {name: list(measure()) for name, measure in MEASURES.items()}
+    for name, rows in results.items():
+        print_table(name, rows)
+    if args.json:
+        args.json.write_text(json.dumps(results, indent=1), encoding="utf-8")
+    if args.plot:
+        plot(results, args.plot)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/corianderdoor/daemons/controller.py
+++ b/corianderdoor/daemons/controller.py
@@ -81,7 +81,7 @@
     weights_bytes_per_s: Count = 1_000_000_000
     weights_burst_bytes: Count = 20_000_000_000
     weights_max_running: Count = 8
-    weights_ageing_ms: Millis = 60_000
+    weights_ageing_ms: Millis = 1_800_000
 
     def __post_init__(self) -> None:
         """Refuses lengths under which no order could ever be given.
