--- a/corianderdoor/core/lease.py
+++ b/corianderdoor/core/lease.py
@@ -12,7 +12,7 @@
 import enum
 from functools import singledispatchmethod
 import random
-from typing import Final
+from typing import Final, Protocol
 
 from expression import Result
 
@@ -93,6 +93,17 @@
     STOPPED = "stopped"
 
 
+class Leadership(Protocol):
+    """What those who give orders have to know of a lease."""
+
+    @property
+    def since_ms(self) -> int:
+        """When this controller began to lead, in ms."""
+
+    def fence(self, now_ms: int, needed_ms: int = 0) -> int | None:
+        """Returns the fencing number if an order may be given now."""
+
+
 class LeaseKeeper:
     """Decides when to claim, renew and give up the lease.
 
--- a/corianderdoor/core/reconcile.py
+++ b/corianderdoor/core/reconcile.py
@@ -9,11 +9,12 @@
 
 from functools import singledispatchmethod
 import itertools
-from typing import Final, Protocol
+from typing import Final
 
 from expression import Result
 
 from .errors import Fault, Kind, Outcome
+from .lease import Leadership
 from .orders import Order, OrderKind, Report, settle_end_ms, Step
 from .reconcile_messages import (
     Action,
@@ -39,17 +40,6 @@
 RAISE_FENCE: Final = Step(OrderKind.RAISE_FENCE, "")
 
 
-class Leadership(Protocol):
-    """What the reconciler has to know of the lease."""
-
-    @property
-    def since_ms(self) -> int:
-        """When this controller began to lead, in ms."""
-
-    def fence(self, now_ms: int, needed_ms: int = 0) -> int | None:
-        """Returns the fencing number if an order may be given now."""
-
-
 class ReconcileTimes(Record):
     """Lengths and limits of giving orders.
 
@@ -176,7 +166,7 @@
                 self._tracks.remove(track)
         for server in listed.values():
             track = self._tracks.get(server.name) or self._add(server)
-            track.goal = event.desired.goal(server, event.awake)
+            track.set_goal(event.desired.goal(server, event.awake))
             self._drop_unwanted_load(track)
         return None
 
@@ -281,7 +271,9 @@
     def _advance(
         self, track: Track, now_ms: int, wall_ms: int
     ) -> list[Action]:
-        if track.call or now_ms < track.not_before_ms:
+        if track.call or now_ms < track.rest_until_ms:
+            return []
+        if now_ms < track.not_before_ms:
             return []
         if self._in_flight >= MAX_IN_FLIGHT:
             self._denied[track.server.name] = None
@@ -291,6 +283,8 @@
         if self._must_read(track, now_ms):
             return [ReadState(track.server, self._hold(track))]
         step = track.next_step
+        if step is None and not track.loading:
+            track.rest_until_ms = track.read_ms + self._times.reread_ms
         if step is None or track.loading:
             return []
         if step.loads:
--- a/corianderdoor/core/tracks.py
+++ b/corianderdoor/core/tracks.py
@@ -30,6 +30,7 @@
         load_running: Whether that load was ordered.
         raised: Whether it was told the fencing number.
         not_before_ms: Until when it is left alone, in ms.
+        rest_until_ms: Until when there is nothing to do, in ms.
         failures: Failed calls in a row.
     """
 
@@ -44,6 +45,7 @@
         "load_running",
         "raised",
         "not_before_ms",
+        "rest_until_ms",
         "failures",
     )
 
@@ -64,6 +66,7 @@
         self.load_running = False
         self.raised = False
         self.not_before_ms = not_before_ms
+        self.rest_until_ms = 0
         self.failures = 0
 
     @property
@@ -90,6 +93,12 @@
         meant = self.goal is None or self.goal.serves
         return meant and self.report is not None and self.report.serves
 
+    def set_goal(self, goal: Goal | None) -> None:
+        """Sets what the engine should become."""
+        if goal != self.goal:
+            self.goal = goal
+            self.rest_until_ms = 0
+
     def holds(self, artifact: str) -> bool:
         """Tells whether the engine reports an artifact as loaded."""
         if self.report is None:
--- a/corianderdoor/daemons/order_runner.py
+++ b/corianderdoor/daemons/order_runner.py
@@ -9,7 +9,8 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
-from ..core.reconcile import Leadership, Reconciler
+from ..core.lease import Leadership
+from ..core.reconcile import Reconciler
 from ..core.reconcile_messages import (
     Action,
     Event,
