Tell the mean over one delegate a data centre in large fleets

Cause: each router told its load to all others: 417 bytes to 329 peers a second is 137 KB/s, ten times the whole control budget. A search asked the same cold servers again in each tier.

Change: above 20 routers, digests go to the routers of the data centre; the first of its rendezvous order tells the centre's sums to its like, and the sums of those to its own; periods follow the number of receivers. The ring is patched in a copy. A server that refused for another reason than the mean is not asked again in the same search, and an untold level counts as the mean. The order of servers for a chat moved to core.chat_order.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -13,6 +13,7 @@
 from expression import Result
 
 from corianderdoor.core.home_placement import HomePlacement, TICK_MS
+from corianderdoor.core.load_sums import LoadDigest
 from corianderdoor.core.messages import AskPermit, Req
 from corianderdoor.core.permits import PermitAnswer
 from corianderdoor.core.placement import Later
@@ -263,12 +264,8 @@
     def _tick(self, name: str, core: HomePlacement) -> None:
         if name not in self.live:
             return
-        digest = core.tick(self.loop.now_ms)
-        if digest is None:
-            return
-        self.digests += 1
-        for peer in self.live - {name}:
-            self._deliver(name, peer, digest)
+        core.tick(self.loop.now_ms)
+        self._flush(name)
 
     def _deliver(self, name: str, peer: str, message: Any) -> None:
         def take() -> None:
@@ -296,6 +293,7 @@
             if isinstance(sent.message, PermitAnswer):
                 self._answer(sent.peer, sent.message)
             else:
+                self.digests += isinstance(sent.message, LoadDigest)
                 self._deliver(name, sent.peer, sent.message)
 
     def entry_for(self, req: Req, rng: random.Random) -> str:
--- a/corianderdoor/adapters/peer_load.py
+++ b/corianderdoor/adapters/peer_load.py
@@ -6,7 +6,7 @@
 from functools import singledispatch
 from typing import Final
 
-from ..core.load_sums import LoadDigest, PoolSum
+from ..core.load_sums import LoadDigest, PoolSum, Scope
 from ..core.permits import (
     Ask,
     HandOff,
@@ -88,6 +88,7 @@
 def _(body: LoadDigest, out: Builder) -> None:
     part = out.init("digest")
     part.seq = body.seq
+    part.scope = int(body.scope)
     sums = part.init("sums", len(body.sums))
     for item, slot in zip(body.sums, sums):
         slot.pool = item.pool
@@ -147,7 +148,7 @@
         for item in raw.sums
     )
     levels = tuple((read_name(i.server), i.level) for i in raw.levels)
-    return LoadDigest(raw.seq, sums, levels)
+    return LoadDigest(raw.seq, sums, levels, Scope(raw.scope))
 
 
 _READERS: Final[dict[str, Callable[[Reader], PeerMessage]]] = {
--- a/corianderdoor/adapters/peers.capnp
+++ b/corianderdoor/adapters/peers.capnp
@@ -156,6 +156,7 @@
   seq @0 :UInt64;
   sums @1 :List(PoolSum);
   levels @2 :List(Level);
+  scope @3 :UInt8;
 }
 
 struct PoolSum {
--- a/corianderdoor/core/home_placement.py
+++ b/corianderdoor/core/home_placement.py
@@ -9,13 +9,14 @@
 
 from expression import Error, Ok, Result
 
-from .affinity import ChatMemory
+from .chat_order import ChatOrder
 from .errors import Fault
 from .homes import Homes
 from .load_report import LoadReport
-from .load_sums import LoadDigest, LoadSums
+from .load_spread import DIGEST_MS, LoadSpread
+from .load_sums import LEVEL_STEPS, LoadDigest, LoadSums, Scope
 from .messages import AskPermit, Req
-from .permit_book import LEVEL_STEPS, PermitBook
+from .permit_book import PermitBook
 from .permits import (
     Ask,
     HandOff,
@@ -28,13 +29,11 @@
     Verdict,
 )
 from .placement import Choice, Later, no_server_fault, overload_fault
-from .rendezvous import Ring
 from .search import Search
 from .topology import EntryHost, Server
 
 ASK_TIMEOUT_MS: Final = 60
 TICK_MS: Final = 100
-DIGEST_MS: Final = 1_000
 WAIT_MS: Final = 100
 MAX_WAIT_MS: Final = 2_000
 GONE_KEEP_MS: Final = 10_000
@@ -59,7 +58,7 @@
         "_sums",
         "_book",
         "_homes",
-        "_rings",
+        "_chats",
         "_servers",
         "_searches",
         "_granted",
@@ -67,7 +66,7 @@
         "_outbox",
         "_digest_at_ms",
         "_gone",
-        "_memory",
+        "_spread",
     )
 
     def __init__(
@@ -85,7 +84,7 @@
         self._sums = LoadSums()
         self._book = PermitBook(bound, self._sums, first_seq)
         self._homes = Homes()
-        self._rings: dict[str, Ring] = {}
+        self._chats = ChatOrder()
         self._servers: tuple[Server, ...] = ()
         self._searches: dict[str, Search] = {}
         self._granted: dict[str, tuple[str, int]] = {}
@@ -93,7 +92,7 @@
         self._outbox: list[ToPeer] = []
         self._digest_at_ms = -DIGEST_MS
         self._gone: dict[str, int] = {}
-        self._memory = ChatMemory()
+        self._spread = LoadSpread(me)
 
     @property
     def book(self) -> PermitBook:
@@ -110,13 +109,7 @@
         if servers == self._servers:
             return
         self._servers = servers
-        pools: dict[str, list[Server]] = {}
-        for server in servers:
-            pools.setdefault(server.pool, []).append(server)
-        for pool in [name for name in self._rings if name not in pools]:
-            del self._rings[pool]
-        for pool, members in pools.items():
-            self._rings.setdefault(pool, Ring()).replace(members)
+        self._chats.set_servers(servers)
         names = {server.name for server in servers}
         self._sums.keep_servers(names)
         self._homes.keep_servers(names)
@@ -129,29 +122,15 @@
         if self._homes.set_entries(entries):
             names = self._homes.names()
             self._sums.keep_origins(names)
+            self._spread.set_entries(entries)
             self._gone.update(dict.fromkeys(before - names, now_ms))
             self._take_homes(now_ms)
 
     def first_home(self, pool: str, chat: str) -> str:
         """Returns the home of the chat's first server, empty if none."""
-        ring = self._rings.get(pool)
-        if ring is None:
-            return ""
-        server = next(ring.order(chat), None)
+        server = self._chats.first(pool, chat)
         return "" if server is None else self._homes.find(server)
 
-    def _order(self, req: Req, ring: Ring, now_ms: int) -> Iterator[Server]:
-        """Yields the servers for `req`, the one with its cache first."""
-        if not req.chat:
-            yield from ring.order(req.id)
-            return
-        kept = ring.get(self._memory.find(req.chat, now_ms))
-        if kept is not None:
-            yield kept
-        for server in ring.order(req.chat):
-            if server is not kept:
-                yield server
-
     def choose(
         self,
         req: Req,
@@ -162,10 +141,9 @@
         now_ms: int,
     ) -> Result[Choice, Fault]:
         """Reserves room on a server for `req`, or asks for it."""
-        ring = self._rings.get(pool)
-        if ring is None or _has_no_other(ring, excluded):
+        if not self._chats.has_other(pool, excluded):
             return Error(no_server_fault(pool))
-        order = self._order(req, ring, now_ms)
+        order = self._chats.order(req, pool, now_ms)
         left: Iterator[Server] = (s for s in order if s.name not in excluded)
         if avoided:
             left = iter(sorted(left, key=lambda s: s.name in avoided))
@@ -193,8 +171,7 @@
         if answer is None:
             self._tell(search.home, Release(search.permit, server.name))
         else:
-            search.may_pass |= answer.verdict in PASSING
-        search.looked.append(server)
+            _note_refusal(search, server, answer.verdict)
         search.server = None
         return self._go_on(req, search, now_ms)
 
@@ -240,11 +217,10 @@
         outbox, self._outbox = self._outbox, []
         return outbox
 
-    def tick(self, now_ms: int) -> LoadDigest | None:
-        """Drops what has expired; call about every `TICK_MS`.
+    def tick(self, now_ms: int) -> None:
+        """Drops what has expired and tells what peers should know.
 
-        Returns:
-            What to tell all routers; None if they know enough.
+        Call about every `TICK_MS`; the digests are in the outbox then.
         """
         self._sums.tick(now_ms)
         self._book.tick(now_ms)
@@ -254,11 +230,30 @@
             if now_ms - at_ms < GONE_KEEP_MS
         }
         self._ask_former_homes(now_ms)
-        due = now_ms - self._digest_at_ms >= DIGEST_MS
-        if not due and not self._book.has_news():
-            return None
-        self._digest_at_ms = now_ms
-        return self._book.digest()
+        waited_ms = now_ms - self._digest_at_ms
+        news = waited_ms >= self._spread.news_ms and (
+            self._book.has_news()
+            or (self._spread.is_delegate and self._sums.has_news())
+        )
+        if news or waited_ms >= self._spread.period_ms:
+            self._digest_at_ms = now_ms
+            self._tell_load()
+
+    def _tell_load(self) -> None:
+        digest = self._book.digest()
+        self._sums.mark_told()
+        for peer in self._spread.near:
+            self._tell(peer, digest)
+        if not self._spread.is_delegate:
+            return
+        sums = self._sums.add_up(Scope.ROUTER, digest.sums)
+        centre = LoadDigest(digest.seq, sums, scope=Scope.CENTRE)
+        for peer in self._spread.delegates:
+            self._tell(peer, centre)
+        sums = self._sums.add_up(Scope.CENTRE)
+        rest = LoadDigest(digest.seq, sums, scope=Scope.REST)
+        for peer in self._spread.near if sums else ():
+            self._tell(peer, rest)
 
     @singledispatchmethod
     def _on_message(
@@ -288,6 +283,10 @@
 
     @_on_message.register
     def _(self, message: LoadDigest, peer: str, now_ms: int) -> None:
+        if message.scope == Scope.REST and self._spread.is_delegate:
+            return
+        if message.scope == Scope.CENTRE and not self._spread.is_delegate:
+            return
         self._sums.record(peer, message, now_ms)
 
     def _go_on(
@@ -315,8 +314,7 @@
             answer = self._book.ask(self._me, ask, now_ms)
             if answer.verdict is Verdict.GRANTED:
                 return self._take(req, search, server, now_ms)
-            search.may_pass |= answer.verdict in PASSING
-            search.looked.append(server)
+            _note_refusal(search, server, answer.verdict)
 
     def _end_in_vain(
         self, req: Req, search: Search, now_ms: int
@@ -330,9 +328,8 @@
 
     def _next_server(self, search: Search) -> Server | None:
         """Returns the next server worth a try, or None if none is left."""
-        near = search.tier is not Tier.CHAT_ORDER or (
-            len(search.looked) < MAX_LOOKS
-        )
+        near = search.tier is not Tier.CHAT_ORDER or (search.looks < MAX_LOOKS)
+        search.looks += 1
         if near and search.asks < MAX_ASKS:
             server = next(search.order, None)
             if server is not None:
@@ -358,8 +355,7 @@
     def _take(
         self, req: Req, search: Search, server: Server, now_ms: int
     ) -> Result[Choice, Fault]:
-        if req.chat:
-            self._memory.remember(req.chat, server.name, now_ms)
+        self._chats.remember(req, server, now_ms)
         self._granted[req.id] = (search.home, search.permit)
         del self._searches[req.id]
         return Ok(server)
@@ -389,7 +385,8 @@
             self._outbox.append(ToPeer(peer, message))
 
 
-def _has_no_other(ring: Ring, excluded: Collection[str]) -> bool:
-    if len(ring) > len(excluded):
-        return False
-    return all(server.name in excluded for server in ring.servers())
+def _note_refusal(search: Search, server: Server, verdict: Verdict) -> None:
+    """Keeps a server for later tiers if only the mean stood against it."""
+    search.may_pass |= verdict in PASSING
+    if verdict is Verdict.OVER_MEAN:
+        search.looked.append(server)
--- a/corianderdoor/core/permit_book.py
+++ b/corianderdoor/core/permit_book.py
@@ -7,13 +7,17 @@
 
 from .account import Account, HANDOVER_MS
 from .load_report import LoadReport
-from .load_sums import LoadDigest, LoadSums, PoolSum
+from .load_sums import (
+    have_moved,
+    LEVEL_STEPS,
+    LoadDigest,
+    LoadSums,
+    PoolSum,
+)
 from .permits import Ask, HandOff, PermitAnswer, Release, Verdict
 from .topology import Server
 
-LEVEL_STEPS: Final = 16
 MAX_LEVEL: Final = 255
-NEWS_SHARE: Final = 8
 ENDED_KEEP_MS: Final = 2_000
 
 
@@ -158,11 +162,7 @@
 
     def has_news(self) -> bool:
         """Tells whether a pool's load has moved by much since `digest`."""
-        for pool, (load, _) in self._totals.items():
-            told, _ = self._told.get(pool, (0, 0))
-            if abs(load - told) * NEWS_SHARE > max(load, told):
-                return True
-        return False
+        return have_moved(self._told, self._totals)
 
     def sums(self) -> dict[str, PoolSum]:
         """Returns load and capacity of these servers by pool."""
--- a/corianderdoor/core/rendezvous.py
+++ b/corianderdoor/core/rendezvous.py
@@ -53,13 +53,17 @@
         return len(self._slots)
 
     def replace(self, servers: Iterable[Server]) -> None:
-        """Makes `servers` the members; unchanged ones keep their points."""
+        """Makes `servers` the members; unchanged ones keep their points.
+
+        An order that is being read goes on with the members as they were.
+        """
         wanted = {server.name: server for server in servers}
         gone = [
             server
             for server in self.servers()
             if not _same_points(server, wanted.get(server.name))
         ]
+        self._servers = list(self._servers)
         gone_points = self._drop_members(gone)
         new_points: list[int] = []
         for name, server in wanted.items():
@@ -94,16 +98,18 @@
         return slot
 
     def _patch(self, gone: list[int], new: list[int]) -> None:
-        """Changes few points in place, which is faster than sorting all."""
+        """Changes few points of a copy, faster than sorting all."""
+        points = self._points[:]
         for point in gone:
-            del self._points[bisect_left(self._points, point)]
+            del points[bisect_left(points, point)]
         for point in new:
-            insort(self._points, point)
+            insort(points, point)
+        self._points = points
 
     def order(self, key: str) -> Iterator[Server]:
         """Yields every server once, in the order of `key`."""
         points, servers = self._points, self._servers
-        size = len(points)
+        size, members = len(points), len(self._slots)
         start = bisect(points, xxhash.xxh3_64_intdigest(key.encode()))
         seen: set[int] = set()
         for step in range(size):
@@ -114,7 +120,7 @@
             server = servers[slot]
             if server is not None:
                 yield server
-            if len(seen) == len(self._slots):
+            if len(seen) == members:
                 return
 
     def servers(self) -> list[Server]:
--- a/corianderdoor/core/search.py
+++ b/corianderdoor/core/search.py
@@ -16,7 +16,8 @@
         weight: Work of the request, in tokens.
         order: The servers still to be looked at.
         avoided: Names of servers to use only if no other has room.
-        looked: The servers that had no room.
+        looked: The servers that had no room under the mean.
+        looks: How many servers were looked at.
         server: The server whose home is being asked.
         permit: Id of the permit asked for.
         home: Name of the router being asked.
@@ -33,6 +34,7 @@
         "order",
         "avoided",
         "looked",
+        "looks",
         "server",
         "permit",
         "home",
@@ -57,6 +59,7 @@
         self.order = order
         self.avoided = avoided
         self.looked: list[Server] = []
+        self.looks = 0
         self.server: Server | None = None
         self.permit = 0
         self.home = ""
--- a/corianderdoor/daemons/load_sharing.py
+++ b/corianderdoor/daemons/load_sharing.py
@@ -110,11 +110,7 @@
     async def run_ticks(self) -> None:
         """Tells the load of this router's servers to all, for ever."""
         while True:
-            digest = self._placement.tick(self._clock.now_ms())
-            if digest is not None:
-                for entry in self._entries:
-                    if entry.name != self._name:
-                        self._peers.send(entry.name, digest)
+            self._placement.tick(self._clock.now_ms())
             self.flush()
             await anyio.sleep(TICK_MS / MS_PER_SECOND)
 
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -7,6 +7,7 @@
 
 from corianderdoor.core.affinity import ChatMemory, KEEP_MS, WAYS
 from corianderdoor.core.home_placement import HomePlacement
+from corianderdoor.core.rendezvous import Ring
 
 
 def test_chat_is_found_where_it_went_last():
@@ -38,7 +39,7 @@
     fleet = Routers(1, build_servers(8))
     core = fleet.cores["r0"]
     first = fleet.place("r0", build_req("r1", chat="c1"))
-    core._memory.remember("c1", "e7" if first != "e7" else "e6", 0)
+    core._chats._memory.remember("c1", "e7" if first != "e7" else "e6", 0)
     moved = fleet.place("r0", build_req("r2", chat="c1"))
     assert moved == ("e7" if first != "e7" else "e6")
 
@@ -46,14 +47,26 @@
 def test_chats_of_a_leaving_server_move_to_the_same_next_choice_everywhere():
     servers = build_servers(8)
     joined_late = servers[3:] + servers[:3]
-    orders = []
+    orders, req = [], build_req(chat="c1")
     for view in (servers, joined_late):
         core = HomePlacement("r9", 1.5, random.Random(1))
         core.set_servers(tuple(view), 0)
-        before = [s.name for s in core._rings[POOL].order("c1")]
+        before = [s.name for s in core._chats.order(req, POOL, 0)]
         left = tuple(s for s in view if s.name != before[0])
         core.set_servers(left, 1)
-        after = [s.name for s in core._rings[POOL].order("c1")]
+        after = [s.name for s in core._chats.order(req, POOL, 0)]
         assert after == before[1:]
         orders.append(after)
     assert orders[0] == orders[1]
+
+
+def test_order_that_is_being_read_survives_a_change_of_the_servers():
+    servers = build_servers(8)
+    ring = Ring()
+    ring.replace(servers)
+    expected = [server.name for server in ring.order("c1")]
+    order = ring.order("c1")
+    names = [next(order).name]
+    ring.replace([*servers[6:], *build_servers(20)[12:]])
+    names += [server.name for server in order]
+    assert names == expected
--- a/tests/test_home_placement.py
+++ b/tests/test_home_placement.py
@@ -60,11 +60,9 @@
     def tell_all(self):
         """Exchanges digests between all routers."""
         self.now_ms += 1_000
-        for name, core in self.cores.items():
-            digest = core.tick(self.now_ms)
-            for peer in self.cores.values():
-                if peer is not core and digest is not None:
-                    peer.take_message(name, digest, self.now_ms)
+        for core in self.cores.values():
+            core.tick(self.now_ms)
+        self.pass_on()
 
     def place(self, router, req):
         """Follows one request to its server; None if there is none."""
