Add the two deployments as examples and start the demo from them

Cause: the examples had one rules file; neither deployment's settings, pools or desired state could be started or checked.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
+DEPLOYMENT ?= cuidadoras
 export PYTHONPATH := $(CURDIR)
 
 .PHONY: setup demo test paused check format lint types lock wheel
@@ -13,7 +14,7 @@
 	touch $(STAMP)
 
 demo: setup
-	$(PY) scripts/demo.py
+	DEPLOYMENT=$(DEPLOYMENT) $(PY) scripts/demo.py
 
 test: setup
 	$(PY) -m pytest
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,24 +1,55 @@
-"""The demo: a small fleet, a chat that returns, a payment sent thrice."""
+"""The demo: a deployment's fleet, a chat that returns, a call sent thrice.
+
+The deployment is a folder of `examples`, named by the variable DEPLOYMENT.
+"""
 
 from __future__ import annotations
 
 import json
+import os
 import pathlib
 import sys
+from typing import Any
 
 import anyio
-from fleet import CENTRES, Fleet
+from fleet import Fleet, wait_until
 import httpx
 
 from corianderdoor.client import Client
 
-RULES = pathlib.Path(__file__).parent.parent / "examples" / "demo.rules"
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+FOLDER = EXAMPLES / os.environ.get("DEPLOYMENT", "cuidadoras")
+ORDERS_TIMEOUT_S = 60.0
+# What the script decides itself, as it runs all on loopback.
+OWN_SETTINGS = (
+    "name",
+    "data_centre",
+    "region",
+    "listen",
+    "port",
+    "control_port",
+    "store_url",
+    "hosts_url",
+    "weights_url",
+)
 PROMPT_TOKENS = 2_000
 
 
-async def show_chat(client: Client) -> None:
+def read_example(name: str) -> dict[str, Any]:
+    """Returns one of the deployment's JSON files."""
+    text = (FOLDER / f"{name}.json").read_text(encoding="utf-8")
+    return dict(json.loads(text))
+
+
+def read_settings(name: str) -> dict[str, Any]:
+    """Returns the settings of an example that hold on loopback too."""
+    found = read_example(name).items()
+    return {key: value for key, value in found if key not in OWN_SETTINGS}
+
+
+async def show_chat(client: Client, model: str) -> None:
     """Sends one chat twice; the second time its prompt is cached."""
-    body = {"model": "redactor", "chat": "chat-17"}
+    body = {"model": model, "chat": "chat-17"}
     for turn in (1, 2):
         content = json.dumps(
             {**body, "prompt_tokens": PROMPT_TOKENS, "answer_tokens": 8}
@@ -34,29 +65,29 @@
         )
 
 
-PAYMENT = b'{"family": "f-9", "amount": 41000}'
-OWN_KEY = "payment-2026-12-0001"
+OWN_KEY = "operation-2026-12-0001"
 
 
-async def show_payment(fleet: Fleet) -> None:
-    """Sends a payment through three entry hosts; it runs once."""
+async def show_operation(fleet: Fleet, demo: dict[str, Any]) -> None:
+    """Sends a call that may not be repeated through three entry hosts."""
     entries = [entry["address"] for entry in fleet.listing["entries"]]
-    workspace = {"corianderdoor-workspace": "maule-norte"}
+    workspace = {"corianderdoor-workspace": demo["workspace"]}
+    path, body = demo["operation"], json.dumps(demo["body"]).encode()
     async with httpx.AsyncClient(trust_env=False, headers=workspace) as http:
         minted = await http.get(entries[0] + "/corianderdoor/v1/ticket")
         for key in (minted.json()["key"], OWN_KEY):
             for entry in entries[:3]:
                 resp = await http.post(
-                    entry + "/payments",
+                    entry + path,
                     headers={"idempotency-key": key},
-                    content=PAYMENT,
+                    content=body,
                     follow_redirects=True,
                 )
                 resp.raise_for_status()
                 again = resp.headers.get("corianderdoor-replayed", "0")
-                print(f"payment {key[:20]}: {resp.text} replayed={again}")
+                print(f"{path} {key[:20]}: {resp.text} replayed={again}")
             runs = await count_runs(http, fleet, key)
-            print(f"payment {key[:20]}: sent 3 times, ran {runs} time(s)")
+            print(f"{path} {key[:20]}: sent 3 times, ran {runs} time(s)")
             assert runs == 1
 
 
@@ -74,33 +105,87 @@
 async def run(fleet: Fleet) -> None:
     """Runs the main job against a started fleet."""
     seeds = [entry["address"] for entry in fleet.listing["entries"]]
-    client = Client(seeds, "maule-norte")
+    demo = read_example("deployment")["demo"]
+    client = Client(seeds, demo["workspace"])
     try:
-        await show_chat(client)
-        await show_payment(fleet)
+        await show_chat(client, demo["model"])
+        await show_operation(fleet, demo)
     finally:
         await client.close()
 
 
+def start(fleet: Fleet) -> None:
+    """Starts the processes of the deployment and lists them."""
+    deployment = read_example("deployment")
+    centres = deployment["data_centres"]
+    fleet.start_weights()
+    for pool in deployment["pools"]:
+        flags = [] if pool["checks"] else ["--unfenced"]
+        flags += ["--weights", fleet.urls["weights"]]
+        for number in range(pool["count"]):
+            fleet.add_server(
+                pool["kind"],
+                f"{pool['name']}-{number + 1}",
+                pool["name"],
+                centres[number % len(centres)],
+                pool["capacity"],
+                flags,
+            )
+    for number in range(deployment["entry_hosts"]):
+        centre = centres[number % len(centres)]
+        fleet.add_router(
+            f"entry-{number + 1}", centre, **read_settings("router")
+        )
+    fleet.publish()
+    for number in range(deployment["controllers"]):
+        fleet.add_controller(
+            f"controller-{number + 1}", **read_settings("controller")
+        )
+
+
+def operate(fleet: Fleet, name: str, *args: str) -> None:
+    """Runs the operators' tool.
+
+    Raises:
+        RuntimeError: It refused.
+    """
+    tool = fleet.control(name, *args, "--store", fleet.urls["store"])
+    if tool.wait() != 0:
+        raise RuntimeError(fleet.logs(name))
+
+
+def show_orders(fleet: Fleet) -> None:
+    """Waits until every engine holds what is desired, and lists them."""
+    desired = read_example("desired")["pools"]
+    engines = [
+        (server["address"] + "/state", desired[server["pool"]]["models"])
+        for server in fleet.listing["servers"]
+        if server["engine"]
+    ]
+    wait_until(
+        lambda: all(
+            httpx.get(url).json()["models"] == models
+            for url, models in engines
+        ),
+        "orders",
+        ORDERS_TIMEOUT_S,
+    )
+    operate(fleet, "list", "orders", "list", "--hosts", fleet.urls["hosts"])
+    print(fleet.logs("list"))
+
+
 def main() -> int:
     """Starts the fleet, runs the job and ends every process."""
     with Fleet() as fleet:
-        for number, centre in enumerate(CENTRES):
-            fleet.add_server("engine", f"engine-{number}", "redactor", centre)
-            fleet.add_server(
-                "service", f"accounts-{number}", "cuentas", centre
-            )
-            fleet.add_router(f"entry-{number}", centre)
-        fleet.publish()
-        store = fleet.urls["store"]
-        apply = fleet.control("apply", "apply", str(RULES), "--store", store)
-        if apply.wait() != 0:
-            print(fleet.logs("apply"))
-            return 1
-        fleet.wait_ready()
         try:
+            start(fleet)
+            operate(fleet, "apply", "apply", str(FOLDER / "routing.rules"))
+            desired = str(FOLDER / "desired.json")
+            operate(fleet, "set", "orders", "set", desired)
+            fleet.wait_ready()
             anyio.run(run, fleet)
-        except (httpx.HTTPError, AssertionError):
+            show_orders(fleet)
+        except (httpx.HTTPError, AssertionError, TimeoutError, RuntimeError):
             for name in fleet.procs:
                 print(f"--- {name}\n{fleet.logs(name)}")
             raise
