Say not-run of a key only where no earlier send can have run

Cause: in a trial (4 router processes, 240 payments, one router killed, one stopped, the service down for 1.5 s and losing answers) no payment ran twice, but repeats of keys that the killed router had claimed were told `not-run` while the service was down; a user told so pays again. The client in turn gave up minted keys that had provably not run: 41 of 120 ended `unresolved`.

Change: a router that cannot know of earlier sends says `unknown`, unless the caller declares its first send. The same holds before a router has a configuration. The client declares it, exchanges a minted key that was lost while no send was in doubt, or whose minter says that it never ran and never will. Refusals by the gate are logged like all others.

Seen to fail with the guard off: first send, doubt and own key at the exchange, outcome over all sends: one test each.

Conclusion: the word holds for the operation, not only for one request.

--- a/corianderdoor/adapters/claim_keeper.py
+++ b/corianderdoor/adapters/claim_keeper.py
@@ -30,8 +30,8 @@
 )
 from ..core.claims import ClaimBook
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.errors import Fault, Kind, Outcome
-from ..core.once import Ending, Proceed, Reject, Verdict
+from ..core.errors import Kind, Outcome
+from ..core.once import Ending, Proceed, reject_unchecked, Verdict
 from ..ports.store import Store
 
 CLAIM_TIMEOUT_MS: Final = 5_000
@@ -88,14 +88,8 @@
                 self._handle(shard, Drop(ask.id))
         if waiter.verdict is not None:
             return waiter.verdict
-        return Reject(
-            Fault(
-                Kind.STORE_FAILED,
-                "claim-key",
-                "the key could not be claimed in time",
-                retry_after_ms=CLAIM_RETRY_MS,
-            )
-        )
+        detail = "the key could not be claimed in time"
+        return reject_unchecked(detail, ask.first, CLAIM_RETRY_MS)
 
     async def flush(self) -> None:
         """Waits a little until the log holds every ending."""
--- a/corianderdoor/adapters/once.py
+++ b/corianderdoor/adapters/once.py
@@ -15,7 +15,7 @@
 from ..core.claim_log import choose_home
 from ..core.claim_messages import Ask
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.dispatch import Dispatcher
+from ..core.dispatch import Dispatcher, NOT_READY_RETRY_MS
 from ..core.drain import EntryDrain
 from ..core.errors import Fault, Kind, Outcome
 from ..core.messages import Req
@@ -27,6 +27,7 @@
     Proceed,
     Redirect,
     Reject,
+    reject_unchecked,
     Replay,
     Verdict,
 )
@@ -49,6 +50,7 @@
 
 TICKET_PATH: Final = "/corianderdoor/v1/ticket"
 REPLAYED: Final = (b"corianderdoor-replayed", b"1")
+FIRST: Final = (b"corianderdoor-first-send", b"1")
 HOP: Final = b"corianderdoor-hop=1"
 MAX_LIMIT_MS: Final = 600_000
 LEAVE_TIMEOUT_MS: Final = 1_500
@@ -60,10 +62,11 @@
 class _Keyed:
     """A request with the digests under which its key is known."""
 
-    __slots__ = ("req", "digest", "fingerprint")
+    __slots__ = ("req", "digest", "fingerprint", "first")
 
-    def __init__(self, req: Req, fingerprint: bytes) -> None:
+    def __init__(self, req: Req, fingerprint: bytes, first: bool) -> None:
         self.req = req
+        self.first = first
         self.digest = digest_key(req.workspace, req.key)
         self.fingerprint = fingerprint
 
@@ -159,14 +162,22 @@
             send: Sends to the caller.
             run: Serves the request with no regard to its key.
         """
+        if req.key and self._dispatcher.cfg.revision == 0:
+            unready = reject_unchecked(
+                "this host has no configuration yet",
+                FIRST in scope["headers"],
+                NOT_READY_RETRY_MS,
+                Kind.NOT_READY,
+            )
+            await self._answer(unready, req, scope, send)
+            return
         rule = self._find_rule(req)
         if rule is None or not self._guards(req):
             await run(scope, receive, send)
             return
         scope, hopped = _take_hop(scope)
-        keyed = _Keyed(
-            req, digest_request(req.method, read_target(scope), body)
-        )
+        fingerprint = digest_request(req.method, read_target(scope), body)
+        keyed = _Keyed(req, fingerprint, FIRST in scope["headers"])
         if is_ticket(req.key):
             verdict = await self._judge_ticket(keyed)
         else:
@@ -174,6 +185,7 @@
         log_event(
             "key_checked",
             request_id=req.id,
+            caller_id=req.caller_id,
             workspace=req.workspace,
             verdict=type(verdict).__name__,
         )
@@ -223,7 +235,13 @@
             return Redirect(home or "", final=False)
         limit_ms = min(rule.deadline_ms, keyed.req.deadline_ms or MAX_LIMIT_MS)
         return await self._keeper.admit(
-            Ask(keyed.req.id, keyed.digest, keyed.fingerprint, limit_ms)
+            Ask(
+                keyed.req.id,
+                keyed.digest,
+                keyed.fingerprint,
+                limit_ms,
+                keyed.first,
+            )
         )
 
     async def _run(
@@ -248,7 +266,19 @@
     async def _(
         self, verdict: Reject, req: Req, scope: Scope, send: Send
     ) -> None:
-        await send_problem(send, verdict.fault, req.caller_id)
+        fault = verdict.fault
+        log_event(
+            "request_refused",
+            request_id=req.id,
+            caller_id=req.caller_id,
+            workspace=req.workspace,
+            kind=fault.kind.value,
+            step=fault.step,
+            peer=fault.peer,
+            outcome=fault.outcome.value,
+            detail=fault.detail,
+        )
+        await send_problem(send, fault, req.caller_id)
 
     @_answer.register
     async def _(
--- a/corianderdoor/client_once.py
+++ b/corianderdoor/client_once.py
@@ -16,6 +16,7 @@
 
 TICKET_PATH: Final = "/corianderdoor/v1/ticket"
 HOP: Final = "corianderdoor-hop=1"
+FIRST: Final = "corianderdoor-first-send"
 OUTCOME: Final = "corianderdoor-outcome"
 PROBLEM_PREFIX: Final = "urn:corianderdoor:problem:"
 MAX_REDIRECTS: Final = 3
@@ -81,6 +82,7 @@
         "_minter",
         "_own",
         "_doubt",
+        "_sent",
     )
 
     def __init__(
@@ -108,6 +110,7 @@
         self._own = key != ""
         self._minter = ""
         self._doubt = False
+        self._sent = False
 
     async def run(self, timeout_s: float) -> Result[httpx.Response, Fault]:
         """Sends the request until its outcome is known or time is up.
@@ -197,10 +200,14 @@
         return resp
 
     async def _post(self, url: str, timeout_s: float) -> httpx.Response:
+        headers = {**self._payload.headers, "idempotency-key": self._key}
+        if not self._sent:
+            headers[FIRST] = "1"
+        self._sent = True
         return await self._http.request(
             self._payload.method,
             url,
-            headers={**self._payload.headers, "idempotency-key": self._key},
+            headers=headers,
             content=self._payload.content,
             timeout=timeout_s,
             follow_redirects=False,
@@ -216,13 +223,19 @@
         if fault.kind is Kind.IN_PROGRESS:
             self._doubt = True
             return Error(fault), fault.retry_after_ms or RETRY_MS
+        if fault.kind is Kind.UNRESOLVED and not (self._own or self._doubt):
+            self._key = ""  # lost with its router, and never run
+            return Error(fault.with_outcome(Outcome.NOT_RUN)), RETRY_MS
+        if fault.kind in (Kind.STORE_FAILED, Kind.NOT_READY):
+            return Error(self._word(fault)), fault.retry_after_ms or RETRY_MS
         if fault.outcome is not Outcome.NOT_RUN:
             return Error(fault), 0
-        if self._doubt:
-            fault = fault.with_outcome(Outcome.UNKNOWN)
-        if fault.kind is Kind.DRAINING and not (self._own or self._doubt):
+        if fault.kind is Kind.DRAINING and not self._own:
+            # Only the minter or its last record says so: no send ever ran.
             self._key = ""
+            self._doubt = False
             return Error(fault), RETRY_MS
+        fault = self._word(fault)
         if _was_sent_on(resp):
             return Error(fault), RETRY_MS
         return Error(fault), fault.retry_after_ms or 0
@@ -245,10 +258,13 @@
         )
 
     def _fail(self, detail: str) -> Fault:
+        fault = Fault(Kind.PEER_FAILED, "send-once", detail, self._minter)
+        return self._word(fault)
+
+    def _word(self, fault: Fault) -> Fault:
+        """Returns `fault`, of a send that did not run, for all sends."""
         outcome = Outcome.UNKNOWN if self._doubt else Outcome.NOT_RUN
-        return Fault(
-            Kind.PEER_FAILED, "send-once", detail, self._minter, outcome
-        )
+        return fault.with_outcome(outcome)
 
 
 def _was_sent_on(resp: httpx.Response) -> bool:
--- a/corianderdoor/core/claim_messages.py
+++ b/corianderdoor/core/claim_messages.py
@@ -16,13 +16,20 @@
         digest: Digest of workspace and key.
         fingerprint: Digest of the request.
         limit_ms: Longest time that its run may take, in ms.
+        first: Whether the caller says that it has not sent the key before.
     """
 
-    __slots__ = ("id", "digest", "fingerprint", "limit_ms")
+    __slots__ = ("id", "digest", "fingerprint", "limit_ms", "first")
 
     def __init__(
-        self, id: str, digest: bytes, fingerprint: bytes, limit_ms: int
+        self,
+        id: str,
+        digest: bytes,
+        fingerprint: bytes,
+        limit_ms: int,
+        first: bool = False,
     ) -> None:
+        self.first = first
         self.id = id
         self.digest = digest
         self.fingerprint = fingerprint
--- a/corianderdoor/core/claims.py
+++ b/corianderdoor/core/claims.py
@@ -42,14 +42,14 @@
 )
 from .claim_rule import Holder, judge_claim, Move
 from .claim_view import ShardView
-from .errors import Fault, Kind, Outcome
+from .errors import Outcome
 from .once import (
     Ending,
     Proceed,
-    Reject,
     reject_full,
     reject_in_progress,
     reject_reused,
+    reject_unchecked,
     reject_unknown,
     replay_or_tell,
     Verdict,
@@ -144,7 +144,8 @@
     @_on.register
     def _(self, event: Ask) -> None:
         if self._is_full():
-            verdict = reject_full("the queue of keys to claim")
+            detail = "too many keys wait to be claimed"
+            verdict = reject_unchecked(detail, event.first, STORE_BACKOFF_MS)
             self._actions.append(Decide(event.id, verdict))
             return
         self._asks[event.id] = event
@@ -216,19 +217,13 @@
         self._fail_asks(self._decide_asks(), detail)
 
     def _fail_asks(self, asks: list[Ask], detail: str) -> None:
-        detail += "; whether an earlier request with this key ran is not known"
         for ask in asks:
             claim = self._view.claims.get(ask.digest)
             if claim is not None:
                 self._conclude(ask.id, reject_in_progress(claim.owner))
                 continue
-            fault = Fault(
-                Kind.STORE_FAILED,
-                "claim-key",
-                detail,
-                retry_after_ms=STORE_BACKOFF_MS,
-            )
-            self._conclude(ask.id, Reject(fault))
+            verdict = reject_unchecked(detail, ask.first, STORE_BACKOFF_MS)
+            self._conclude(ask.id, verdict)
             self._orphans.add(ask.digest)
 
     def _note_ending(self, digest: bytes, ending: Ending) -> None:
--- a/corianderdoor/core/once.py
+++ b/corianderdoor/core/once.py
@@ -170,6 +170,35 @@
     return Reject(Fault(Kind.UNRESOLVED, STEP, detail, peer, Outcome.UNKNOWN))
 
 
+def reject_unchecked(
+    detail: str,
+    first: bool,
+    retry_ms: int,
+    kind: Kind = Kind.STORE_FAILED,
+) -> Reject:
+    """Returns the verdict on a key of which nothing can be known now.
+
+    Args:
+        detail: Why.
+        first: Whether the caller says that it has not sent the key before;
+            if it may have, an earlier request may have run.
+        retry_ms: When to come back, in ms.
+        kind: The class of the fault.
+    """
+    outcome = Outcome.NOT_RUN if first else Outcome.UNKNOWN
+    if not first:
+        detail += "; this request was not run, but an earlier one may be"
+    return Reject(
+        Fault(
+            kind,
+            STEP,
+            detail,
+            outcome=outcome,
+            retry_after_ms=retry_ms,
+        )
+    )
+
+
 def reject_draining(router: str) -> Reject:
     """Returns the verdict on an unused key of a router out of service."""
     detail = f"the router {router} is out of service; ask for another key"
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -56,12 +56,12 @@
         owner = f"{name}/{self._started}"
         self.books[name] = ClaimBook(owner, self._slots, self._gap_ms)
 
-    def ask(self, name, key, fingerprint=b"f", limit_ms=10_000):
+    def ask(self, name, key, fingerprint=b"f", limit_ms=10_000, first=True):
         """Hands a request to a router; returns its verdict so far."""
         self._asked += 1
         id = f"q{self._asked}"
         self._keys[id] = key
-        self.handle(name, Ask(id, key, fingerprint, limit_ms))
+        self.handle(name, Ask(id, key, fingerprint, limit_ms, first))
         return self.verdicts.get(id)
 
     def settle(self, name, key, ending=RAN):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -95,6 +95,16 @@
     assert world.ask("r1", A) == Proceed()
 
 
+def test_refusal_with_the_store_down_is_unknown_if_the_key_may_be_a_repeat():
+    world = build_world("r1", "r2")
+    world.ask("r1", A)
+    world.settle("r1", A, RAN)
+    world.down = True
+    fault = world.ask("r2", A, first=False).fault
+    assert (fault.kind, fault.outcome) == (Kind.STORE_FAILED, Outcome.UNKNOWN)
+    assert fault.retry_after_ms
+
+
 def test_known_keys_are_answered_while_the_store_is_down():
     world = build_world("r1")
     world.ask("r1", A)
--- a/tests/test_client_once.py
+++ b/tests/test_client_once.py
@@ -87,6 +87,90 @@
         await client.close()
 
 
+class ScriptedHost:
+    """Answers payments from a script, and mints the keys k1, k2 and so on."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.keys = []
+        self._minted = 0
+
+    def answer(self, request):
+        """Returns the next response, or raises it."""
+        if request.url.path.endswith("/address"):
+            hosts = [{"name": "r1", "address": "http://r1"}]
+            return httpx.Response(200, json={"hosts": hosts, "valid_ms": 9})
+        if request.url.path.endswith("/ticket"):
+            self._minted += 1
+            key = f"k{self._minted}"
+            return httpx.Response(200, json={"key": key, "address": ""})
+        self.keys.append(request.headers["idempotency-key"])
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    async def pay(self, key=""):
+        """Sends one payment through a client."""
+        transport = httpx.MockTransport(self.answer)
+        async with httpx.AsyncClient(transport=transport) as http:
+            client = Client(["http://r1"], "w1", http=http)
+            return await client.request_once("POST", "/payments", key)
+
+
+def build_problem(kind, outcome):
+    """Returns a refusal."""
+    return httpx.Response(
+        409,
+        headers={"corianderdoor-outcome": outcome},
+        json={"type": f"urn:corianderdoor:problem:{kind}"},
+    )
+
+
+async def test_key_that_was_lost_before_any_run_is_exchanged():
+    host = ScriptedHost(
+        build_problem("unresolved", "unknown"), httpx.Response(201)
+    )
+    done = await host.pay()
+    assert done.ok.status_code == 201
+    assert host.keys == ["k1", "k2"]
+
+
+async def test_key_that_its_minter_will_never_run_is_exchanged():
+    host = ScriptedHost(
+        httpx.ReadError("lost"),
+        build_problem("draining", "not-run"),
+        httpx.Response(201),
+    )
+    assert (await host.pay()).ok.status_code == 201
+    assert host.keys == ["k1", "k1", "k2"]
+
+
+@pytest.mark.parametrize("key", ["", "order-7"], ids=["minted", "own"])
+async def test_key_that_may_have_run_is_not_exchanged(key):
+    host = ScriptedHost(
+        httpx.ReadError("lost"),
+        build_problem("in-progress", "unknown"),
+        build_problem("unresolved", "unknown"),
+    )
+    fault = (await host.pay(key)).error
+    assert (fault.kind, fault.outcome) == (Kind.UNRESOLVED, Outcome.UNKNOWN)
+    assert len(set(host.keys)) == 1
+
+
+async def test_own_key_that_is_unresolved_is_final():
+    host = ScriptedHost(build_problem("unresolved", "unknown"))
+    fault = (await host.pay("order-7")).error
+    assert fault.outcome is Outcome.UNKNOWN
+
+
+async def test_refusal_after_a_send_in_doubt_stays_unknown():
+    host = ScriptedHost(
+        httpx.ReadError("lost"), build_problem("no-rule", "not-run")
+    )
+    assert (await host.pay("order-7")).error.outcome is Outcome.UNKNOWN
+
+
 async def test_own_key_is_served_elsewhere_when_its_home_is_gone():
     async with once_fleet("r1", "r2") as fleet:
         client = build_client(fleet)
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -156,6 +156,9 @@
     async with once_fleet("r1", "r2") as fleet:
         fleet.store.faults.set("down", -1)
         resp = await fleet.pay("r1", "order-7")
+        assert (resp.status_code, resp.json()["outcome"]) == (503, "unknown")
+        first = {"corianderdoor-first-send": "1"}
+        resp = await fleet.pay("r1", "order-7", **first)
         assert (resp.status_code, resp.json()["outcome"]) == (503, "not-run")
         assert resp.headers["retry-after"]
         assert fleet.service.records == []
