Load the codecs in the test of shared policies

Cause: run alone, the file failed for want of a codec; together with others it passed, as they load it. Change: the test imports the module that registers them.

--- a/tests/test_policy_sharing.py
+++ b/tests/test_policy_sharing.py
@@ -3,6 +3,7 @@
 from builders import build_req, build_server
 
 from corianderdoor.adapters.keyring import Keyring
+import corianderdoor.adapters.peer_capnp  # noqa: F401 - its codecs
 from corianderdoor.adapters.peer_codec import Opener, Sealer
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.errors import Kind
