--- a/corianderdoor/standins/service.py
+++ b/corianderdoor/standins/service.py
@@ -7,7 +7,8 @@
     GET /load                 load report: in_flight, completed, uptime_ms
     POST /standin/fault?kind=K&count=N
                               slow, silent (after recording), refuse, crash
-    GET /standin/records      calls run so far, as [path, id, key]
+    GET /standin/records      calls run so far, as [path, id, key,
+                              operation]; X-Operation names the last
 """
 
 from __future__ import annotations
@@ -42,7 +43,7 @@
 
     def __init__(self, name: str, clock: Clock | None = None) -> None:
         self.faults = Faults()
-        self.records: list[tuple[str, str, str]] = []
+        self.records: list[tuple[str, str, str, str]] = []
         self._name = name
         self._clock = clock or SystemClock()
         self._started_ms = self._clock.now_ms()
@@ -75,7 +76,8 @@
             headers["corianderdoor-outcome"] = "not-run"
             return Response(status_code=503, headers=headers)
         key = req.headers.get("idempotency-key", "")
-        self.records.append((req.url.path, request_id, key))
+        operation = req.headers.get("x-operation", "")
+        self.records.append((req.url.path, request_id, key, operation))
         if self.faults.take("crash"):
             os._exit(CRASH_EXIT_CODE)
         if self.faults.take("silent"):
