Let a broken connection accuse itself before its server

Cause: a kept connection that its server closes just as a request comes is ordinary. An idempotent request that met one was never sent to that server again, so a pool of one server failed it, although a new connection would have served. The daemon left its connections to the servers open at its end.

Change: after a break or silence the server may be asked again if there is no other; after a crash, a refusal or no connection it is not.

A wrong echo now accuses the server, as its connections are never reused.

--- a/corianderdoor/adapters/backend_http.py
+++ b/corianderdoor/adapters/backend_http.py
@@ -174,7 +174,7 @@
     echoed = resp.headers.get(REQUEST_ID)
     if echoed is not None and echoed != call.id:
         detail = f"the answer belongs to request {echoed}"
-        return AttemptFault(Stage.SENT, detail)
+        return AttemptFault(Stage.SENT, detail, accuses_server=True)
     if offset and (
         echoed is None
         or resp.status_code != httpx.codes.PARTIAL_CONTENT
--- a/corianderdoor/core/dispatch.py
+++ b/corianderdoor/core/dispatch.py
@@ -303,7 +303,8 @@
             self._health.accuse(server.name, self._now_ms)
         if event.retry_after_ms is not None:
             self._health.defer(server.name, event.retry_after_ms, self._now_ms)
-        if event.silent and not event.accuses_server:
+        sent = event.stage in (Stage.SENT, Stage.ANSWER)
+        if sent and not (event.crashed or event.accuses_server):
             flight.doubted.add(server.name)
         else:
             flight.tried.add(server.name)
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -316,6 +316,7 @@
         log_event("router_started", port=sock.getsockname()[1])
         await serve(app, sock, stop, LAST_ANSWERS_S)
         await gate.flush()
+        await backend.close()
         log_event("router_stopped")
         tg.cancel_scope.cancel()
 
--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -144,6 +144,7 @@
         sent = await backend.send(fake.server(), build_call(), *LIMITS)
         assert sent.error.stage is Stage.SENT
         assert "another" in sent.error.detail
+        assert sent.error.accuses_server
 
 
 async def test_crossed_refusal_is_not_believed():
