--- a/corianderdoor/core/records.py
+++ b/corianderdoor/core/records.py
@@ -4,10 +4,11 @@
 
 
 class Record:
-    """A value that compares, hashes and prints by its slots.
+    """A value that compares, hashes and prints by its public slots.
 
     Subclasses name their fields in `__slots__` and assign each of them in
-    `__init__`. Records are not changed after construction unless the
+    `__init__`. Slots with a leading underscore, such as caches, are no part
+    of the value. Records are not changed after construction unless the
     subclass says so.
     """
 
@@ -19,13 +20,22 @@
         return all(
             getattr(self, name) == getattr(other, name)
             for name in self.__slots__
+            if name[0] != "_"
         )
 
     def __hash__(self) -> int:
-        return hash(tuple(getattr(self, name) for name in self.__slots__))
+        return hash(
+            tuple(
+                getattr(self, name)
+                for name in self.__slots__
+                if name[0] != "_"
+            )
+        )
 
     def __repr__(self) -> str:
         fields = ", ".join(
-            f"{name}={getattr(self, name)!r}" for name in self.__slots__
+            f"{name}={getattr(self, name)!r}"
+            for name in self.__slots__
+            if name[0] != "_"
         )
         return f"{type(self).__name__}({fields})"
--- a/corianderdoor/core/rules.py
+++ b/corianderdoor/core/rules.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 import enum
 from fnmatch import translate
@@ -29,6 +30,8 @@
 
 DEFAULT_DEADLINE_MS: Final = 60_000
 MAX_RULES: Final = 10_000
+MAX_KEPT_WORKSPACES: Final = 2_048
+MAX_KEPT_RULES: Final = 200_000
 MAX_LINE_CHARS: Final = 1_000
 MINUTES_PER_HOUR: Final = 60
 SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -168,12 +171,14 @@
             return method in SAFE_METHODS
         return self.idempotent
 
-    def matches(
-        self, workspace: str, path: str, method: str, model: str, wall_ms: int
+    def matches_workspace(self, workspace: str) -> bool:
+        """Tells whether the rule can hold for `workspace`."""
+        return self.workspace is None or bool(self.workspace.match(workspace))
+
+    def matches_rest(
+        self, path: str, method: str, model: str, wall_ms: int
     ) -> bool:
-        """Tells whether every matcher holds; `wall_ms` is Unix time."""
-        if self.workspace and not self.workspace.match(workspace):
-            return False
+        """Tells whether all other matchers hold; `wall_ms` is Unix time."""
         if self.path and not self.path.match(path):
             return False
         if self.methods and method not in self.methods:
@@ -184,22 +189,53 @@
 
 
 class RuleSet(Record):
-    """The rules of one configuration, in file order."""
+    """The rules of one configuration, in file order.
+
+    The rules that can match a workspace are kept for the latest
+    `MAX_KEPT_WORKSPACES` workspaces, `MAX_KEPT_RULES` in all, so that a
+    request looks at those few alone.
+    """
 
-    __slots__ = ("rules",)
+    __slots__ = ("rules", "_by_workspace", "_kept_rules")
 
     def __init__(self, rules: tuple[Rule, ...] = ()) -> None:
         self.rules = rules
+        self._by_workspace: collections.OrderedDict[str, tuple[Rule, ...]] = (
+            collections.OrderedDict()
+        )
+        self._kept_rules = 0
 
     def find(
         self, workspace: str, path: str, method: str, model: str, wall_ms: int
     ) -> Rule | None:
         """Returns the first rule that matches, or None."""
-        for rule in self.rules:
-            if rule.matches(workspace, path, method, model, wall_ms):
+        for rule in self._list_for(workspace):
+            if rule.matches_rest(path, method, model, wall_ms):
                 return rule
         return None
 
+    def _list_for(self, workspace: str) -> tuple[Rule, ...]:
+        """Returns the rules whose pattern of the workspace matches."""
+        kept = self._by_workspace.get(workspace)
+        if kept is not None:
+            self._by_workspace.move_to_end(workspace)
+            return kept
+        found = tuple(
+            rule for rule in self.rules if rule.matches_workspace(workspace)
+        )
+        self._by_workspace[workspace] = found
+        self._kept_rules += len(found)
+        while self._keeps_too_much():
+            _, dropped = self._by_workspace.popitem(last=False)
+            self._kept_rules -= len(dropped)
+        return found
+
+    def _keeps_too_much(self) -> bool:
+        return (
+            len(self._by_workspace) > MAX_KEPT_WORKSPACES
+            or self._kept_rules > MAX_KEPT_RULES
+        )
+
     def pools(self) -> frozenset[str]:
         """Returns the names of all pools that a rule may choose."""
         return frozenset(rule.pool for rule in self.rules)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -60,3 +60,34 @@
     rules = parse_rules(SANTIAGO + " -> p # Rosa").default_value(None)
     found = rules.find("w", "/", "GET", "", wall_s * 1000)
     assert (found is not None) is inside
+
+
+def test_rules_kept_by_workspace_give_what_a_whole_scan_gives():
+    lines = [f"workspace=w{n}* path=/{n % 3} -> p{n} # Rosa" for n in range(9)]
+    rules = parse_rules("\n".join([*lines, "path=/0 -> any # Luis"]))
+    rules = rules.default_value(None)
+    for number in [*range(3_000), *range(10)]:
+        workspace, path = f"w{number}", f"/{number % 3}"
+        scanned = next(
+            (
+                rule
+                for rule in rules.rules
+                if rule.matches_workspace(workspace)
+                and rule.matches_rest(path, "GET", "", 0)
+            ),
+            None,
+        )
+        assert rules.find(workspace, path, "GET", "", 0) is scanned
+    assert len(rules._by_workspace) == 2_048
+    assert rules == parse_rules(
+        "\n".join([*lines, "path=/0 -> any # Luis"])
+    ).default_value(None)
+
+
+def test_rules_kept_for_workspaces_are_bounded_in_all():
+    text = "\n".join(f"path=/{n} -> p # Rosa" for n in range(500))
+    rules = parse_rules(text).default_value(None)
+    for number in range(1_000):
+        assert rules.find(f"w{number}", "/499", "GET", "", 0).line == 500
+    kept = sum(map(len, rules._by_workspace.values()))
+    assert kept == rules._kept_rules <= 200_000
