Spread the configuration from daemon to daemon, upwards only

Cause: every router watched the key-value service, so calls grew with the fleet, a change during an outage of the service reached nobody, and a router restarted in an outage had no configuration.

Change: two daemons of a data centre, by rendezvous over the live ones, watch the service. A new revision is told to four peers at once and rides on every membership message; those behind pull it over signed HTTP on the control port, as the changed span where they hold an older text, checked by a digest. Operators push to the same port. A daemon that starts asks eight peers and takes the highest revision told; two are enough with an answer of the service, which may be stale; after 5 s it goes on with what it has. Routers that membership holds dead no longer count as live in the sharing of load.

`Router.follow_config` is gone. Tests of other matters that used it now run the control of the router, or put the stored configuration in force once. The test of the sharing of load waits until its routers have a configuration, as it did for reports: a start now asks peers first, which takes half a second. Its bounds are the same.

Tests: each was seen to fail its test when off: upwards only, the highest heard, the number of answers, no start without any, the bound on the wait, telling those behind, two watchers, giving up a failed holder, the archive's order, the digest, and the signature on a push.

--- a/corianderdoor/adapters/peer_capnp.py
+++ b/corianderdoor/adapters/peer_capnp.py
@@ -14,6 +14,7 @@
 
 from expression import Error, Ok, Result
 
+from . import peer_config  # noqa: F401 - registers its kinds
 from . import peer_crash  # noqa: F401 - registers its kinds
 from . import peer_load  # noqa: F401 - registers its kinds
 from . import peer_membership  # noqa: F401 - registers its kinds
--- a/corianderdoor/core/config.py
+++ b/corianderdoor/core/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from typing import Final
 
 from expression import Error, Ok, Result
@@ -9,10 +10,11 @@
 
 from .errors import Fault, Kind
 from .records import Record
-from .rules import parse_rules, RuleSet
+from .rules import finish, parse_in_steps, rules_by_line, RuleSet
 
 CONFIG_KEY: Final = "corianderdoor/config"
 MAX_CONFIG_BYTES: Final = 1_000_000
+MAX_HISTORY: Final = 16
 
 
 class Config(Record):
@@ -27,6 +29,7 @@
         rules: The rules as parsed.
         drained_centres: Data centres taken out of service.
         drained_hosts: Hosts taken out of service.
+        history: The changes before this one as "id author", newest first.
     """
 
     __slots__ = (
@@ -37,6 +40,7 @@
         "rules",
         "drained_centres",
         "drained_hosts",
+        "history",
     )
 
     def __init__(
@@ -48,6 +52,7 @@
         rules: RuleSet,
         drained_centres: frozenset[str] = frozenset(),
         drained_hosts: frozenset[str] = frozenset(),
+        history: tuple[str, ...] = (),
     ) -> None:
         self.revision = revision
         self.change_id = change_id
@@ -56,6 +61,7 @@
         self.rules = rules
         self.drained_centres = drained_centres
         self.drained_hosts = drained_hosts
+        self.history = history
 
 
 class _ConfigBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -66,6 +72,7 @@
     rules: str
     drained_centres: list[str] = []
     drained_hosts: list[str] = []
+    history: list[str] = []
 
 
 EMPTY_CONFIG: Final = Config(0, "", "", "", RuleSet())
@@ -79,6 +86,7 @@
         rules=cfg.rules_text,
         drained_centres=sorted(cfg.drained_centres),
         drained_hosts=sorted(cfg.drained_hosts),
+        history=list(cfg.history),
     )
     return msgspec.json.encode(body)
 
@@ -93,6 +101,16 @@
     Returns:
         The configuration, or a `Kind.BAD_CONFIG` fault.
     """
+    return finish(decode_in_steps(raw, revision, EMPTY_CONFIG))
+
+
+def decode_in_steps(
+    raw: bytes, revision: int, old: Config
+) -> Generator[None, None, Result[Config, Fault]]:
+    """Reads a stored configuration and yields after each new line.
+
+    Lines that `old` has too are not parsed again.
+    """
     if len(raw) > MAX_CONFIG_BYTES:
         detail = f"{len(raw)} bytes, at most {MAX_CONFIG_BYTES}"
         return Error(Fault(Kind.BAD_CONFIG, "decode-config", detail))
@@ -100,19 +118,60 @@
         body = msgspec.json.decode(raw, type=_ConfigBody)
     except msgspec.MsgspecError as exc:
         return Error(Fault(Kind.BAD_CONFIG, "decode-config", str(exc)))
-    match parse_rules(body.rules):
+    yield
+    known = rules_by_line(old.rules_text, old.rules)
+    parsed = yield from parse_in_steps(body.rules, known)
+    match parsed:
         case Result(tag="ok", ok=rules):
-            return Ok(
-                Config(
-                    revision,
-                    body.change_id,
-                    body.author,
-                    body.rules,
-                    rules,
-                    frozenset(body.drained_centres),
-                    frozenset(body.drained_hosts),
-                )
-            )
+            return Ok(_build_config(body, revision, rules))
         case Result(error=errors):
             detail = "; ".join(str(error) for error in errors)
             return Error(Fault(Kind.BAD_CONFIG, "parse-rules", detail))
+
+
+def _build_config(body: _ConfigBody, revision: int, rules: RuleSet) -> Config:
+    return Config(
+        revision,
+        body.change_id,
+        body.author,
+        body.rules,
+        rules,
+        frozenset(body.drained_centres),
+        frozenset(body.drained_hosts),
+        tuple(body.history),
+    )
+
+
+def build_change(
+    old: Config,
+    change_id: str,
+    author: str,
+    rules_text: str,
+    rules: RuleSet,
+    drained_centres: frozenset[str],
+    drained_hosts: frozenset[str],
+) -> Config:
+    """Returns the configuration that changes `old`; it names its forerunners.
+
+    Its revision is that of `old`, which the write compares with.
+    """
+    history = old.history
+    if old.change_id:
+        history = (f"{old.change_id} {old.author}", *history)[:MAX_HISTORY]
+    return Config(
+        old.revision,
+        change_id,
+        author,
+        rules_text,
+        rules,
+        drained_centres,
+        drained_hosts,
+        history,
+    )
+
+
+def holds_change(cfg: Config, change_id: str) -> bool:
+    """Tells whether `cfg` is a change or one of its successors."""
+    if cfg.change_id == change_id:
+        return True
+    return any(line.split(" ")[0] == change_id for line in cfg.history)
--- a/corianderdoor/core/rules.py
+++ b/corianderdoor/core/rules.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Generator
+import copy
 import datetime
 import enum
 from fnmatch import translate
 import functools
 import importlib.resources
 import re
-from typing import Final
+from typing import cast, Final, TypeAlias, TypeVar
 import zoneinfo
 
 from expression import Error, Ok, Result
@@ -53,6 +55,9 @@
 }
 
 
+ResultT = TypeVar("ResultT")
+
+
 class Priority(enum.IntEnum):
     """How early a request is shed; a lower value is shed later."""
 
@@ -241,6 +246,9 @@
         return frozenset(rule.pool for rule in self.rules)
 
 
+Parsed: TypeAlias = Result[RuleSet, tuple[RuleError, ...]]
+
+
 @functools.lru_cache(maxsize=64)
 def _load_zone(name: str) -> zoneinfo.ZoneInfo:
     return zoneinfo.ZoneInfo(name)
@@ -256,7 +264,7 @@
     return Lark(grammar, start="rule", parser="lalr")
 
 
-def parse_rules(text: str) -> Result[RuleSet, tuple[RuleError, ...]]:
+def parse_rules(text: str) -> Parsed:
     """Parses a whole rules text, all or nothing.
 
     Args:
@@ -266,17 +274,33 @@
     Returns:
         The rules, or every error found, at most one a line.
     """
+    return finish(parse_in_steps(text, {}))
+
+
+def parse_in_steps(
+    text: str, known: dict[str, Rule]
+) -> Generator[None, None, Parsed]:
+    """Parses a rules text and yields after each line that it has to parse.
+
+    Args:
+        text: The rules, one a line.
+        known: Rules parsed before, by the text of their line.
+    """
     rules: list[Rule] = []
     errors: list[RuleError] = []
     for number, line in enumerate(text.splitlines(), start=1):
         stripped = line.strip()
         if not stripped or stripped.startswith("#"):
             continue
+        if line in known:
+            rules.append(_renumber(known[line], number))
+            continue
         match _parse_line(line, number):
             case Result(tag="ok", ok=rule):
                 rules.append(rule)
             case Result(error=error):
                 errors.append(error)
+        yield
     if len(rules) > MAX_RULES:
         errors.append(
             RuleError(1, 1, f"{len(rules)} rules", f"at most {MAX_RULES}")
@@ -286,6 +310,29 @@
     return Ok(RuleSet(tuple(rules)))
 
 
+def finish(steps: Generator[None, None, ResultT]) -> ResultT:
+    """Runs a generator of steps to its end at once; returns its result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return cast(ResultT, end.value)
+
+
+def rules_by_line(text: str, rules: RuleSet) -> dict[str, Rule]:
+    """Returns the rules of a parsed text by the text of their line."""
+    lines = text.splitlines()
+    return {lines[rule.line - 1]: rule for rule in rules.rules}
+
+
+def _renumber(rule: Rule, number: int) -> Rule:
+    if rule.line == number:
+        return rule
+    moved = copy.copy(rule)
+    moved.line = number
+    return moved
+
+
 def _parse_line(line: str, number: int) -> Result[Rule, RuleError]:
     if len(line) > MAX_LINE_CHARS:
         found = f"{len(line)} characters"
--- /dev/null
+++ b/corianderdoor/daemons/fleet_view.py
@@ -0,0 +1,165 @@
+"""Runs the membership of a daemon: its timer, its messages, its view."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+import anyio
+
+from ..adapters.logs import log_event
+from ..adapters.peer_capnp import UdpPeers
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.membership import Membership
+from ..core.membership_events import (
+    Action,
+    Changed,
+    Event,
+    Forgotten,
+    HostsListed,
+    IncarnationRaised,
+    LeaveRequested,
+    NameTaken,
+    Received,
+    Tick,
+    Transmit,
+)
+from ..core.membership_messages import (
+    Ack,
+    Gossip,
+    IndirectPing,
+    Nack,
+    Ping,
+    State,
+    SyncPage,
+    SyncRequest,
+    Update,
+)
+from ..core.records import Record
+from ..core.topology import EntryHost
+from ..ports.peers import Sender
+
+KINDS = (Ping, IndirectPing, Ack, Nack, SyncRequest, SyncPage)
+MAX_SLEEP_MS = 250
+
+
+class FleetView:
+    """The members as this daemon sees them, kept up to date."""
+
+    __slots__ = (
+        "_core",
+        "_peers",
+        "_clock",
+        "_on_change",
+        "_on_revision",
+        "_controls",
+        "_listed",
+    )
+
+    def __init__(
+        self,
+        own: EntryHost,
+        peers: UdpPeers,
+        clock: Clock,
+        rng: random.Random,
+        on_change: Callable[[], None],
+        on_revision: Callable[[str, int], None],
+    ) -> None:
+        """Creates the view.
+
+        Args:
+            own: This daemon.
+            peers: The datagrams to other daemons.
+            clock: The clock of the daemon.
+            rng: Source of the choice of probes.
+            on_change: Called when a member joined, died or left.
+            on_revision: Called with the name and the revision that each
+                membership message tells.
+        """
+        update = Update(
+            own.name,
+            peers.incarnation,
+            0,
+            State.ALIVE,
+            own.control,
+            own.data_centre,
+            own.region,
+        )
+        self._core = Membership(update, rng, clock.now_ms())
+        self._peers = peers
+        self._clock = clock
+        self._on_change = on_change
+        self._on_revision = on_revision
+        self._controls: dict[str, str] = {}
+        self._listed = False
+        for kind in KINDS:
+            peers.listen(kind, self._receive)
+
+    def alive(self) -> tuple[Update, ...]:
+        """Returns the other daemons believed alive, in order of name."""
+        return self._core.alive()
+
+    def is_alive(self, name: str) -> bool:
+        """Tells whether `name` is believed alive; this daemon always is."""
+        return self._core.is_alive(name)
+
+    def set_revision(self, revision: int) -> None:
+        """Tells peers this revision from now on."""
+        self._core.revision = revision
+
+    def set_listing(self, entries: tuple[EntryHost, ...]) -> None:
+        """Takes the platform's list as a hint of whom to ask."""
+        self._feed(HostsListed(entries))
+        if not self._listed:
+            self._listed = True
+            self._on_change()
+
+    def leave(self) -> None:
+        """Tells the others that this daemon ends."""
+        self._feed(LeaveRequested())
+
+    async def run(self) -> None:
+        """Probes the others, for ever."""
+        while True:
+            left_ms = self._core.due_ms - self._clock.now_ms()
+            sleep_ms = min(max(left_ms, 1), MAX_SLEEP_MS)
+            await anyio.sleep(sleep_ms / MS_PER_SECOND)
+            if self._clock.now_ms() >= self._core.due_ms:
+                self._feed(Tick())
+
+    def _receive(self, sender: Sender, message: Record) -> None:
+        self._feed(Received(sender.name, sender.incarnation, message))
+        gossip = getattr(message, "gossip", None)
+        if isinstance(gossip, Gossip):
+            self._on_revision(sender.name, gossip.revision)
+
+    def _feed(self, event: Event) -> None:
+        changed = False
+        for action in self._core.handle(event, self._clock.now_ms()):
+            changed = self._act(action) or changed
+        if changed:
+            self._on_change()
+
+    def _act(self, action: Action) -> bool:
+        """Carries out an action; tells whether the view changed."""
+        match action:
+            case Transmit(to=to, message=message):
+                self._peers.learn(to, self._controls.get(to, ""))
+                self._peers.send(to, message)
+            case Changed(update=update):
+                self._controls[update.name] = update.control
+                log_event(
+                    "member_changed",
+                    member=update.name,
+                    state=update.state.name.lower(),
+                    incarnation=update.incarnation,
+                )
+                return True
+            case Forgotten(name=name):
+                self._controls.pop(name, None)
+                self._peers.forget(name)
+            case IncarnationRaised(incarnation=incarnation):
+                self._peers.set_incarnation(incarnation)
+            case NameTaken(control=control):
+                log_event("name_taken", "ERROR", control=control)
+        return False
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -18,13 +18,13 @@
 from ..adapters.logs import log_event, set_up_logs
 from ..adapters.once import build_gate
 from ..adapters.otel import OtelTelemetry, push_for_ever
-from ..adapters.peer_capnp import bind_datagrams, UdpPeers
+from ..adapters.peer_capnp import UdpPeers
 from ..adapters.serving import bind_socket, serve
 from ..adapters.settings import Settings
 from ..adapters.store_http import HttpStore
 from ..core.addresses import in_service
 from ..core.clock import Clock, MS_PER_SECOND, SystemClock
-from ..core.config import CONFIG_KEY, decode_config
+from ..core.config import Config
 from ..core.dispatch import Dispatcher
 from ..core.drain import EntryDrain
 from ..core.home_placement import HomePlacement
@@ -35,20 +35,23 @@
 from ..core.topology import EntryHost, HostList, Server
 from ..ports.hosts import Hosts
 from ..ports.peers import Peers
-from ..ports.store import Store, Versioned
+from ..ports.store import Store
 from .command import run_daemon, wait_for_signal
+from .control import bind_control, Control
+from .fleet_view import FleetView
 from .load_sharing import LoadSharing
 from .policy_sharing import PolicySharing
 
 HOSTS_POLL_MS: Final = 1_000
-WATCH_MS: Final = 20_000
-STORE_RETRY_MS: Final = 500
 TRIM_MS: Final = 30_000
 STOP_POLL_MS: Final = 20
 LAST_ANSWERS_S: Final = 5.0
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Name = Annotated[
+    str,
+    msgspec.Meta(min_length=1, max_length=128, pattern="^[A-Za-z0-9._-]+$"),
+]
 
 
 class RouterSettings(Settings, frozen=True):
@@ -67,7 +70,8 @@
         linger_ms: How long a shutdown redirects callers at least, in ms.
         metrics_url: OTLP collector that metrics are pushed to, ending in
             "/v1/metrics"; empty for none.
-        control_port: Port for datagrams between daemons; 0 takes any.
+        control_port: Port for datagrams between daemons and for control
+            over HTTP; 0 takes any.
         fleet_keys: Shared keys of the fleet, the one to sign with first.
     """
 
@@ -104,6 +108,7 @@
         "_listing",
         "_liveness",
         "_drain",
+        "_view",
     )
 
     def __init__(
@@ -140,6 +145,7 @@
         self._listing = HostList()
         self._liveness = Liveness()
         self._drain = EntryDrain(settings.name, settings.data_centre)
+        self._view: FleetView | None = None
 
     @property
     def dispatcher(self) -> Dispatcher:
@@ -170,17 +176,18 @@
         """Returns the entry hosts that the platform lists."""
         return self._listing.entries
 
-    async def follow_config(self) -> None:
-        """Keeps the configuration up to date, for ever."""
-        while True:
-            revision = self._dispatcher.cfg.revision
-            match await self._store.wait_above(CONFIG_KEY, revision, WATCH_MS):
-                case Result(tag="ok", ok=versioned):
-                    if versioned is not None:
-                        self._take_config(versioned)
-                case Result(error=fault):
-                    log_event("store_failed", "WARNING", detail=fault.detail)
-                    await anyio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
+    def enforce(self, cfg: Config) -> None:
+        """Puts `cfg` in force, if it is newer."""
+        if self._dispatcher.set_config(cfg):
+            self._update_servers()
+
+    def join(self, view: FleetView) -> None:
+        """Judges by `view` from now on which routers are live."""
+        self._view = view
+
+    def refresh(self) -> None:
+        """Takes note of a change in the view or the list."""
+        self._update_servers()
 
     async def follow_hosts(self) -> None:
         """Keeps the list of servers up to date, for ever."""
@@ -189,6 +196,8 @@
                 case Result(tag="ok", ok=listing):
                     self._listing = listing
                     self._liveness.take_list(listing, self._clock.now_ms())
+                    if self._view is not None:
+                        self._view.set_listing(listing.entries)
                     self._update_servers()
                 case Result(error=fault):
                     log_event("hosts_failed", "WARNING", detail=fault.detail)
@@ -208,6 +217,8 @@
     async def finish(self) -> None:
         """Sends new work elsewhere until the answers begun have ended."""
         self._drain.stop()
+        if self._view is not None:
+            self._view.leave()
         if self._sharing is not None:
             self._sharing.leave()
         began_ms = self._clock.now_ms()
@@ -225,20 +236,12 @@
         in_progress = self._dispatcher.in_progress > 0
         return in_progress and waited_ms < self._settings.graceful_ms
 
-    def _take_config(self, versioned: Versioned) -> None:
-        match decode_config(versioned.value, versioned.version):
-            case Result(tag="ok", ok=cfg):
-                if self._dispatcher.set_config(cfg):
-                    log_event("config_in_force", revision=cfg.revision)
-                self._update_servers()
-            case Result(error=fault):
-                log_event("config_refused", "ERROR", detail=fault.detail)
-
     def _update_servers(self) -> None:
         now_ms = self._clock.now_ms()
         if self._sharing is not None and not self._drain.stopping:
             cfg = self._dispatcher.cfg
-            live = tuple(in_service(self._listing.entries, cfg))
+            wanted = in_service(self._listing.entries, cfg)
+            live = tuple(filter(self._is_live, wanted))
             self._sharing.set_entries(live)
             if self._policies is not None:
                 self._policies.set_routers(tuple(e.name for e in live))
@@ -247,6 +250,9 @@
             now_ms,
         )
 
+    def _is_live(self, entry: EntryHost) -> bool:
+        return self._view is None or self._view.is_alive(entry.name)
+
     def _takes_work(self, server: Server) -> bool:
         cfg = self._dispatcher.cfg
         return (
@@ -268,9 +274,8 @@
         settings.name, settings.load_bound, rng, started_ms
     )
     router = Router(settings, clock, store, hosts, rng, placement)
-    peers = UdpPeers(
-        Keyring(list(settings.fleet_keys)), settings.name, started_ms
-    )
+    keyring = Keyring(list(settings.fleet_keys))
+    peers = UdpPeers(keyring, settings.name, started_ms)
     sharing = LoadSharing(settings.name, placement, peers, HttpLoads(), clock)
     router.share_load(sharing)
     policies = router.share_policies(peers)
@@ -297,14 +302,23 @@
         policies,
     )
     sock = bind_socket(settings.listen, settings.port)
-    await peers.open(bind_datagrams(settings.listen, settings.control_port))
+    tcp, udp = bind_control(settings.listen, settings.control_port)
+    await peers.open(udp)
+    own = EntryHost(
+        settings.name,
+        settings.data_centre,
+        settings.region,
+        "",
+        f"{settings.listen}:{tcp.getsockname()[1]}",
+    )
+    control = Control(own, store, peers, keyring, clock, rng, router)
 
     async def stop() -> None:
         await wait_for_signal()
         await router.finish()
 
     async with anyio.create_task_group() as tg:
-        tg.start_soon(router.follow_config)
+        tg.start_soon(control.run, tcp)
         tg.start_soon(router.follow_hosts)
         tg.start_soon(router.trim, backend)
         tg.start_soon(gate.run)
@@ -317,6 +331,7 @@
         await serve(app, sock, stop, LAST_ANSWERS_S)
         await gate.flush()
         await backend.close()
+        control.stop()
         log_event("router_stopped")
         tg.cancel_scope.cancel()
 
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -6,6 +6,7 @@
 
 import anyio
 from builders import build_config
+from controls import enforce_stored
 import httpx
 
 from corianderdoor.adapters.backend_http import HttpBackend
@@ -125,7 +126,7 @@
             gate,
         )
         self._tg.start_soon(router.follow_hosts)
-        self._tg.start_soon(router.follow_config)
+        await enforce_stored(router, HttpStore(self.store_url))
         with anyio.fail_after(10):
             while not (router.dispatcher.cfg.revision and router.entries()):
                 await anyio.sleep(0.01)
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -6,6 +6,7 @@
 
 import anyio
 from builders import build_config
+from controls import run_control
 import pytest
 from test_path import serving
 
@@ -45,7 +46,7 @@
 
 @asynccontextmanager
 async def running_router(name, store_url, hosts_url):
-    """Yields a router's URL, control address and placement."""
+    """Yields a router's URL, control address, placement and itself."""
     clock = SystemClock()
     settings = RouterSettings(
         name=name,
@@ -76,16 +77,22 @@
     async with serving(app) as url, anyio.create_task_group() as tg:
         for task in (
             router.follow_hosts,
-            router.follow_config,
             sharing.run_ticks,
             sharing.run_reports,
         ):
             tg.start_soon(task)
-        yield url, control, placement
+        tg.start_soon(run_control, router, settings, clock, peers, control)
+        yield url, control, placement, router
         tg.cancel_scope.cancel()
     peers.close()
 
 
+def is_ready(running):
+    """Tells whether a router has reports and a configuration in force."""
+    _, _, placement, router = running
+    return knows_reports(placement) and router.dispatcher.cfg.revision > 0
+
+
 @asynccontextmanager
 async def running_fleet(engines):
     """Yields the URLs and placements of two routers before `engines`."""
@@ -105,7 +112,7 @@
         listing = {"entries": entries, "servers": servers}
         hosts.put(json.dumps(listing).encode())
         with anyio.fail_after(10):
-            while not (knows_reports(r1[2]) and knows_reports(r2[2])):
+            while not (is_ready(r1) and is_ready(r2)):
                 await anyio.sleep(0.02)
         yield (r1[0], r2[0]), (r1[2], r2[2])
 
