Apply changes once, push them to hosts and wait until all have them

Cause: after a lost answer `corianderdoorctl apply` could not say what had happened, and after a race not who had won; nothing told when a change was in force.

`drain` and `return` take a host or data centre out and in, and go with racing changes. `status` shows the revision of each host. Exit code 3 tells how to find out.

--- /dev/null
+++ b/corianderdoor/tools/config_commands.py
@@ -0,0 +1,231 @@
+"""The commands `apply`, `drain`, `return` and `status`."""
+
+from __future__ import annotations
+
+import argparse
+import getpass
+import json
+import pathlib
+import sys
+from typing import Final
+import uuid
+
+from expression import Result
+
+from ..adapters.control_http import ControlClient
+from ..adapters.hosts_http import HttpHosts
+from ..adapters.keyring import Keyring
+from ..adapters.store_http import HttpStore
+from ..core.config import build_change, Config
+from ..core.errors import Fault, Outcome
+from ..core.rules import parse_rules, RuleSet
+from ..core.topology import EntryHost
+from .changes import read_config, submit, submit_edit
+from .rollout import read_statuses, roll_out
+
+EXIT_DONE: Final = 0
+EXIT_REFUSED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNKNOWN: Final = 3
+
+
+def add_config_parsers(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    """Adds the commands to the operators' tool."""
+    apply = commands.add_parser("apply", help="put a rules file in force")
+    apply.add_argument("rules", type=pathlib.Path)
+    for name, about in (
+        ("drain", "take a host or data centre out of service"),
+        ("return", "bring a host or data centre back"),
+    ):
+        parser = commands.add_parser(name, help=about)
+        parser.add_argument("kind", choices=("host", "data-centre"))
+        parser.add_argument("name")
+        _add_change_options(parser)
+    _add_change_options(apply)
+    status = commands.add_parser("status", help="revision of each host")
+    status.add_argument("--hosts", required=True, help="host list URL")
+    status.add_argument("--keys", type=pathlib.Path, required=True)
+    status.add_argument("--json", action="store_true", help="for programs")
+
+
+def _add_change_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--store", required=True, help="key-value service URL")
+    parser.add_argument("--author", default=getpass.getuser())
+    parser.add_argument(
+        "--hosts", help="host list URL; pushes to hosts and waits for them"
+    )
+    parser.add_argument(
+        "--keys",
+        type=pathlib.Path,
+        help="JSON file with the list of fleet keys, the first one signs",
+    )
+
+
+def read_rules(path: pathlib.Path) -> tuple[str, RuleSet] | None:
+    """Reads a rules file; prints its errors and returns None if any."""
+    text = path.read_text(encoding="utf-8")
+    match parse_rules(text):
+        case Result(tag="ok", ok=rules):
+            return text, rules
+        case Result(error=errors):
+            for error in errors:
+                print(f"{path}: {error}", file=sys.stderr)
+            return None
+
+
+async def run_config(args: argparse.Namespace) -> int:
+    """Runs one of the commands; returns the exit code."""
+    if args.command == "status":
+        return await _status(args)
+    if bool(args.hosts) != bool(args.keys):
+        print("--hosts and --keys go together", file=sys.stderr)
+        return EXIT_USAGE
+    store = HttpStore(args.store)
+    change_id = uuid.uuid4().hex
+    try:
+        if args.command == "apply":
+            return await _apply(store, change_id, args)
+        done = await submit_edit(
+            store, change_id, args.author, lambda old: _move(old, args)
+        )
+        return await _report(done, change_id, args)
+    finally:
+        await store.close()
+
+
+async def _apply(
+    store: HttpStore, change_id: str, args: argparse.Namespace
+) -> int:
+    parsed = read_rules(args.rules)
+    if parsed is None:
+        return EXIT_REFUSED
+    match await read_config(store):
+        case Result(tag="ok", ok=old):
+            pass
+        case Result(error=fault):
+            return report_fault(fault, change_id)
+    new = build_change(
+        old,
+        change_id,
+        args.author,
+        *parsed,
+        old.drained_centres,
+        old.drained_hosts,
+    )
+    return await _report(await submit(store, new), change_id, args)
+
+
+def _move(old: Config, args: argparse.Namespace) -> Config:
+    """Returns `old` with one place taken out or brought back."""
+    centres, hosts = set(old.drained_centres), set(old.drained_hosts)
+    places = hosts if args.kind == "host" else centres
+    if args.command == "drain":
+        places.add(args.name)
+    else:
+        places.discard(args.name)
+    return Config(
+        old.revision,
+        "",
+        "",
+        old.rules_text,
+        old.rules,
+        frozenset(centres),
+        frozenset(hosts),
+    )
+
+
+async def _report(
+    done: Result[Config, Fault], change_id: str, args: argparse.Namespace
+) -> int:
+    match done:
+        case Result(tag="ok", ok=cfg):
+            print(f"applied as revision {cfg.revision}", flush=True)
+            if args.hosts:
+                return await _roll_out(cfg, args)
+            return EXIT_DONE
+        case Result(error=fault):
+            return report_fault(fault, change_id)
+
+
+async def _roll_out(cfg: Config, args: argparse.Namespace) -> int:
+    entries = await _list_entries(args.hosts)
+    if entries is None:
+        return EXIT_UNKNOWN
+    client = ControlClient(_read_keys(args.keys))
+    try:
+        missing = await roll_out(client, entries, cfg, _show_progress)
+    finally:
+        await client.close()
+    print(file=sys.stderr)
+    if not missing:
+        return EXIT_DONE
+    print(
+        f"accepted, but not confirmed by: {', '.join(missing)}\n"
+        "see `corianderdoorctl status`",
+        file=sys.stderr,
+    )
+    return EXIT_UNKNOWN
+
+
+async def _status(args: argparse.Namespace) -> int:
+    entries = await _list_entries(args.hosts)
+    if entries is None:
+        return EXIT_UNKNOWN
+    client = ControlClient(_read_keys(args.keys))
+    try:
+        told = await read_statuses(client, entries)
+    finally:
+        await client.close()
+    if args.json:
+        rows = {
+            name: {"revision": one.revision, "live": len(one.members)}
+            for name, one in told.items()
+            if one is not None
+        }
+        print(json.dumps({name: rows.get(name) for name in sorted(told)}))
+    else:
+        print(f"{'host':24} {'revision':>10} {'live peers':>10}")
+        for name, one in sorted(told.items()):
+            revision = str(one.revision) if one else "no answer"
+            live = str(len(one.members)) if one else ""
+            print(f"{name:24} {revision:>10} {live:>10}")
+    return EXIT_DONE if all(told.values()) else EXIT_UNKNOWN
+
+
+async def _list_entries(url: str) -> tuple[EntryHost, ...] | None:
+    hosts = HttpHosts(url)
+    try:
+        match await hosts.list_hosts():
+            case Result(tag="ok", ok=listing):
+                return listing.entries
+            case Result(error=fault):
+                report_fault(fault, "")
+                return None
+    finally:
+        await hosts.close()
+
+
+def _read_keys(path: pathlib.Path) -> Keyring:
+    return Keyring(json.loads(path.read_text(encoding="utf-8")))
+
+
+def _show_progress(line: str) -> None:
+    end = "" if sys.stderr.isatty() else "\n"
+    start = "\r" if sys.stderr.isatty() else ""
+    print(f"{start}{line}", end=end, file=sys.stderr, flush=True)
+
+
+def report_fault(fault: Fault, change_id: str) -> int:
+    """Prints a fault; returns the exit code that goes with it."""
+    print(f"{fault.step}: {fault.detail} ({fault.peer})", file=sys.stderr)
+    if fault.outcome is not Outcome.UNKNOWN:
+        return EXIT_REFUSED
+    if change_id:
+        print(
+            f"it may have taken effect: look for change {change_id} in the "
+            "configuration's history before you apply it again",
+            file=sys.stderr,
+        )
+    return EXIT_UNKNOWN
