--- a/corianderdoor/core/config.py
+++ b/corianderdoor/core/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
+import enum
 from typing import Final
 
 from expression import Error, Ok, Result
@@ -107,7 +108,7 @@
 def decode_in_steps(
     raw: bytes, revision: int, old: Config
 ) -> Generator[None, None, Result[Config, Fault]]:
-    """Reads a stored configuration and yields after each new line.
+    """Reads a stored configuration and yields before each rule.
 
     Lines that `old` has too are not parsed again.
     """
@@ -120,6 +121,7 @@
         return Error(Fault(Kind.BAD_CONFIG, "decode-config", str(exc)))
     yield
     known = rules_by_line(old.rules_text, old.rules)
+    yield
     parsed = yield from parse_in_steps(body.rules, known)
     match parsed:
         case Result(tag="ok", ok=rules):
@@ -175,3 +177,27 @@
     if cfg.change_id == change_id:
         return True
     return any(line.split(" ")[0] == change_id for line in cfg.history)
+
+
+class Verdict(enum.Enum):
+    """What an operator's tool may say of its change after a conflict."""
+
+    ACCEPTED = "accepted"
+    BEATEN = "beaten"
+    UNKNOWN = "unknown"
+
+
+def judge_change(base: int, found: int, holds: bool) -> Verdict:
+    """Judges a change by what the service holds after a conflict.
+
+    Args:
+        base: Revision that the change was written over.
+        found: Revision that was read; at `base` or below the reading is
+            stale, for a conflict means that the revision has moved.
+        holds: Whether what was read is the change or comes after it.
+    """
+    if holds:
+        return Verdict.ACCEPTED
+    if found <= base:
+        return Verdict.UNKNOWN
+    return Verdict.BEATEN
--- a/corianderdoor/tools/changes.py
+++ b/corianderdoor/tools/changes.py
@@ -17,6 +17,8 @@
     EMPTY_CONFIG,
     encode_config,
     holds_change,
+    judge_change,
+    Verdict,
 )
 from ..core.errors import Fault, Kind, Outcome
 from ..ports.store import Store
@@ -103,18 +105,28 @@
     store: Store, new: Config, outcome: Outcome
 ) -> Result[Config, Fault]:
     """Tells whether `new` is what made the revision move."""
-    match await read_config(store):
-        case Result(tag="ok", ok=found):
-            pass
-        case Result(error=fault):
-            return Error(fault.with_outcome(outcome))
-    if holds_change(found, new.change_id):
-        return Ok(found)
+    fault = Fault(Kind.STORE_FAILED, "submit", "only stale answers")
+    for _ in range(WRITE_ATTEMPTS):
+        match await read_config(store):
+            case Result(tag="ok", ok=found):
+                holds = holds_change(found, new.change_id)
+                match judge_change(new.revision, found.revision, holds):
+                    case Verdict.ACCEPTED:
+                        return Ok(found)
+                    case Verdict.BEATEN:
+                        return Error(_describe_winner(found))
+            case Result(error=fault):
+                pass
+        await anyio.sleep(RETRY_MS / MS_PER_SECOND)
+    return Error(fault.with_outcome(outcome))
+
+
+def _describe_winner(found: Config) -> Fault:
     detail = (
         f"change {found.change_id} of {found.author or 'nobody'} came first, "
         f"as revision {found.revision}"
     )
-    return Error(Fault(Kind.CONFLICT, "submit", detail))
+    return Fault(Kind.CONFLICT, "submit", detail)
 
 
 def _with_revision(cfg: Config, revision: int) -> Config:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -131,6 +131,20 @@
     assert (done.ok.change_id, store.writes) == ("later", 2)
 
 
+@pytest.mark.anyio
+async def test_stale_reading_after_a_conflict_does_not_judge():
+    store = FaultyStore("lost")
+    stale = [Ok(None)]
+    fresh = store.read
+
+    async def read(key):
+        return stale.pop() if stale else await fresh(key)
+
+    store.read = read
+    done = await submit(store, change(EMPTY_CONFIG, "mine"))
+    assert (done.ok.revision, store.writes, stale) == (1, 1, [])
+
+
 @pytest.mark.anyio
 async def test_service_that_never_answers_leaves_the_outcome_unknown():
     store = FaultyStore("lost", *["down"] * 9)
