--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,53 @@
+"""Tests that the log events are listed and stay one line each."""
+
+import ast
+import pathlib
+import re
+
+from loguru import logger
+
+from corianderdoor.adapters.logs import log_event, set_up_logs
+
+ROOT = pathlib.Path(__file__).parent.parent
+ROW = re.compile(r"^\| `([a-z_]+)` \|", re.MULTILINE)
+
+
+def find_events() -> set[str]:
+    """Returns the name of every event that the package writes."""
+    names: set[str] = set()
+    for path in (ROOT / "corianderdoor").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+            if isinstance(node, ast.Call) and "log_event" in (
+                getattr(node.func, "id", ""),
+                getattr(node.func, "attr", ""),
+            ):
+                names |= read_names(node.args[0])
+    return names
+
+
+def read_names(node: ast.expr) -> set[str]:
+    """Returns the names that `node` may have; it must be literal."""
+    if isinstance(node, ast.IfExp):
+        return read_names(node.body) | read_names(node.orelse)
+    assert isinstance(node, ast.Constant), ast.dump(node)
+    return {node.value}
+
+
+def test_every_event_is_listed_and_every_listed_event_exists():
+    rows = ROW.findall((ROOT / "docs" / "LOGS.md").read_text("utf-8"))
+    assert len(rows) == len(set(rows))
+    assert set(rows) == find_events()
+
+
+def test_value_with_spaces_quotes_and_newlines_stays_one_pair(capsys):
+    set_up_logs("router", "entry-1")
+    try:
+        log_event("trial", detail='a "b"\nc=d\t\\ {e}', peer="s1", empty="")
+    finally:
+        logger.remove()
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1
+    assert lines[0].endswith(
+        r'host=entry-1 event=trial detail="a \"b\"\nc=d\t\\ {e}" '
+        'peer=s1 empty=""'
+    )
