Escape what does not print in log values

Cause: only newline and tab were escaped. A carriage return, U+0085, U+2028 or an escape sequence in a peer's text reached the log as it was: one value with three of them was three lines to a reader that splits at all line ends. Change: every character that does not print is escaped. Seen to fail: the new test with the old code.

--- a/corianderdoor/adapters/logs.py
+++ b/corianderdoor/adapters/logs.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-NEEDS_QUOTES = frozenset(' "=\n\t')
+NEEDS_QUOTES = frozenset(' "=')
 
 
 def format_pairs(pairs: dict[str, Any]) -> str:
@@ -17,11 +17,17 @@
 
 def _quote(value: Any) -> str:
     text = str(value)
-    if text and not NEEDS_QUOTES.intersection(text):
+    if text.isprintable() and text and not NEEDS_QUOTES.intersection(text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    escaped = escaped.replace("\n", "\\n").replace("\t", "\\t")
-    return f'"{escaped}"'
+    return f'"{"".join(map(_escape, escaped))}"'
+
+
+def _escape(char: str) -> str:
+    """Returns `char` so that it neither ends a line nor moves a cursor."""
+    if char.isprintable():
+        return char
+    return char.encode("unicode_escape").decode("ascii")
 
 
 def set_up_logs(daemon: str, name: str, level: str = "INFO") -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,7 +6,11 @@
 
 from loguru import logger
 
-from corianderdoor.adapters.logs import log_event, set_up_logs
+from corianderdoor.adapters.logs import (
+    format_pairs,
+    log_event,
+    set_up_logs,
+)
 
 ROOT = pathlib.Path(__file__).parent.parent
 ROW = re.compile(r"^\| `([a-z_]+)` \|", re.MULTILINE)
@@ -51,3 +55,8 @@
         r'host=entry-1 event=trial detail="a \"b\"\nc=d\t\\ {e}" '
         'peer=s1 empty=""'
     )
+
+
+def test_value_from_a_peer_cannot_end_a_line_or_move_a_cursor():
+    text = format_pairs({"detail": "a\rb\x1b[2J\u2028c\x85d\udc80"})
+    assert text == r'detail="a\rb\x1b[2J\u2028c\x85d\udc80"'
