--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -13,20 +13,23 @@
 )
 
 ROOT = pathlib.Path(__file__).parent.parent
-ROW = re.compile(r"^\| `([a-z_]+)` \|", re.MULTILINE)
+ROW = re.compile(r"^\| `([a-z_]+)` \|[^|]*\|([^|]*)\|", re.MULTILINE)
+KEYS = re.compile(r"`([a-z_ ]+)`")
 
 
-def find_events() -> set[str]:
-    """Returns the name of every event that the package writes."""
-    names: set[str] = set()
+def find_events() -> dict[str, set[str]]:
+    """Returns each event that the package writes, with its keys."""
+    events: dict[str, set[str]] = {}
     for path in (ROOT / "corianderdoor").rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text("utf-8"))):
             if isinstance(node, ast.Call) and "log_event" in (
                 getattr(node.func, "id", ""),
                 getattr(node.func, "attr", ""),
             ):
-                names |= read_names(node.args[0])
-    return names
+                for name in read_names(node.args[0]):
+                    found = {str(pair.arg) for pair in node.keywords}
+                    events.setdefault(name, set()).update(found)
+    return events
 
 
 def read_names(node: ast.expr) -> set[str]:
@@ -37,10 +40,13 @@
     return {node.value}
 
 
-def test_every_event_is_listed_and_every_listed_event_exists():
+def test_every_event_is_listed_with_its_keys_and_no_other_is():
     rows = ROW.findall((ROOT / "docs" / "LOGS.md").read_text("utf-8"))
-    assert len(rows) == len(set(rows))
-    assert set(rows) == find_events()
+    listed = {
+        name: set(" ".join(KEYS.findall(keys)).split()) for name, keys in rows
+    }
+    assert len(rows) == len(listed)
+    assert listed == find_events()
 
 
 def test_value_with_spaces_quotes_and_newlines_stays_one_pair(capsys):
