Take the drain check's rules from the examples that are there

Cause: examples/demo.rules went away while the check was being landed, so the check failed at its first step.

--- a/scripts/drain_check.py
+++ b/scripts/drain_check.py
@@ -15,7 +15,8 @@
 from fleet import CENTRES, Fleet, wait_until
 import httpx
 
-RULES = pathlib.Path(__file__).parent.parent / "examples" / "demo.rules"
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+RULES = EXAMPLES / "cuidadoras" / "routing.rules"
 LIMIT_S = 3.0
 WATCH_S = 3.0
 PAUSE_S = 0.1
