Require real fleet keys, and run the trial whole

Cause: the router's settings had a default fleet key that anyone can read. The trial waited for a router that it had ended, since the platform's list still held it, and counted drained engines into the skew. The trial takes the ended router off the list; it writes its samples; make trial runs it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 DEPLOYMENT ?= cuidadoras
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup demo test paused check format lint types lock wheel
+trial: setup
+	$(PY) scripts/trial.py
+
+.PHONY: trial setup demo test paused check format lint types lock wheel
 
 setup: $(STAMP)
 
--- a/corianderdoor/daemons/router.py
+++ b/corianderdoor/daemons/router.py
@@ -48,6 +48,7 @@
 LAST_ANSWERS_S: Final = 5.0
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+FleetKey = Annotated[str, msgspec.Meta(min_length=16, max_length=256)]
 Name = Annotated[
     str,
     msgspec.Meta(min_length=1, max_length=128, pattern="^[A-Za-z0-9._-]+$"),
@@ -82,14 +83,12 @@
     port: Port
     store_url: str
     hosts_url: str
+    fleet_keys: Annotated[tuple[FleetKey, ...], msgspec.Meta(min_length=1)]
     load_bound: Annotated[float, msgspec.Meta(gt=1.0, le=10.0)] = 1.5
     graceful_ms: Annotated[int, msgspec.Meta(ge=0)] = 120_000
     linger_ms: Annotated[int, msgspec.Meta(ge=0)] = 2_000
     metrics_url: str = ""
     control_port: Port = 0
-    fleet_keys: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)] = (
-        "change-me",
-    )
 
 
 class Router:
--- a/scripts/drain_check.py
+++ b/scripts/drain_check.py
@@ -57,7 +57,7 @@
 def control(fleet: Fleet, name: str, *args: str) -> None:
     """Runs the operators' tool and fails unless it is done."""
     keys = fleet.folder / "keys.json"
-    keys.write_text('["demo-key"]')
+    keys.write_text('["a key for demos only"]')
     urls = fleet.urls
     options = ["--store", urls["store"], "--hosts", urls["hosts"]]
     proc = fleet.control(name, *args, *options, "--keys", str(keys))
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -104,7 +104,7 @@
             "listen": "127.0.0.1",
             "port": port,
             "control_port": control,
-            "fleet_keys": ["demo-key"],
+            "fleet_keys": ["a key for demos only"],
             "store_url": self.urls["store"],
             "hosts_url": self.urls["hosts"],
             "graceful_ms": 5_000,
--- a/scripts/trial.py
+++ b/scripts/trial.py
@@ -28,8 +28,11 @@
 from corianderdoor.client import Client
 from corianderdoor.core.errors import Outcome
 
-RULES = pathlib.Path(__file__).parent.parent / "examples" / "demo.rules"
-KEYS = ["trial-fleet-key"]
+RULES = """\
+path=/v1/chat method=POST -> redactor idempotent=yes deadline=30s # trial
+path=/payments method=POST -> cuentas idempotent=no deadline=20s # trial
+"""
+KEYS = ["a key for trials only"]
 ROUTERS = 8
 ENGINES = 5
 SERVICES = 3
@@ -67,6 +70,7 @@
         self.began = time.monotonic()
         self.ledger = Ledger()
         self.events: list[tuple[float, str]] = []
+        self.out_of_service = ""
 
     def now(self) -> float:
         """Returns seconds since the start."""
@@ -192,12 +196,14 @@
 
     async def watch_load(self) -> None:
         """Samples the engines' requests in progress."""
-        engines = [s for s in self.fleet.listing["servers"] if s["engine"]]
+        servers = self.fleet.listing["servers"]
         async with httpx.AsyncClient(trust_env=False) as http:
             while not self.over():
                 loads = [
-                    (await http.get(engine["address"] + "/load")).json()
-                    for engine in engines
+                    (await http.get(server["address"] + "/load")).json()
+                    for server in servers
+                    if server["engine"]
+                    and server["data_centre"] != self.out_of_service
                 ]
                 counts = [load["in_flight"] for load in loads]
                 self.ledger.loads.append((self.now(), counts))
@@ -208,7 +214,11 @@
         await self.wait_for(0.2)
         self.note("ending router entry-7")
         await anyio.to_thread.run_sync(self.fleet.stop, "entry-7")
+        entries = self.fleet.listing["entries"]
+        entries[:] = [e for e in entries if e["name"] != "entry-7"]
+        await anyio.to_thread.run_sync(self.fleet.publish)
         await self.wait_for(0.35)
+        self.out_of_service = "dc-b"
         await self.operate("drain", "data-centre", "dc-b")
         await anyio.sleep(NO_NEW_WORK_S)
         before = await self.count_records("dc-b")
@@ -217,6 +227,7 @@
         self.ledger.drained = {"before": before, "after": after}
         self.note(f"new work in dc-b while drained: {after - before}")
         await self.operate("return", "data-centre", "dc-b")
+        self.out_of_service = ""
         await self.wait_for(0.75)
         self.note("stopping the key-value service")
         await anyio.to_thread.run_sync(self.fleet.stop, "store")
@@ -345,7 +356,9 @@
     fleet.publish()
     fleet.start_weights()
     fleet.add_controller("controller-0")
-    if operate(fleet, "apply", str(RULES)) != 0:
+    rules = fleet.folder / "routing.rules"
+    rules.write_text(RULES, encoding="utf-8")
+    if operate(fleet, "apply", str(rules)) != 0:
         raise RuntimeError(fleet.logs("ctl-apply"))
     fleet.wait_ready()
 
@@ -378,7 +391,16 @@
     print(f"audit: {len(broken)} promises broken")
     if args.out:
         args.out.write_text(
-            json.dumps({"figures": figures, "broken": broken}), "utf-8"
+            json.dumps(
+                {
+                    "figures": figures,
+                    "broken": broken,
+                    "events": trial.events,
+                    "loads": trial.ledger.loads,
+                    "first_chunk_ms": trial.ledger.first_ms,
+                }
+            ),
+            "utf-8",
         )
     return 1 if broken else 0
 
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -91,6 +91,7 @@
     async def replace(self, name):
         """Puts a new incarnation, which knows nothing, in place of one."""
         settings = RouterSettings(
+            fleet_keys=("a key for tests only",),
             name=name,
             data_centre="dc-a",
             region="region-1",
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -49,6 +49,7 @@
     """Yields a router's URL, control address, placement and itself."""
     clock = SystemClock()
     settings = RouterSettings(
+        fleet_keys=("a key for tests only",),
         name=name,
         data_centre="dc-a",
         region="region-1",
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -55,6 +55,7 @@
         serving(engine.app()) as engine_url,
     ):
         settings = RouterSettings(
+            fleet_keys=("a key for tests only",),
             name="r1",
             data_centre="dc-a",
             region="region-1",
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -27,6 +27,7 @@
 def build_router(server):
     """Returns a router in service with one server."""
     settings = RouterSettings(
+        fleet_keys=("a key for tests only",),
         name="r1",
         data_centre="dc-a",
         region="region-1",
