Make setup the first target again

Cause: the target trial had slipped before it, so a bare make ran the trial. Change: it stands with the other scripts. Measured: make -n prints the setup alone.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,6 @@
 DEPLOYMENT ?= cuidadoras
 export PYTHONPATH := $(CURDIR)
 
-trial: setup
-	$(PY) scripts/trial.py
-
 .PHONY: trial setup demo test paused check format lint types lock wheel
 
 setup: $(STAMP)
@@ -32,6 +29,9 @@
 types: setup
 	$(PY) -m mypy
 
+trial: setup
+	$(PY) scripts/trial.py
+
 paused: setup
 	$(PY) scripts/check_paused_leader.py
 
