Add corianderdoorctl history and diff, and refuse missing files clearly

Cause: an operator told to look in the configuration's history had no command for it; a missing rules or keys file ended in a traceback. Two log events lacked what an operator needs.

--- a/corianderdoor/adapters/once.py
+++ b/corianderdoor/adapters/once.py
@@ -247,7 +247,7 @@
     async def _run(
         self, keyed: _Keyed, scope: Scope, send: Send, run: Run
     ) -> None:
-        recorder = Recorder(send)
+        recorder = Recorder(send, keyed.req.id)
         try:
             await run(scope, _wait_for_nothing, recorder.send)
         finally:
--- a/corianderdoor/adapters/recorder.py
+++ b/corianderdoor/adapters/recorder.py
@@ -31,9 +31,18 @@
     outcome.
     """
 
-    __slots__ = ("_send", "_status", "_headers", "_parts", "_size", "_whole")
+    __slots__ = (
+        "_request_id",
+        "_send",
+        "_status",
+        "_headers",
+        "_parts",
+        "_size",
+        "_whole",
+    )
 
-    def __init__(self, send: Send) -> None:
+    def __init__(self, send: Send, request_id: str) -> None:
+        self._request_id = request_id
         self._send: Send | None = send
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
@@ -49,7 +58,11 @@
         try:
             await self._send(message)
         except Exception as exc:
-            log_event("caller_left", detail=type(exc).__name__)
+            log_event(
+                "caller_left",
+                request_id=self._request_id,
+                detail=type(exc).__name__,
+            )
             self._send = None
 
     def ending(self) -> Ending:
--- a/corianderdoor/daemons/order_runner.py
+++ b/corianderdoor/daemons/order_runner.py
@@ -9,6 +9,7 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
+from ..core.errors import Fault
 from ..core.lease import Leadership
 from ..core.reconcile import Reconciler
 from ..core.reconcile_messages import (
@@ -91,7 +92,7 @@
         return OrderAnswered(action.server.name, order, result)
 
     def _log_order(
-        self, action: GiveOrder, result: Result[None, object]
+        self, action: GiveOrder, result: Result[None, Fault]
     ) -> None:
         step = action.order.step
         log_event(
@@ -102,4 +103,5 @@
             kind=step.kind.value,
             name=step.name,
             version=step.version,
+            detail="" if result.is_ok() else result.error.detail,
         )
--- a/corianderdoor/tools/config_commands.py
+++ b/corianderdoor/tools/config_commands.py
@@ -11,6 +11,7 @@
 import uuid
 
 from expression import Result
+import msgspec
 
 from ..adapters.control_http import ControlClient
 from ..adapters.hosts_http import HttpHosts
@@ -34,7 +35,7 @@
 ) -> None:
     """Adds the commands to the operators' tool."""
     apply = commands.add_parser("apply", help="put a rules file in force")
-    apply.add_argument("rules", type=pathlib.Path)
+    apply.add_argument("rules", type=existing_file)
     for name, about in (
         ("drain", "take a host or data centre out of service"),
         ("return", "bring a host or data centre back"),
@@ -46,7 +47,7 @@
     _add_change_options(apply)
     status = commands.add_parser("status", help="revision of each host")
     status.add_argument("--hosts", required=True, help="host list URL")
-    status.add_argument("--keys", type=pathlib.Path, required=True)
+    status.add_argument("--keys", type=key_file, required=True)
     status.add_argument("--json", action="store_true", help="for programs")
 
 
@@ -58,14 +59,46 @@
     )
     parser.add_argument(
         "--keys",
-        type=pathlib.Path,
+        type=key_file,
         help="JSON file with the list of fleet keys, the first one signs",
     )
 
 
+def existing_file(text: str) -> pathlib.Path:
+    """Reads an argument that names a file.
+
+    Raises:
+        argparse.ArgumentTypeError: There is no such file.
+    """
+    path = pathlib.Path(text)
+    if not path.is_file():
+        raise argparse.ArgumentTypeError(f"{text}: no such file")
+    return path
+
+
+def key_file(text: str) -> Keyring:
+    """Reads an argument that names a JSON file with the fleet keys.
+
+    Raises:
+        argparse.ArgumentTypeError: It holds no list of keys.
+    """
+    try:
+        return Keyring(
+            msgspec.json.decode(
+                existing_file(text).read_bytes(), type=list[str]
+            )
+        )
+    except (msgspec.MsgspecError, ValueError) as exc:
+        raise argparse.ArgumentTypeError(f"{text}: {exc}") from exc
+
+
 def read_rules(path: pathlib.Path) -> tuple[str, RuleSet] | None:
     """Reads a rules file; prints its errors and returns None if any."""
-    text = path.read_text(encoding="utf-8")
+    try:
+        text = path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as exc:
+        print(f"{path}: not UTF-8 at byte {exc.start}", file=sys.stderr)
+        return None
     match parse_rules(text):
         case Result(tag="ok", ok=rules):
             return text, rules
@@ -153,7 +186,7 @@
     entries = await _list_entries(args.hosts)
     if entries is None:
         return EXIT_UNKNOWN
-    client = ControlClient(_read_keys(args.keys))
+    client = ControlClient(args.keys)
     try:
         missing = await roll_out(client, entries, cfg, _show_progress)
     finally:
@@ -173,7 +206,7 @@
     entries = await _list_entries(args.hosts)
     if entries is None:
         return EXIT_UNKNOWN
-    client = ControlClient(_read_keys(args.keys))
+    client = ControlClient(args.keys)
     try:
         told = await read_statuses(client, entries)
     finally:
@@ -207,10 +240,6 @@
         await hosts.close()
 
 
-def _read_keys(path: pathlib.Path) -> Keyring:
-    return Keyring(json.loads(path.read_text(encoding="utf-8")))
-
-
 def _show_progress(line: str) -> None:
     end = "" if sys.stderr.isatty() else "\n"
     start = "\r" if sys.stderr.isatty() else ""
@@ -224,8 +253,8 @@
         return EXIT_REFUSED
     if change_id:
         print(
-            f"it may have taken effect: look for change {change_id} in the "
-            "configuration's history before you apply it again",
+            f"it may have taken effect: look for change {change_id} in "
+            "`corianderdoorctl history` before you apply it again",
             file=sys.stderr,
         )
     return EXIT_UNKNOWN
--- a/corianderdoor/tools/ctl.py
+++ b/corianderdoor/tools/ctl.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import pathlib
 import sys
 
 import anyio
@@ -11,11 +10,13 @@
 from .. import VERSION
 from .config_commands import (
     add_config_parsers,
+    existing_file,
     EXIT_DONE,
     EXIT_REFUSED,
     read_rules,
     run_config,
 )
+from .history import add_history_parsers, run_history
 from .orders import add_orders_parser, run_orders
 
 
@@ -34,8 +35,9 @@
     parser.add_argument("--version", action="version", version=VERSION)
     commands = parser.add_subparsers(dest="command", required=True)
     check = commands.add_parser("check", help="check a rules file")
-    check.add_argument("rules", type=pathlib.Path)
+    check.add_argument("rules", type=existing_file)
     add_config_parsers(commands)
+    add_history_parsers(commands)
     add_orders_parser(commands)
     return parser
 
@@ -47,6 +49,8 @@
         return _check(args)
     if args.command == "orders":
         return anyio.run(run_orders, args)
+    if args.command in ("history", "diff"):
+        return anyio.run(run_history, args)
     return anyio.run(run_config, args)
 
 
