--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,10 +1,11 @@
-"""The demo: a deployment's fleet, a chat that returns, a call sent thrice.
+"""The demo: a chat that returns, a call sent thrice, a data centre drained.
 
 The deployment is a folder of `examples`, named by the variable DEPLOYMENT.
 """
 
 from __future__ import annotations
 
+from functools import partial
 import json
 import os
 import pathlib
@@ -12,6 +13,7 @@
 from typing import Any
 
 import anyio
+import anyio.to_thread
 from fleet import Fleet, wait_until
 import httpx
 
@@ -33,6 +35,10 @@
     "weights_url",
 )
 PROMPT_TOKENS = 2_000
+CALLERS = 6
+CHAT_PAUSE_S = 0.1
+NO_NEW_WORK_S = 3.0
+WATCH_S = 2.0
 
 
 def read_example(name: str) -> dict[str, Any]:
@@ -102,6 +108,82 @@
     return runs
 
 
+class Load:
+    """Callers that chat until they are told to stop."""
+
+    def __init__(self, seeds: list[str], demo: dict[str, Any]) -> None:
+        self.seeds = seeds
+        self.demo = demo
+        self.whole = 0
+        self.stopped = False
+
+    async def chat(self, number: int) -> None:
+        """Returns to one chat again and again.
+
+        Raises:
+            AssertionError: An answer was not whole.
+        """
+        client = Client(self.seeds, self.demo["workspace"])
+        chat = f"chat-{number}"
+        body = {"model": self.demo["model"], "chat": chat}
+        while not self.stopped:
+            resp = await client.request(
+                "POST", "/v1/chat", chat, content=json.dumps(body).encode()
+            )
+            resp.raise_for_status()
+            assert resp.content.endswith(b"data: [DONE]\n\n")
+            self.whole += 1
+            await anyio.sleep(CHAT_PAUSE_S)
+        await client.close()
+
+
+async def show_drain(fleet: Fleet, load: Load) -> None:
+    """Takes a data centre out while callers chat, and brings it back."""
+    keys = read_example("router")["fleet_keys"]
+    centre = read_example("deployment")["data_centres"][0]
+    async with anyio.create_task_group() as tg:
+        for number in range(CALLERS):
+            tg.start_soon(load.chat, number)
+        await anyio.sleep(WATCH_S)
+        await move_centre(fleet, keys, "drain", centre)
+        await anyio.sleep(NO_NEW_WORK_S)
+        before, served = await count_chats(fleet, centre), load.whole
+        await anyio.sleep(WATCH_S)
+        new = await count_chats(fleet, centre) - before
+        print(
+            f"{centre} is out: {new} new chats there and "
+            f"{load.whole - served} elsewhere in {WATCH_S:.0f} s"
+        )
+        assert new == 0 and load.whole > served
+        await move_centre(fleet, keys, "return", centre)
+        load.stopped = True
+    print(f"{load.whole} chats under the moves, all whole")
+
+
+async def move_centre(
+    fleet: Fleet, keys: list[str], command: str, centre: str
+) -> None:
+    """Drains or returns a data centre.
+
+    Raises:
+        RuntimeError: It is not in force everywhere.
+    """
+    change = partial(fleet.operate, keys, command, "data-centre", centre)
+    if await anyio.to_thread.run_sync(change) != 0:
+        raise RuntimeError(fleet.logs(f"ctl-{command}"))
+
+
+async def count_chats(fleet: Fleet, centre: str) -> int:
+    """Counts the chats that engines of a data centre have begun."""
+    count = 0
+    async with httpx.AsyncClient(trust_env=False) as http:
+        for server in fleet.listing["servers"]:
+            if server["engine"] and server["data_centre"] == centre:
+                url = server["address"] + "/standin/records"
+                count += len((await http.get(url)).json())
+    return count
+
+
 async def run(fleet: Fleet) -> None:
     """Runs the main job against a started fleet."""
     seeds = [entry["address"] for entry in fleet.listing["entries"]]
@@ -110,6 +192,7 @@
     try:
         await show_chat(client, demo["model"])
         await show_operation(fleet, demo)
+        await show_drain(fleet, Load(seeds, demo))
     finally:
         await client.close()
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -158,6 +158,14 @@
         module = "corianderdoor.tools.ctl"
         return self._start(name, [sys.executable, "-m", module, *args])
 
+    def operate(self, keys: list[str], *command: str) -> int:
+        """Runs a change of `corianderdoorctl`, waits, returns its code."""
+        path = self.folder / "keys.json"
+        path.write_text(json.dumps(keys), encoding="utf-8")
+        options = ["--store", self.urls["store"]]
+        options += ["--hosts", self.urls["hosts"], "--keys", str(path)]
+        return self.control(f"ctl-{command[0]}", *command, *options).wait()
+
     def wait_ready(self) -> None:
         """Waits until every listed router serves a configuration."""
         for entry in self.listing["entries"]:
--- a/scripts/trial.py
+++ b/scripts/trial.py
@@ -40,6 +40,8 @@
 PAYERS = 6
 CHATS_EACH = 4
 NO_NEW_WORK_S = 3.0
+ANSWER_TOKENS = 50
+TOKEN_MS = "29"
 RETRY_LIMIT = 20
 END_MARKER = b"data: [DONE]\n\n"
 OUTCOME = "corianderdoor-outcome"
@@ -105,7 +107,8 @@
         while not self.over():
             chat = f"chat-{number}-{rng.randrange(CHATS_EACH)}"
             turns[chat] += 1
-            body = {"chat": chat, "model": "redactor", "answer_tokens": 20}
+            body: dict[str, Any] = {"chat": chat, "model": "redactor"}
+            body["answer_tokens"] = ANSWER_TOKENS
             body["prompt_tokens"] = 100 * turns[chat]
             await self.send_chat(client, f"{chat}-{turns[chat]}", body)
             await anyio.sleep(rng.uniform(0.0, 0.3))
@@ -240,7 +243,7 @@
         """Runs an operator's command and waits for its end."""
         self.note("corianderdoorctl " + " ".join(command))
         code = await anyio.to_thread.run_sync(
-            partial(operate, self.fleet, *command)
+            partial(self.fleet.operate, KEYS, *command)
         )
         self.note(f"{command[0]} ended with exit code {code}")
 
@@ -255,23 +258,6 @@
         return sum(len(found[name]) for name in names)
 
 
-def operate(fleet: Fleet, *command: str) -> int:
-    """Runs `corianderdoorctl` against the fleet and returns its code."""
-    keys = fleet.folder / "keys.json"
-    keys.write_text(json.dumps(KEYS), encoding="utf-8")
-    proc = fleet.control(
-        f"ctl-{command[0]}",
-        *command,
-        "--store",
-        fleet.urls["store"],
-        "--hosts",
-        fleet.urls["hosts"],
-        "--keys",
-        str(keys),
-    )
-    return proc.wait()
-
-
 async def read_records(fleet: Fleet) -> dict[str, list[list[str]]]:
     """Returns what each backend server has run, from its own record."""
     found = {}
@@ -346,7 +332,13 @@
     """Starts every process and puts the rules in force."""
     for number in range(ENGINES):
         centre = CENTRES[number % len(CENTRES)]
-        fleet.add_server("engine", f"redactor-{number}", "redactor", centre)
+        fleet.add_server(
+            "engine",
+            f"redactor-{number}",
+            "redactor",
+            centre,
+            args=["--token-ms", TOKEN_MS],
+        )
     for number in range(SERVICES):
         centre = CENTRES[number % len(CENTRES)]
         fleet.add_server("service", f"accounts-{number}", "cuentas", centre)
@@ -358,7 +350,7 @@
     fleet.add_controller("controller-0")
     rules = fleet.folder / "routing.rules"
     rules.write_text(RULES, encoding="utf-8")
-    if operate(fleet, "apply", str(rules)) != 0:
+    if fleet.operate(KEYS, "apply", str(rules)) != 0:
         raise RuntimeError(fleet.logs("ctl-apply"))
     fleet.wait_ready()
 
