--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -43,7 +43,8 @@
 from corianderdoor.core.quota import Quota
 from corianderdoor.core.quota_messages import QuotaAsk, Slot
 from corianderdoor.core.retry import RetryBudget
-from corianderdoor.core.rules import parse_rules, Rule
+from corianderdoor.core.rules import Rule
+from corianderdoor.core.rules_text import parse_rules
 from corianderdoor.core.tickets import TicketDesk
 from corianderdoor.ports.telemetry import RequestEnd
 
--- a/bench/config_stall.py
+++ b/bench/config_stall.py
@@ -21,7 +21,8 @@
     encode_config,
 )
 from corianderdoor.core.config_delta import build_delta
-from corianderdoor.core.rules import MAX_RULES, RuleSet
+from corianderdoor.core.rules import RuleSet
+from corianderdoor.core.rules_text import MAX_RULES
 from corianderdoor.daemons.config_runner import read_in_slices
 
 TARGET_BYTES = 990_000
--- a/bench/relay_roles.py
+++ b/bench/relay_roles.py
@@ -25,7 +25,7 @@
 from corianderdoor.core.limits import Limits
 from corianderdoor.core.placement import BoundedPlacement
 from corianderdoor.core.retry import RetryBudget
-from corianderdoor.core.rules import parse_rules
+from corianderdoor.core.rules_text import parse_rules
 from corianderdoor.core.topology import Server
 
 CHUNK: Final = b'data: {"token": 12345, "text": "palabra"}\n\n'
--- a/corianderdoor/core/config.py
+++ b/corianderdoor/core/config.py
@@ -11,7 +11,8 @@
 
 from .errors import Fault, Kind
 from .records import Record
-from .rules import finish, parse_in_steps, rules_by_line, RuleSet
+from .rules import RuleSet
+from .rules_text import finish, parse_in_steps, rules_by_line
 
 CONFIG_KEY: Final = "corianderdoor/config"
 MAX_CONFIG_BYTES: Final = 1_000_000
--- a/corianderdoor/tools/config_commands.py
+++ b/corianderdoor/tools/config_commands.py
@@ -19,7 +19,8 @@
 from ..adapters.store_http import HttpStore
 from ..core.config import build_change, Config
 from ..core.errors import Fault, Outcome
-from ..core.rules import parse_rules, RuleSet
+from ..core.rules import RuleSet
+from ..core.rules_text import parse_rules
 from ..core.topology import EntryHost
 from .changes import read_config, submit, submit_edit
 from .rollout import read_statuses, roll_out
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -27,7 +27,7 @@
 )
 from corianderdoor.core.placement import BoundedPlacement
 from corianderdoor.core.retry import RetryBudget
-from corianderdoor.core.rules import parse_rules
+from corianderdoor.core.rules_text import parse_rules
 from corianderdoor.core.topology import Server
 
 RULES = "path=/v1/chat -> redactor idempotent=yes deadline=10s # Rosa\n"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,7 +8,7 @@
 from corianderdoor.core.messages import Req
 from corianderdoor.core.placement import BoundedPlacement
 from corianderdoor.core.retry import RetryBudget
-from corianderdoor.core.rules import parse_rules
+from corianderdoor.core.rules_text import parse_rules
 from corianderdoor.core.topology import Server
 
 RULES = """\
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,7 +7,7 @@
 
 from corianderdoor.adapters.settings import load_settings
 from corianderdoor.core.desired import decode_desired
-from corianderdoor.core.rules import parse_rules
+from corianderdoor.core.rules_text import parse_rules
 from corianderdoor.daemons.controller import ControllerSettings
 from corianderdoor.daemons.router import RouterSettings
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from corianderdoor.core.rules import (
+from corianderdoor.core.rules_text import (
     finish,
     parse_in_steps,
     parse_rules,
