Start the benches' small fleet in one place

Cause: bench/control.py and bench/surge.py held the same start of a fleet, and neither looked at whether its rule came into force. Change: Fleet.start_chat_fleet serves both and fails if it did not.

--- a/bench/control.py
+++ b/bench/control.py
@@ -18,10 +18,9 @@
 import time
 from typing import Any
 
-from fleet import CENTRES, Fleet
+from fleet import Fleet
 
 KEYS = ["a key for benches only"]
-RULES = "path=/v1/chat method=POST -> redactor idempotent=yes # bench\n"
 SETTLE_S = 15.0
 WATCH_S = 20.0
 ENGINES = 5
@@ -63,17 +62,7 @@
 def measure(routers: int) -> dict[str, Any]:
     """Returns the row of a fleet with so many routers."""
     with Fleet() as fleet:
-        for number in range(ENGINES):
-            centre = CENTRES[number % len(CENTRES)]
-            fleet.add_server("engine", f"e{number}", "redactor", centre)
-        for number in range(routers):
-            centre = CENTRES[number % len(CENTRES)]
-            fleet.add_router(f"entry-{number}", centre, fleet_keys=KEYS)
-        fleet.publish()
-        rules = fleet.folder / "routing.rules"
-        rules.write_text(RULES, encoding="utf-8")
-        fleet.operate(KEYS, "apply", str(rules))
-        fleet.wait_ready()
+        fleet.start_chat_fleet(ENGINES, routers, KEYS, [])
         time.sleep(SETTLE_S)
         pids = [fleet.procs[f"entry-{n}"].pid for n in range(routers)]
         before = [read_process(pid)[0] for pid in pids]
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -15,13 +15,12 @@
 import time
 
 import anyio
-from fleet import CENTRES, Fleet
+from fleet import Fleet
 import httpx
 
 from corianderdoor.client import Client
 
 KEYS = ["a key for benches only"]
-RULES = "path=/v1/chat method=POST -> redactor idempotent=yes # bench\n"
 ROUTERS, ENGINES = 4, 5
 CALM, SURGE = 8, 120
 WARM_S, PHASE_S = 15.0, 15.0
@@ -75,23 +74,7 @@
 def main() -> int:
     """Prints the figures of one run."""
     with Fleet() as fleet:
-        for number in range(ENGINES):
-            centre = CENTRES[number % len(CENTRES)]
-            fleet.add_server(
-                "engine",
-                f"e{number}",
-                "redactor",
-                centre,
-                args=["--token-ms", "20"],
-            )
-        for number in range(ROUTERS):
-            centre = CENTRES[number % len(CENTRES)]
-            fleet.add_router(f"entry-{number}", centre, fleet_keys=KEYS)
-        fleet.publish()
-        rules = fleet.folder / "routing.rules"
-        rules.write_text(RULES, encoding="utf-8")
-        fleet.operate(KEYS, "apply", str(rules))
-        fleet.wait_ready()
+        fleet.start_chat_fleet(ENGINES, ROUTERS, KEYS, ["--token-ms", "20"])
         run = Run([entry["address"] for entry in fleet.listing["entries"]])
         try:
             anyio.run(run.run)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -22,6 +22,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
+CHAT_RULE = "path=/v1/chat method=POST -> redactor idempotent=yes # a script\n"
 CENTRES = ("dc-a", "dc-b", "dc-c")
 
 
@@ -124,6 +125,35 @@
         )
         self.start_router(name)
 
+    def start_chat_fleet(
+        self, engines: int, routers: int, keys: list[str], args: list[str]
+    ) -> None:
+        """Starts engines and routers with one rule and waits for them.
+
+        Args:
+            engines: How many engines, with `args` each.
+            routers: How many routers.
+            keys: The fleet's keys.
+            args: Options of the engines.
+
+        Raises:
+            RuntimeError: The rule is not in force everywhere.
+        """
+        for number in range(engines):
+            centre = CENTRES[number % len(CENTRES)]
+            self.add_server(
+                "engine", f"e{number}", "redactor", centre, args=args
+            )
+        for number in range(routers):
+            centre = CENTRES[number % len(CENTRES)]
+            self.add_router(f"entry-{number}", centre, fleet_keys=keys)
+        self.publish()
+        rules = self.folder / "routing.rules"
+        rules.write_text(CHAT_RULE, encoding="utf-8")
+        if self.operate(keys, "apply", str(rules)) != 0:
+            raise RuntimeError(self.logs("ctl-apply"))
+        self.wait_ready()
+
     def start_weights(self) -> None:
         """Starts the weight store."""
         self._start_standin("weights")
