--- /dev/null
+++ b/corianderdoor/adapters/http1.py
@@ -0,0 +1,286 @@
+"""HTTP/1.1 connections on h11, for both sides of an entry host.
+
+h11 is used directly, not through a client or a server library: what decides
+here is whether a byte of a request was sent, whether the other end closed
+or reset, and what arrives while nothing is due, which those hide.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import socket
+from typing import cast, Final
+
+import h11
+
+from ..core.clock import MS_PER_SECOND
+
+Address = tuple[str, int]
+Headers = list[tuple[bytes, bytes]]
+
+# Bytes that wait to be parsed before the peer is made to wait.
+READ_AHEAD_BYTES: Final = 262_144
+# Bytes that wait to be sent before the producer is made to wait.
+WRITE_AHEAD_BYTES: Final = 65_536
+# Idle connections are probed so that a silent path shows within seconds.
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 3
+MAX_HEAD_BYTES: Final = 65_536
+
+
+class ConnectionCutError(Exception):
+    """The connection ended or broke the protocol.
+
+    Attributes:
+        spoiled: What arrived breaks the protocol.
+    """
+
+    def __init__(self, detail: str, spoiled: bool = False) -> None:
+        super().__init__(detail)
+        self.spoiled = spoiled
+
+
+class Wire(asyncio.Protocol):
+    """One connection: parsed events in, serialized events out."""
+
+    def __init__(
+        self,
+        role: type[h11.Sentinel],
+        max_head_bytes: int = MAX_HEAD_BYTES,
+        unacked_ms: int = 0,
+        on_made: Callable[[Wire], None] | None = None,
+    ) -> None:
+        """Creates the parser of a connection.
+
+        Args:
+            role: `h11.CLIENT` or `h11.SERVER`, what this side is.
+            max_head_bytes: Largest head to accept.
+            unacked_ms: How long sent bytes may stay unacknowledged before
+                the connection counts as lost; 0 leaves it to the system.
+            on_made: Called once the connection is open.
+        """
+        self.h11 = h11.Connection(
+            role, max_incomplete_event_size=max_head_bytes
+        )
+        self.eof = False
+        self.lost = False
+        self.on_gone: Callable[[], None] | None = None
+        self.arrived = 0
+        self._role = role
+        self._max_head = max_head_bytes
+        self._unacked_ms = unacked_ms
+        self._on_made = on_made
+        self._unread = 0
+        self._paused = False
+        self._waiter: asyncio.Future[None] | None = None
+        self._drained: asyncio.Future[None] | None = None
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sets socket options."""
+        # uvloop's transports are no subclasses of asyncio's.
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(WRITE_AHEAD_BYTES)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            self._set_options(sock)
+        if self._on_made is not None:
+            self._on_made(self)
+
+    def _set_options(self, sock: socket.socket) -> None:
+        tcp = socket.IPPROTO_TCP
+        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        if self._unacked_ms:
+            sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, self._unacked_ms)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the peer."""
+        self.arrived += len(data)
+        self._unread += len(data)
+        try:
+            self.h11.receive_data(data)
+        except (RuntimeError, h11.ProtocolError):
+            self.abort()  # the parser takes nothing more
+        if self._unread > READ_AHEAD_BYTES and not self._paused:
+            self._paused = True
+            self._live().pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Takes the end of what the peer sends."""
+        self.eof = True
+        self.h11.receive_data(b"")
+        self._wake()
+        self._tell_gone()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes the end of the connection, in order or not."""
+        self.lost = True
+        self._wake()
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._tell_gone()
+
+    def _tell_gone(self) -> None:
+        if self.on_gone is not None:
+            gone, self.on_gone = self.on_gone, None
+            gone()
+
+    def pause_writing(self) -> None:
+        """Makes `flush` wait."""
+        self._drained = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Lets `flush` go on."""
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._drained = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _live(self) -> asyncio.Transport:
+        assert self._transport is not None
+        return self._transport
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event of the peer.
+
+        Raises:
+            ConnectionCutError: The connection ended inside a message, or
+                the peer broke the protocol.
+        """
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                spoiled = not self.eof
+                raise ConnectionCutError(str(exc), spoiled) from exc
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            self._unread = 0
+            if self.lost:
+                raise ConnectionCutError("the connection was reset")
+            if self._paused:
+                self._paused = False
+                self._live().resume_reading()
+            await self._wait()
+
+    async def wait_for_bytes(self) -> None:
+        """Waits until something has arrived since the last message."""
+        while not (self.arrived or self.eof or self.lost):
+            await self._wait()
+
+    async def discard(self) -> None:
+        """Waits for more bytes and drops them."""
+        self.h11 = h11.Connection(self._role)
+        if self._paused:
+            self._paused = False
+            self._live().resume_reading()
+        await self._wait()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def write(self, event: h11.Event) -> None:
+        """Sends `event` as soon as the peer takes it."""
+        data = self.h11.send(event)
+        if data and not self.lost:
+            self._live().write(data)
+
+    async def flush(self) -> None:
+        """Waits while too much is unsent."""
+        if self._drained is not None and not self.lost:
+            await self._drained
+
+    def unsent_bytes(self) -> int:
+        """Returns the bytes that the system has not taken yet."""
+        return 0 if self.lost else self._live().get_write_buffer_size()
+
+    def restart_reading(self, request: h11.Request, body: bytes) -> None:
+        """Reads one more answer to the request that was sent last.
+
+        Used after an answer that belongs to another request.
+        """
+        rest, closed = self.h11.trailing_data
+        fresh = h11.Connection(
+            self._role, max_incomplete_event_size=self._max_head
+        )
+        fresh.send(request)
+        if body:
+            fresh.send(h11.Data(data=body))
+        fresh.send(h11.EndOfMessage())
+        self.h11 = fresh
+        if rest:
+            fresh.receive_data(rest)
+        if closed or self.eof:
+            fresh.receive_data(b"")
+
+    def reset_cycle(self) -> bool:
+        """Makes the connection ready for another request.
+
+        Returns:
+            Whether it can be used again: both messages are whole, and
+            nothing has arrived that is not due.
+        """
+        if self.eof or self.lost:
+            return False
+        if self.h11.trailing_data[0] and self._role is h11.CLIENT:
+            return False
+        if self.h11.our_state is not h11.DONE:
+            return False
+        if self.h11.their_state is not h11.DONE:
+            return False
+        self.h11.start_next_cycle()
+        self.arrived = 0
+        return True
+
+    @property
+    def quiet(self) -> bool:
+        """Whether an idle connection is open and nothing came over it."""
+        return not (self.eof or self.lost or self.arrived)
+
+    def close(self) -> None:
+        """Closes the connection after what is unsent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def end_writing(self) -> None:
+        """Tells the peer that nothing more will be sent."""
+        if self._transport is not None and not self.lost:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def connect(
+    address: Address, timeout_ms: int, unacked_ms: int
+) -> Wire | None:
+    """Opens a connection; returns None if that fails in time."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+            _, wire = await loop.create_connection(
+                lambda: Wire(h11.CLIENT, unacked_ms=unacked_ms),
+                address[0],
+                address[1],
+            )
+    except (OSError, TimeoutError):
+        return None
+    return wire
--- /dev/null
+++ b/corianderdoor/adapters/http1_server.py
@@ -0,0 +1,199 @@
+"""The serving side of HTTP/1.1 connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import anyio
+import anyio.abc
+import h11
+
+from ..core.clock import MS_PER_SECOND
+from ..core.entry.routing import CallerLimits
+from .http1 import Address, ConnectionCutError, Headers, Wire
+
+BACKLOG: Final = 1_024
+# A caller that reads its refusal has this long to end a connection on
+# which it still sends; closing at once would reset the refusal away.
+LINGER_MS: Final = 1_000
+# Longest time for a body that is slow to arrive.
+BODY_TIMEOUT_MS: Final = 10_000
+UNACKED_MS: Final = 10_000
+
+
+class Received:
+    """A request that was read whole.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Headers with names in lower case.
+        body: The body.
+    """
+
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(self, event: h11.Request, body: bytes) -> None:
+        self.method = event.method
+        self.target = event.target
+        self.headers: Headers = [(n, v) for n, v in event.headers]
+        self.body = body
+
+
+class Unreadable:
+    """A request that can't be read, and the status that says so."""
+
+    __slots__ = ("status", "detail")
+
+    def __init__(self, status: int, detail: str) -> None:
+        self.status = status
+        self.detail = detail
+
+
+class ServerConnection:
+    """One accepted connection.
+
+    Attributes:
+        wire: The connection itself.
+        closing: Whether it ends after the answer in progress.
+        busy: Whether a request has begun to arrive or is in progress.
+    """
+
+    __slots__ = ("wire", "closing", "busy")
+
+    def __init__(self, wire: Wire) -> None:
+        self.wire = wire
+        self.closing = False
+        self.busy = False
+
+    async def read_request(
+        self, limits: CallerLimits
+    ) -> Received | Unreadable | None:
+        """Returns the next request, or None once the connection ends."""
+        self.busy = self.wire.h11.trailing_data[0] != b""
+        try:
+            if not self.busy:
+                async with asyncio.timeout(limits.idle_ms / MS_PER_SECOND):
+                    await self.wire.wait_for_bytes()
+        except TimeoutError:
+            return None
+        if self.wire.lost or (self.wire.eof and not self.wire.arrived):
+            return None
+        self.busy = True
+        try:
+            async with asyncio.timeout(limits.head_ms / MS_PER_SECOND):
+                event = await self.wire.next_event()
+        except TimeoutError:
+            return Unreadable(408, "the head did not arrive in time")
+        except ConnectionCutError as exc:
+            if self.wire.lost or self.wire.eof:
+                return None
+            return Unreadable(self._hint(exc), str(exc))
+        if not isinstance(event, h11.Request):
+            return None
+        return await self._read_body(event, limits)
+
+    @staticmethod
+    def _hint(exc: ConnectionCutError) -> int:
+        cause = exc.__cause__
+        if isinstance(cause, h11.RemoteProtocolError):
+            return cause.error_status_hint
+        return 400
+
+    async def _read_body(
+        self, head: h11.Request, limits: CallerLimits
+    ) -> Received | Unreadable | None:
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            return Unreadable(400, "a length and chunks at once")
+        if self.wire.h11.they_are_waiting_for_100_continue:
+            self.wire.write(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_MS / MS_PER_SECOND):
+                while True:
+                    event = await self.wire.next_event()
+                    if isinstance(event, h11.EndOfMessage):
+                        return Received(head, b"".join(parts))
+                    if not isinstance(event, h11.Data):
+                        return None
+                    size += len(event.data)
+                    if size > limits.body_bytes:
+                        return Unreadable(413, "the body is too long")
+                    parts.append(bytes(event.data))
+        except TimeoutError:
+            return Unreadable(408, "the body did not arrive in time")
+        except ConnectionCutError as exc:
+            if self.wire.lost or self.wire.eof:
+                return None
+            return Unreadable(self._hint(exc), str(exc))
+
+    async def respond(
+        self, status: int, headers: Headers, body: bytes = b""
+    ) -> None:
+        """Sends a whole answer."""
+        length = (b"Content-Length", str(len(body)).encode())
+        self.start(status, [*headers, length])
+        if body and self.wire.h11.our_state is h11.SEND_BODY:
+            self.wire.write(h11.Data(data=body))
+        self.wire.write(h11.EndOfMessage())
+        await self.wire.flush()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Sends the head of an answer."""
+        if self.closing:
+            headers = [*headers, (b"Connection", b"close")]
+        self.wire.write(h11.Response(status_code=status, headers=headers))
+
+    async def finish(self) -> bool:
+        """Ends a cycle; returns whether another request may follow."""
+        if not self.closing and self.wire.reset_cycle():
+            return True
+        await self.close_gently()
+        return False
+
+    async def close_gently(self) -> None:
+        """Closes so that the peer can read what was sent last."""
+        if self.wire.h11.their_state is h11.DONE:
+            self.wire.close()
+            return
+        await self.wire.flush()
+        self.wire.end_writing()
+        try:
+            async with asyncio.timeout(LINGER_MS / MS_PER_SECOND):
+                while not (self.wire.eof or self.wire.lost):
+                    await self.wire.discard()
+        except TimeoutError:
+            pass  # the peer had its time to read
+        self.wire.close()
+
+
+Handler = Callable[[ServerConnection], Awaitable[None]]
+
+
+async def listen(
+    address: Address, tasks: anyio.abc.TaskGroup, handler: Handler
+) -> asyncio.Server:
+    """Serves each connection to `address` with `handler`, in `tasks`."""
+
+    async def run(wire: Wire) -> None:
+        try:
+            await handler(ServerConnection(wire))
+        finally:
+            wire.close()
+
+    def accept(wire: Wire) -> None:
+        tasks.start_soon(run, wire)
+
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: Wire(h11.SERVER, unacked_ms=UNACKED_MS, on_made=accept),
+        address[0],
+        address[1],
+        backlog=BACKLOG,
+    )
--- /dev/null
+++ b/corianderdoor/core/entry/peers.py
@@ -0,0 +1,246 @@
+"""What an entry host knows of the others."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import xxhash
+
+from ..records import Record
+
+# Without a beat for this long, a peer counts as out of reach.
+SILENT_MS: Final = 2_500
+# A host that is listed but was never heard counts this long.
+UNHEARD_MS: Final = 2_500
+# Hosts that watch the store and tell the others.
+WATCHERS: Final = 2
+# A watcher whose contact with the store is older than this does not count.
+CONTACT_MS: Final = 2_200
+# A watcher that was not heard for this long does not count.
+WATCHER_SILENT_MS: Final = 700
+
+Address = tuple[str, int]
+
+
+class Beat(Record):
+    """What a host tells its peers several times a second.
+
+    Attributes:
+        sender: Its name.
+        boot: Number that rises with each start of its process.
+        revision: Revision of the store up to which it knows all changes.
+        contact_ms: Age of its last contact with the store, in ms.
+        leaving: Whether it shuts down.
+        loads: Requests in progress by a digest of the server's id.
+    """
+
+    __slots__ = (
+        "sender",
+        "boot",
+        "revision",
+        "contact_ms",
+        "leaving",
+        "loads",
+    )
+
+    def __init__(
+        self,
+        sender: str,
+        boot: int,
+        revision: int,
+        contact_ms: int,
+        leaving: bool,
+        loads: tuple[tuple[int, int], ...],
+    ) -> None:
+        self.sender = sender
+        self.boot = boot
+        self.revision = revision
+        self.contact_ms = contact_ms
+        self.leaving = leaving
+        self.loads = loads
+
+
+class Peer:
+    """One other entry host.
+
+    Attributes:
+        name: Its name.
+        callers: Where it serves callers; None until it is listed.
+        address: Where it takes beats.
+        data_centre: Where it is; empty until it is listed.
+        listed: Whether it has a record in the store.
+        listed_ms: When that record was first seen.
+        heard_ms: When it was last heard; None if never.
+        beat: Its last beat.
+    """
+
+    __slots__ = (
+        "name",
+        "callers",
+        "address",
+        "data_centre",
+        "listed",
+        "listed_ms",
+        "heard_ms",
+        "beat",
+    )
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.callers: Address | None = None
+        self.address: Address | None = None
+        self.data_centre = ""
+        self.listed = False
+        self.listed_ms = 0
+        self.heard_ms: int | None = None
+        self.beat: Beat | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it said that it shuts down."""
+        return self.beat is not None and self.beat.leaving
+
+    def silent(self, now_ms: int, limit_ms: int = SILENT_MS) -> bool:
+        """Returns whether nothing was heard of it for `limit_ms`."""
+        return self.heard_ms is None or now_ms - self.heard_ms > limit_ms
+
+
+class Peers:
+    """The other entry hosts. State is one record for each."""
+
+    __slots__ = ("_own", "_peers")
+
+    def __init__(self, own: str) -> None:
+        self._own = own
+        self._peers: dict[str, Peer] = {}
+
+    def list(
+        self,
+        name: str,
+        callers: Address,
+        address: Address,
+        data_centre: str,
+        now_ms: int,
+    ) -> None:
+        """Takes the record of a host."""
+        if name == self._own:
+            return
+        peer = self._peers.setdefault(name, Peer(name))
+        if not peer.listed:
+            peer.listed_ms = now_ms
+        peer.callers = callers
+        peer.address = address
+        peer.data_centre = data_centre
+        peer.listed = True
+
+    def unlist(self, name: str) -> None:
+        """Takes note that the record of a host is gone."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.listed = False
+
+    def hear(self, beat: Beat, now_ms: int) -> Peer | None:
+        """Takes a beat; returns its sender, or None if it is outdated."""
+        if beat.sender == self._own:
+            return None
+        peer = self._peers.setdefault(beat.sender, Peer(beat.sender))
+        if peer.beat is not None and beat.boot < peer.beat.boot:
+            return None
+        peer.beat = beat
+        peer.heard_ms = now_ms
+        return peer
+
+    def all(self) -> list[Peer]:
+        """Returns all hosts that are known."""
+        return list(self._peers.values())
+
+    def in_service(self, now_ms: int, store_reached: bool) -> list[Peer]:
+        """Returns the hosts that callers may be sent to.
+
+        Args:
+            now_ms: Monotonic time.
+            store_reached: Whether this host knows what the store lists now.
+        """
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.callers is not None
+            and not peer.leaving
+            and self._alive(peer, now_ms, store_reached)
+        ]
+
+    @staticmethod
+    def _alive(peer: Peer, now_ms: int, store_reached: bool) -> bool:
+        if not peer.silent(now_ms):
+            return True
+        if peer.heard_ms is None:
+            return peer.listed and now_ms - peer.listed_ms < UNHEARD_MS
+        return peer.listed and store_reached
+
+    def spenders(self, now_ms: int) -> list[str]:
+        """Returns the hosts that may share an allowance, own one included.
+
+        Too many is safe: each then spends less.
+        """
+        names = [
+            peer.name
+            for peer in self._peers.values()
+            if peer.listed or not peer.silent(now_ms)
+        ]
+        return sorted([*names, self._own])
+
+    def prune(self, now_ms: int) -> list[str]:
+        """Forgets hosts that are neither listed nor heard."""
+        gone = [
+            peer.name
+            for peer in self._peers.values()
+            if not peer.listed and peer.silent(now_ms)
+        ]
+        for name in gone:
+            del self._peers[name]
+        return gone
+
+    def should_watch(self, now_ms: int) -> bool:
+        """Returns whether this host watches the store itself.
+
+        The first `WATCHERS` hosts of an order that all share do. So does a
+        host that hears of no watcher in contact with the store.
+        """
+        names = [
+            peer.name
+            for peer in self._peers.values()
+            if not peer.leaving and not peer.silent(now_ms)
+        ]
+        order = sorted([*names, self._own], key=_watch_rank)
+        watching = order[:WATCHERS]
+        if self._own in watching:
+            return True
+        return not any(
+            self._in_contact(self._peers[name], now_ms) for name in watching
+        )
+
+    @staticmethod
+    def _in_contact(peer: Peer, now_ms: int) -> bool:
+        if peer.beat is None or peer.silent(now_ms, WATCHER_SILENT_MS):
+            return False
+        return peer.beat.contact_ms < CONTACT_MS
+
+    def ahead_of(self, revision: int, now_ms: int) -> Peer | None:
+        """Returns the host that knows most beyond `revision`."""
+        ahead = [
+            peer
+            for peer in self._peers.values()
+            if peer.beat is not None
+            and peer.address is not None
+            and peer.beat.revision > revision
+            and not peer.silent(now_ms)
+        ]
+        return max(
+            ahead,
+            key=lambda peer: peer.beat.revision if peer.beat else 0,
+            default=None,
+        )
+
+
+def _watch_rank(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/corianderdoor/core/entry/placing.py
@@ -0,0 +1,73 @@
+"""Orders in which the servers of a service are considered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import xxhash
+
+from .requests import CallerRequest
+from .servers import BackendServer
+
+# Servers among which the chats of one common first part are spread; fewer
+# read that part less often, more balance better.
+SPREAD: Final = 2
+# Load over which a server is passed over, as a multiple of the mean and a
+# constant; inside the platform's own bound, as views of the load are late.
+LOAD_FACTOR: Final = 1.6
+LOAD_SLACK: Final = 2.0
+
+
+def _score(key: str, server: BackendServer) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{server.id}".encode())
+
+
+def rank_by_prompt(
+    req: CallerRequest, servers: Sequence[BackendServer]
+) -> list[BackendServer]:
+    """Returns `servers` in the order in which they suit the prompt.
+
+    All hosts compute the same order without talking. Chats that begin with
+    the same part share the first `SPREAD` servers of that part, so that
+    few servers read it.
+    """
+    shared = req.shared_parts()
+    first = shared[0].id if shared else req.id
+    session = shared[-1].id if shared else req.id
+    by_first = sorted(servers, key=lambda server: _score(first, server))
+    near = by_first[:SPREAD]
+    near.sort(key=lambda server: _score(session, server))
+    return near + by_first[SPREAD:]
+
+
+def rank_by_load(
+    servers: Sequence[BackendServer],
+    load_of: Callable[[str], int],
+    data_centre: str,
+    tie: Callable[[], float],
+) -> list[BackendServer]:
+    """Returns `servers` by load for each slot, near ones first on a tie."""
+    return sorted(
+        servers,
+        key=lambda server: (
+            load_of(server.id) // max(1, server.slots // 3),
+            server.data_centre != data_centre,
+            load_of(server.id),
+            tie(),
+        ),
+    )
+
+
+def under_bound(
+    servers: Sequence[BackendServer], load_of: Callable[[str], int]
+) -> list[BackendServer]:
+    """Returns the servers that may take one request more.
+
+    A server that holds more than a multiple of the mean is passed over.
+    """
+    if len(servers) < 2:
+        return list(servers)
+    loads = {server.id: load_of(server.id) for server in servers}
+    bound = LOAD_FACTOR * sum(loads.values()) / len(loads) + LOAD_SLACK
+    return [server for server in servers if loads[server.id] + 1 <= bound]
--- /dev/null
+++ b/corianderdoor/core/entry/planner.py
@@ -0,0 +1,283 @@
+"""Decides what happens to each request of one entry host.
+
+`Planner` takes what happened and the time, and returns what to do. It does
+no input or output.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from .flights import (
+    Again,
+    CERTAINLY_NOT_RUN,
+    Deliver,
+    Ending,
+    Flight,
+    Hold,
+    Refuse,
+    Send,
+)
+from .loads import Loads
+from .placing import rank_by_load, rank_by_prompt, under_bound
+from .requests import CallerRequest
+from .routing import DesiredState, Route
+from .server_doubts import ServerDoubts
+from .servers import BackendServer, Servers
+from .windows import ColdRation, RepeatBudget
+
+NOT_READY_RETRY_MS: Final = 500
+NO_SERVER_RETRY_MS: Final = 800
+# Callers wait at most a third of their time before they come back.
+RETRY_SHARE: Final = 0.3
+# Part of the target latency that a request may wait for a cold server.
+HOLD_SHARE: Final = 0.5
+SHORTEST_HOLD_MS: Final = 20
+# Sends that servers declined before a request is given up.
+MAX_DECLINED: Final = 3
+# A server that stays silent for this multiple of the target latency is
+# asked no longer, if the request may run elsewhere.
+SILENCE_FACTOR: Final = 1.5
+SHORTEST_SILENCE_MS: Final = 350
+# Less time than this is no use at a server.
+LEAST_LEFT_MS: Final = 20
+# Failures of the server's own, which another server may not have.
+RETRIED_STATUSES: Final = frozenset({500, 502, 503, 504})
+
+
+class Planner:
+    """The request path of one entry host.
+
+    Attributes:
+        desired: The desired state in force; None until one is known.
+        servers: The listed backend servers.
+        loads: Requests in progress at them.
+        doubts: Servers to pass over.
+        hosts: Names of the entry hosts in service, this one included.
+    """
+
+    __slots__ = (
+        "desired",
+        "servers",
+        "loads",
+        "doubts",
+        "hosts",
+        "_name",
+        "_data_centre",
+        "_ration",
+        "_budget",
+        "_rng",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        ration: ColdRation,
+        budget: RepeatBudget,
+        rng: random.Random,
+    ) -> None:
+        self.desired: DesiredState | None = None
+        self.servers = Servers()
+        self.loads = Loads()
+        self.doubts = ServerDoubts()
+        self.hosts: list[str] = [name]
+        self._name = name
+        self._data_centre = data_centre
+        self._ration = ration
+        self._budget = budget
+        self._rng = rng
+
+    def set_desired(self, desired: DesiredState) -> bool:
+        """Puts `desired` in force; returns False if it is not newer."""
+        if self.desired is not None:
+            if desired.version <= self.desired.version:
+                return False
+        self.desired = desired
+        return True
+
+    def tick(self, now_ms: int) -> list[str]:
+        """Ends what has run out; returns servers that are gone by it."""
+        gone = self.servers.tick(now_ms)
+        ids = self.servers.ids()
+        self.doubts.keep(ids)
+        self._ration.keep(ids)
+        return gone
+
+    def arrive(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
+        """Takes a request that was read whole."""
+        desired = self.desired
+        if desired is None:
+            return Refuse(503, "no-desired-state", NOT_READY_RETRY_MS)
+        route = desired.find_route(req.host, req.path)
+        if route is None:
+            return Refuse(404, "no-route")
+        workspace = desired.find_workspace(req.key)
+        if workspace is None and desired.keyed and not route.public:
+            return Refuse(401, "unknown-key")
+        left_ms = route.timeout_ms
+        if req.deadline_ms is not None:
+            left_ms = min(left_ms, req.deadline_ms)
+        service = route.choose_service(req.session() or req.id)
+        self._budget.record_request(service, now_ms)
+        return Flight(
+            req, route, service, workspace, now_ms, now_ms + int(left_ms)
+        )
+
+    def choose(self, flight: Flight, now_ms: int) -> Send | Hold | Refuse:
+        """Returns where the request goes, or why it does not."""
+        left_ms = flight.deadline_ms - now_ms
+        if left_ms < LEAST_LEFT_MS:
+            return self._refuse(flight, "out-of-time", now_ms)
+        listed = self.servers.usable(flight.service)
+        usable = [s for s in listed if s.id not in flight.tried]
+        if not usable:
+            return self._refuse(flight, "no-server", now_ms)
+        sound = [s for s in usable if not self.doubts.paused(s.id, now_ms)]
+        usable = sound or usable
+        warm = [s for s in usable if not self.servers.is_cold(s.id, now_ms)]
+        if warm:
+            return self._send(flight, self._rank(flight, warm, now_ms)[0], now_ms)
+        return self._choose_cold(flight, usable, now_ms)
+
+    def _rank(
+        self, flight: Flight, servers: list[BackendServer], now_ms: int
+    ) -> list[BackendServer]:
+        def load_of(server_id: str) -> int:
+            return self.loads.of(server_id, now_ms)
+
+        if not flight.req.parts:
+            return rank_by_load(
+                servers, load_of, self._data_centre, self._rng.random
+            )
+        ranked = rank_by_prompt(flight.req, servers)
+        free = {server.id for server in under_bound(servers, load_of)}
+        return [s for s in ranked if s.id in free] or sorted(
+            ranked, key=lambda server: load_of(server.id)
+        )
+
+    def _choose_cold(
+        self, flight: Flight, servers: list[BackendServer], now_ms: int
+    ) -> Send | Hold | Refuse:
+        assert self.desired is not None
+        service = self.desired.services.get(flight.service)
+        cold_per_s = service.cold_per_s if service is not None else 0.0
+        if cold_per_s <= 0:
+            return self._send(
+                flight, self._rank(flight, servers, now_ms)[0], now_ms
+            )
+        shortest_ms: int | None = None
+        for server in self._rank(flight, servers, now_ms):
+            share = self._ration.share(
+                server.id, cold_per_s, self._name, self.hosts
+            )
+            wait_ms = self._ration.wait_ms(server.id, share, now_ms)
+            if wait_ms == 0:
+                self._ration.record(server.id, now_ms)
+                return self._send(flight, server, now_ms)
+            if wait_ms is not None:
+                shortest_ms = min(wait_ms, shortest_ms or wait_ms)
+        held_until = flight.arrived_ms + flight.route.target_ms * HOLD_SHARE
+        if shortest_ms is None or now_ms + shortest_ms > held_until:
+            return self._refuse(flight, "cold-servers", now_ms)
+        return Hold(max(SHORTEST_HOLD_MS, shortest_ms))
+
+    def _send(
+        self, flight: Flight, server: BackendServer, now_ms: int
+    ) -> Send:
+        left_ms = flight.deadline_ms - now_ms
+        silence_ms: int | None = None
+        if self._may_run_again(flight, 1):
+            silence_ms = max(
+                SHORTEST_SILENCE_MS,
+                int(flight.route.target_ms * SILENCE_FACTOR),
+            )
+        return Send(server, flight.urgency(), left_ms, silence_ms)
+
+    def record_sent(self, flight: Flight, server: BackendServer) -> None:
+        """Notes that the request is on its way to `server`."""
+        flight.server = server
+        flight.tried.add(server.id)
+        flight.sends += 1
+        flight.runs += 1
+        self.loads.start(server.id)
+
+    def record_left(self, flight: Flight) -> None:
+        """Notes that no server works on the request any longer."""
+        if flight.server is not None:
+            self.loads.end(flight.server.id)
+            flight.server = None
+
+    def record_whole(self, flight: Flight) -> None:
+        """Notes that the server answered whole."""
+        if flight.server is not None:
+            self.doubts.record_success(flight.server.id)
+        self.record_left(flight)
+
+    def fail(
+        self,
+        flight: Flight,
+        server: BackendServer,
+        ending: Ending,
+        now_ms: int,
+    ) -> Again | Refuse | Deliver:
+        """Returns what follows an attempt that did not end in success."""
+        self.record_left(flight)
+        self._learn(server, ending, now_ms)
+        if ending is Ending.UNREACHED:
+            flight.tried.add(server.id)
+            return Again()
+        if ending in CERTAINLY_NOT_RUN:
+            flight.runs -= 1
+        if self._may_go_on(flight, ending, now_ms):
+            return Again()
+        if ending is Ending.SERVER_ERROR:
+            return Deliver()
+        return self._refuse(flight, ending.value, now_ms)
+
+    def _may_go_on(self, flight: Flight, ending: Ending, now_ms: int) -> bool:
+        if ending is Ending.TIMEOUT:
+            return False
+        if flight.deadline_ms - now_ms < LEAST_LEFT_MS:
+            return False
+        if ending in CERTAINLY_NOT_RUN:
+            if flight.sends >= MAX_DECLINED:
+                return False
+        elif not self._may_run_again(flight, 0):
+            return False
+        others = [
+            server
+            for server in self.servers.usable(flight.service)
+            if server.id not in flight.tried
+        ]
+        if not others:
+            return False
+        return self._budget.take(flight.service, len(self.hosts), now_ms)
+
+    def _may_run_again(self, flight: Flight, more: int) -> bool:
+        """Returns whether the request may run once more after `more`."""
+        route: Route = flight.route
+        return route.may_repeat() and flight.runs + more < route.max_attempts
+
+    def _learn(
+        self, server: BackendServer, ending: Ending, now_ms: int
+    ) -> None:
+        if ending is Ending.UNREACHED:
+            self.doubts.record_unreachable(server.id, now_ms)
+        elif ending in (
+            Ending.BROKEN,
+            Ending.SILENT,
+            Ending.SPOILED,
+            Ending.SERVER_ERROR,
+        ):
+            self.doubts.record_failure(server.id, now_ms)
+
+    def _refuse(self, flight: Flight, reason: str, now_ms: int) -> Refuse:
+        """Gives up; says that the request has not run only if that holds."""
+        if flight.runs > 0:
+            status = 504 if reason in ("timeout", "out-of-time") else 502
+            return Refuse(status, reason)
+        left_ms = flight.deadline_ms - now_ms
+        delay_ms = NO_SERVER_RETRY_MS * (0.7 + 0.6 * self._rng.random())
+        return Refuse(503, reason, int(min(delay_ms, left_ms * RETRY_SHARE)))
--- /dev/null
+++ b/corianderdoor/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host: callers on one side, backend servers on the other."""
--- /dev/null
+++ b/corianderdoor/entry/__main__.py
@@ -0,0 +1,67 @@
+"""Starts an entry host on the users' platform."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import random
+import sys
+from typing import Final
+
+import anyio
+
+from ..adapters.logs import set_up_entry_logs
+from ..core.clock import SystemClock
+from ..platform.settings import (
+    as_mapping,
+    EntrySettings,
+    read_settings,
+    settings_path,
+    SettingsError,
+)
+from .host import EntryHost
+
+EXIT_DONE: Final = 0
+EXIT_USAGE: Final = 2
+LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+async def _serve(settings: EntrySettings, path: pathlib.Path) -> None:
+    clock = SystemClock()
+    rng = random.Random(f"{settings.name}{clock.wall_ms()}")
+    await EntryHost(settings, path, clock, rng).run()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Serves until a signal; returns 2 if the settings are unusable."""
+    parser = argparse.ArgumentParser(
+        prog="corianderdoor-entry",
+        description="Serves callers on an entry host of the platform.",
+    )
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        default=settings_path(),
+        help="path of the settings file that the platform writes",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="show the settings and exit"
+    )
+    parser.add_argument("--log-level", choices=LEVELS, default="INFO")
+    args = parser.parse_args(argv)
+    try:
+        settings = read_settings(args.settings)
+    except SettingsError as exc:
+        print(f"corianderdoor-entry: {exc}", file=sys.stderr)
+        return EXIT_USAGE
+    if args.check:
+        print(json.dumps(as_mapping(settings), indent=2))
+        return EXIT_DONE
+    set_up_entry_logs(settings.name, args.log_level, SystemClock())
+    anyio.run(_serve, settings, args.settings, backend_options={"use_uvloop": True})
+    return EXIT_DONE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/corianderdoor/entry/backends.py
@@ -0,0 +1,111 @@
+"""Connections to backend servers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..adapters.http1 import connect, Wire
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.servers import BackendServer
+
+# A connection takes a round trip; a server out of reach shows by then.
+CONNECT_TIMEOUT_MS: Final = 400
+# Sent bytes that stay unacknowledged for this long show a dead path; three
+# retransmissions fit in.
+UNACKED_MS: Final = 1_000
+# How long an idle connection is kept if the server does not say.
+DEFAULT_IDLE_MS: Final = 4_000
+# A connection is given up this long before the server closes it.
+IDLE_MARGIN_MS: Final = 1_000
+# A request that must not be sent twice goes over a connection that was in
+# use this recently, or over a new one.
+FRESH_MS: Final = 2_000
+
+
+class _Idle:
+    __slots__ = ("wire", "since_ms", "until_ms")
+
+    def __init__(self, wire: Wire, since_ms: int, until_ms: int) -> None:
+        self.wire = wire
+        self.since_ms = since_ms
+        self.until_ms = until_ms
+
+
+class Backends:
+    """Kept connections by server.
+
+    Attributes:
+        opened: Connections opened so far.
+    """
+
+    __slots__ = ("opened", "_clock", "_idle")
+
+    def __init__(self, clock: Clock) -> None:
+        self.opened = 0
+        self._clock = clock
+        self._idle: dict[str, list[_Idle]] = {}
+
+    async def take(self, server: BackendServer, fresh: bool) -> Wire | None:
+        """Returns an open connection; None if the server is out of reach.
+
+        Args:
+            server: Where to.
+            fresh: Whether a connection that has long been idle won't do.
+        """
+        kept = self._take_idle(server, fresh)
+        if kept is not None:
+            return kept
+        address = (server.host, server.port)
+        wire = await connect(address, CONNECT_TIMEOUT_MS, UNACKED_MS)
+        if wire is None:
+            self.forget(server.id)
+            return None
+        self.opened += 1
+        return wire
+
+    def _take_idle(self, server: BackendServer, fresh: bool) -> Wire | None:
+        idle = self._idle.get(server.id)
+        now_ms = self._clock.now_ms()
+        while idle:
+            last = idle[-1]
+            if fresh and now_ms - last.since_ms > FRESH_MS:
+                return None
+            idle.pop()
+            if last.wire.quiet and now_ms < last.until_ms:
+                return last.wire
+            last.wire.abort()
+        return None
+
+    def give_back(
+        self, server: BackendServer, wire: Wire, idle_s: int | None
+    ) -> None:
+        """Keeps a connection whose last exchange is whole."""
+        now_ms = self._clock.now_ms()
+        idle_ms = DEFAULT_IDLE_MS
+        if idle_s is not None:
+            idle_ms = idle_s * MS_PER_SECOND - IDLE_MARGIN_MS
+        if idle_ms <= 0 or wire.unsent_bytes() or not wire.reset_cycle():
+            wire.abort()
+            return
+        kept = self._idle.setdefault(server.id, [])
+        kept.append(_Idle(wire, now_ms, now_ms + idle_ms))
+
+    def forget(self, server_id: str) -> None:
+        """Ends the idle connections to a server."""
+        for idle in self._idle.pop(server_id, []):
+            idle.wire.abort()
+
+    def trim(self) -> None:
+        """Ends the connections that have been idle for too long."""
+        now_ms = self._clock.now_ms()
+        for name, kept in list(self._idle.items()):
+            good = []
+            for idle in kept:
+                if idle.wire.quiet and now_ms < idle.until_ms:
+                    good.append(idle)
+                else:
+                    idle.wire.abort()
+            if good:
+                self._idle[name] = good
+            else:
+                del self._idle[name]
--- /dev/null
+++ b/corianderdoor/entry/beliefs.py
@@ -0,0 +1,134 @@
+"""Puts changes of the store in force on this host."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Final
+
+from ..adapters.logs import log_event
+from ..core.clock import Clock
+from ..core.entry.peers import Peers
+from ..core.entry.planner import Planner
+from ..core.entry.replica import Change, Page, Replica
+from ..platform.changes import (
+    Desired,
+    Evacuation,
+    HostGone,
+    HostListed,
+    Meaning,
+    read_change,
+    ServerGone,
+    ServerListed,
+    Unusable,
+)
+from .backends import Backends
+
+# Servers of a data centre that is taken back may be cold, and their entries
+# say so only with their next heartbeat.
+RETURN_COLD_MS: Final = 2_500
+
+
+class Beliefs:
+    """What this host knows through the store.
+
+    Attributes:
+        replica: The store's items.
+        changed: Called after the desired state or the servers changed.
+    """
+
+    __slots__ = ("replica", "_planner", "_peers", "_backends", "_clock")
+
+    def __init__(
+        self,
+        planner: Planner,
+        peers: Peers,
+        backends: Backends,
+        clock: Clock,
+    ) -> None:
+        self.replica = Replica()
+        self._planner = planner
+        self._peers = peers
+        self._backends = backends
+        self._clock = clock
+
+    def apply(self, page: Page, source: str) -> int:
+        """Takes `page` from `source`; returns how many changes it brought."""
+        changes = self.replica.apply(page)
+        for change in changes:
+            self._apply_change(change, source)
+        return len(changes)
+
+    def _apply_change(self, change: Change, source: str) -> None:
+        meaning = read_change(change)
+        if meaning is None:
+            return
+        log_event(
+            "belief_changed",
+            key=change.key,
+            revision=change.revision,
+            removed=change.value is None,
+            lapsed=change.lapsed,
+            source=source,
+        )
+        self._take(meaning)
+
+    @singledispatchmethod
+    def _take(self, meaning: Meaning) -> None:
+        raise TypeError(f"unknown change {type(meaning).__name__}")
+
+    @_take.register
+    def _(self, meaning: ServerListed) -> None:
+        now_ms = self._clock.now_ms()
+        server = meaning.server
+        if self._planner.servers.put(server, now_ms):
+            self._backends.forget(server.id)
+            self._planner.doubts.forget(server.id)
+
+    @_take.register
+    def _(self, meaning: ServerGone) -> None:
+        self._planner.servers.remove(
+            meaning.id, self._clock.now_ms(), meaning.lapsed
+        )
+
+    @_take.register
+    def _(self, meaning: Evacuation) -> None:
+        servers = self._planner.servers
+        now_ms = self._clock.now_ms()
+        if meaning.out:
+            servers.set_evacuated(servers.evacuated | {meaning.data_centre})
+            return
+        servers.set_evacuated(servers.evacuated - {meaning.data_centre})
+        for server_id in servers.ids():
+            server = servers.get(server_id)
+            if server and server.data_centre == meaning.data_centre:
+                servers.mark_cold(server_id, now_ms + RETURN_COLD_MS)
+
+    @_take.register
+    def _(self, meaning: Desired) -> None:
+        if self._planner.set_desired(meaning.state):
+            log_event("desired_state", version=meaning.state.version)
+        else:
+            log_event("desired_state_old", version=meaning.state.version)
+
+    @_take.register
+    def _(self, meaning: HostListed) -> None:
+        self._peers.list(
+            meaning.name,
+            meaning.callers,
+            meaning.peers,
+            meaning.data_centre,
+            self._clock.now_ms(),
+        )
+
+    @_take.register
+    def _(self, meaning: HostGone) -> None:
+        self._peers.unlist(meaning.name)
+
+    @_take.register
+    def _(self, meaning: Unusable) -> None:
+        log_event(
+            "record_unusable",
+            level="WARNING",
+            key=meaning.key,
+            detail=meaning.detail,
+        )
--- /dev/null
+++ b/corianderdoor/entry/callers.py
@@ -0,0 +1,107 @@
+"""Connections of callers."""
+
+from __future__ import annotations
+
+import anyio
+
+from ..adapters.http1_server import Received, ServerConnection, Unreadable
+from ..adapters.logs import log_event
+from ..core.clock import Clock
+from ..core.entry.planner import Planner
+from ..core.entry.routing import CallerLimits, FIRST_LIMITS
+from ..platform.headers import HeaderError, read_caller_request
+from .backends import Backends
+from .relay import Relay
+
+
+class CallerService:
+    """Serves callers.
+
+    Attributes:
+        leaving: Whether connections end after the answer in progress.
+    """
+
+    __slots__ = ("leaving", "_planner", "_backends", "_clock", "_conns")
+
+    def __init__(
+        self, planner: Planner, backends: Backends, clock: Clock
+    ) -> None:
+        self.leaving = False
+        self._planner = planner
+        self._backends = backends
+        self._clock = clock
+        self._conns: set[ServerConnection] = set()
+
+    def busy(self) -> int:
+        """Returns how many connections have a request in progress."""
+        return sum(conn.busy for conn in self._conns)
+
+    def close_idle(self) -> None:
+        """Ends the connections on which nothing has begun to arrive."""
+        for conn in list(self._conns):
+            if not conn.busy and not conn.wire.arrived:
+                conn.wire.close()
+
+    async def serve(self, conn: ServerConnection) -> None:
+        """Serves the requests of one connection."""
+        self._conns.add(conn)
+        try:
+            while await self._serve_one(conn):
+                pass
+        finally:
+            self._conns.discard(conn)
+
+    def _limits(self) -> CallerLimits:
+        desired = self._planner.desired
+        return FIRST_LIMITS if desired is None else desired.limits
+
+    async def _serve_one(self, conn: ServerConnection) -> bool:
+        received = await conn.read_request(self._limits())
+        conn.closing = self.leaving
+        if received is None:
+            return False
+        if isinstance(received, Unreadable):
+            await self._reject(conn, received)
+            return False
+        wire = conn.wire
+        if wire.eof or wire.lost:
+            return False
+        with anyio.CancelScope() as scope:
+            wire.on_gone = scope.cancel
+            await self._answer(conn, received)
+        wire.on_gone = None
+        if scope.cancelled_caught:
+            wire.abort()
+            return False
+        conn.closing = conn.closing or self.leaving
+        more = await conn.finish()
+        conn.busy = False
+        return more
+
+    async def _answer(
+        self, conn: ServerConnection, received: Received
+    ) -> None:
+        try:
+            req = read_caller_request(
+                received.method,
+                received.target,
+                received.headers,
+                received.body,
+            )
+        except HeaderError as exc:
+            await self._reject(conn, Unreadable(400, str(exc)))
+            return
+        relay = Relay(self._planner, self._backends, self._clock, conn, req)
+        await relay.run()
+
+    async def _reject(
+        self, conn: ServerConnection, unreadable: Unreadable
+    ) -> None:
+        log_event(
+            "request_unreadable",
+            status=unreadable.status,
+            detail=unreadable.detail,
+        )
+        conn.closing = True
+        await conn.respond(unreadable.status, [])
+        await conn.close_gently()
--- /dev/null
+++ b/corianderdoor/entry/entry.capnp
@@ -0,0 +1,35 @@
+# Messages between entry hosts.
+#
+# A field is never renumbered or removed: hosts of two releases talk to each
+# other during an upgrade.
+
+@0xc5b1d63f08a47e21;
+
+struct Beat {
+  sender @0 :Text;
+  boot @1 :UInt64;
+  revision @2 :UInt64;
+  contactMs @3 :UInt32;
+  leaving @4 :Bool;
+  loads @5 :List(Load);
+}
+
+# Requests that the sender has in progress at one backend server.
+struct Load {
+  server @0 :UInt64;  # digest of the server's id
+  count @1 :UInt16;
+}
+
+struct Page {
+  revision @0 :UInt64;
+  whole @1 :Bool;
+  changes @2 :List(Change);
+}
+
+struct Change {
+  key @0 :Text;
+  revision @1 :UInt64;
+  removed @2 :Bool;
+  lapsed @3 :Bool;
+  value @4 :Data;
+}
--- /dev/null
+++ b/corianderdoor/entry/host.py
@@ -0,0 +1,204 @@
+"""The entry host daemon: wiring, signals, start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import pathlib
+import random
+import signal
+from typing import Final
+
+import anyio
+import anyio.abc
+
+from ..adapters.http1_server import listen
+from ..adapters.logs import log_event
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.peers import Peers
+from ..core.entry.planner import Planner
+from ..core.entry.windows import ColdRation, RepeatBudget
+from ..platform.records import encode_host
+from ..platform.settings import EntrySettings, read_settings, SettingsError
+from ..platform.store import Store
+from .backends import Backends
+from .beliefs import Beliefs
+from .callers import CallerService
+from .directory import DirectoryService
+from .peering import Peering
+from .state_sync import Registration, StateSync
+
+TICK_MS: Final = 100
+# A tick that comes this late tells that the host stood still.
+PAUSE_MS: Final = 1_200
+TRIM_TICKS: Final = 10
+# How long a host that leaves goes on taking connections: callers that hold
+# an old answer find it closed no sooner.
+ACCEPT_MS: Final = 2_500
+# Idle connections of callers end after this, when peers no longer name us.
+IDLE_CLOSE_MS: Final = 700
+# Part of the grace period after which answers in progress are cut.
+GRACE_SHARE: Final = 0.93
+STOP_POLL_MS: Final = 20
+
+
+class EntryHost:
+    """One entry host and its tasks."""
+
+    __slots__ = (
+        "_settings",
+        "_path",
+        "_clock",
+        "_planner",
+        "_peers",
+        "_backends",
+        "_beliefs",
+        "_sync",
+        "_registration",
+        "_peering",
+        "_callers",
+        "_directory",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        path: pathlib.Path,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._clock = clock
+        self._planner = Planner(
+            settings.name,
+            settings.data_centre,
+            ColdRation(settings.cold_factor, settings.cold_slack),
+            RepeatBudget(
+                settings.repeat_ratio,
+                settings.repeat_slack,
+                settings.repeat_window_ms,
+            ),
+            rng,
+        )
+        self._peers = Peers(settings.name)
+        self._backends = Backends(clock)
+        self._beliefs = Beliefs(
+            self._planner, self._peers, self._backends, clock
+        )
+        self._sync = StateSync(
+            Store(settings.store, clock), self._beliefs, self._peers, clock
+        )
+        peer_address = (settings.address, settings.peer_ports[0])
+        self._registration = Registration(
+            Store(settings.store, clock),
+            settings.name,
+            encode_host(settings.callers, peer_address, settings.data_centre),
+        )
+        self._peering = Peering(
+            settings.name,
+            clock.wall_ms(),
+            self._planner,
+            self._peers,
+            self._beliefs.replica,
+            clock,
+            self._sync.contact_age_ms,
+            self._sync.wake,
+        )
+        self._sync.attach(self._peering)
+        self._callers = CallerService(self._planner, self._backends, clock)
+        self._directory = DirectoryService(
+            settings, self._planner, self._peers, clock, self._store_reached
+        )
+
+    def _store_reached(self) -> bool:
+        return self._registration.reached
+
+    async def run(self) -> None:
+        """Serves until a signal stops the host."""
+        settings = self._settings
+        async with anyio.create_task_group() as tasks:
+            listener = await listen(
+                settings.callers, tasks, self._callers.serve
+            )
+            await listen(settings.readiness, tasks, self._directory.serve)
+            if settings.directory != settings.readiness:
+                await listen(settings.directory, tasks, self._directory.serve)
+            peer_address = (settings.address, settings.peer_ports[0])
+            await listen(peer_address, tasks, self._peering.serve)
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self._peering, local_addr=peer_address
+            )
+            tasks.start_soon(self._sync.run)
+            tasks.start_soon(self._registration.run, self._in_service)
+            tasks.start_soon(self._peering.beat_for_ever)
+            tasks.start_soon(self._tick_for_ever)
+            gc.collect()
+            gc.freeze()
+            log_event("started", name=settings.name)
+            await self._wait_for_stop()
+            await self._stop(listener)
+            tasks.cancel_scope.cancel()
+        log_event("stopped", name=settings.name)
+
+    def _in_service(self) -> bool:
+        return not self._peering.leaving
+
+    async def _wait_for_stop(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                self._reload()
+
+    def _reload(self) -> None:
+        """Reads the settings again; unusable ones change nothing."""
+        try:
+            settings = read_settings(self._path)
+        except SettingsError as exc:
+            log_event("reload_failed", level="WARNING", detail=str(exc))
+            return
+        self._directory.set_ttl(settings.directory_ttl_s)
+        log_event("reloaded", name=settings.name)
+
+    async def _tick_for_ever(self) -> None:
+        last_ms = self._clock.now_ms()
+        ticks = 0
+        while True:
+            await anyio.sleep(TICK_MS / MS_PER_SECOND)
+            now_ms = self._clock.now_ms()
+            if now_ms - last_ms > PAUSE_MS:
+                log_event("paused", gap_ms=now_ms - last_ms)
+                self._sync.restart()
+            last_ms = now_ms
+            ticks += 1
+            for server_id in self._planner.tick(now_ms):
+                log_event("server_lapsed", server=server_id)
+            for name in self._peers.prune(now_ms):
+                self._planner.loads.forget(name)
+                log_event("peer_gone", peer=name)
+            self._planner.hosts = self._peers.spenders(now_ms)
+            if ticks % TRIM_TICKS == 0:
+                self._backends.trim()
+
+    async def _stop(self, listener: asyncio.Server) -> None:
+        """Leaves service without cutting answers in progress."""
+        began_ms = self._clock.now_ms()
+        end_ms = began_ms + int(self._settings.grace_ms * GRACE_SHARE)
+        log_event("stopping", in_progress=self._callers.busy())
+        self._peering.leaving = True
+        self._directory.leaving = True
+        self._callers.leaving = True
+        self._peering.send_beats()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._registration.withdraw)
+            await anyio.sleep(IDLE_CLOSE_MS / MS_PER_SECOND)
+            self._callers.close_idle()
+            await anyio.sleep((ACCEPT_MS - IDLE_CLOSE_MS) / MS_PER_SECOND)
+        listener.close()
+        while self._callers.busy() and self._clock.now_ms() < end_ms:
+            self._callers.close_idle()
+            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
+        log_event("stop_ends", in_progress=self._callers.busy())
--- /dev/null
+++ b/corianderdoor/entry/peering.py
@@ -0,0 +1,188 @@
+"""Beats and copies of the store's items between entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast, Final
+from urllib.parse import parse_qs
+
+import anyio
+import h11
+import xxhash
+
+from ..adapters.http1 import Address, connect, ConnectionCutError
+from ..adapters.http1_server import Received, ServerConnection
+from ..adapters.logs import log_event
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.peers import Beat, Peer, Peers
+from ..core.entry.planner import Planner
+from ..core.entry.replica import Page, Replica
+from ..core.entry.routing import FIRST_LIMITS
+from ..platform.store import read_whole
+from .peer_codec import (
+    decode_beat,
+    decode_page,
+    encode_beat,
+    encode_page,
+    MessageError,
+)
+
+# Peers learn of loads this often; a spread of work needs no finer view.
+BEAT_MS: Final = 200
+PULL_TIMEOUT_MS: Final = 500
+STATE_PATH: Final = b"/state"
+
+
+def digest_id(server_id: str) -> int:
+    """Returns the number that stands for a server in beats."""
+    return xxhash.xxh3_64_intdigest(server_id.encode())
+
+
+class Peering(asyncio.DatagramProtocol):
+    """Talks to the other entry hosts.
+
+    Attributes:
+        leaving: Whether this host shuts down.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        boot: int,
+        planner: Planner,
+        peers: Peers,
+        replica: Replica,
+        clock: Clock,
+        contact_ms: Callable[[], int],
+        on_ahead: Callable[[], None],
+    ) -> None:
+        """Creates it.
+
+        Args:
+            name: Name of this host.
+            boot: Number that rises with each start.
+            planner: Knows the loads.
+            peers: Known hosts.
+            replica: The store's items.
+            clock: The clock.
+            contact_ms: Tells the age of the last contact with the store.
+            on_ahead: Called when a peer knows more than this host.
+        """
+        self.leaving = False
+        self._name = name
+        self._boot = boot
+        self._planner = planner
+        self._peers = peers
+        self._replica = replica
+        self._clock = clock
+        self._contact_ms = contact_ms
+        self._on_ahead = on_ahead
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open socket."""
+        # uvloop's transports are no subclasses of asyncio's.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores refusals of peers that are down; silence shows those."""
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Takes a beat."""
+        try:
+            beat = decode_beat(data)
+        except MessageError as exc:
+            log_event("beat_unusable", level="WARNING", detail=str(exc))
+            return
+        now_ms = self._clock.now_ms()
+        known = {peer.name for peer in self._peers.all()}
+        peer = self._peers.hear(beat, now_ms)
+        if peer is None:
+            return
+        if peer.name not in known:
+            log_event("peer_heard", peer=peer.name, boot=beat.boot)
+        if peer.address is None:
+            peer.address = (addr[0], addr[1])
+        self._take_loads(beat, now_ms)
+        if beat.revision > self._replica.revision:
+            self._on_ahead()
+
+    def _take_loads(self, beat: Beat, now_ms: int) -> None:
+        names = {
+            digest_id(server_id): server_id
+            for server_id in self._planner.servers.ids()
+        }
+        counts = {
+            names[digest]: count
+            for digest, count in beat.loads
+            if digest in names
+        }
+        self._planner.loads.hear(beat.sender, counts, now_ms)
+
+    def send_beats(self) -> None:
+        """Tells all peers the state of this host."""
+        if self._transport is None:
+            return
+        data = encode_beat(
+            Beat(
+                self._name,
+                self._boot,
+                self._replica.changed,
+                self._contact_ms(),
+                self.leaving,
+                tuple(
+                    (digest_id(server_id), count)
+                    for server_id, count in self._planner.loads.own.items()
+                ),
+            )
+        )
+        for peer in self._peers.all():
+            if peer.address is not None:
+                self._transport.sendto(data, peer.address)
+
+    async def beat_for_ever(self) -> None:
+        """Sends beats at a steady pace."""
+        while True:
+            self.send_beats()
+            await anyio.sleep(BEAT_MS / MS_PER_SECOND)
+
+    async def serve(self, conn: ServerConnection) -> None:
+        """Answers a peer that asks for the store's items."""
+        received = await conn.read_request(FIRST_LIMITS)
+        if not isinstance(received, Received):
+            return
+        path, _, query = received.target.partition(b"?")
+        after = parse_qs(query.decode("latin-1")).get("after", [""])[0]
+        if path != STATE_PATH or not after.isdigit():
+            await conn.respond(404, [])
+            return
+        page = self._replica.since(int(after))
+        conn.closing = True
+        await conn.respond(200, [], encode_page(page))
+        await conn.finish()
+
+    async def pull(self, peer: Peer) -> Page | None:
+        """Returns what `peer` knows beyond this host; None if it fails."""
+        assert peer.address is not None
+        wire = None
+        try:
+            with anyio.fail_after(PULL_TIMEOUT_MS / MS_PER_SECOND):
+                wire = await connect(peer.address, PULL_TIMEOUT_MS, 0)
+                if wire is None:
+                    return None
+                target = b"%s?after=%d" % (STATE_PATH, self._replica.revision)
+                wire.write(
+                    h11.Request(
+                        method="GET", target=target, headers=[("Host", "peer")]
+                    )
+                )
+                wire.write(h11.EndOfMessage())
+                _, body = await read_whole(wire)
+                return decode_page(body)
+        except (TimeoutError, ConnectionCutError, MessageError) as exc:
+            log_event("pull_failed", peer=peer.name, detail=str(exc))
+            return None
+        finally:
+            if wire is not None:
+                wire.abort()
--- /dev/null
+++ b/corianderdoor/platform/changes.py
@@ -0,0 +1,134 @@
+"""Changes of the store's keys as changes of what the project knows."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from ..core.entry.replica import Change
+from ..core.entry.routing import DesiredState
+from ..core.entry.servers import BackendServer
+from ..core.records import Record
+from .records import (
+    decode_desired,
+    decode_host,
+    decode_server,
+    DESIRED_KEY,
+    EVACUATION_PREFIX,
+    HOST_PREFIX,
+    RecordError,
+    SERVER_PREFIX,
+)
+
+Address = tuple[str, int]
+
+
+class ServerListed(Record):
+    """A backend server is listed, or its entry changed."""
+
+    __slots__ = ("server",)
+
+    def __init__(self, server: BackendServer) -> None:
+        self.server = server
+
+
+class ServerGone(Record):
+    """A backend server is no longer listed."""
+
+    __slots__ = ("id", "lapsed")
+
+    def __init__(self, id: str, lapsed: bool) -> None:
+        self.id = id
+        self.lapsed = lapsed
+
+
+class Evacuation(Record):
+    """A data centre is taken out, or back."""
+
+    __slots__ = ("data_centre", "out")
+
+    def __init__(self, data_centre: str, out: bool) -> None:
+        self.data_centre = data_centre
+        self.out = out
+
+
+class Desired(Record):
+    """The operators want something else."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, state: DesiredState) -> None:
+        self.state = state
+
+
+class HostListed(Record):
+    """An entry host is in service."""
+
+    __slots__ = ("name", "callers", "peers", "data_centre")
+
+    def __init__(
+        self, name: str, callers: Address, peers: Address, data_centre: str
+    ) -> None:
+        self.name = name
+        self.callers = callers
+        self.peers = peers
+        self.data_centre = data_centre
+
+
+class HostGone(Record):
+    """An entry host is out of service."""
+
+    __slots__ = ("name",)
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+
+
+class Unusable(Record):
+    """A value can't be read; it names nothing."""
+
+    __slots__ = ("key", "detail")
+
+    def __init__(self, key: str, detail: str) -> None:
+        self.key = key
+        self.detail = detail
+
+
+Meaning: TypeAlias = (
+    ServerListed
+    | ServerGone
+    | Evacuation
+    | Desired
+    | HostListed
+    | HostGone
+    | Unusable
+)
+
+
+def read_change(change: Change) -> Meaning | None:
+    """Returns what `change` means; None if it means nothing here."""
+    key = change.key
+    try:
+        if key.startswith(SERVER_PREFIX):
+            return _read_server(change, key[len(SERVER_PREFIX) :])
+        if key.startswith(EVACUATION_PREFIX):
+            data_centre = key[len(EVACUATION_PREFIX) :]
+            return Evacuation(data_centre, change.value is not None)
+        if key.startswith(HOST_PREFIX):
+            return _read_host(change, key[len(HOST_PREFIX) :])
+        if key == DESIRED_KEY and change.value is not None:
+            return Desired(decode_desired(change.value))
+    except RecordError as exc:
+        return Unusable(key, str(exc))
+    return None
+
+
+def _read_server(change: Change, name: str) -> Meaning:
+    if change.value is None:
+        return ServerGone(name, change.lapsed)
+    return ServerListed(decode_server(name, change.value))
+
+
+def _read_host(change: Change, name: str) -> Meaning:
+    if change.value is None:
+        return HostGone(name)
+    return HostListed(name, *decode_host(name, change.value))
--- /dev/null
+++ b/corianderdoor/platform/records.py
@@ -0,0 +1,222 @@
+"""What backend servers and operators write to the platform's store."""
+
+from __future__ import annotations
+
+from typing import Final, Literal
+
+import msgspec
+
+from ..core.entry.routing import (
+    CallerLimits,
+    DesiredState,
+    Repeat,
+    Route,
+    Service,
+    Workspace,
+)
+from ..core.entry.servers import BackendServer
+from .settings import parse_address, SettingsError
+
+SERVER_PREFIX: Final = "servers/"
+DESIRED_KEY: Final = "op/config"
+EVACUATION_PREFIX: Final = "op/evacuate/"
+# Keys of our own: one record for each entry host in service.
+HOST_PREFIX: Final = "corianderdoor/hosts/"
+OPERATOR_PREFIX: Final = "op/"
+REPEAT_BY_KIND: Final = {
+    "idempotent": Repeat.IDEMPOTENT,
+    "non_idempotent": Repeat.NON_IDEMPOTENT,
+    "streaming": Repeat.STREAM,
+}
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["available", "draining"]
+    cold_remaining_ms: float = 0.0
+    born: int = 0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1_000.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    stream_resumption: bool = False
+
+
+class _Engine(msgspec.Struct):
+    kv_cache_tokens: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    connection_limit: int = 100
+    cold_per_s: float = 0.0
+    inference_engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] = []
+
+
+class _Host(msgspec.Struct):
+    callers: str
+    peers: str
+    data_centre: str
+
+
+class RecordError(Exception):
+    """A value in the store can't be used; the text says why."""
+
+
+def decode_server(server_id: str, value: bytes) -> BackendServer:
+    """Returns the server that an entry names.
+
+    Raises:
+        RecordError: The entry names no server to use.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Server)
+        host, port = parse_address(raw.address)
+    except (msgspec.MsgspecError, SettingsError) as exc:
+        raise RecordError(f"entry of server {server_id}: {exc}") from exc
+    return BackendServer(
+        server_id,
+        raw.service,
+        host,
+        port,
+        raw.zone,
+        raw.state == "available",
+        max(1, raw.slots),
+        max(0.0, raw.cold_remaining_ms),
+        raw.born,
+    )
+
+
+def decode_desired(value: bytes) -> DesiredState:
+    """Returns the desired state in `value`.
+
+    Raises:
+        RecordError: It is no desired state.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Config)
+        routes = [_decode_route(route) for route in raw.routes]
+    except (msgspec.MsgspecError, KeyError, ValueError) as exc:
+        raise RecordError(f"desired state: {exc}") from exc
+    limits = raw.limits
+    return DesiredState(
+        raw.version,
+        routes,
+        [
+            Service(
+                service.name,
+                service.connection_limit,
+                service.cold_per_s,
+                (
+                    service.inference_engine.kv_cache_tokens
+                    if service.inference_engine
+                    else 0
+                ),
+            )
+            for service in raw.services
+        ],
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+        {
+            key: Workspace(tenant.name, tenant.priority)
+            for tenant in raw.tenants
+            for key in tenant.api_keys
+        },
+        bool(raw.tenants),
+    )
+
+
+def _decode_route(raw: _Route) -> Route:
+    split = tuple((part.service, part.weight) for part in raw.traffic_split)
+    if not split:
+        if not raw.service:
+            raise ValueError(f"route {raw.name} has no service")
+        split = ((raw.service, 1.0),)
+    return Route(
+        raw.name,
+        raw.host.lower(),
+        raw.path_prefix,
+        REPEAT_BY_KIND[raw.kind],
+        raw.timeout_ms,
+        raw.target_latency_ms,
+        raw.priority,
+        split,
+        raw.max_attempts,
+        raw.public,
+        raw.stream_resumption,
+    )
+
+
+def encode_host(
+    callers: tuple[str, int], peers: tuple[str, int], data_centre: str
+) -> bytes:
+    """Returns the record of an entry host."""
+    return msgspec.json.encode(
+        _Host(
+            f"{callers[0]}:{callers[1]}",
+            f"{peers[0]}:{peers[1]}",
+            data_centre,
+        )
+    )
+
+
+def decode_host(
+    name: str, value: bytes
+) -> tuple[tuple[str, int], tuple[str, int], str]:
+    """Returns where an entry host serves callers and peers, and its place.
+
+    Raises:
+        RecordError: The record can't be read.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Host)
+        return (
+            parse_address(raw.callers),
+            parse_address(raw.peers),
+            raw.data_centre,
+        )
+    except (msgspec.MsgspecError, SettingsError) as exc:
+        raise RecordError(f"record of host {name}: {exc}") from exc
--- /dev/null
+++ b/corianderdoor/platform/settings.py
@@ -0,0 +1,157 @@
+"""The settings file that the platform gives to each process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+from typing import Any, Final
+
+import msgspec
+
+from ..core.records import Record
+
+PATH_VARIABLE: Final = "CORIANDERDOOR_BOOT"
+STANDARD_PATH: Final = "/etc/corianderdoor/boot.json"
+MS_PER_SECOND: Final = 1_000
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text says why."""
+
+
+class EntrySettings(Record):
+    """Settings of one entry host.
+
+    Attributes:
+        name: Name of the host.
+        data_centre: Where it is.
+        address: Its IP number.
+        callers: Where callers are served.
+        readiness: Where the platform asks whether the host is ready.
+        directory: Where callers ask which host to use.
+        peer_ports: First and last port for other entry hosts.
+        store: Address of the platform's store.
+        heartbeat_ms: How often backend servers tell of themselves.
+        grace_ms: Time between the signal to stop and the kill.
+        cold_factor: Multiple of a cold server's rate that it bears.
+        cold_slack: Requests beyond that.
+        repeat_ratio: Repeats for each request.
+        repeat_slack: Repeats beyond that, of all hosts.
+        repeat_window_ms: Span over which repeats are counted.
+        directory_ttl_s: Longest time that callers keep an answer.
+    """
+
+    __slots__ = (
+        "name",
+        "data_centre",
+        "address",
+        "callers",
+        "readiness",
+        "directory",
+        "peer_ports",
+        "store",
+        "heartbeat_ms",
+        "grace_ms",
+        "cold_factor",
+        "cold_slack",
+        "repeat_ratio",
+        "repeat_slack",
+        "repeat_window_ms",
+        "directory_ttl_s",
+    )
+
+    def __init__(self, raw: _File) -> None:
+        bounds = raw.bounds
+        self.name = raw.node_name
+        self.data_centre = raw.zone
+        self.address = raw.ip_address
+        self.callers = parse_address(raw.listen_addresses.frontend)
+        self.readiness = parse_address(raw.listen_addresses.ready)
+        self.directory = parse_address(raw.listen_addresses.directory_service)
+        self.peer_ports = raw.internal_port_range
+        self.store = parse_address(raw.platform.address)
+        self.heartbeat_ms = raw.heartbeat_interval_ms
+        self.grace_ms = int(bounds.grace_period_s * MS_PER_SECOND)
+        self.cold_factor = bounds.cold_factor
+        self.cold_slack = bounds.cold_slack
+        self.repeat_ratio = bounds.retry_budget_ratio
+        self.repeat_slack = bounds.retry_budget_slack
+        self.repeat_window_ms = int(bounds.budget_window_s * MS_PER_SECOND)
+        self.directory_ttl_s = bounds.ttl_max_s
+
+
+class _Listen(msgspec.Struct):
+    frontend: str
+    ready: str
+    directory_service: str
+
+
+class _Bounds(msgspec.Struct):
+    grace_period_s: float = 8.0
+    cold_factor: float = 1.0
+    cold_slack: float = 0.0
+    retry_budget_ratio: float = 0.0
+    retry_budget_slack: float = 0.0
+    budget_window_s: float = 10.0
+    ttl_max_s: float = 5.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    zone: str
+    ip_address: str
+    listen_addresses: _Listen
+    internal_port_range: tuple[int, int]
+    platform: _Store
+    heartbeat_interval_ms: float = 1_200
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Returns the IP number and the port of "IP:PORT".
+
+    Raises:
+        SettingsError: It is no such text.
+    """
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isascii() and port.isdigit()):
+        raise SettingsError(f"{text!r} is not an address of the form IP:PORT")
+    return host, int(port)
+
+
+def settings_path() -> pathlib.Path:
+    """Returns where the settings file is."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE) or STANDARD_PATH)
+
+
+def decode_settings(content: bytes) -> EntrySettings:
+    """Returns the settings that `content` holds; unknown fields are ignored.
+
+    Raises:
+        SettingsError: A field is missing or has no valid value.
+    """
+    try:
+        return EntrySettings(msgspec.json.decode(content, type=_File))
+    except msgspec.MsgspecError as exc:
+        raise SettingsError(f"the settings are not valid: {exc}") from exc
+
+
+def read_settings(path: pathlib.Path) -> EntrySettings:
+    """Returns the settings in the file at `path`.
+
+    Raises:
+        SettingsError: The file can't be read or used.
+    """
+    try:
+        return decode_settings(path.read_bytes())
+    except OSError as exc:
+        raise SettingsError(f"{path} can't be read: {exc}") from exc
+
+
+def as_mapping(settings: EntrySettings) -> dict[str, Any]:
+    """Returns the settings as names and values, to be shown."""
+    return {name: getattr(settings, name) for name in settings.__slots__}
--- /dev/null
+++ b/corianderdoor/platform/store.py
@@ -0,0 +1,315 @@
+"""The one client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import anyio
+import h11
+import msgspec
+
+from ..adapters.http1 import Address, connect, ConnectionCutError, Wire
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.records import Record
+
+PATH: Final = "/corianderdoor"
+CONNECT_TIMEOUT_MS: Final = 600
+# Answers take milliseconds; a slow store is waited for this long.
+CALL_TIMEOUT_MS: Final = 1_500
+# Answers of a waiting watch may come this much later than asked for.
+WATCH_MARGIN_MS: Final = 1_500
+UNACKED_MS: Final = 1_500
+MAX_PAGES: Final = 200
+
+
+class StoreError(Exception):
+    """A call was not answered with success.
+
+    Attributes:
+        step: The call.
+        reason: "unreached", "silent", "cut", "unreadable", or the status.
+        undone: Whether it is certain that the call changed nothing.
+    """
+
+    def __init__(self, step: str, reason: str, undone: bool) -> None:
+        super().__init__(f"store call {step}: {reason}")
+        self.step = step
+        self.reason = reason
+        self.undone = undone
+
+
+class HistoryGoneError(Exception):
+    """The store no longer has the changes asked for."""
+
+
+class Item(Record):
+    """A key as it was written, or its removal.
+
+    Attributes:
+        key: The key.
+        value: Its value; None if it was removed.
+        revision: Revision of the change.
+    """
+
+    __slots__ = ("key", "value", "revision")
+
+    def __init__(self, key: str, value: bytes | None, revision: int) -> None:
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int = 0
+    value: str = ""
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct):
+    at: int
+    entries: list[_Item] = []
+    events: list[_Item] = []
+    has_more: bool = False
+
+
+class _Lease(msgspec.Struct):
+    lease_id: int = 0
+
+
+class _Done(msgspec.Struct):
+    revision: int = 0
+
+
+class Store:
+    """Calls to the platform's store, one at a time over one connection.
+
+    A waiting watch needs a client of its own. After a lost answer the
+    connection is dropped, as nothing more comes over it.
+    """
+
+    __slots__ = ("_address", "_clock", "_wire", "calls")
+
+    def __init__(self, address: Address, clock: Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._wire: Wire | None = None
+        self.calls = 0
+
+    def drop(self) -> None:
+        """Ends the connection; the next call opens another."""
+        if self._wire is not None:
+            self._wire.abort()
+            self._wire = None
+
+    async def list(self, prefix: str) -> tuple[list[Item], int]:
+        """Returns all items under `prefix` and the revision before them.
+
+        Pages are no snapshot: what changes meanwhile shows in a watch that
+        starts from the revision returned.
+
+        Raises:
+            StoreError: The call failed.
+        """
+        found: list[Item] = []
+        first_at: int | None = None
+        after: str | None = None
+        for _ in range(MAX_PAGES):
+            query = {"path_prefix": prefix}
+            if after is not None:
+                query["after"] = after
+            page = await self._page("kv-range", query, CALL_TIMEOUT_MS)
+            if first_at is None:
+                first_at = page.at
+            found.extend(_read_item(raw) for raw in page.entries)
+            if not page.has_more or not page.entries:
+                return found, first_at
+            after = page.entries[-1].key
+        raise StoreError("kv-range", "too many pages", True)
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> tuple[list[Item], int]:
+        """Waits for changes after a revision; none if none come in time.
+
+        Raises:
+            StoreError: The call failed.
+            HistoryGoneError: The changes are no longer to be had.
+        """
+        query = {
+            "path_prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(wait_ms),
+        }
+        page = await self._page("kv-watch", query, wait_ms + WATCH_MARGIN_MS)
+        return [_read_item(raw) for raw in page.events], page.at
+
+    async def _page(
+        self, call: str, query: dict[str, str], timeout_ms: int
+    ) -> _Page:
+        target = f"{PATH}/{call}?{urlencode(query)}"
+        status, body = await self._call(call, "GET", target, b"", timeout_ms)
+        if status == 410:
+            raise HistoryGoneError
+        return _decode(call, status, body, _Page)
+
+    async def grant(self, ttl_ms: int) -> int:
+        """Returns the id of a new lease.
+
+        Raises:
+            StoreError: The call failed.
+        """
+        body = msgspec.json.encode({"ttl_ms": ttl_ms})
+        status, answer = await self._call(
+            "kv-lease", "POST", f"{PATH}/kv-lease", body, CALL_TIMEOUT_MS
+        )
+        return _decode("kv-lease", status, answer, _Lease).lease_id
+
+    async def renew(self, lease_id: int) -> bool:
+        """Renews a lease; returns False if it has ended.
+
+        Raises:
+            StoreError: The call failed.
+        """
+        target = f"{PATH}/kv-keep/{lease_id}"
+        status, answer = await self._call(
+            "kv-keep", "POST", target, b"", CALL_TIMEOUT_MS
+        )
+        if status == 404:
+            return False
+        _decode("kv-keep", status, answer, _Lease)
+        return True
+
+    async def end_lease(self, lease_id: int) -> None:
+        """Ends a lease, which removes its keys.
+
+        Raises:
+            StoreError: The call failed.
+        """
+        target = f"{PATH}/kv-lease-end/{lease_id}"
+        await self._call(
+            "kv-lease-end", "DELETE", target, b"", CALL_TIMEOUT_MS
+        )
+
+    async def write(self, key: str, value: bytes, lease_id: int) -> bool:
+        """Writes a key under a lease; returns False if that has ended.
+
+        Raises:
+            StoreError: The call failed.
+        """
+        change = {
+            "expected_revision": [],
+            "write": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease_id": lease_id,
+                }
+            ],
+            "remove": [],
+        }
+        status, answer = await self._call(
+            "kv-txn",
+            "POST",
+            f"{PATH}/kv-txn",
+            msgspec.json.encode(change),
+            CALL_TIMEOUT_MS,
+        )
+        if status == 404:
+            return False
+        _decode("kv-txn", status, answer, _Done)
+        return True
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_ms: int,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        sent = False
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_SECOND):
+                wire = await self._open(step)
+                sent = True
+                answer = await self._exchange(wire, method, target, body)
+        except TimeoutError as exc:
+            self.drop()
+            raise StoreError(step, "silent", not sent) from exc
+        except (ConnectionCutError, h11.ProtocolError) as exc:
+            self.drop()
+            raise StoreError(step, "cut", not sent) from exc
+        except BaseException:
+            self.drop()
+            raise
+        if not wire.reset_cycle():
+            self.drop()
+        return answer
+
+    async def _open(self, step: str) -> Wire:
+        if self._wire is not None and self._wire.quiet:
+            return self._wire
+        self.drop()
+        wire = await connect(self._address, CONNECT_TIMEOUT_MS, UNACKED_MS)
+        if wire is None:
+            raise StoreError(step, "unreached", True)
+        self._wire = wire
+        return wire
+
+    async def _exchange(
+        self, wire: Wire, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        headers = [("Host", f"{self._address[0]}:{self._address[1]}")]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        if method != "GET":
+            headers.append(("Content-Length", str(len(body))))
+        wire.write(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            wire.write(h11.Data(data=body))
+        wire.write(h11.EndOfMessage())
+        return await read_whole(wire)
+
+
+async def read_whole(wire: Wire) -> tuple[int, bytes]:
+    """Returns the status and the body of the answer that is due.
+
+    Raises:
+        ConnectionCutError: The answer is not whole.
+    """
+    status = 0
+    parts: list[bytes] = []
+    while True:
+        event = await wire.next_event()
+        if isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return status, b"".join(parts)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionCutError("closed without an answer")
+
+
+def _read_item(raw: _Item) -> Item:
+    if raw.deleted:
+        return Item(raw.key, None, raw.revision)
+    try:
+        value = base64.b64decode(raw.value, validate=True)
+    except ValueError:
+        # Unreadable bytes name nothing, as an empty value does.
+        value = b""
+    return Item(raw.key, value, raw.revision)
+
+
+def _decode(step: str, status: int, body: bytes, form: type[Any]) -> Any:
+    if status != 200:
+        raise StoreError(step, str(status), status in (429, 503))
+    try:
+        return msgspec.json.decode(body, type=form)
+    except msgspec.MsgspecError as exc:
+        raise StoreError(step, "unreadable", False) from exc
