--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -200,6 +200,11 @@
         if data and not self.lost:
             self._live().write(data)
 
+    def write_raw(self, data: bytes) -> None:
+        """Sends bytes past the serializer, for stand-ins that misbehave."""
+        if not self.lost:
+            self._live().write(data)
+
     async def flush(self) -> None:
         """Waits while too much is unsent."""
         if self._drained is not None and not self.lost:
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -186,7 +186,10 @@
 async def listen(
     address: Address, tasks: anyio.abc.TaskGroup, handler: Handler
 ) -> asyncio.Server:
-    """Serves each connection to `address` with `handler`, in `tasks`."""
+    """Serves each connection to `address` with `handler`, in `tasks`.
+
+    The address is free again once `tasks` end.
+    """
 
     async def run(wire: Wire) -> None:
         try:
@@ -197,10 +200,18 @@
     def accept(wire: Wire) -> None:
         tasks.start_soon(run, wire)
 
+    async def close_at_end(server: asyncio.Server) -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            server.close()
+
     loop = asyncio.get_running_loop()
-    return await loop.create_server(
+    server = await loop.create_server(
         lambda: Wire(h11.SERVER, unacked_ms=UNACKED_MS, on_made=accept),
         address[0],
         address[1],
         backlog=BACKLOG,
     )
+    tasks.start_soon(close_at_end, server)
+    return server
--- a/corianderdoor/entry/__main__.py
+++ b/corianderdoor/entry/__main__.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 from typing import Final
 
@@ -30,7 +31,23 @@
 async def _serve(settings: EntrySettings, path: pathlib.Path) -> None:
     clock = SystemClock()
     rng = random.Random(f"{settings.name}{clock.wall_ms()}")
-    await EntryHost(settings, path, clock, rng).run()
+    host = EntryHost(settings, path, clock, rng)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_follow_signals, host, stop)
+        await host.run(stop)
+        tasks.cancel_scope.cancel()
+
+
+async def _follow_signals(host: EntryHost, stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                host.reload()
+            else:
+                stop.set()
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/corianderdoor/entry/beliefs.py
+++ b/corianderdoor/entry/beliefs.py
@@ -141,7 +141,7 @@
         try:
             pairs = decode_caches(meaning.value)
         except MessageError as exc:
-            log_event("caches_unusable", level="WARNING", detail=str(exc))
+            log_event("caches_unusable", "WARNING", detail=str(exc))
             return
         self._planner.caches.restore(pairs, self._clock.now_ms())
         log_event("caches_restored", parts=len(pairs))
@@ -150,7 +150,7 @@
     def _(self, meaning: Unusable) -> None:
         log_event(
             "record_unusable",
-            level="WARNING",
+            "WARNING",
             key=meaning.key,
             detail=meaning.detail,
         )
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -36,6 +36,12 @@
         """Returns how many connections have a request in progress."""
         return sum(conn.busy for conn in self._conns)
 
+    def leave(self) -> None:
+        """Ends each connection after the answer in progress."""
+        self.leaving = True
+        for conn in self._conns:
+            conn.closing = True
+
     def close_idle(self) -> None:
         """Ends the connections on which nothing has begun to arrive."""
         for conn in list(self._conns):
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -6,7 +6,6 @@
 import gc
 import pathlib
 import random
-import signal
 from typing import Final
 
 import anyio
@@ -121,8 +120,8 @@
     def _store_reached(self) -> bool:
         return self._registration.reached
 
-    async def run(self) -> None:
-        """Serves until a signal stops the host."""
+    async def run(self, stop: anyio.Event) -> None:
+        """Serves until `stop` is set, and then until the work is done."""
         settings = self._settings
         async with anyio.create_task_group() as tasks:
             listener = await listen(
@@ -144,7 +143,7 @@
             gc.collect()
             gc.freeze()
             log_event("started", name=settings.name)
-            await self._wait_for_stop()
+            await stop.wait()
             await self._stop(listener)
             tasks.cancel_scope.cancel()
         log_event("stopped", name=settings.name)
@@ -152,21 +151,12 @@
     def _in_service(self) -> bool:
         return not self._peering.leaving
 
-    async def _wait_for_stop(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
-                self._reload()
-
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """Reads the settings again; unusable ones change nothing."""
         try:
             settings = read_settings(self._path)
         except SettingsError as exc:
-            log_event("reload_failed", level="WARNING", detail=str(exc))
+            log_event("reload_failed", "WARNING", detail=str(exc))
             return
         self._directory.set_ttl(settings.directory_ttl_s)
         log_event("reloaded", name=settings.name)
@@ -198,7 +188,7 @@
         log_event("stopping", in_progress=self._callers.busy())
         self._peering.leaving = True
         self._directory.leaving = True
-        self._callers.leaving = True
+        self._callers.leave()
         self._peering.send_beats()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._registration.withdraw)
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -95,7 +95,7 @@
         try:
             beat = decode_beat(data)
         except MessageError as exc:
-            log_event("beat_unusable", level="WARNING", detail=str(exc))
+            log_event("beat_unusable", "WARNING", detail=str(exc))
             return
         now_ms = self._clock.now_ms()
         known = {peer.name for peer in self._peers.all()}
@@ -153,10 +153,14 @@
                 self._transport.sendto(data, peer.address)
 
     async def beat_for_ever(self) -> None:
-        """Sends beats at a steady pace."""
-        while True:
-            self.send_beats()
-            await anyio.sleep(BEAT_MS / MS_PER_SECOND)
+        """Sends beats at a steady pace, until cancelled."""
+        try:
+            while True:
+                self.send_beats()
+                await anyio.sleep(BEAT_MS / MS_PER_SECOND)
+        finally:
+            if self._transport is not None:
+                self._transport.close()
 
     async def serve(self, conn: ServerConnection) -> None:
         """Answers a peer that asks for the store's items."""
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -87,15 +87,32 @@
         self._flight = flight
         left_ms = flight.deadline_ms - now_ms
         refusal: Refuse | None = None
+        ended = False
         try:
             with anyio.move_on_after(left_ms / MS_PER_SECOND) as scope:
                 refusal = await self._fly(flight)
             if scope.cancelled_caught:
                 refusal = self._time_out(flight)
+            ended = True
         finally:
             self._planner.record_left(flight)
+            if not ended:
+                log_event(
+                    "caller_gone",
+                    request_id=self._req.id,
+                    runs=flight.runs,
+                    begun=flight.begun,
+                )
         if refusal is not None:
             await self._refuse(refusal)
+            return
+        log_event(
+            "request_done",
+            request_id=self._req.id,
+            service=flight.service,
+            sends=flight.sends,
+            took_ms=self._clock.now_ms() - now_ms,
+        )
 
     def _time_out(self, flight: Flight) -> Refuse:
         status = 504 if flight.runs else 503
@@ -116,7 +133,7 @@
                 flight, step.server, ending, self._clock.now_ms()
             )
             log_event(
-                "attempt_failed",
+                "send_failed",
                 request_id=self._req.id,
                 server=step.server.id,
                 ending=ending.value,
@@ -323,7 +340,7 @@
         flight = self._flight
         now_ms = self._clock.now_ms()
         log_event(
-            "request_refused",
+            "refusal_sent",
             request_id=self._req.id,
             status=refusal.status,
             reason=refusal.reason,
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -119,7 +119,7 @@
             self._reached = False
             log_event(
                 "store_lost",
-                level="WARNING",
+                "WARNING",
                 step=exc.step,
                 reason=exc.reason,
             )
@@ -245,7 +245,7 @@
                 if self.reached:
                     log_event(
                         "registration_lost",
-                        level="WARNING",
+                        "WARNING",
                         step=exc.step,
                         reason=exc.reason,
                     )
@@ -272,7 +272,7 @@
             # The lease runs out by itself.
             log_event(
                 "registration_kept",
-                level="WARNING",
+                "WARNING",
                 step=exc.step,
                 reason=exc.reason,
             )
--- /dev/null
+++ b/corianderdoor/standins/platform_fleet.py
@@ -0,0 +1,291 @@
+"""A small deployment in one process: store, workers and entry hosts.
+
+Each part has a loopback address of its own, so that all can use the same
+ports, as on the platform.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+import os
+import pathlib
+import random
+from typing import Any, Final
+
+import anyio
+import anyio.abc
+import h11
+import msgspec
+
+from ..adapters.http1 import connect, ConnectionCutError
+from ..adapters.http1_server import listen
+from ..core.clock import SystemClock
+from ..entry.host import EntryHost
+from ..platform.settings import decode_settings
+from .platform_store import StoreServer, StoreState
+from .platform_worker import Worker
+
+PORT: Final = 18_080
+READY_PORT: Final = 18_081
+PEER_PORT: Final = 18_082
+CONNECT_TIMEOUT_MS: Final = 2_000
+CALLER_HOST: Final = "chat.example"
+KEY: Final = "key-1"
+ENGINE_SERVICE: Final = "engines"
+PLAIN_SERVICE: Final = "accounts"
+READY_TIMEOUT_S: Final = 20.0
+READY_POLL_S: Final = 0.02
+
+
+class Reply:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status; 0 if there was no answer.
+        headers: Headers with names in lower case.
+        body: The body as far as it came.
+        whole: Whether it ended in order.
+    """
+
+    __slots__ = ("status", "headers", "body", "whole")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+        self.whole = False
+
+
+def build_route(path: str, kind: str, service: str, **changes: Any) -> Any:
+    """Returns a route as operators write it."""
+    return {
+        "name": path.strip("/"),
+        "host": CALLER_HOST,
+        "path_prefix": path,
+        "kind": kind,
+        "timeout_ms": 3_000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2 if kind != "non_idempotent" else 1,
+        "public": False,
+        "stream_resumption": kind == "streaming",
+        **changes,
+    }
+
+
+ROUTES: Final = (
+    build_route("/chat/", "streaming", ENGINE_SERVICE),
+    build_route(
+        "/draft/", "streaming", ENGINE_SERVICE, stream_resumption=False
+    ),
+    build_route("/pay/", "non_idempotent", PLAIN_SERVICE),
+    build_route("/read/", "idempotent", PLAIN_SERVICE),
+)
+
+
+def build_config(version: int, routes: Any = ROUTES) -> bytes:
+    """Returns a desired state as operators write it."""
+    service = {"health_check_path": "/health", "connection_limit": 200}
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": list(routes),
+            "services": [
+                {"name": ENGINE_SERVICE, "cold_per_s": 9.0, **service},
+                {"name": PLAIN_SERVICE, "cold_per_s": 0.0, **service},
+            ],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 65_536,
+                "header_timeout_ms": 1_000,
+                "idle_timeout_ms": 5_000,
+            },
+            "tenants": [{"name": "acme", "api_keys": [KEY]}],
+        }
+    )
+
+
+class PlatformFleet:
+    """A deployment of stand-ins and real entry hosts.
+
+    Attributes:
+        store: The store.
+        workers: Workers by id.
+        hosts: Addresses of callers' ports by host name.
+    """
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self.clock = SystemClock()
+        self.store = StoreServer(StoreState(self.clock))
+        self.workers: dict[str, Worker] = {}
+        self.hosts: dict[str, tuple[str, int]] = {}
+        self._stops: dict[str, anyio.Event] = {}
+        self._tasks = tasks
+        self._next = 1
+        pid = os.getpid()
+        self._net = f"127.{1 + pid // 250 % 250}.{1 + pid % 250}"
+
+    def _address(self) -> str:
+        self._next += 1
+        return f"{self._net}.{self._next}"
+
+    async def start(self, engines: int, plain: int, hosts: int) -> None:
+        """Starts everything and waits until the hosts are ready."""
+        self._store_at = self._address()
+        await listen((self._store_at, PORT), self._tasks, self.store.serve)
+        self.store.state.put("op/config", build_config(1))
+        for number in range(engines):
+            await self.add_worker(f"engine-{number}", True)
+        for number in range(plain):
+            await self.add_worker(f"plain-{number}", False)
+        for number in range(hosts):
+            await self.add_host(f"host-{number}")
+
+    async def add_worker(self, id: str, engine: bool) -> Worker:
+        """Starts a worker and lists it."""
+        worker = self.workers[id] = Worker(id, engine)
+        address = self._address()
+        await listen((address, PORT), self._tasks, worker.serve)
+        self.list_worker(id, address)
+        return worker
+
+    def list_worker(
+        self, id: str, address: str, state: str = "available"
+    ) -> None:
+        """Writes the entry of a worker."""
+        engine = self.workers[id].engine
+        entry = {
+            "service": ENGINE_SERVICE if engine else PLAIN_SERVICE,
+            "address": f"{address}:{PORT}",
+            "zone": "a",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "born": 1,
+        }
+        value = msgspec.json.encode(entry)
+        self.store.state.put(f"servers/{id}", value)
+
+    async def add_host(self, name: str) -> None:
+        """Starts an entry host and waits until it is ready."""
+        address = self._address()
+        settings = {
+            "node_name": name,
+            "zone": "a",
+            "ip_address": address,
+            "listen_addresses": {
+                "frontend": f"{address}:{PORT}",
+                "ready": f"{address}:{READY_PORT}",
+                "directory_service": f"{address}:{READY_PORT}",
+            },
+            "internal_port_range": [PEER_PORT, PEER_PORT + 5],
+            "platform": {"address": f"{self._store_at}:{PORT}"},
+            "bounds": {
+                "grace_period_s": 6,
+                "cold_factor": 1.5,
+                "cold_slack": 5,
+                "retry_budget_ratio": 0.2,
+                "retry_budget_slack": 50,
+            },
+        }
+        host = EntryHost(
+            decode_settings(msgspec.json.encode(settings)),
+            pathlib.Path(),
+            self.clock,
+            random.Random(name),
+        )
+        self._stops[name] = anyio.Event()
+        self.hosts[name] = (address, PORT)
+        self._tasks.start_soon(host.run, self._stops[name])
+        await self.wait_ready(name)
+
+    async def wait_ready(self, name: str) -> None:
+        """Waits until a host says that it is ready.
+
+        Raises:
+            TimeoutError: It is not in time.
+        """
+        ready_at = (self.hosts[name][0], READY_PORT)
+        with anyio.fail_after(READY_TIMEOUT_S):
+            while True:
+                reply = await ask(ready_at, "/corianderdoor/readiness")
+                if reply.status == 200:
+                    return
+                await anyio.sleep(READY_POLL_S)
+
+    def stop_host(self, name: str) -> None:
+        """Tells a host to stop, as SIGTERM does."""
+        self._stops[name].set()
+
+    async def chat(
+        self, host: str, id: str, path: str = "/chat/x", **headers: str
+    ) -> Reply:
+        """Sends one request of a chat to a host."""
+        return await ask(
+            self.hosts[host],
+            path,
+            {
+                "Host": CALLER_HOST,
+                "Attempt-Id": id,
+                "Authorization": f"Token {KEY}",
+                "Deadline-Ms": "3000",
+                **{k.replace("_", "-"): v for k, v in headers.items()},
+            },
+            b"hello",
+        )
+
+
+async def ask(
+    address: tuple[str, int],
+    target: str,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+) -> Reply:
+    """Sends one request over a new connection."""
+    reply = Reply()
+    wire = await connect(address, CONNECT_TIMEOUT_MS, 0)
+    if wire is None:
+        return reply
+    fields = {"Host": "test", **(headers or {})}
+    if body:
+        fields["Content-Length"] = str(len(body))
+    method = "POST" if body else "GET"
+    wire.write(
+        h11.Request(method=method, target=target, headers=[*fields.items()])
+    )
+    if body:
+        wire.write(h11.Data(data=body))
+    wire.write(h11.EndOfMessage())
+    try:
+        while not reply.whole:
+            event = await wire.next_event()
+            if isinstance(event, h11.Response):
+                reply.status = event.status_code
+                reply.headers = dict(event.headers)
+            elif isinstance(event, h11.Data):
+                reply.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                reply.whole = True
+            else:
+                break
+    except ConnectionCutError:
+        reply.whole = False
+    finally:
+        wire.abort()
+    return reply
+
+
+@asynccontextmanager
+async def run_fleet(
+    engines: int = 3, plain: int = 2, hosts: int = 2
+) -> AsyncIterator[PlatformFleet]:
+    """Runs a deployment for the time of a block."""
+    async with anyio.create_task_group() as tasks:
+        fleet = PlatformFleet(tasks)
+        try:
+            await fleet.start(engines, plain, hosts)
+            yield fleet
+        finally:
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/corianderdoor/standins/platform_store.py
@@ -0,0 +1,241 @@
+"""Stand-in for the platform's store, for tests and the demo."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Callable
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+
+from ..adapters.http1_server import Received, ServerConnection
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.routing import FIRST_LIMITS
+
+PATH: Final = "/corianderdoor/"
+PAGE_ITEMS: Final = 50
+FIRST_REVISION: Final = 1
+
+Answer = tuple[int, dict[str, Any]]
+
+
+class StoreState:
+    """Items, leases and history.
+
+    Attributes:
+        revision: Revision of the last change.
+        floor: Changes up to this revision are forgotten.
+    """
+
+    __slots__ = (
+        "revision",
+        "floor",
+        "_items",
+        "_history",
+        "_leases",
+        "_next_lease",
+        "_clock",
+        "_changed",
+    )
+
+    def __init__(self, clock: Clock) -> None:
+        self.revision = FIRST_REVISION
+        self.floor = 0
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._leases: dict[int, tuple[int, int]] = {}
+        self._next_lease = 1
+        self._clock = clock
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes a key and returns the revision."""
+        self.revision += 1
+        old = self._items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created_at": old["created_at"] if old else self.revision,
+            "lease_id": lease,
+        }
+        self._items[key] = item
+        self._note(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Removes a key if it is there."""
+        if self._items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self._history.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def drop_history(self) -> None:
+        """Forgets all changes so far."""
+        self._history.clear()
+        self.floor = self.revision
+
+    def expire(self) -> None:
+        """Removes the keys of leases that have run out."""
+        now_ms = self._clock.now_ms()
+        ended = [k for k, (_, at) in self._leases.items() if at <= now_ms]
+        for lease in ended:
+            self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> None:
+        """Ends a lease with its keys."""
+        self._leases.pop(lease, None)
+        owned = [k for k, v in self._items.items() if v["lease_id"] == lease]
+        for key in owned:
+            self.remove(key)
+
+    def get(self, key: str) -> dict[str, Any] | None:
+        """Returns an item."""
+        return self._items.get(key)
+
+    def range(self, prefix: str, after: str) -> Answer:
+        """Returns one page of items."""
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(prefix) and key > after
+        )
+        page = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return 200, {"entries": page, "has_more": more, "at": self.revision}
+
+    async def watch(self, prefix: str, after: int, wait_ms: int) -> Answer:
+        """Returns changes after a revision, waiting for the first."""
+        with anyio.move_on_after(wait_ms / MS_PER_SECOND):
+            while not self._events(prefix, after) and after >= self.floor:
+                await self._changed.wait()
+        if after < self.floor:
+            return 410, {}
+        events = self._events(prefix, after)
+        return 200, {"events": events, "at": self.revision}
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+    def grant(self, ttl_ms: int) -> Answer:
+        """Grants a lease."""
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases[lease] = (ttl_ms, self._clock.now_ms() + ttl_ms)
+        return 200, {"lease_id": lease, "ttl_ms": ttl_ms}
+
+    def renew(self, lease: int) -> Answer:
+        """Renews a lease."""
+        if lease not in self._leases:
+            return 404, {}
+        ttl_ms, _ = self._leases[lease]
+        self._leases[lease] = (ttl_ms, self._clock.now_ms() + ttl_ms)
+        return 200, {"ttl_ms": ttl_ms}
+
+    def commit(self, change: dict[str, Any]) -> Answer:
+        """Makes a change under its condition, all or nothing."""
+        for row in change.get("expected_revision", []):
+            item = self._items.get(row["key"])
+            found = item["revision"] if item else 0
+            if found != row["revision"]:
+                return 412, {"entries": [item] if item else []}
+        for row in change.get("write", []):
+            if row.get("lease_id") and row["lease_id"] not in self._leases:
+                return 404, {}
+        for row in change.get("write", []):
+            value = base64.b64decode(row["value"])
+            self.put(row["key"], value, row.get("lease_id", 0))
+        for key in change.get("remove", []):
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+
+class StoreServer:
+    """Serves a store over HTTP, in order or not.
+
+    Attributes:
+        state: The store.
+        trouble: "" if it works; "busy" answers 503, "silent" answers
+            nothing, "reset" resets connections.
+        calls: Calls by their name.
+    """
+
+    __slots__ = ("state", "trouble", "calls")
+
+    def __init__(self, state: StoreState) -> None:
+        self.state = state
+        self.trouble = ""
+        self.calls: dict[str, int] = {}
+
+    async def serve(self, conn: ServerConnection) -> None:
+        """Serves one connection."""
+        while True:
+            received = await conn.read_request(FIRST_LIMITS)
+            if not isinstance(received, Received):
+                return
+            if self.trouble == "reset":
+                conn.wire.abort()
+                return
+            if self.trouble == "silent":
+                await anyio.sleep_forever()
+            status, answer = 503, dict[str, Any]()
+            if not self.trouble:
+                status, answer = await self._answer(received)
+            kind = (b"Content-Type", b"application/json")
+            await conn.respond(status, [kind], msgspec.json.encode(answer))
+            if not await conn.finish():
+                return
+
+    async def _answer(self, received: Received) -> Answer:
+        self.state.expire()
+        path, _, query = received.target.decode().partition("?")
+        fields = {k: v[0] for k, v in parse_qs(query, True).items()}
+        call, _, argument = path.removeprefix(PATH).partition("/")
+        self.calls[call] = self.calls.get(call, 0) + 1
+        if call == "kv-watch":
+            return await self.state.watch(
+                fields.get("path_prefix", ""),
+                int(fields["after"]),
+                int(fields["wait_ms"]),
+            )
+        body: dict[str, Any] = {}
+        if received.body:
+            body = msgspec.json.decode(received.body)
+        return self._call(call, argument, fields, body)
+
+    def _call(
+        self,
+        call: str,
+        argument: str,
+        fields: dict[str, str],
+        body: dict[str, Any],
+    ) -> Answer:
+        state = self.state
+        calls: dict[str, Callable[[], Answer]] = {
+            "kv-range": lambda: state.range(
+                fields.get("path_prefix", ""), fields.get("after", "")
+            ),
+            "kv-lease": lambda: state.grant(body["ttl_ms"]),
+            "kv-keep": lambda: state.renew(int(argument)),
+            "kv-txn": lambda: state.commit(body),
+            "kv-lease-end": lambda: self._end_lease(int(argument)),
+        }
+        if call not in calls:
+            return 404, {}
+        return calls[call]()
+
+    def _end_lease(self, lease: int) -> Answer:
+        self.state.end_lease(lease)
+        return 200, {}
--- /dev/null
+++ b/tests/entry_builders.py
@@ -0,0 +1,122 @@
+"""Values that the tests of entry hosts share."""
+
+from __future__ import annotations
+
+import random
+
+from corianderdoor.core.entry.planner import Planner
+from corianderdoor.core.entry.requests import CallerRequest, PromptPart
+from corianderdoor.core.entry.routing import (
+    DesiredState,
+    FIRST_LIMITS,
+    Repeat,
+    Route,
+    Service,
+    Workspace,
+)
+from corianderdoor.core.entry.servers import BackendServer
+from corianderdoor.core.entry.windows import ColdRation, RepeatBudget
+
+KEY = "key-1"
+
+
+def build_route(
+    path="/chat/", repeat=Repeat.STREAM, service="llm", **changes
+) -> Route:
+    """Returns a route; `changes` replace its fields."""
+    fields = {
+        "name": path.strip("/"),
+        "host": "example.test",
+        "path_prefix": path,
+        "repeat": repeat,
+        "timeout_ms": 6_000,
+        "target_ms": 1_000,
+        "priority": 1,
+        "split": ((service, 1.0),),
+        "max_attempts": 2,
+        "public": False,
+        "resumable": True,
+    }
+    return Route(**{**fields, **changes})
+
+
+ROUTES = (
+    build_route(),
+    build_route("/once/", resumable=False),
+    build_route("/pay/", Repeat.NON_IDEMPOTENT, "plain", max_attempts=1),
+    build_route("/read/", Repeat.IDEMPOTENT, "plain"),
+)
+
+
+def build_desired(version=1, routes=ROUTES, keys=(KEY,), cold_per_s=9.0):
+    """Returns a desired state with a model service and a plain one."""
+    return DesiredState(
+        version,
+        routes,
+        [
+            Service("llm", 620, cold_per_s, 200_000),
+            Service("plain", 110, 0.0, 0),
+        ],
+        FIRST_LIMITS,
+        {key: Workspace("acme", None) for key in keys},
+        True,
+    )
+
+
+def build_server(id, service="llm", cold_ms=0.0, **changes) -> BackendServer:
+    """Returns a server; `changes` replace its fields."""
+    fields = {
+        "id": id,
+        "service": service,
+        "host": "10.0.0.1",
+        "port": 8000 + sum(id.encode()) % 1_000,
+        "data_centre": "a",
+        "available": True,
+        "slots": 128,
+        "cold_ms": cold_ms,
+        "born_ms": 1,
+    }
+    return BackendServer(**{**fields, **changes})
+
+
+def build_request(
+    path="/chat/x",
+    id="r1",
+    parts=(("t", 2_500), ("s", 6_000), ("own", 500)),
+    deadline_ms=6_000.0,
+    key=KEY,
+    last_event_id=None,
+) -> CallerRequest:
+    """Returns a request of a chat."""
+    return CallerRequest(
+        id,
+        "POST",
+        path,
+        "example.test",
+        key,
+        deadline_ms,
+        tuple(PromptPart(name, tokens) for name, tokens in parts),
+        sum(tokens for _, tokens in parts),
+        last_event_id,
+        [(b"host", b"example.test")],
+        b"body",
+    )
+
+
+def build_planner(servers=5, name="h1", hosts=1, plain=3) -> Planner:
+    """Returns a planner with warm servers `s0`, `s1` ... and `p0` ..."""
+    planner = Planner(
+        name,
+        "a",
+        ColdRation(1.5, 5),
+        RepeatBudget(0.2, 56, 10_000),
+        random.Random(7),
+    )
+    planner.hosts = [f"h{number + 1}" for number in range(hosts)]
+    planner.set_desired(build_desired())
+    for number in range(servers):
+        planner.servers.put(build_server(f"s{number}"), 0)
+    for number in range(plain):
+        server = build_server(f"p{number}", "plain", slots=6)
+        planner.servers.put(server, 0)
+    return planner
--- a/tests/test_core_imports.py
+++ b/tests/test_core_imports.py
@@ -8,7 +8,7 @@
 PROGRAM = """
 import importlib, pkgutil, sys
 import corianderdoor.core as core
-for module in pkgutil.iter_modules(core.__path__, core.__name__ + "."):
+for module in pkgutil.walk_packages(core.__path__, core.__name__ + "."):
     importlib.import_module(module.name)
 print(" ".join(sys.modules))
 """
--- /dev/null
+++ b/tests/test_entry_beliefs.py
@@ -0,0 +1,218 @@
+"""What entry hosts know of the store never goes back."""
+
+from __future__ import annotations
+
+from entry_builders import build_server
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corianderdoor.core.entry.peers import Beat, Peers
+from corianderdoor.core.entry.replica import Change, Page, Replica
+from corianderdoor.core.entry.servers import Servers
+
+HISTORY = st.lists(
+    st.tuples(st.sampled_from("abcd"), st.booleans()), min_size=1, max_size=30
+)
+
+
+def build_history(steps) -> list[Change]:
+    """Returns the changes of a store, with rising revisions."""
+    return [
+        Change(key, None if gone else b"%d" % number, number)
+        for number, (key, gone) in enumerate(steps, 1)
+    ]
+
+
+def final_state(changes) -> dict[str, bytes]:
+    """Returns what the store holds after `changes`."""
+    state: dict[str, bytes] = {}
+    for change in changes:
+        if change.value is None:
+            state.pop(change.key, None)
+        else:
+            state[change.key] = change.value
+    return state
+
+
+def held(replica: Replica) -> dict[str, bytes | None]:
+    """Returns what the replica holds."""
+    return {item.key: item.value for item in replica.items()}
+
+
+@settings(max_examples=200, deadline=None)
+@given(HISTORY, st.randoms(use_true_random=False))
+def test_late_doubled_and_reordered_pages_end_in_the_store_state(steps, rng):
+    changes = build_history(steps)
+    pages = []
+    for _ in range(6):
+        start = rng.randrange(len(changes))
+        end = rng.randrange(start, len(changes)) + 1
+        pages.append(Page(tuple(changes[start:end]), end, False))
+    pages.append(Page(tuple(changes), len(changes), False))
+    rng.shuffle(pages)
+    replica = Replica()
+    for page in pages:
+        replica.apply(page)
+    assert held(replica) == final_state(changes)
+
+
+@settings(max_examples=200, deadline=None)
+@given(HISTORY, st.data())
+def test_peer_that_is_behind_catches_up_from_any_revision(steps, data):
+    changes = build_history(steps)
+    source = Replica()
+    source.apply(Page(tuple(changes), len(changes), False))
+    cut = data.draw(st.integers(0, len(changes)))
+    peer = Replica()
+    if cut:
+        peer.apply(Page(tuple(changes[:cut]), cut, False))
+    peer.apply(source.since(peer.revision))
+    assert held(peer) == final_state(changes)
+    assert peer.revision == len(changes)
+
+
+def test_whole_page_removes_what_it_does_not_name_but_nothing_newer():
+    replica = Replica()
+    old, new = Change("old", b"1", 1), Change("new", b"2", 9)
+    replica.apply(Page((old, new), 9, False))
+    gone = replica.apply(Page((Change("b", b"3", 4),), 5, True), 700)
+    assert set(held(replica)) == {"new", "b"}
+    removals = [change for change in gone if change.value is None]
+    assert [(c.key, c.grace_ms) for c in removals] == [("old", 700)]
+
+
+def test_removed_item_is_not_brought_back_by_a_late_copy():
+    replica = Replica()
+    replica.apply(Page((Change("a", b"1", 1),), 1, False))
+    replica.apply(Page((Change("a", None, 2),), 2, False))
+    assert replica.apply(Page((Change("a", b"1", 1),), 3, False)) == []
+    assert held(replica) == {}
+
+
+def test_entry_that_lapsed_in_an_outage_may_come_back():
+    servers = Servers()
+    servers.put(build_server("s1"), 0)
+    servers.remove("s1", 100, grace_ms=2_000)
+    assert servers.usable("llm")
+    servers.put(build_server("s1"), 900)
+    assert servers.tick(5_000) == []
+    assert servers.usable("llm")
+
+
+def test_entry_that_did_not_come_back_is_gone_after_the_grace():
+    servers = Servers()
+    servers.put(build_server("s1"), 0)
+    servers.remove("s1", 100, grace_ms=2_000)
+    assert servers.tick(2_099) == []
+    assert servers.tick(2_100) == ["s1"]
+    assert not servers.usable("llm")
+
+
+def test_grace_is_not_lengthened_by_a_second_removal():
+    servers = Servers()
+    servers.put(build_server("s1"), 0)
+    servers.remove("s1", 100, grace_ms=500)
+    servers.remove("s1", 500, grace_ms=2_000)
+    assert servers.tick(600) == ["s1"]
+
+
+def test_same_id_at_another_start_is_another_server():
+    servers = Servers()
+    old = build_server("s1")
+    assert not servers.put(old, 0)
+    assert servers.put(build_server("s1", born_ms=2), 10)
+    assert not servers.may_use(old)
+
+
+def test_leaving_server_is_not_usable_and_cold_one_says_so():
+    servers = Servers()
+    servers.put(build_server("s1", available=False), 0)
+    servers.put(build_server("s2", cold_ms=3_000), 0)
+    assert [server.id for server in servers.usable("llm")] == ["s2"]
+    assert servers.is_cold("s2", 2_999)
+    assert not servers.is_cold("s2", 3_000)
+
+
+def build_beat(sender, boot=1, revision=1, contact_ms=0, leaving=False):
+    """Returns a beat."""
+    return Beat(sender, boot, revision, contact_ms, leaving, ())
+
+
+def build_peers(count=4) -> Peers:
+    """Returns peers that are listed and were heard at 0."""
+    peers = Peers("h0")
+    for number in range(1, count):
+        name = f"h{number}"
+        address = ("10.0.0.1", 9_000 + number)
+        peers.enlist(name, address, address, "a", 0)
+        peers.hear(build_beat(name), 0)
+    return peers
+
+
+def test_directory_names_only_hosts_that_live():
+    peers = build_peers()
+    peers.hear(build_beat("h1"), 4_000)
+    peers.hear(build_beat("h2", leaving=True), 4_000)
+    peers.delist("h3")
+    names = [peer.name for peer in peers.in_service(4_000, True)]
+    assert names == ["h1"]
+
+
+def test_silent_host_is_named_only_while_the_store_lists_it():
+    peers = build_peers(2)
+    assert peers.in_service(5_000, store_reached=True)
+    assert not peers.in_service(5_000, store_reached=False)
+
+
+def test_beat_of_an_earlier_start_is_dropped():
+    peers = build_peers(2)
+    peers.hear(build_beat("h1", boot=5), 10)
+    assert peers.hear(build_beat("h1", boot=4, leaving=True), 20) is None
+    assert peers.in_service(30, True)
+
+
+def test_few_hosts_watch_and_another_one_takes_over():
+    names = [f"h{number}" for number in range(8)]
+    fleets = {}
+    for own in names:
+        peers = Peers(own)
+        for name in names:
+            if name != own:
+                peers.enlist(name, ("x", 1), ("x", 1), "a", 0)
+                peers.hear(build_beat(name, contact_ms=100), 0)
+        fleets[own] = peers
+    watching = [n for n in names if fleets[n].should_watch(100)]
+    assert len(watching) == 2
+    rest = [name for name in names if name not in watching]
+    for name in rest:
+        peers = fleets[name]
+        for other in rest:
+            if other != name:
+                peers.hear(build_beat(other, contact_ms=2**31), 1_000)
+        assert peers.should_watch(1_000)
+
+
+def test_watcher_without_contact_to_the_store_does_not_count():
+    peers = Peers("h0")
+    for number in range(1, 8):
+        name = f"h{number}"
+        peers.enlist(name, ("x", 1), ("x", 1), "a", 0)
+        peers.hear(build_beat(name, contact_ms=9_000), 0)
+    assert peers.should_watch(100)
+
+
+def test_peer_that_knows_most_is_asked():
+    peers = build_peers()
+    peers.hear(build_beat("h2", revision=8), 10)
+    ahead = peers.ahead_of(5, 20)
+    assert ahead is not None
+    assert ahead.name == "h2"
+    assert peers.ahead_of(8, 20) is None
+
+
+def test_hosts_share_allowances_with_all_that_may_live():
+    peers = build_peers()
+    assert peers.spenders(9_000) == ["h0", "h1", "h2", "h3"]
+    peers.delist("h1")
+    assert peers.spenders(9_000) == ["h0", "h2", "h3"]
+    assert peers.prune(9_000) == ["h1"]
--- /dev/null
+++ b/tests/test_entry_chat_affinity.py
@@ -0,0 +1,137 @@
+"""Load pattern: chats that come back while servers join, leave and fill.
+
+A chat that returns must find its prompt cached, at every entry host, and no
+server may hold over twice the mean and three.
+"""
+
+from __future__ import annotations
+
+import random
+
+from entry_builders import build_planner, build_request, build_server
+
+from corianderdoor.core.entry.cache_map import CacheMap, digest_part
+from corianderdoor.core.entry.flights import Send
+from corianderdoor.core.entry.placing import rank_by_prompt
+
+
+def chat(number: int, id="r"):
+    """Returns a request of chat `number`, of one of four templates."""
+    parts = (
+        (f"template-{number % 4}", 2_500),
+        (f"chat-{number}", 6_000),
+        (f"own-{id}", 500),
+    )
+    return build_request(id=f"{id}-{number}", parts=parts)
+
+
+def share_news(planners) -> None:
+    """Tells each planner what the others sent."""
+    for planner in planners:
+        for part, server_id in planner.caches.take_news(1_000):
+            for other in planners:
+                other.caches.hear(part, server_id, 0)
+
+
+def place(planner, req, now_ms=0) -> Send:
+    """Returns where `planner` sends `req`."""
+    flight = planner.arrive(req, now_ms)
+    step = planner.choose(flight, now_ms)
+    assert isinstance(step, Send)
+    planner.record_sent(flight, step.server, now_ms)
+    planner.record_whole(flight)
+    return step
+
+
+def test_hosts_agree_on_a_chat_without_talking():
+    first, second = build_planner(name="h1"), build_planner(name="h2")
+    for number in range(40):
+        one = place(first, chat(number)).server.id
+        two = place(second, chat(number)).server.id
+        assert one == two
+
+
+def test_chats_stay_when_a_server_joins():
+    planners = [build_planner(name=f"h{number}") for number in range(3)]
+    before = [place(planners[0], chat(n)).server.id for n in range(40)]
+    share_news(planners)
+    for planner in planners:
+        planner.servers.put(build_server("s9"), 0)
+    after = [place(planners[2], chat(n, "b")).server.id for n in range(40)]
+    assert before == after
+
+
+def test_chats_of_a_server_that_left_are_copied_from_it_while_it_is_listed():
+    planner = build_planner()
+    steps = {n: place(planner, chat(n)) for n in range(40)}
+    leaving = steps[0].server
+    planner.servers.put(
+        build_server(leaving.id, available=False, port=leaving.port), 0
+    )
+    step = place(planner, chat(0, "b"))
+    assert step.server.id != leaving.id
+    assert step.fetch_from is not None
+    assert step.fetch_from.id == leaving.id
+
+
+def test_a_server_that_started_anew_has_lost_its_cache():
+    planner = build_planner()
+    step = place(planner, chat(0))
+    planner.caches.forget(step.server.id)
+    again = place(planner, chat(0, "b"))
+    assert again.fetch_from is None
+
+
+def test_no_server_is_over_twice_the_mean_when_one_chat_gets_half():
+    """A quarter of a second's burst, half of it about one chat."""
+    rng = random.Random(3)
+    planner = build_planner()
+    flights = []
+    over = 0
+    for number in range(400):
+        about = 0 if rng.random() < 0.5 else rng.randrange(1, 60)
+        flight = planner.arrive(chat(about, f"r{number}"), 0)
+        step = planner.choose(flight, 0)
+        planner.record_sent(flight, step.server, 0)
+        flights.append(flight)
+        if len(flights) > 60:
+            gone = flights.pop(rng.randrange(len(flights)))
+            planner.record_whole(gone)
+        loads = [planner.loads.of(f"s{n}", 0) for n in range(5)]
+        over += max(loads) > 2 * sum(loads) / 5 + 3
+    assert over == 0
+
+
+def test_rank_moves_only_the_chats_of_a_server_that_left():
+    servers = [build_server(f"s{number}") for number in range(6)]
+    moved = 0
+    for number in range(200):
+        before = rank_by_prompt(chat(number), servers)[0].id
+        after = rank_by_prompt(chat(number), servers[:-1])[0].id
+        if before != "s5":
+            moved += before != after
+    # A first part that loses one of its servers takes another one in.
+    assert moved <= 200 / 4
+
+
+def test_map_of_caches_survives_a_restart_and_is_bounded(monkeypatch):
+    from corianderdoor.core.entry import cache_map
+
+    monkeypatch.setattr(cache_map, "MAX_PARTS", 50)
+    caches = CacheMap()
+    for number in range(200):
+        caches.record(chat(number), "s1", number)
+    pairs = caches.snapshot(200)
+    assert len(pairs) <= 50
+    fresh = CacheMap()
+    fresh.restore(pairs, 0)
+    part = chat(199).shared_parts()[-1]
+    assert "s1" in fresh.holders(part, 1)
+    assert digest_part(part) in {digest for digest, _ in pairs}
+
+
+def test_old_snapshot_does_not_replace_what_is_known():
+    caches = CacheMap()
+    caches.record(chat(1), "s1", 0)
+    caches.restore([(5, "s2")], 0)
+    assert all(server == "s1" for _, server in caches.snapshot(0))
--- /dev/null
+++ b/tests/test_entry_cold_fleet.py
@@ -0,0 +1,103 @@
+"""Load pattern: cold servers before many entry hosts.
+
+The ration holds for all hosts together in any second, whatever their
+number, also while they disagree on it by one.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from corianderdoor.core.entry.windows import (
+    ColdRation,
+    RepeatBudget,
+    SlidingCount,
+)
+
+COLD_PER_S = 9.0
+FACTOR = 1.5
+SLACK = 5.0
+BOUND = COLD_PER_S * FACTOR + SLACK
+
+
+def most_in_a_second(times: list[float]) -> int:
+    """Returns the most sends in any sliding second."""
+    times = sorted(times)
+    best = start = 0
+    for end, time in enumerate(times):
+        while times[start] <= time - 1_000:
+            start += 1
+        best = max(best, end - start + 1)
+    return best
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 7, 8, 16, 66, 88, 330])
+def test_hosts_together_keep_the_bound_of_a_cold_server(hosts):
+    rng = random.Random(hosts)
+    names = [f"host-{number}" for number in range(hosts)]
+    rations = {name: ColdRation(FACTOR, SLACK) for name in names}
+    sent: list[float] = []
+    for now_ms in range(0, 4_000, 5):
+        for name in rng.sample(names, min(hosts, 20)):
+            ration = rations[name]
+            share = ration.share("cold", COLD_PER_S, name, names)
+            if ration.wait_ms("cold", share, now_ms) == 0:
+                ration.record("cold", now_ms)
+                # The way to the server takes up to 100 ms.
+                sent.append(now_ms + rng.random() * 100)
+    assert most_in_a_second(sent) <= BOUND
+    assert len(sent) >= 10
+
+
+def test_hosts_that_disagree_by_one_host_keep_the_bound():
+    names = [f"host-{number}" for number in range(8)]
+    total = sum(
+        ColdRation(FACTOR, SLACK).share(
+            "cold", COLD_PER_S, name, names if index % 2 else names[1:]
+        )
+        for index, name in enumerate(names)
+    )
+    assert total <= BOUND
+
+
+def test_share_of_a_host_that_has_none_is_never():
+    ration = ColdRation(1.0, 0.0)
+    assert ration.wait_ms("cold", 0, 0) is None
+
+
+def test_wait_says_when_the_next_send_is_allowed():
+    ration = ColdRation(FACTOR, SLACK)
+    ration.record("cold", 100)
+    wait_ms = ration.wait_ms("cold", 1, 600)
+    assert wait_ms is not None
+    assert ration.wait_ms("cold", 1, 600 + wait_ms) == 0
+
+
+@pytest.mark.parametrize("hosts", [1, 8, 88])
+def test_repeats_of_all_hosts_keep_the_budget_in_any_window(hosts):
+    rng = random.Random(hosts)
+    budgets = [RepeatBudget(0.2, 56, 10_000) for _ in range(hosts)]
+    asked: list[int] = []
+    repeats: list[int] = []
+    for now_ms in range(0, 30_000, 10):
+        budget = rng.choice(budgets)
+        budget.record_request("llm", now_ms)
+        asked.append(now_ms)
+        if budget.take("llm", hosts, now_ms):
+            repeats.append(now_ms)
+    for start in range(0, 20_000, 500):
+        window = range(start, start + 10_000)
+        spent = sum(time in window for time in repeats)
+        count = sum(time in window for time in asked)
+        assert spent <= 0.2 * count + 56
+
+
+def test_sliding_count_forgets_what_left_the_window():
+    count = SlidingCount(1_000)
+    count.add(0)
+    count.add(500)
+    assert count.count(999) == 2
+    assert count.count(1_000) == 1
+    assert count.next_free_ms(1_000) == 500
--- /dev/null
+++ b/tests/test_entry_path.py
@@ -0,0 +1,376 @@
+"""Requests through a real entry host, from what callers and workers see."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+import re
+
+import anyio
+import pytest
+
+from corianderdoor.adapters.http1 import connect
+from corianderdoor.standins.platform_fleet import (
+    ask,
+    build_config,
+    PlatformFleet,
+    READY_PORT,
+    ROUTES,
+    run_fleet,
+)
+
+WAIT_S = 10.0
+IDS = re.compile(rb"id: (\d+)")
+PARTS = "a1:2500,b2:6000,c3:500"
+
+
+def run(scenario: Callable[[PlatformFleet], Awaitable[None]], **sizes):
+    """Plays `scenario` on a small deployment."""
+
+    async def play() -> None:
+        with anyio.fail_after(30):
+            async with run_fleet(**sizes) as fleet:
+                await scenario(fleet)
+
+    anyio.run(play)
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Waits until `condition` holds."""
+    with anyio.fail_after(WAIT_S):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def total_runs(fleet: PlatformFleet, id: str) -> int:
+    """Returns how often a request ran anywhere."""
+    return sum(worker.runs[id] for worker in fleet.workers.values())
+
+
+def set_modes(fleet: PlatformFleet, mode: str, engine: bool) -> None:
+    """Lets all workers of a kind misbehave in the same way."""
+    for worker in fleet.workers.values():
+        if worker.engine is engine:
+            worker.mode = mode
+
+
+def test_each_kind_comes_back_whole_with_the_proof():
+    async def scenario(fleet):
+        for number, path in enumerate(
+            ("/chat/x", "/draft/x", "/pay/x", "/read/x")
+        ):
+            id = f"id-{number}"
+            reply = await fleet.chat("host-0", id, path, Prompt_Prefix=PARTS)
+            assert (reply.status, reply.whole) == (200, True)
+            assert reply.headers[b"response-signature"] == b"sig." + (
+                id.encode()
+            )
+            assert reply.headers[b"attempt-id"] == id.encode()
+            if path in ("/chat/x", "/draft/x"):
+                assert IDS.findall(reply.body) == [
+                    b"%d" % n for n in range(1, 7)
+                ]
+            else:
+                assert reply.body == b"done hello"
+
+    run(scenario)
+
+
+def test_worker_sees_the_workspace_and_not_the_key_or_forged_headers():
+    async def scenario(fleet):
+        await fleet.chat(
+            "host-0",
+            "id-1",
+            "/chat/x",
+            Prompt_Prefix=PARTS,
+            Tenant_Name="forged",
+            Kv_From="10.0.0.1:1/x",
+            Cache_Retention="x",
+            Cache_Pin_Ms="9",
+            Kv_Cache_Backup="10.0.0.1:1",
+            Connection="Attempt-Id, X-Hop",
+            X_Hop="gone",
+            X_Kept="kept",
+        )
+        worker = next(w for w in fleet.workers.values() if w.runs["id-1"])
+        seen = worker.seen
+        assert seen[b"tenant-name"] == b"acme"
+        assert seen[b"expected-instance"] == worker.id.encode()
+        assert seen[b"x-kept"] == b"kept"
+        assert int(seen[b"deadline-ms"]) <= 3_000
+        gone = {
+            b"authorization",
+            b"x-hop",
+            b"kv-from",
+            b"cache-retention",
+            b"cache-pin-ms",
+            b"kv-cache-backup",
+        }
+        assert not gone & seen.keys()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/none/x", {}, 404),
+        ("/chat/x", {"Authorization": "Token wrong"}, 401),
+        ("/chat/x", {"Deadline_Ms": "soon"}, 400),
+        ("/pay/x", {"Transfer_Encoding": "chunked"}, 400),
+    ],
+)
+def test_bad_request_gets_its_status_and_runs_nowhere(path, headers, status):
+    async def scenario(fleet):
+        reply = await fleet.chat("host-0", "id-1", path, **headers)
+        assert reply.status == status
+        assert total_runs(fleet, "id-1") == 0
+
+    run(scenario, hosts=1)
+
+
+def test_body_over_the_limit_is_refused_before_it_runs():
+    async def scenario(fleet):
+        fields = {
+            "Host": "chat.example",
+            "Attempt-Id": "id-1",
+            "Authorization": "Token key-1",
+        }
+        reply = await ask(
+            fleet.hosts["host-0"], "/pay/x", fields, b"x" * 70_000
+        )
+        assert reply.status == 413
+        assert total_runs(fleet, "id-1") == 0
+
+    run(scenario, hosts=1)
+
+
+@pytest.mark.parametrize("mode", ["drop", "error", "unsigned"])
+def test_payment_runs_once_whatever_the_worker_does(mode):
+    async def scenario(fleet):
+        set_modes(fleet, mode, engine=False)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x")
+        assert reply.status in (500, 502)
+        assert total_runs(fleet, "id-1") == 1
+
+    run(scenario, hosts=1)
+
+
+def test_declined_payment_runs_at_the_other_worker():
+    async def scenario(fleet):
+        fleet.workers["plain-0"].mode = "decline"
+        for number in range(6):
+            reply = await fleet.chat("host-0", f"id-{number}", "/pay/x")
+            assert reply.status == 200
+            assert total_runs(fleet, f"id-{number}") == 1
+
+    run(scenario, hosts=1)
+
+
+def test_payment_that_all_decline_is_told_when_to_return():
+    async def scenario(fleet):
+        set_modes(fleet, "decline", engine=False)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x")
+        assert reply.status == 503
+        assert 0 < float(reply.headers[b"retry-after"]) <= 1
+        assert total_runs(fleet, "id-1") == 0
+
+    run(scenario, hosts=1)
+
+
+def test_reused_address_is_noticed_and_another_worker_asked():
+    async def scenario(fleet):
+        fleet.workers["plain-0"].mode = "moved"
+        for number in range(4):
+            reply = await fleet.chat("host-0", f"id-{number}", "/pay/x")
+            assert reply.status == 200
+
+    run(scenario, hosts=1)
+
+
+@pytest.mark.parametrize("mode", ["drop", "error", "silent"])
+def test_read_goes_to_another_worker(mode):
+    async def scenario(fleet):
+        fleet.workers["plain-0"].mode = mode
+        for number in range(4):
+            reply = await fleet.chat("host-0", f"id-{number}", "/read/x")
+            assert (reply.status, reply.body) == (200, b"done hello")
+
+    run(scenario, hosts=1)
+
+
+def test_answer_of_another_request_is_read_past():
+    async def scenario(fleet):
+        set_modes(fleet, "stray", engine=False)
+        for number in range(4):
+            reply = await fleet.chat("host-0", f"id-{number}", "/pay/x")
+            assert (reply.status, reply.body) == (200, b"done hello")
+
+    run(scenario, hosts=1)
+
+
+def test_answer_without_length_is_whole_at_its_end():
+    async def scenario(fleet):
+        set_modes(fleet, "unframed", engine=False)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x")
+        assert (reply.status, reply.body) == (200, b"done hello")
+        assert reply.whole
+
+    run(scenario, hosts=1)
+
+
+def test_stream_cut_inside_an_event_goes_on_without_gap_or_double():
+    async def scenario(fleet):
+        fleet.workers["engine-0"].mode = "cut"
+        for number in range(12):
+            reply = await fleet.chat(
+                "host-0",
+                f"id-{number}",
+                Prompt_Prefix=f"t{number}:9,s{number}:9,o:9",
+            )
+            assert reply.whole
+            assert IDS.findall(reply.body) == [b"%d" % n for n in range(1, 7)]
+        assert fleet.workers["engine-0"].runs
+
+    run(scenario, hosts=1)
+
+
+def test_stream_that_may_not_go_on_is_cut_and_never_looks_whole():
+    async def scenario(fleet):
+        set_modes(fleet, "cut", engine=True)
+        reply = await fleet.chat(
+            "host-0", "id-1", "/draft/x", Prompt_Prefix=PARTS
+        )
+        assert not reply.whole
+        assert reply.body.endswith(b"\n\n")
+        assert total_runs(fleet, "id-1") == 1
+
+    run(scenario, hosts=1)
+
+
+def test_route_timeout_ends_a_request_on_a_silent_worker():
+    async def scenario(fleet):
+        set_modes(fleet, "silent", engine=False)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x", Deadline_Ms="300")
+        assert reply.status == 504
+
+    run(scenario, hosts=1)
+
+
+def test_worker_stops_when_the_caller_leaves():
+    async def scenario(fleet):
+        set_modes(fleet, "silent", engine=True)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.chat, "host-0", "id-1")
+            await wait_for(lambda: total_runs(fleet, "id-1") == 1)
+            tasks.cancel_scope.cancel()
+        await wait_for(lambda: not any(w.active for w in working(fleet)))
+
+    def working(fleet):
+        return [w for w in fleet.workers.values() if w.runs["id-1"]]
+
+    run(scenario, hosts=1)
+
+
+def test_desired_state_is_in_force_on_hosts_that_the_store_turns_away():
+    """Hosts that do not watch learn changes from those that do."""
+
+    async def scenario(fleet):
+        routes = [route for route in ROUTES if route["name"] != "read"]
+        fleet.store.state.put("op/config", build_config(2, routes))
+        for name in fleet.hosts:
+
+            async def refused(name=name):
+                reply = await fleet.chat(name, f"id-{name}", "/read/x")
+                return reply.status == 404
+
+            with anyio.fail_after(2):
+                while not await refused():
+                    await anyio.sleep(0.02)
+
+    run(scenario, hosts=4)
+
+
+def test_requests_are_served_while_the_store_is_down():
+    async def scenario(fleet):
+        fleet.store.trouble = "busy"
+        await anyio.sleep(0.3)
+        for number in range(4):
+            reply = await fleet.chat("host-1", f"id-{number}", "/pay/x")
+            assert reply.status == 200
+        fleet.store.trouble = ""
+        fleet.store.state.drop_history()
+        fleet.store.state.put("op/config", build_config(9, ROUTES[:3]))
+        with anyio.fail_after(WAIT_S):
+            while True:
+                reply = await fleet.chat("host-1", "id-9", "/read/x")
+                if reply.status == 404:
+                    break
+                await anyio.sleep(0.05)
+
+    run(scenario)
+
+
+def test_leaving_worker_gets_nothing_new():
+    async def scenario(fleet):
+        fleet.list_worker("plain-0", "127.0.0.1", state="draining")
+        await anyio.sleep(0.5)
+        before = fleet.workers["plain-0"].runs.total()
+        for number in range(6):
+            reply = await fleet.chat("host-1", f"id-{number}", "/read/x")
+            assert reply.status == 200
+        assert fleet.workers["plain-0"].runs.total() == before
+
+    run(scenario)
+
+
+def test_host_that_stops_cuts_nothing_and_leaves_the_directory():
+    async def scenario(fleet):
+        fleet.workers["plain-0"].work_ms = 800.0
+        fleet.workers["plain-1"].work_ms = 800.0
+        replies = []
+
+        async def pay():
+            replies.append(await fleet.chat("host-0", "id-1", "/pay/x"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pay)
+            await wait_for(lambda: total_runs(fleet, "id-1") == 1)
+            fleet.stop_host("host-0")
+            ready = (fleet.hosts["host-0"][0], READY_PORT)
+            reply = await ask(ready, "/corianderdoor/readiness")
+            assert reply.status == 503
+            directory = (fleet.hosts["host-1"][0], READY_PORT)
+            gone = fleet.hosts["host-0"][0].encode()
+            with anyio.fail_after(2):
+                while True:
+                    path = "/corianderdoor/resolution?name=x"
+                    reply = await ask(directory, path)
+                    assert reply.status == 200
+                    if gone + b":" not in reply.body:
+                        break
+                    await anyio.sleep(0.02)
+        assert replies[0].status == 200
+        assert replies[0].headers[b"connection"] == b"close"
+
+    run(scenario)
+
+
+def test_smuggled_request_in_a_body_runs_nowhere():
+    async def scenario(fleet):
+        wire = await connect(fleet.hosts["host-0"], 1_000, 0)
+        assert wire is not None
+        wire.write_raw(
+            b"POST /pay/x HTTP/1.1\r\nHost: chat.example\r\n"
+            b"Attempt-Id: id-1\r\nAuthorization: Token key-1\r\n"
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\n\r\nPOST /pay/y HTTP/1.1\r\nHost: chat.example\r\n"
+            b"Attempt-Id: id-2\r\nAuthorization: Token key-1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        event = await wire.next_event()
+        assert event.status_code == 400
+        await anyio.sleep(0.1)
+        assert total_runs(fleet, "id-1") == total_runs(fleet, "id-2") == 0
+        wire.abort()
+
+    run(scenario, hosts=1)
--- /dev/null
+++ b/tests/test_entry_planner.py
@@ -0,0 +1,226 @@
+"""What an entry host decides about single requests."""
+
+from __future__ import annotations
+
+from entry_builders import (
+    build_desired,
+    build_planner,
+    build_request,
+    build_route,
+    build_server,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import pytest
+
+from corianderdoor.core.entry.flights import (
+    Again,
+    Deliver,
+    Ending,
+    Flight,
+    Hold,
+    Refuse,
+    Send,
+)
+from corianderdoor.core.entry.planner import Planner
+
+PROMISES = {408, 421, 429, 503}
+
+
+def fly(planner: Planner, req, now_ms=0) -> Flight:
+    """Returns the flight of an admitted request."""
+    flight = planner.arrive(req, now_ms)
+    assert isinstance(flight, Flight)
+    return flight
+
+
+def send(planner: Planner, flight: Flight, now_ms=0) -> Send:
+    """Sends the request where the planner wants it."""
+    step = planner.choose(flight, now_ms)
+    assert isinstance(step, Send)
+    planner.record_sent(flight, step.server, now_ms)
+    return step
+
+
+def test_host_without_desired_state_answers_that_it_has_not_run():
+    planner = build_planner()
+    planner.desired = None
+    refusal = planner.arrive(build_request(), 0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.status == 503
+    assert refusal.retry_after_ms
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/none/x", "key-1", 404),
+        ("/chat", "key-1", 404),
+        ("/chat/x", "gone", 401),
+        ("/chat/x", None, 401),
+    ],
+)
+def test_request_that_nothing_allows_is_refused_for_good(path, key, status):
+    refusal = build_planner().arrive(build_request(path, key=key), 0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.status == status
+
+
+def test_public_route_needs_no_key():
+    planner = build_planner()
+    routes = (build_route("/open/", public=True),)
+    planner.set_desired(build_desired(2, routes))
+    flight = fly(planner, build_request("/open/x", key=None))
+    assert flight.workspace is None
+
+
+def test_older_desired_state_never_comes_back():
+    planner = build_planner()
+    assert planner.set_desired(build_desired(7))
+    assert not planner.set_desired(build_desired(6))
+    assert planner.desired is not None
+    assert planner.desired.version == 7
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/once/x"])
+@pytest.mark.parametrize(
+    "ending", [Ending.BROKEN, Ending.SILENT, Ending.SPOILED]
+)
+def test_request_that_must_not_repeat_is_sent_once(path, ending):
+    planner = build_planner()
+    flight = fly(planner, build_request(path, parts=()))
+    step = send(planner, flight)
+    follow = planner.fail(flight, step.server, ending, 10)
+    assert isinstance(follow, Refuse)
+    assert follow.status not in PROMISES
+
+
+@pytest.mark.parametrize("ending", [Ending.NOT_RUN, Ending.WRONG_SERVER])
+def test_declined_request_goes_to_another_server(ending):
+    planner = build_planner()
+    flight = fly(planner, build_request("/pay/x", parts=()))
+    step = send(planner, flight)
+    assert isinstance(planner.fail(flight, step.server, ending, 5), Again)
+    assert send(planner, flight, 5).server.id != step.server.id
+
+
+def test_server_out_of_reach_costs_no_repeat():
+    planner = build_planner()
+    planner._budget._slack = 0
+    flight = fly(planner, build_request("/pay/x", parts=()))
+    step = planner.choose(flight, 0)
+    assert isinstance(step, Send)
+    follow = planner.fail(flight, step.server, Ending.UNREACHED, 5)
+    assert isinstance(follow, Again)
+    again = planner.choose(flight, 5)
+    assert isinstance(again, Send)
+    assert again.server.id != step.server.id
+
+
+def test_failure_of_the_last_server_is_passed_on():
+    planner = build_planner()
+    flight = fly(planner, build_request("/read/x", parts=()))
+    for _ in range(2):
+        step = send(planner, flight)
+        follow = planner.fail(flight, step.server, Ending.SERVER_ERROR, 9)
+    assert isinstance(follow, Deliver)
+
+
+def test_stream_goes_on_after_the_last_event_at_another_server():
+    planner = build_planner()
+    flight = fly(planner, build_request())
+    step = send(planner, flight)
+    flight.begun = True
+    flight.last_event_id = 9
+    follow = planner.fail(flight, step.server, Ending.BROKEN, 40)
+    assert isinstance(follow, Again)
+    assert send(planner, flight, 40).server.id != step.server.id
+
+
+def test_repeats_stay_inside_the_share_of_this_host():
+    planner = build_planner(hosts=8)
+    again = 0
+    for number in range(200):
+        flight = fly(planner, build_request("/read/x", f"r{number}", ()))
+        step = send(planner, flight)
+        ending = Ending.NOT_RUN
+        follow = planner.fail(flight, step.server, ending, number)
+        again += isinstance(follow, Again)
+    assert again <= 0.2 * 200 + 56 / 8
+
+
+def test_request_with_no_time_left_is_not_sent():
+    planner = build_planner()
+    flight = fly(planner, build_request(deadline_ms=100.0))
+    refusal = planner.choose(flight, 95)
+    assert isinstance(refusal, Refuse)
+    assert refusal.status == 503
+
+
+def test_evacuated_data_centre_gets_nothing():
+    planner = build_planner(servers=2)
+    planner.servers.put(build_server("far", data_centre="b"), 0)
+    planner.servers.set_evacuated(frozenset({"a"}))
+    for number in range(20):
+        parts = (("t", 10), (f"s{number}", 10), ("own", 10))
+        flight = fly(planner, build_request(id=f"r{number}", parts=parts))
+        assert send(planner, flight).server.id == "far"
+
+
+def test_no_server_is_refused_at_once_with_a_time_to_return():
+    planner = build_planner(servers=0)
+    refusal = planner.choose(fly(planner, build_request()), 0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.status == 503
+    assert 0 < (refusal.retry_after_ms or 0) <= 2_000
+
+
+def test_cold_server_waits_or_refuses_beyond_its_ration():
+    planner = build_planner(servers=0)
+    planner.servers.put(build_server("cold", cold_ms=5_000), 0)
+    sent = 0
+    for number in range(60):
+        flight = fly(planner, build_request(id=f"r{number}"))
+        step = planner.choose(flight, 0)
+        if isinstance(step, Send):
+            planner.record_sent(flight, step.server, 0)
+            sent += 1
+        else:
+            assert isinstance(step, (Hold, Refuse))
+    assert 0 < sent <= 9 * 1.5 + 5
+
+
+ENDINGS = st.sampled_from(list(Ending))
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.sampled_from(["/chat/x", "/once/x", "/pay/x", "/read/x"]),
+    st.lists(ENDINGS, max_size=8),
+    st.integers(0, 900),
+)
+def test_promise_not_to_have_run_is_always_true(path, endings, step_ms):
+    """A promise holds, and what must not repeat never runs twice."""
+    planner = build_planner()
+    flight = fly(planner, build_request(path))
+    may_have_run = 0
+    now_ms = 0
+    for ending in endings:
+        step = planner.choose(flight, now_ms)
+        if not isinstance(step, Send):
+            if isinstance(step, Refuse) and step.status in PROMISES:
+                assert may_have_run == 0
+            return
+        if ending is not Ending.UNREACHED:
+            planner.record_sent(flight, step.server, now_ms)
+            sure = (Ending.NOT_RUN, Ending.WRONG_SERVER)
+            may_have_run += ending not in sure
+        limit = 1 if path in ("/once/x", "/pay/x") else 2
+        assert may_have_run <= limit
+        now_ms += step_ms
+        follow = planner.fail(flight, step.server, ending, now_ms)
+        if isinstance(follow, Refuse):
+            assert not (follow.status in PROMISES and may_have_run)
+            return
+        if isinstance(follow, Deliver):
+            return
