Send callers only to hosts that hear their peers

Traced with the new hosts_named line.

Change: beats say how many peers the sender heard; a host that heard fewer than half as many as we did is not named, nor is one that was silent for six beats. Answers of the directory are kept for 1 s instead of 2 s.

Tests: test_host_that_hears_nobody_is_not_named_though_it_is_heard. Ruled out: the closing kill, which costs the next window either way.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -10,6 +10,9 @@
 
 # Without a beat for this long, a peer counts as out of reach.
 SILENT_MS: Final = 2_500
+# Callers are not sent to a host that was not heard for this long, which is
+# six beats.
+UNNAMED_MS: Final = 1_200
 # A host that is listed but was never heard counts this long.
 UNHEARD_MS: Final = 2_500
 # Hosts that watch the store and tell the others.
@@ -33,6 +36,7 @@
         leaving: Whether it shuts down.
         loads: Requests in progress by a digest of the server's id.
         held: Parts of prompts and servers that keep them, as digests.
+        heard: How many peers it heard of late.
     """
 
     __slots__ = (
@@ -43,6 +47,7 @@
         "leaving",
         "loads",
         "held",
+        "heard",
     )
 
     def __init__(
@@ -54,7 +59,9 @@
         leaving: bool,
         loads: tuple[tuple[int, int], ...],
         held: tuple[tuple[int, int], ...] = (),
+        heard: int = 0,
     ) -> None:
+        self.heard = heard
         self.held = held
         self.sender = sender
         self.boot = boot
@@ -161,25 +168,42 @@
     def in_service(self, now_ms: int, store_reached: bool) -> list[Peer]:
         """Returns the hosts that callers may be sent to.
 
+        A host that others hear but that hears few of them itself is left
+        out: packets reach it no longer, and callers would wait in vain. If
+        no peer at all is heard, the fault is on this host's side, and all
+        that the store lists are named.
+
         Args:
             now_ms: Monotonic time.
             store_reached: Whether this host knows what the store lists now.
         """
-        return [
+        known = [
             peer
             for peer in self._peers.values()
-            if peer.callers is not None
-            and not peer.leaving
-            and self._alive(peer, now_ms, store_reached)
+            if peer.callers is not None and not peer.leaving
         ]
+        heard = self.count_heard(now_ms)
+        if heard == 0:
+            return [
+                peer
+                for peer in known
+                if peer.listed
+                and (store_reached or now_ms - peer.listed_ms < UNHEARD_MS)
+            ]
+        return [peer for peer in known if self._reachable(peer, heard, now_ms)]
+
+    def count_heard(self, now_ms: int) -> int:
+        """Returns how many peers were heard of late."""
+        return sum(
+            not peer.silent(now_ms, UNNAMED_MS)
+            for peer in self._peers.values()
+        )
 
     @staticmethod
-    def _alive(peer: Peer, now_ms: int, store_reached: bool) -> bool:
-        if not peer.silent(now_ms):
-            return True
-        if peer.heard_ms is None:
-            return peer.listed and now_ms - peer.listed_ms < UNHEARD_MS
-        return peer.listed and store_reached
+    def _reachable(peer: Peer, heard: int, now_ms: int) -> bool:
+        if peer.beat is None or peer.silent(now_ms, UNNAMED_MS):
+            return False
+        return 2 * peer.beat.heard >= heard
 
     def spenders(self, now_ms: int) -> list[str]:
         """Returns the hosts that may share an allowance, own one included.
--- a/corianderdoor/entry/directory.py
+++ b/corianderdoor/entry/directory.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from ..adapters.http1_server import Received, ServerConnection, Unreadable
+from ..adapters.logs import log_event
 from ..core.clock import Clock
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -18,7 +19,7 @@
 from ..platform.settings import EntrySettings
 
 # Callers learn within this time that a host has gone.
-TTL_S: Final = 2.0
+TTL_S: Final = 1.0
 JSON_TYPE: Final = (b"Content-Type", b"application/json")
 
 
@@ -37,6 +38,7 @@
         "_clock",
         "_store_reached",
         "_ttl_s",
+        "_named",
     )
 
     def __init__(
@@ -54,6 +56,7 @@
         self._clock = clock
         self._store_reached = store_reached
         self._ttl_s = min(TTL_S, settings.directory_ttl_s)
+        self._named: frozenset[str] = frozenset()
 
     def set_ttl(self, longest_s: float) -> None:
         """Bounds how long callers keep an answer."""
@@ -94,6 +97,10 @@
         peers = self._peers.in_service(
             self._clock.now_ms(), self._store_reached()
         )
+        names = frozenset(peer.name for peer in peers)
+        if names != self._named:
+            self._named = names
+            log_event("hosts_named", peers=",".join(sorted(names)))
         addresses = [peer.callers for peer in peers if peer.callers]
         if self.ready:
             addresses.insert(0, self._settings.callers)
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -13,6 +13,7 @@
   leaving @4 :Bool;
   loads @5 :List(Load);
   held @6 :List(Held);
+  heard @7 :UInt16;
 }
 
 # A part of prompts that a backend server keeps in its cache.
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -29,6 +29,7 @@
         revision=beat.revision,
         contactMs=min(MAX_CONTACT_MS, beat.contact_ms),
         leaving=beat.leaving,
+        heard=min(MAX_COUNT, beat.heard),
         loads=[
             {"server": server, "count": min(MAX_COUNT, count)}
             for server, count in beat.loads
@@ -54,6 +55,7 @@
             raw.leaving,
             tuple((load.server, load.count) for load in raw.loads),
             tuple((held.part, held.server) for held in raw.held),
+            raw.heard,
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -146,6 +146,7 @@
                         HELD_IN_BEAT
                     )
                 ),
+                self._peers.count_heard(self._clock.now_ms()),
             )
         )
         for peer in self._peers.all():
--- a/tests/test_entry_beliefs.py
+++ b/tests/test_entry_beliefs.py
@@ -133,9 +133,11 @@
     assert not servers.is_cold("s2", 3_000)
 
 
-def build_beat(sender, boot=1, revision=1, contact_ms=0, leaving=False):
+def build_beat(
+    sender, boot=1, revision=1, contact_ms=0, leaving=False, heard=3
+):
     """Returns a beat."""
-    return Beat(sender, boot, revision, contact_ms, leaving, ())
+    return Beat(sender, boot, revision, contact_ms, leaving, (), (), heard)
 
 
 def build_peers(count=4) -> Peers:
@@ -149,26 +151,39 @@
     return peers
 
 
-def test_directory_names_only_hosts_that_live():
+def named(peers: Peers, now_ms: int, store_reached=True) -> list[str]:
+    """Returns the peers that callers are sent to."""
+    return [peer.name for peer in peers.in_service(now_ms, store_reached)]
+
+
+def test_directory_names_only_hosts_that_are_heard_and_stay():
     peers = build_peers()
     peers.hear(build_beat("h1"), 4_000)
     peers.hear(build_beat("h2", leaving=True), 4_000)
-    peers.delist("h3")
-    names = [peer.name for peer in peers.in_service(4_000, True)]
-    assert names == ["h1"]
+    assert named(peers, 4_000) == ["h1"]
 
 
-def test_silent_host_is_named_only_while_the_store_lists_it():
-    peers = build_peers(2)
-    assert peers.in_service(5_000, store_reached=True)
-    assert not peers.in_service(5_000, store_reached=False)
+def test_host_that_hears_nobody_is_not_named_though_it_is_heard():
+    """Packets leave that host but do not reach it."""
+    peers = build_peers(5)
+    for name in ("h1", "h2", "h3"):
+        peers.hear(build_beat(name, heard=4), 1_000)
+    peers.hear(build_beat("h4", heard=1), 1_000)
+    assert named(peers, 1_000) == ["h1", "h2", "h3"]
+
+
+def test_host_that_hears_nobody_itself_names_what_the_store_lists():
+    peers = build_peers(3)
+    peers.delist("h2")
+    assert named(peers, 5_000) == ["h1"]
+    assert named(peers, 5_000, store_reached=False) == []
 
 
 def test_beat_of_an_earlier_start_is_dropped():
     peers = build_peers(2)
     peers.hear(build_beat("h1", boot=5), 10)
     assert peers.hear(build_beat("h1", boot=4, leaving=True), 20) is None
-    assert peers.in_service(30, True)
+    assert named(peers, 30) == ["h1"]
 
 
 def test_few_hosts_watch_and_another_one_takes_over():
