Beat less often in a large fleet, and look up digests in a table

Change: a host beats every 20 ms for each peer, at least every 200 ms; limits of silence stretch with it; digests of servers are kept.

Small fleets beat as before.

--- a/corianderdoor/core/entry/loads.py
+++ b/corianderdoor/core/entry/loads.py
@@ -13,12 +13,17 @@
 class Loads:
     """Own requests in progress and those that peers told of.
 
+    Attributes:
+        own: Own requests in progress by server.
+        fresh_ms: How long the word of a peer counts.
+
     State is one count for each server and host with requests there.
     """
 
-    __slots__ = ("own", "_peers")
+    __slots__ = ("own", "fresh_ms", "_peers")
 
     def __init__(self) -> None:
+        self.fresh_ms = PEER_FRESH_MS
         self.own: Counter[str] = Counter()
         self._peers: dict[str, tuple[int, dict[str, int]]] = {}
 
@@ -44,6 +49,6 @@
         """Returns the requests in progress at `server_id`."""
         total = self.own.get(server_id, 0)
         for at_ms, counts in self._peers.values():
-            if now_ms - at_ms < PEER_FRESH_MS:
+            if now_ms - at_ms < self.fresh_ms:
                 total += counts.get(server_id, 0)
         return total
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -8,19 +8,22 @@
 
 from ..records import Record
 
-# Without a beat for this long, a peer counts as out of reach.
+# Without a beat for this long, a peer counts as out of reach, and callers
+# are sent there no longer. Both are stretched to `MISSED_BEATS` in a large
+# fleet, whose hosts beat less often.
 SILENT_MS: Final = 2_500
-# Callers are not sent to a host that was not heard for this long, which is
-# six beats.
 UNNAMED_MS: Final = 1_200
+MISSED_BEATS: Final = 3
+# Hosts beat this often. In a large fleet each beats less often, so that a
+# host sends and takes about 50 beats a second.
+BEAT_MS: Final = 200
+BEAT_MS_PER_PEER: Final = 20
 # A host that is listed but was never heard counts this long.
 UNHEARD_MS: Final = 2_500
 # Hosts that watch the store and tell the others.
 WATCHERS: Final = 2
 # A watcher whose contact with the store is older than this does not count.
 CONTACT_MS: Final = 2_200
-# A watcher that was not heard for this long does not count.
-WATCHER_SILENT_MS: Final = 700
 
 Address = tuple[str, int]
 
@@ -83,6 +86,7 @@
         listed_ms: When that record was first seen.
         heard_ms: When it was last heard; None if never.
         beat: Its last beat.
+        beats: How many beats of it were taken.
     """
 
     __slots__ = (
@@ -94,9 +98,11 @@
         "listed_ms",
         "heard_ms",
         "beat",
+        "beats",
     )
 
     def __init__(self, name: str) -> None:
+        self.beats = 0
         self.name = name
         self.callers: Address | None = None
         self.address: Address | None = None
@@ -111,7 +117,7 @@
         """Whether it said that it shuts down."""
         return self.beat is not None and self.beat.leaving
 
-    def silent(self, now_ms: int, limit_ms: int = SILENT_MS) -> bool:
+    def silent(self, now_ms: int, limit_ms: int) -> bool:
         """Returns whether nothing was heard of it for `limit_ms`."""
         return self.heard_ms is None or now_ms - self.heard_ms > limit_ms
 
@@ -159,6 +165,7 @@
             return None
         peer.beat = beat
         peer.heard_ms = now_ms
+        peer.beats += 1
         return peer
 
     def all(self) -> list[Peer]:
@@ -192,16 +199,26 @@
             ]
         return [peer for peer in known if self._reachable(peer, heard, now_ms)]
 
+    def beat_ms(self) -> int:
+        """Returns the time between two beats of a host."""
+        return max(BEAT_MS, BEAT_MS_PER_PEER * len(self._peers))
+
+    def _unnamed_ms(self) -> int:
+        return max(UNNAMED_MS, MISSED_BEATS * self.beat_ms())
+
+    def silent_ms(self) -> int:
+        """Returns how long an unheard host counts as within reach."""
+        return max(SILENT_MS, MISSED_BEATS * self.beat_ms())
+
     def count_heard(self, now_ms: int) -> int:
         """Returns how many peers were heard of late."""
         return sum(
-            not peer.silent(now_ms, UNNAMED_MS)
+            not peer.silent(now_ms, self._unnamed_ms())
             for peer in self._peers.values()
         )
 
-    @staticmethod
-    def _reachable(peer: Peer, heard: int, now_ms: int) -> bool:
-        if peer.beat is None or peer.silent(now_ms, UNNAMED_MS):
+    def _reachable(self, peer: Peer, heard: int, now_ms: int) -> bool:
+        if peer.beat is None or peer.silent(now_ms, self._unnamed_ms()):
             return False
         return 2 * peer.beat.heard >= heard
 
@@ -213,7 +230,7 @@
         names = [
             peer.name
             for peer in self._peers.values()
-            if peer.listed or not peer.silent(now_ms)
+            if peer.listed or not peer.silent(now_ms, self.silent_ms())
         ]
         return sorted([*names, self._own])
 
@@ -222,7 +239,7 @@
         gone = [
             peer.name
             for peer in self._peers.values()
-            if not peer.listed and peer.silent(now_ms)
+            if not peer.listed and peer.silent(now_ms, self.silent_ms())
         ]
         for name in gone:
             del self._peers[name]
@@ -236,7 +253,7 @@
         names = [
             peer.name
             for peer in self._peers.values()
-            if not peer.leaving and not peer.silent(now_ms)
+            if not peer.leaving and not peer.silent(now_ms, self.silent_ms())
         ]
         return sorted([*names, self._own], key=_watch_rank)
 
@@ -253,9 +270,9 @@
             self._in_contact(self._peers[name], now_ms) for name in watching
         )
 
-    @staticmethod
-    def _in_contact(peer: Peer, now_ms: int) -> bool:
-        if peer.beat is None or peer.silent(now_ms, WATCHER_SILENT_MS):
+    def _in_contact(self, peer: Peer, now_ms: int) -> bool:
+        limit_ms = MISSED_BEATS * self.beat_ms()
+        if peer.beat is None or peer.silent(now_ms, limit_ms):
             return False
         return peer.beat.contact_ms < CONTACT_MS
 
@@ -267,7 +284,7 @@
             if peer.beat is not None
             and peer.address is not None
             and peer.beat.revision > revision
-            and not peer.silent(now_ms)
+            and not peer.silent(now_ms, self.silent_ms())
         ]
         return max(
             ahead,
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 from ..records import Record
 
 
@@ -63,13 +65,25 @@
         )
 
 
+def digest_id(server_id: str) -> int:
+    """Returns the number that stands for a server between hosts."""
+    return xxhash.xxh3_64_intdigest(server_id.encode())
+
+
 class Servers:
     """The listed servers, drains and evacuations, as this host knows them.
 
     State is one record for each listed server and evacuated data centre.
     """
 
-    __slots__ = ("_listed", "_cold_until", "_lapsing", "_evacuated", "_by")
+    __slots__ = (
+        "_listed",
+        "_cold_until",
+        "_lapsing",
+        "_evacuated",
+        "_by",
+        "_digests",
+    )
 
     def __init__(self) -> None:
         self._listed: dict[str, BackendServer] = {}
@@ -77,12 +91,14 @@
         self._lapsing: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._by: dict[str, list[BackendServer]] = {}
+        self._digests: dict[int, str] = {}
 
     def put(self, server: BackendServer, now_ms: int) -> bool:
         """Lists `server`; returns whether a listed one started anew."""
         old = self._listed.get(server.id)
         fresh = old is None or not old.same_run(server)
         self._listed[server.id] = server
+        self._digests[digest_id(server.id)] = server.id
         self._lapsing.pop(server.id, None)
         if server.cold_ms > 0:
             until_ms = now_ms + int(server.cold_ms)
@@ -106,6 +122,7 @@
             self._lapsing.setdefault(server_id, now_ms + grace_ms)
             return
         self._listed.pop(server_id, None)
+        self._digests.pop(digest_id(server_id), None)
         self._cold_until.pop(server_id, None)
         self._lapsing.pop(server_id, None)
         self._by.clear()
@@ -127,6 +144,10 @@
         """The data centres whose servers get nothing."""
         return self._evacuated
 
+    def find(self, digest: int) -> str | None:
+        """Returns the id of the listed server that `digest` stands for."""
+        return self._digests.get(digest)
+
     def get(self, server_id: str) -> BackendServer | None:
         """Returns the listed server `server_id`."""
         return self._listed.get(server_id)
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -178,6 +178,7 @@
                 self._planner.loads.forget(name)
                 log_event("peer_gone", peer=name)
             self._planner.hosts = self._peers.spenders(now_ms)
+            self._planner.loads.fresh_ms = self._peers.silent_ms()
             if ticks % TRIM_TICKS == 0:
                 self._backends.trim()
 
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -9,7 +9,6 @@
 
 import anyio
 import h11
-import xxhash
 
 from ..adapters.http1 import Address, connect, ConnectionCutError
 from ..adapters.http1_server import Received, ServerConnection
@@ -19,6 +18,7 @@
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Page, Replica
 from ..core.entry.routing import FIRST_LIMITS
+from ..core.entry.servers import digest_id
 from ..platform.store import read_whole
 from .peer_codec import (
     decode_beat,
@@ -28,19 +28,12 @@
     MessageError,
 )
 
-# Peers learn of loads this often; a spread of work needs no finer view.
-BEAT_MS: Final = 200
 PULL_TIMEOUT_MS: Final = 500
 # Parts of prompts that one beat tells of; bounds a datagram to 1 KB.
 HELD_IN_BEAT: Final = 48
 STATE_PATH: Final = b"/state"
 
 
-def digest_id(server_id: str) -> int:
-    """Returns the number that stands for a server in beats."""
-    return xxhash.xxh3_64_intdigest(server_id.encode())
-
-
 class Peering(asyncio.DatagramProtocol):
     """Talks to the other entry hosts.
 
@@ -98,11 +91,10 @@
             log_event("beat_unusable", "WARNING", detail=str(exc))
             return
         now_ms = self._clock.now_ms()
-        known = {peer.name for peer in self._peers.all()}
         peer = self._peers.hear(beat, now_ms)
         if peer is None:
             return
-        if peer.name not in known:
+        if peer.beats == 1:
             log_event("peer_heard", peer=peer.name, boot=beat.boot)
         if peer.address is None:
             peer.address = (addr[0], addr[1])
@@ -111,19 +103,17 @@
             self._on_ahead()
 
     def _take_loads(self, beat: Beat, now_ms: int) -> None:
-        names = {
-            digest_id(server_id): server_id
-            for server_id in self._planner.servers.ids()
-        }
-        counts = {
-            names[digest]: count
-            for digest, count in beat.loads
-            if digest in names
-        }
+        find = self._planner.servers.find
+        counts: dict[str, int] = {}
+        for digest, count in beat.loads:
+            server_id = find(digest)
+            if server_id is not None:
+                counts[server_id] = count
         self._planner.loads.hear(beat.sender, counts, now_ms)
         for part, digest in beat.held:
-            if digest in names:
-                self._planner.caches.hear(part, names[digest], now_ms)
+            server_id = find(digest)
+            if server_id is not None:
+                self._planner.caches.hear(part, server_id, now_ms)
 
     def send_beats(self) -> None:
         """Tells all peers the state of this host."""
@@ -158,7 +148,7 @@
         try:
             while True:
                 self.send_beats()
-                await anyio.sleep(BEAT_MS / MS_PER_SECOND)
+                await anyio.sleep(self._peers.beat_ms() / MS_PER_SECOND)
         finally:
             if self._transport is not None:
                 self._transport.close()
