Name hosts that just started, and pass over servers that are not there

Answers kept for 1 s ran out while all hosts were away.

Change: a host is judged by what it heard only after five beats; answers are kept 2 s again; a server whose address another one has is paused. Requests wait up to 300 ms for the first desired state. Short requests go first to servers with a connection in use, which counts as fresh for half of the idle time that the server allows.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -20,6 +20,8 @@
 BEAT_MS_PER_PEER: Final = 20
 # A host that is listed but was never heard counts this long.
 UNHEARD_MS: Final = 2_500
+# Beats of a start after which a host should hear its peers.
+JUDGED_BEATS: Final = 5
 # Hosts that watch the store and tell the others.
 WATCHERS: Final = 2
 # A watcher whose contact with the store is older than this does not count.
@@ -86,7 +88,7 @@
         listed_ms: When that record was first seen.
         heard_ms: When it was last heard; None if never.
         beat: Its last beat.
-        beats: How many beats of it were taken.
+        beats: How many beats of its present start were taken.
     """
 
     __slots__ = (
@@ -161,8 +163,11 @@
         if beat.sender == self._own:
             return None
         peer = self._peers.setdefault(beat.sender, Peer(beat.sender))
-        if peer.beat is not None and beat.boot < peer.beat.boot:
-            return None
+        if peer.beat is not None:
+            if beat.boot < peer.beat.boot:
+                return None
+            if beat.boot > peer.beat.boot:
+                peer.beats = 0
         peer.beat = beat
         peer.heard_ms = now_ms
         peer.beats += 1
@@ -220,6 +225,8 @@
     def _reachable(self, peer: Peer, heard: int, now_ms: int) -> bool:
         if peer.beat is None or peer.silent(now_ms, self._unnamed_ms()):
             return False
+        if peer.beats < JUDGED_BEATS:
+            return True
         return 2 * peer.beat.heard >= heard
 
     def spenders(self, now_ms: int) -> list[str]:
--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -13,6 +13,8 @@
 # Servers among which the chats of one common first part are spread; fewer
 # read that part less often, more balance better.
 SPREAD: Final = 2
+# Steps of load, from idle to full, that tell servers without a cache apart.
+LOAD_STEPS: Final = 3
 # Load over which a server gets no new chat, and over which it gets nothing,
 # as a multiple of the mean and a constant. The second is just inside the
 # platform's bound, as views of the load are late.
@@ -45,17 +47,23 @@
 def rank_by_load(
     servers: Sequence[BackendServer],
     load_of: Callable[[str], int],
+    is_connected: Callable[[str], bool],
+    host: str,
     data_centre: str,
-    tie: Callable[[], float],
 ) -> list[BackendServer]:
-    """Returns `servers` by load for each slot, near ones first on a tie."""
+    """Returns `servers` by load for each slot.
+
+    On a tie come those first to which a connection was in use of late, then
+    near ones, then an order of this host's own, so that each host keeps few
+    connections in steady use and the hosts spread over the servers.
+    """
     return sorted(
         servers,
         key=lambda server: (
-            load_of(server.id) // max(1, server.slots // 3),
+            load_of(server.id) // max(1, server.slots // LOAD_STEPS),
+            not is_connected(server.id),
             server.data_centre != data_centre,
-            load_of(server.id),
-            tie(),
+            _score(host, server),
         ),
     )
 
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 from typing import Final
 
@@ -65,6 +66,8 @@
         doubts: Servers to pass over.
         caches: Which servers keep which prompts.
         hosts: Names of the entry hosts in service, this one included.
+        is_connected: Tells whether a connection to a server was in use of
+            late.
     """
 
     __slots__ = (
@@ -74,6 +77,7 @@
         "doubts",
         "caches",
         "hosts",
+        "is_connected",
         "_name",
         "_data_centre",
         "_ration",
@@ -95,6 +99,7 @@
         self.doubts = ServerDoubts()
         self.caches = CacheMap()
         self.hosts: list[str] = [name]
+        self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
         self._data_centre = data_centre
         self._ration = ration
@@ -164,7 +169,11 @@
         if not flight.req.parts:
             # Without a prompt, any server does.
             return rank_by_load(
-                servers, load_of, self._data_centre, self._rng.random
+                servers,
+                load_of,
+                self.is_connected,
+                self._name,
+                self._data_centre,
             )
         holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
         open_servers = under_bound(servers, load_of, FULL_BOUND)
@@ -305,7 +314,8 @@
     def _learn(
         self, server: BackendServer, ending: Ending, now_ms: int
     ) -> None:
-        if ending is Ending.UNREACHED:
+        if ending in (Ending.UNREACHED, Ending.WRONG_SERVER):
+            # Another server at the address: this one is not there any more.
             self.doubts.record_unreachable(server.id, now_ms)
         elif ending in (
             Ending.BROKEN,
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -17,18 +17,18 @@
 DEFAULT_IDLE_MS: Final = 4_000
 # A connection is given up this long before the server closes it.
 IDLE_MARGIN_MS: Final = 1_000
-# A request that must not be sent twice goes over a connection that was in
-# use this recently, or over a new one.
-FRESH_MS: Final = 2_000
+# A request that must not be sent twice goes over a connection that was idle
+# for at most this part of what the server allows, or over a new one.
+FRESH_SHARE: Final = 0.5
 
 
 class _Idle:
-    __slots__ = ("wire", "since_ms", "until_ms")
+    __slots__ = ("wire", "fresh_until_ms", "until_ms")
 
-    def __init__(self, wire: Wire, since_ms: int, until_ms: int) -> None:
+    def __init__(self, wire: Wire, now_ms: int, idle_ms: int) -> None:
         self.wire = wire
-        self.since_ms = since_ms
-        self.until_ms = until_ms
+        self.fresh_until_ms = now_ms + int(idle_ms * FRESH_SHARE)
+        self.until_ms = now_ms + idle_ms
 
 
 class Backends:
@@ -63,12 +63,19 @@
         self.opened += 1
         return wire
 
+    def is_connected(self, server_id: str) -> bool:
+        """Returns whether a connection to a server was in use of late."""
+        kept = self._idle.get(server_id)
+        if not kept:
+            return False
+        return self._clock.now_ms() <= kept[-1].fresh_until_ms
+
     def _take_idle(self, server: BackendServer, fresh: bool) -> Wire | None:
         idle = self._idle.get(server.id)
         now_ms = self._clock.now_ms()
         while idle:
             last = idle[-1]
-            if fresh and now_ms - last.since_ms > FRESH_MS:
+            if fresh and now_ms > last.fresh_until_ms:
                 return None
             idle.pop()
             if last.wire.quiet and now_ms < last.until_ms:
@@ -88,7 +95,7 @@
             wire.abort()
             return
         kept = self._idle.setdefault(server.id, [])
-        kept.append(_Idle(wire, now_ms, now_ms + idle_ms))
+        kept.append(_Idle(wire, now_ms, idle_ms))
 
     def forget(self, server_id: str) -> None:
         """Ends the idle connections to a server."""
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import anyio
 
 from ..adapters.http1_server import Received, ServerConnection, Unreadable
 from ..adapters.logs import log_event
-from ..core.clock import Clock
+from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.planner import Planner
 from ..core.entry.routing import CallerLimits, FIRST_LIMITS
 from ..platform.headers import HeaderError, read_caller_request
 from .backends import Backends
 from .relay import Relay
 
+# A host that starts has its desired state after a few calls to the store;
+# requests that come sooner wait this long instead of being refused.
+START_HOLD_MS: Final = 300
+START_POLL_MS: Final = 10
+
 
 class CallerService:
     """Serves callers.
@@ -97,9 +104,18 @@
         except HeaderError as exc:
             await self._reject(conn, Unreadable(400, str(exc)))
             return
+        await self._wait_for_state()
         relay = Relay(self._planner, self._backends, self._clock, conn, req)
         await relay.run()
 
+    async def _wait_for_state(self) -> None:
+        """Waits for the first desired state, which is on its way."""
+        until_ms = self._clock.now_ms() + START_HOLD_MS
+        while self._planner.desired is None:
+            if self._clock.now_ms() >= until_ms:
+                return
+            await anyio.sleep(START_POLL_MS / MS_PER_SECOND)
+
     async def _reject(
         self, conn: ServerConnection, unreadable: Unreadable
     ) -> None:
--- a/corianderdoor/entry/directory.py
+++ b/corianderdoor/entry/directory.py
@@ -18,8 +18,9 @@
 )
 from ..platform.settings import EntrySettings
 
-# Callers learn within this time that a host has gone.
-TTL_S: Final = 1.0
+# Callers learn within this time that a host has gone, and keep an answer at
+# least that long when all hosts are away at once.
+TTL_S: Final = 2.0
 JSON_TYPE: Final = (b"Content-Type", b"application/json")
 
 
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -83,6 +83,7 @@
         )
         self._peers = Peers(settings.name)
         self._backends = Backends(clock)
+        self._planner.is_connected = self._backends.is_connected
         self._beliefs = Beliefs(
             self._planner, self._peers, self._backends, clock
         )
--- a/tests/test_entry_beliefs.py
+++ b/tests/test_entry_beliefs.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from corianderdoor.core.entry.peers import Beat, Peers
+from corianderdoor.core.entry.peers import Beat, JUDGED_BEATS, Peers
 from corianderdoor.core.entry.replica import Change, Page, Replica
 from corianderdoor.core.entry.servers import Servers
 
@@ -147,7 +147,8 @@
         name = f"h{number}"
         address = ("10.0.0.1", 9_000 + number)
         peers.enlist(name, address, address, "a", 0)
-        peers.hear(build_beat(name), 0)
+        for _ in range(JUDGED_BEATS):
+            peers.hear(build_beat(name), 0)
     return peers
 
 
@@ -172,6 +173,14 @@
     assert named(peers, 1_000) == ["h1", "h2", "h3"]
 
 
+def test_host_that_has_just_started_is_named_before_it_hears_others():
+    """All hosts start at once, and callers need all of them."""
+    peers = build_peers(4)
+    for name in ("h1", "h2", "h3"):
+        peers.hear(build_beat(name, boot=2, heard=0), 1_000)
+    assert named(peers, 1_000) == ["h1", "h2", "h3"]
+
+
 def test_host_that_hears_nobody_itself_names_what_the_store_lists():
     peers = build_peers(3)
     peers.delist("h2")
--- a/tests/test_entry_planner.py
+++ b/tests/test_entry_planner.py
@@ -104,6 +104,17 @@
     assert send(planner, flight, 5).server.id != step.server.id
 
 
+@pytest.mark.parametrize("ending", [Ending.UNREACHED, Ending.WRONG_SERVER])
+def test_server_that_is_not_there_is_passed_over_by_the_next_request(ending):
+    """Servers that come back under other ids keep their old entries."""
+    planner = build_planner()
+    flight = fly(planner, build_request("/pay/x", parts=()))
+    step = send(planner, flight)
+    planner.fail(flight, step.server, ending, 5)
+    other = fly(planner, build_request("/pay/x", "r2", ()))
+    assert send(planner, other, 6).server.id != step.server.id
+
+
 def test_server_out_of_reach_costs_no_repeat():
     planner = build_planner()
     planner._budget._slack = 0
