Serve metrics as text, loaded when they are first asked for

Cause: an on-call engineer had logs alone. Totals are kept as plain counts; OpenTelemetry and its text exporter are loaded by the first scrape, as they cost about 5 MB and 0.1 s, which every killed host would pay again. Test: test_metrics_count_requests_refusals_and_sends.

--- /dev/null
+++ b/corianderdoor/adapters/metrics_text.py
@@ -0,0 +1,93 @@
+"""Metrics of an entry host as text, by OpenTelemetry.
+
+The libraries cost about 5 MB and a tenth of a second, so they are loaded
+when metrics are asked for the first time. Totals are kept from the start;
+latencies are collected from then on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final
+
+from ..core.entry.tallies import Tallies
+
+TOTALS: Final = {
+    "requests": "Requests of callers by kind and outcome.",
+    "refusals": "Failures of our own by reason and status.",
+    "sends": "Sends to backend servers by how they ended.",
+    "repeats": "Sends beyond the first of a request.",
+    "prompt_tokens": "Prompt tokens by where they were expected.",
+    "connections": "Connections opened to backend servers.",
+    "store_calls": "Calls to the platform's store.",
+}
+PREFIX: Final = "corianderdoor_"
+LATENCY_BOUNDS_MS: Final = (
+    *(10, 25, 50, 100, 150, 200, 300, 400, 600, 800),
+    *(1_000, 1_500, 2_500, 4_000, 6_000, 15_000),
+)
+
+Gauges = Mapping[str, Callable[[], float]]
+
+
+class MetricsText:
+    """Renders totals, gauges and latencies in the Prometheus format."""
+
+    __slots__ = ("_tallies", "_gauges", "_render")
+
+    def __init__(self, tallies: Tallies, gauges: Gauges) -> None:
+        self._tallies = tallies
+        self._gauges = gauges
+        self._render: Callable[[], bytes] | None = None
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        if self._render is None:
+            self._render = self._set_up()
+        return self._render()
+
+    def _set_up(self) -> Callable[[], bytes]:
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+        from opentelemetry.sdk.metrics import MeterProvider
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=registry,
+        )
+        meter = MeterProvider([reader]).get_meter("corianderdoor.entry")
+        for name, about in TOTALS.items():
+            meter.create_observable_counter(
+                PREFIX + name, [self._read_total(name)], description=about
+            )
+        for name, read in self._gauges.items():
+            meter.create_observable_gauge(
+                PREFIX + name, [self._read_gauge(read)]
+            )
+        latency = meter.create_histogram(
+            PREFIX + "first_byte",
+            unit="ms",
+            description="Time to the first byte of an answer.",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_MS,
+        )
+        self._tallies.on_latency = lambda kind, value: latency.record(
+            value, {"kind": kind}
+        )
+        return lambda: bytes(generate_latest(registry))
+
+    def _read_total(self, name: str) -> Callable[[Any], Iterable[Any]]:
+        from opentelemetry.metrics import Observation
+
+        def observe(options: Any) -> Iterable[Any]:
+            for labels, total in self._tallies.read(name):
+                yield Observation(total, dict(labels))
+
+        return observe
+
+    @staticmethod
+    def _read_gauge(read: Callable[[], float]) -> Callable[[Any], Any]:
+        from opentelemetry.metrics import Observation
+
+        return lambda options: [Observation(read())]
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -33,6 +33,7 @@
 from .routing import DesiredState, Route
 from .server_doubts import ServerDoubts
 from .servers import BackendServer, Servers
+from .tallies import Tallies
 from .windows import ColdRation, RepeatBudget
 
 NOT_READY_RETRY_MS: Final = 500
@@ -65,6 +66,7 @@
         loads: Requests in progress at them.
         doubts: Servers to pass over.
         caches: Which servers keep which prompts.
+        tallies: Counts of what was decided.
         hosts: Names of the entry hosts in service, this one included.
         is_connected: Tells whether a connection to a server was in use of
             late.
@@ -76,6 +78,7 @@
         "loads",
         "doubts",
         "caches",
+        "tallies",
         "hosts",
         "is_connected",
         "_name",
@@ -98,6 +101,7 @@
         self.loads = Loads()
         self.doubts = ServerDoubts()
         self.caches = CacheMap()
+        self.tallies = Tallies()
         self.hosts: list[str] = [name]
         self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
@@ -247,13 +251,26 @@
     ) -> None:
         """Notes that the request is on its way to `server`."""
         if flight.req.parts:
+            self._tally_prompt(flight.req, server, now_ms)
             self.caches.record(flight.req, server.id, now_ms)
+        if flight.sends:
+            self.tallies.add("repeats")
         flight.server = server
         flight.tried.add(server.id)
         flight.sends += 1
         flight.runs += 1
         self.loads.start(server.id)
 
+    def _tally_prompt(
+        self, req: CallerRequest, server: BackendServer, now_ms: int
+    ) -> None:
+        for part in req.shared_parts():
+            held = self.caches.holders(part, now_ms)
+            place = "nowhere"
+            if held:
+                place = "here" if server.id in held else "elsewhere"
+            self.tallies.add("prompt_tokens", part.tokens, cached=place)
+
     def record_left(self, flight: Flight) -> None:
         """Notes that no server works on the request any longer."""
         if flight.server is not None:
@@ -262,6 +279,7 @@
 
     def record_whole(self, flight: Flight) -> None:
         """Notes that the server answered whole."""
+        self.tallies.add("sends", ending="whole")
         if flight.server is not None:
             self.doubts.record_success(flight.server.id)
         self.record_left(flight)
@@ -275,6 +293,7 @@
     ) -> Again | Refuse | Deliver:
         """Returns what follows an attempt that did not end in success."""
         self.record_left(flight)
+        self.tallies.add("sends", ending=ending.value)
         self._learn(server, ending, now_ms)
         if ending is Ending.UNREACHED:
             flight.tried.add(server.id)
--- a/corianderdoor/entry/__main__.py
+++ b/corianderdoor/entry/__main__.py
@@ -28,10 +28,12 @@
 LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-async def _serve(settings: EntrySettings, path: pathlib.Path) -> None:
+async def _serve(
+    settings: EntrySettings, path: pathlib.Path, metrics_port: int | None
+) -> None:
     clock = SystemClock()
     rng = random.Random(f"{settings.name}{clock.wall_ms()}")
-    host = EntryHost(settings, path, clock, rng)
+    host = EntryHost(settings, path, clock, rng, metrics_port)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_follow_signals, host, stop)
@@ -66,6 +68,9 @@
         "--check", action="store_true", help="show the settings and exit"
     )
     parser.add_argument("--log-level", choices=LEVELS, default="INFO")
+    parser.add_argument(
+        "--metrics-port", type=int, help="serve metrics as text on this port"
+    )
     args = parser.parse_args(argv)
     try:
         settings = read_settings(args.settings)
@@ -77,7 +82,11 @@
         return EXIT_DONE
     set_up_entry_logs(settings.name, args.log_level, SystemClock())
     anyio.run(
-        _serve, settings, args.settings, backend_options={"use_uvloop": True}
+        _serve,
+        settings,
+        args.settings,
+        args.metrics_port,
+        backend_options={"use_uvloop": True},
     )
     return EXIT_DONE
 
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -7,6 +7,7 @@
 from ..adapters.http1 import connect, Wire
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.servers import BackendServer
+from ..core.entry.tallies import Tallies
 
 # A connection takes a round trip; a server out of reach shows by then.
 CONNECT_TIMEOUT_MS: Final = 400
@@ -32,16 +33,12 @@
 
 
 class Backends:
-    """Kept connections by server.
+    """Kept connections by server."""
 
-    Attributes:
-        opened: Connections opened so far.
-    """
+    __slots__ = ("_tallies", "_clock", "_idle")
 
-    __slots__ = ("opened", "_clock", "_idle")
-
-    def __init__(self, clock: Clock) -> None:
-        self.opened = 0
+    def __init__(self, clock: Clock, tallies: Tallies) -> None:
+        self._tallies = tallies
         self._clock = clock
         self._idle: dict[str, list[_Idle]] = {}
 
@@ -60,7 +57,7 @@
         if wire is None:
             self.forget(server.id)
             return None
-        self.opened += 1
+        self._tallies.add("connections")
         return wire
 
     def is_connected(self, server_id: str) -> bool:
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -13,6 +13,7 @@
 
 from ..adapters.http1_server import listen
 from ..adapters.logs import log_event
+from ..adapters.metrics_text import MetricsText
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -24,6 +25,7 @@
 from .beliefs import Beliefs
 from .callers import CallerService
 from .directory import DirectoryService
+from .metrics import MetricsService
 from .peering import Peering
 from .state_sync import CacheKeeper, Registration, StateSync
 
@@ -58,6 +60,7 @@
         "_peering",
         "_callers",
         "_directory",
+        "_metrics_port",
     )
 
     def __init__(
@@ -66,7 +69,18 @@
         path: pathlib.Path,
         clock: Clock,
         rng: random.Random,
+        metrics_port: int | None = None,
     ) -> None:
+        """Creates a host.
+
+        Args:
+            settings: Its settings.
+            path: Where they were read from, to read them again.
+            clock: The clock of all its parts.
+            rng: Source of jitter.
+            metrics_port: Port on which metrics are served; None for none.
+        """
+        self._metrics_port = metrics_port
         self._settings = settings
         self._path = path
         self._clock = clock
@@ -82,23 +96,26 @@
             rng,
         )
         self._peers = Peers(settings.name)
-        self._backends = Backends(clock)
+        self._backends = Backends(clock, self._planner.tallies)
         self._planner.is_connected = self._backends.is_connected
         self._beliefs = Beliefs(
             self._planner, self._peers, self._backends, clock
         )
         self._sync = StateSync(
-            Store(settings.store, clock), self._beliefs, self._peers, clock
+            Store(settings.store, self._planner.tallies),
+            self._beliefs,
+            self._peers,
+            clock,
         )
         peer_address = (settings.address, settings.peer_ports[0])
         self._keeper = CacheKeeper(
-            Store(settings.store, clock),
+            Store(settings.store, self._planner.tallies),
             self._planner.caches,
             self._peers,
             clock,
         )
         self._registration = Registration(
-            Store(settings.store, clock),
+            Store(settings.store, self._planner.tallies),
             settings.name,
             encode_host(settings.callers, peer_address, settings.data_centre),
         )
@@ -136,6 +153,8 @@
             await asyncio.get_running_loop().create_datagram_endpoint(
                 lambda: self._peering, local_addr=peer_address
             )
+            if self._metrics_port is not None:
+                await self._serve_metrics(tasks, self._metrics_port)
             tasks.start_soon(self._sync.run)
             tasks.start_soon(self._registration.run, self._in_service)
             tasks.start_soon(self._keeper.run)
@@ -149,6 +168,31 @@
             tasks.cancel_scope.cancel()
         log_event("stopped", name=settings.name)
 
+    async def _serve_metrics(
+        self, tasks: anyio.abc.TaskGroup, port: int
+    ) -> None:
+        gauges = {
+            "in_progress": lambda: float(self._callers.busy()),
+            "peers_heard": lambda: float(
+                self._peers.count_heard(self._clock.now_ms())
+            ),
+            "belief_revision": lambda: float(self._beliefs.replica.revision),
+            "desired_version": lambda: float(
+                self._planner.desired.version if self._planner.desired else 0
+            ),
+            "highest_load_share": self._highest_load_share,
+        }
+        text = MetricsText(self._planner.tallies, gauges)
+        address = (self._settings.address, port)
+        await listen(address, tasks, MetricsService(text).serve)
+
+    def _highest_load_share(self) -> float:
+        """Returns the highest load of a server over the mean of all."""
+        now_ms = self._clock.now_ms()
+        ids = self._planner.servers.ids()
+        loads = [self._planner.loads.of(id, now_ms) for id in ids]
+        return max(loads) * len(loads) / sum(loads) if any(loads) else 0.0
+
     def _in_service(self) -> bool:
         return not self._peering.leaving
 
--- /dev/null
+++ b/corianderdoor/entry/metrics.py
@@ -0,0 +1,34 @@
+"""The metrics address of an entry host."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..adapters.http1_server import Received, ServerConnection
+from ..adapters.metrics_text import MetricsText
+from ..core.entry.routing import FIRST_LIMITS
+
+PATH: Final = b"/metrics"
+TEXT_TYPE: Final = (b"Content-Type", b"text/plain; version=0.0.4")
+
+
+class MetricsService:
+    """Serves metrics as text."""
+
+    __slots__ = ("_text",)
+
+    def __init__(self, text: MetricsText) -> None:
+        self._text = text
+
+    async def serve(self, conn: ServerConnection) -> None:
+        """Answers the requests of one connection."""
+        while True:
+            received = await conn.read_request(FIRST_LIMITS)
+            if not isinstance(received, Received):
+                return
+            if received.target.partition(b"?")[0] == PATH:
+                await conn.respond(200, [TEXT_TYPE], self._text.render())
+            else:
+                await conn.respond(404, [])
+            if not await conn.finish():
+                return
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -97,6 +97,7 @@
         finally:
             self._planner.record_left(flight)
             if not ended:
+                self._tally("caller-gone")
                 log_event(
                     "caller_gone",
                     request_id=self._req.id,
@@ -106,6 +107,7 @@
         if refusal is not None:
             await self._refuse(refusal)
             return
+        self._tally("served")
         log_event(
             "request_done",
             request_id=self._req.id,
@@ -114,6 +116,20 @@
             took_ms=self._clock.now_ms() - now_ms,
         )
 
+    def _tally(self, outcome: str) -> None:
+        flight = self._flight
+        kind = flight.route.repeat.value if flight else "none"
+        self._planner.tallies.add("requests", kind=kind, outcome=outcome)
+
+    def _record_first(self) -> None:
+        """Notes how long the caller waited for the first byte."""
+        flight = self._flight
+        assert flight is not None
+        self._planner.tallies.record_latency(
+            flight.route.repeat.value,
+            self._clock.now_ms() - flight.arrived_ms,
+        )
+
     def _time_out(self, flight: Flight) -> Refuse:
         status = 504 if flight.runs else 503
         return Refuse(status, Ending.TIMEOUT.value)
@@ -278,6 +294,7 @@
         assert self._flight is not None
         if answer.status < FAILED:
             self._planner.record_whole(self._flight)
+        self._record_first()
         await self._conn.respond(answer.status, answer.headers, answer.body)
 
     async def _relay_events(
@@ -333,6 +350,7 @@
         if flight.begun:
             return
         flight.begun = True
+        self._record_first()
         chunked = (b"Transfer-Encoding", b"chunked")
         self._conn.start(head.status, [*head.headers, chunked])
 
@@ -350,6 +368,10 @@
             held_ms=now_ms - flight.arrived_ms if flight else 0,
             retry_after_ms=refusal.retry_after_ms,
         )
+        self._tally("refused")
+        self._planner.tallies.add(
+            "refusals", reason=refusal.reason, status=str(refusal.status)
+        )
         if flight is not None and flight.begun:
             # A cut tells the caller that the answer is not whole.
             self._conn.wire.abort()
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from ..adapters.http1 import Address, connect, ConnectionCutError, Wire
-from ..core.clock import Clock, MS_PER_SECOND
+from ..core.clock import MS_PER_SECOND
+from ..core.entry.tallies import Tallies
 from ..core.records import Record
 
 PATH: Final = "/corianderdoor"
@@ -92,13 +93,12 @@
     connection is dropped, as nothing more comes over it.
     """
 
-    __slots__ = ("_address", "_clock", "_wire", "calls")
+    __slots__ = ("_address", "_tallies", "_wire")
 
-    def __init__(self, address: Address, clock: Clock) -> None:
+    def __init__(self, address: Address, tallies: Tallies) -> None:
         self._address = address
-        self._clock = clock
+        self._tallies = tallies
         self._wire: Wire | None = None
-        self.calls = 0
 
     def drop(self) -> None:
         """Ends the connection; the next call opens another."""
@@ -232,7 +232,7 @@
         body: bytes,
         timeout_ms: int,
     ) -> tuple[int, bytes]:
-        self.calls += 1
+        self._tallies.add("store_calls", call=step)
         sent = False
         try:
             with anyio.fail_after(timeout_ms / MS_PER_SECOND):
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -28,6 +28,7 @@
 
 PORT: Final = 18_080
 READY_PORT: Final = 18_081
+METRICS_PORT: Final = 18_079
 PEER_PORT: Final = 18_082
 CONNECT_TIMEOUT_MS: Final = 2_000
 CALLER_HOST: Final = "chat.example"
@@ -195,6 +196,7 @@
             pathlib.Path(),
             self.clock,
             random.Random(name),
+            METRICS_PORT,
         )
         self._stops[name] = anyio.Event()
         self.hosts[name] = (address, PORT)
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -12,6 +12,7 @@
 from corianderdoor.standins.platform_fleet import (
     ask,
     build_config,
+    METRICS_PORT,
     PlatformFleet,
     READY_PORT,
     ROUTES,
@@ -355,6 +356,23 @@
     run(scenario)
 
 
+def test_metrics_count_requests_refusals_and_sends():
+    async def scenario(fleet):
+        address = (fleet.hosts["host-0"][0], METRICS_PORT)
+        assert (await ask(address, "/metrics")).status == 200
+        await fleet.chat("host-0", "id-1", Prompt_Prefix=PARTS)
+        await fleet.chat("host-0", "id-2", "/none/x")
+        text = (await ask(address, "/metrics")).body.decode()
+        kind = 'kind="stream",outcome="served"'
+        assert f"corianderdoor_requests_total{{{kind}}} 1.0" in text
+        assert 'reason="no-route",status="404"} 1.0' in text
+        assert 'corianderdoor_sends_total{ending="whole"} 1.0' in text
+        assert 'corianderdoor_first_byte_milliseconds_count{kind="s' in text
+        assert (await ask(address, "/other")).status == 404
+
+    run(scenario, hosts=1)
+
+
 def test_smuggled_request_in_a_body_runs_nowhere():
     async def scenario(fleet):
         wire = await connect(fleet.hosts["host-0"], 1_000, 0)
