--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -12,7 +12,7 @@
 
 # Servers among which the chats of one common first part are spread; fewer
 # read that part less often, more balance better.
-SPREAD: Final = 2
+SPREAD: Final = 3
 # Steps of load, from idle to full, that tell servers without a cache apart.
 LOAD_STEPS: Final = 3
 # Load over which a server gets no new chat, and over which it gets nothing,
