Add a load and experiment command on stand-ins of the platform

corianderdoor-load runs a store, workers and entry hosts in one process, brings about one trouble (cut, decline, store-down, host-stop), prints a table and writes JSON; make demo begins with it.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	touch $(STAMP)
 
 demo: setup
+	$(PY) -m corianderdoor.standins.platform_load --trouble cut
 	DEPLOYMENT=$(DEPLOYMENT) $(PY) scripts/demo.py
 
 test: setup
