Share which servers fail between hosts

Change: beats name the servers that a host has paused by what it saw itself; two peers that agree pause a server here, one alone does not.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -42,6 +42,7 @@
         loads: Requests in progress by a digest of the server's id.
         held: Parts of prompts and servers that keep them, as digests.
         heard: How many peers it heard of late.
+        paused: Servers that it passes over after failures, as digests.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "loads",
         "held",
         "heard",
+        "paused",
     )
 
     def __init__(
@@ -65,7 +67,9 @@
         loads: tuple[tuple[int, int], ...],
         held: tuple[tuple[int, int], ...] = (),
         heard: int = 0,
+        paused: tuple[int, ...] = (),
     ) -> None:
+        self.paused = paused
         self.heard = heard
         self.held = held
         self.sender = sender
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -14,6 +14,7 @@
   loads @5 :List(Load);
   held @6 :List(Held);
   heard @7 :UInt16;
+  paused @8 :List(UInt64);  # digests of servers
 }
 
 # A part of prompts that a backend server keeps in its cache.
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -30,6 +30,7 @@
         contactMs=min(MAX_CONTACT_MS, beat.contact_ms),
         leaving=beat.leaving,
         heard=min(MAX_COUNT, beat.heard),
+        paused=list(beat.paused),
         loads=[
             {"server": server, "count": min(MAX_COUNT, count)}
             for server, count in beat.loads
@@ -56,6 +57,7 @@
             tuple((load.server, load.count) for load in raw.loads),
             tuple((held.part, held.server) for held in raw.held),
             raw.heard,
+            tuple(raw.paused),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -98,11 +98,11 @@
             log_event("peer_heard", peer=peer.name, boot=beat.boot)
         if peer.address is None:
             peer.address = (addr[0], addr[1])
-        self._take_loads(beat, now_ms)
+        self._take_news(beat, now_ms)
         if beat.revision > self._replica.revision:
             self._on_ahead()
 
-    def _take_loads(self, beat: Beat, now_ms: int) -> None:
+    def _take_news(self, beat: Beat, now_ms: int) -> None:
         find = self._planner.servers.find
         counts: dict[str, int] = {}
         for digest, count in beat.loads:
@@ -110,6 +110,12 @@
             if server_id is not None:
                 counts[server_id] = count
         self._planner.loads.hear(beat.sender, counts, now_ms)
+        doubted = frozenset(
+            server_id
+            for server_id in map(find, beat.paused)
+            if server_id is not None
+        )
+        self._planner.doubts.hear(beat.sender, doubted, now_ms)
         for part, digest in beat.held:
             server_id = find(digest)
             if server_id is not None:
@@ -119,6 +125,7 @@
         """Tells all peers the state of this host."""
         if self._transport is None:
             return
+        now_ms = self._clock.now_ms()
         data = encode_beat(
             Beat(
                 self._name,
@@ -136,7 +143,11 @@
                         HELD_IN_BEAT
                     )
                 ),
-                self._peers.count_heard(self._clock.now_ms()),
+                self._peers.count_heard(now_ms),
+                tuple(
+                    digest_id(server_id)
+                    for server_id in self._planner.doubts.own_paused(now_ms)
+                ),
             )
         )
         for peer in self._peers.all():
