Refuse requests that crash servers, and keep to a share of connections

Change: a request (path, caller, body) under which three servers went down within a minute is refused, at every host. A host sends no more at once to a server than its part of the connections; a request waits for room up to half of its target, and is refused then.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -43,6 +43,8 @@
         held: Parts of prompts and servers that keep them, as digests.
         heard: How many peers it heard of late.
         paused: Servers that it passes over after failures, as digests.
+        broke: Requests and the servers that went down while they ran them,
+            as digests.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "held",
         "heard",
         "paused",
+        "broke",
     )
 
     def __init__(
@@ -68,7 +71,9 @@
         held: tuple[tuple[int, int], ...] = (),
         heard: int = 0,
         paused: tuple[int, ...] = (),
+        broke: tuple[tuple[int, int], ...] = (),
     ) -> None:
+        self.broke = broke
         self.paused = paused
         self.heard = heard
         self.held = held
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -21,6 +21,7 @@
     Refuse,
     Send,
 )
+from .lethal import LethalRequests
 from .loads import Loads
 from .placing import (
     FULL_BOUND,
@@ -43,6 +44,8 @@
 # Part of the target latency that a request may wait for a cold server.
 HOLD_SHARE: Final = 0.5
 SHORTEST_HOLD_MS: Final = 20
+# How often a request that waits for a connection asks again.
+ROOM_POLL_MS: Final = 20
 # Sends that servers declined before a request is given up.
 MAX_DECLINED: Final = 3
 # A server that stays silent for this multiple of the target latency is
@@ -67,6 +70,7 @@
         doubts: Servers to pass over.
         caches: Which servers keep which prompts.
         tallies: Counts of what was decided.
+        lethal: Requests that break the servers that run them.
         hosts: Names of the entry hosts in service, this one included.
         is_connected: Tells whether a connection to a server was in use of
             late.
@@ -79,6 +83,7 @@
         "doubts",
         "caches",
         "tallies",
+        "lethal",
         "hosts",
         "is_connected",
         "_name",
@@ -102,6 +107,7 @@
         self.doubts = ServerDoubts()
         self.caches = CacheMap()
         self.tallies = Tallies()
+        self.lethal = LethalRequests()
         self.hosts: list[str] = [name]
         self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
@@ -124,6 +130,7 @@
         ids = self.servers.ids()
         self.doubts.keep(ids)
         self._ration.keep(ids)
+        self.lethal.keep(ids)
         return gone
 
     def arrive(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
@@ -151,10 +158,15 @@
         left_ms = flight.deadline_ms - now_ms
         if left_ms < LEAST_LEFT_MS:
             return self._refuse(flight, "out-of-time", now_ms)
+        if self.lethal.refuses(flight.req, now_ms):
+            return self._refuse(flight, "breaks-servers", now_ms)
         listed = self.servers.usable(flight.service)
         usable = [s for s in listed if s.id not in flight.tried]
         if not usable:
             return self._refuse(flight, "no-server", now_ms)
+        usable = [s for s in usable if self._has_room(s)]
+        if not usable:
+            return self._hold(flight, ROOM_POLL_MS, "servers-full", now_ms)
         sound = [s for s in usable if not self.doubts.paused(s.id, now_ms)]
         usable = sound or usable
         warm = [s for s in usable if not self.servers.is_cold(s.id, now_ms)]
@@ -164,6 +176,27 @@
             )
         return self._choose_cold(flight, usable, now_ms)
 
+    def _has_room(self, server: BackendServer) -> bool:
+        """Returns whether this host may open one more connection there.
+
+        A server takes a number of connections from all hosts together.
+        """
+        assert self.desired is not None
+        service = self.desired.services.get(server.service)
+        if service is None:
+            return True
+        share = max(1, service.connection_limit // max(1, len(self.hosts)))
+        return self.loads.own.get(server.id, 0) < share
+
+    def _hold(
+        self, flight: Flight, delay_ms: int, reason: str, now_ms: int
+    ) -> Hold | Refuse:
+        """Lets the request wait if that leaves time for an answer."""
+        held_until = flight.arrived_ms + flight.route.target_ms * HOLD_SHARE
+        if now_ms + delay_ms > held_until:
+            return self._refuse(flight, reason, now_ms)
+        return Hold(max(SHORTEST_HOLD_MS, delay_ms))
+
     def _rank(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
     ) -> list[BackendServer]:
@@ -228,10 +261,9 @@
                 return self._send(flight, server, now_ms)
             if wait_ms is not None:
                 shortest_ms = min(wait_ms, shortest_ms or wait_ms)
-        held_until = flight.arrived_ms + flight.route.target_ms * HOLD_SHARE
-        if shortest_ms is None or now_ms + shortest_ms > held_until:
+        if shortest_ms is None:
             return self._refuse(flight, "cold-servers", now_ms)
-        return Hold(max(SHORTEST_HOLD_MS, shortest_ms))
+        return self._hold(flight, shortest_ms, "cold-servers", now_ms)
 
     def _send(
         self, flight: Flight, server: BackendServer, now_ms: int
@@ -280,6 +312,7 @@
     def record_whole(self, flight: Flight) -> None:
         """Notes that the server answered whole."""
         self.tallies.add("sends", ending="whole")
+        self.lethal.record_whole(flight.req)
         if flight.server is not None:
             self.doubts.record_success(flight.server.id)
         self.record_left(flight)
@@ -295,7 +328,10 @@
         self.record_left(flight)
         self.tallies.add("sends", ending=ending.value)
         self._learn(server, ending, now_ms)
+        if ending is Ending.BROKEN:
+            self.lethal.record_break(flight.req, server.id, now_ms)
         if ending is Ending.UNREACHED:
+            self.lethal.confirm(server.id, now_ms)
             flight.tried.add(server.id)
             return Again()
         if ending in CERTAINLY_NOT_RUN:
--- a/corianderdoor/entry/beliefs.py
+++ b/corianderdoor/entry/beliefs.py
@@ -91,6 +91,7 @@
         if self._planner.servers.put(server, now_ms):
             self._backends.forget(server.id)
             self._planner.doubts.forget(server.id)
+            self._planner.lethal.confirm(server.id, now_ms)
             self._planner.caches.forget(server.id)
 
     @_take.register
@@ -99,6 +100,7 @@
             meaning.id, self._clock.now_ms(), meaning.grace_ms
         )
         if not meaning.grace_ms:
+            self._planner.lethal.confirm(meaning.id, self._clock.now_ms())
             self._backends.forget(meaning.id)
             self._planner.caches.forget(meaning.id)
 
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -15,6 +15,13 @@
   held @6 :List(Held);
   heard @7 :UInt16;
   paused @8 :List(UInt64);  # digests of servers
+  broke @9 :List(Broke);
+}
+
+# A request, known by a digest, under which a backend server went down.
+struct Broke {
+  request @0 :UInt64;
+  server @1 :UInt64;
 }
 
 # A part of prompts that a backend server keeps in its cache.
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -31,6 +31,10 @@
         leaving=beat.leaving,
         heard=min(MAX_COUNT, beat.heard),
         paused=list(beat.paused),
+        broke=[
+            {"request": request, "server": server}
+            for request, server in beat.broke
+        ],
         loads=[
             {"server": server, "count": min(MAX_COUNT, count)}
             for server, count in beat.loads
@@ -58,6 +62,7 @@
             tuple((held.part, held.server) for held in raw.held),
             raw.heard,
             tuple(raw.paused),
+            tuple((broke.request, broke.server) for broke in raw.broke),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -116,6 +116,8 @@
             if server_id is not None
         )
         self._planner.doubts.hear(beat.sender, doubted, now_ms)
+        for mark, digest in beat.broke:
+            self._planner.lethal.hear(mark, digest, now_ms)
         for part, digest in beat.held:
             server_id = find(digest)
             if server_id is not None:
@@ -148,6 +150,7 @@
                     digest_id(server_id)
                     for server_id in self._planner.doubts.own_paused(now_ms)
                 ),
+                tuple(self._planner.lethal.take_news()),
             )
         )
         for peer in self._peers.all():
--- /dev/null
+++ b/tests/test_entry_lethal.py
@@ -0,0 +1,125 @@
+"""Load pattern: one request that crashes each server that runs it."""
+
+from __future__ import annotations
+
+from entry_builders import build_planner, build_request
+
+from corianderdoor.core.entry.flights import Ending, Refuse, Send
+from corianderdoor.core.entry.lethal import (
+    CONFIRM_MS,
+    LethalRequests,
+    MAX_REQUESTS,
+    REMEMBER_MS,
+)
+
+
+def request(number: int, body: bytes = b"lethal"):
+    """Returns a request with a body of its own."""
+    req = build_request("/once/x", f"r{number}")
+    req.body = body
+    return req
+
+
+def share(planners, now_ms: int) -> None:
+    """Tells each planner which requests broke servers."""
+    for planner in planners:
+        for mark, server_id in planner.lethal.take_news():
+            for other in planners:
+                other.lethal.hear(mark, server_id, now_ms)
+
+
+def test_request_that_breaks_three_servers_is_refused_at_every_host():
+    planners = [build_planner(servers=8, name=f"h{n}") for n in range(4)]
+    broken = set()
+    for number in range(12):
+        planner = planners[number % 4]
+        now_ms = number * 1_000
+        flight = planner.arrive(request(number), now_ms)
+        step = planner.choose(flight, now_ms)
+        if isinstance(step, Refuse):
+            assert (step.status, step.reason) == (503, "breaks-servers")
+            continue
+        planner.record_sent(flight, step.server, now_ms)
+        planner.fail(flight, step.server, Ending.BROKEN, now_ms)
+        broken.add(step.server.id)
+        # The server is back under another id, and the chat goes elsewhere.
+        planner.lethal.confirm(step.server.id, now_ms)
+        for one in planners:
+            one.servers.remove(step.server.id, now_ms)
+        share(planners, now_ms)
+    assert len(broken) == 3
+
+
+def test_servers_that_break_different_requests_accuse_none():
+    planner = build_planner(servers=8)
+    for number in range(6):
+        flight = planner.arrive(request(number, b"%d" % number), 0)
+        step = planner.choose(flight, number)
+        assert isinstance(step, Send)
+        planner.record_sent(flight, step.server, number)
+        planner.fail(flight, step.server, Ending.BROKEN, number)
+        planner.lethal.confirm(step.server.id, number)
+
+
+def test_popular_request_whose_answers_get_lost_is_not_refused():
+    planner = build_planner(servers=8)
+    for number in range(40):
+        flight = planner.arrive(request(number), number * 700)
+        step = planner.choose(flight, number * 700)
+        assert isinstance(step, Send)
+        planner.record_sent(flight, step.server, number * 700)
+        planner.fail(flight, step.server, Ending.BROKEN, number * 700)
+
+
+def test_server_that_goes_down_much_later_does_not_count():
+    lethal = LethalRequests()
+    for number in range(4):
+        lethal.record_break(request(1), f"s{number}", 0)
+        lethal.confirm(f"s{number}", CONFIRM_MS)
+    assert not lethal.refuses(request(1), CONFIRM_MS)
+
+
+def test_whole_answer_and_time_clear_a_request():
+    lethal = LethalRequests()
+    req = request(1)
+    for number in range(3):
+        lethal.record_break(req, f"s{number}", 0)
+        lethal.confirm(f"s{number}", 0)
+    assert lethal.refuses(req, 10)
+    assert not lethal.refuses(req, REMEMBER_MS)
+    lethal.record_whole(req)
+    assert not lethal.refuses(req, 10)
+
+
+def test_one_server_that_breaks_it_often_is_one():
+    lethal = LethalRequests()
+    for number in range(9):
+        lethal.record_break(request(1), "s1", number)
+        lethal.confirm("s1", number)
+    assert not lethal.refuses(request(1), 10)
+
+
+def test_memory_of_breaks_is_bounded():
+    lethal = LethalRequests()
+    for number in range(MAX_REQUESTS + 50):
+        lethal.record_break(request(1, b"%d" % number), "s1", number)
+        lethal.confirm("s1", number)
+    assert len(lethal._crashes) == MAX_REQUESTS
+
+
+def test_host_keeps_to_its_share_of_connections():
+    """A server takes 110 connections from ten hosts."""
+    planner = build_planner(plain=1, hosts=10)
+    held = 0
+    for number in range(30):
+        flight = planner.arrive(build_request("/pay/x", f"r{number}", ()), 0)
+        step = planner.choose(flight, 0)
+        if isinstance(step, Send):
+            planner.record_sent(flight, step.server, 0)
+        else:
+            held += 1
+    assert planner.loads.own["p0"] == 11
+    assert held == 19
+    late = planner.choose(flight, 900)
+    assert isinstance(late, Refuse)
+    assert (late.status, late.reason) == (503, "servers-full")
