Spread copies of the store's records over more and faster links

Two watchers sent the whole desired state to 86 hosts, one of them over 5 Mbit/s; pulls timed out and were asked of the same host again. Ruled out: the store, which was calm until 2.5 s.

Change: one watcher for 20 hosts, at least two; hosts with fast links first; each host asks another watcher; copies are compressed; a host whose pull fails asks the store itself.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -22,8 +22,12 @@
 UNHEARD_MS: Final = 2_500
 # Beats of a start after which a host should hear its peers.
 JUDGED_BEATS: Final = 5
-# Hosts that watch the store and tell the others.
+# Hosts that watch the store and tell the others: at least two, and one for
+# this many hosts, so that each sends few copies over its link.
 WATCHERS: Final = 2
+HOSTS_PER_WATCHER: Final = 20
+# Hosts with slower links watch only if there are too few others.
+SLOW_LINK_MBPS: Final = 50.0
 # A watcher whose contact with the store is older than this does not count.
 CONTACT_MS: Final = 2_200
 
@@ -98,6 +102,7 @@
         heard_ms: When it was last heard; None if never.
         beat: Its last beat.
         beats: How many beats of its present start were taken.
+        link_mbps: Speed of its link; 0 if unknown.
     """
 
     __slots__ = (
@@ -110,10 +115,12 @@
         "heard_ms",
         "beat",
         "beats",
+        "link_mbps",
     )
 
     def __init__(self, name: str) -> None:
         self.beats = 0
+        self.link_mbps = 0.0
         self.name = name
         self.callers: Address | None = None
         self.address: Address | None = None
@@ -136,10 +143,17 @@
 class Peers:
     """The other entry hosts. State is one record for each."""
 
-    __slots__ = ("_own", "_peers")
+    __slots__ = ("_own", "_own_link", "_peers")
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, link_mbps: float = 0.0) -> None:
+        """Creates it.
+
+        Args:
+            own: Name of this host.
+            link_mbps: Speed of its link; 0 if unknown.
+        """
         self._own = own
+        self._own_link = link_mbps
         self._peers: dict[str, Peer] = {}
 
     def enlist(
@@ -149,6 +163,7 @@
         address: Address,
         data_centre: str,
         now_ms: int,
+        link_mbps: float = 0.0,
     ) -> None:
         """Takes the record of a host."""
         if name == self._own:
@@ -159,6 +174,7 @@
         peer.callers = callers
         peer.address = address
         peer.data_centre = data_centre
+        peer.link_mbps = link_mbps
         peer.listed = True
 
     def delist(self, name: str) -> None:
@@ -266,12 +282,15 @@
         return self._order(now_ms)[0] == self._own
 
     def _order(self, now_ms: int) -> list[str]:
-        names = [
-            peer.name
+        links = {
+            peer.name: peer.link_mbps
             for peer in self._peers.values()
             if not peer.leaving and not peer.silent(now_ms, self.silent_ms())
-        ]
-        return sorted([*names, self._own], key=_watch_rank)
+        }
+        links[self._own] = self._own_link
+        return sorted(
+            links, key=lambda name: (links[name] < SLOW_LINK_MBPS, _rank(name))
+        )
 
     def should_watch(self, now_ms: int) -> bool:
         """Returns whether this host watches the store itself.
@@ -279,7 +298,8 @@
         The first `WATCHERS` hosts of an order that all share do. So does a
         host that hears of no watcher in contact with the store.
         """
-        watching = self._order(now_ms)[:WATCHERS]
+        order = self._order(now_ms)
+        watching = order[: max(WATCHERS, len(order) // HOSTS_PER_WATCHER)]
         if self._own in watching:
             return True
         return not any(
@@ -293,7 +313,11 @@
         return peer.beat.contact_ms < CONTACT_MS
 
     def ahead_of(self, revision: int, now_ms: int) -> Peer | None:
-        """Returns the host that knows most beyond `revision`."""
+        """Returns a host that knows most beyond `revision`.
+
+        Of several, each host takes another one, so that none has to send
+        copies to all.
+        """
         ahead = [
             peer
             for peer in self._peers.values()
@@ -304,10 +328,13 @@
         ]
         return max(
             ahead,
-            key=lambda peer: peer.beat.revision if peer.beat else 0,
+            key=lambda peer: (
+                peer.beat.revision if peer.beat else 0,
+                _rank(f"{self._own} {peer.name}"),
+            ),
             default=None,
         )
 
 
-def _watch_rank(name: str) -> int:
+def _rank(name: str) -> int:
     return xxhash.xxh3_64_intdigest(name.encode())
--- a/corianderdoor/entry/beliefs.py
+++ b/corianderdoor/entry/beliefs.py
@@ -132,6 +132,7 @@
             meaning.peers,
             meaning.data_centre,
             self._clock.now_ms(),
+            meaning.link_mbps,
         )
 
     @_take.register
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -95,7 +95,7 @@
             ),
             rng,
         )
-        self._peers = Peers(settings.name)
+        self._peers = Peers(settings.name, settings.link_mbps)
         self._backends = Backends(clock, self._planner.tallies)
         self._planner.is_connected = self._backends.is_connected
         self._beliefs = Beliefs(
@@ -117,7 +117,12 @@
         self._registration = Registration(
             Store(settings.store, self._planner.tallies),
             settings.name,
-            encode_host(settings.callers, peer_address, settings.data_centre),
+            encode_host(
+                settings.callers,
+                peer_address,
+                settings.data_centre,
+                settings.link_mbps,
+            ),
         )
         self._peering = Peering(
             settings.name,
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -4,6 +4,7 @@
 
 import pathlib
 from typing import Any, Final
+import zlib
 
 import capnp
 
@@ -13,6 +14,9 @@
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
 MAX_CONTACT_MS: Final = 2**32 - 1
 MAX_COUNT: Final = 2**16 - 1
+# The fastest level; records are text that shrinks well at any.
+COMPRESSION_LEVEL: Final = 1
+MAX_PAGE_BYTES: Final = 33_554_432
 # Words that a message may hold, against one that points to itself.
 MAX_WORDS: Final = 4_194_304
 
@@ -69,7 +73,7 @@
 
 
 def encode_page(page: Page) -> bytes:
-    """Returns `page` as a body."""
+    """Returns `page` as a body, compressed, as links may be slow."""
     message = _SCHEMA.Page.new_message(
         revision=page.revision,
         whole=page.whole,
@@ -84,7 +88,7 @@
             for change in page.changes
         ],
     )
-    return bytes(message.to_bytes())
+    return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
 def decode_page(data: bytes) -> Page:
@@ -94,8 +98,9 @@
         MessageError: It holds none.
     """
     try:
+        content = _decompress(data)
         with _SCHEMA.Page.from_bytes(
-            data, traversal_limit_in_words=MAX_WORDS
+            content, traversal_limit_in_words=MAX_WORDS
         ) as raw:
             return Page(
                 tuple(
@@ -110,10 +115,24 @@
                 raw.revision,
                 raw.whole,
             )
-    except (capnp.KjException, ValueError) as exc:
+    except (capnp.KjException, ValueError, zlib.error) as exc:
         raise MessageError(str(exc)) from exc
 
 
+def _decompress(data: bytes) -> bytes:
+    """Returns what `data` holds, up to `MAX_PAGE_BYTES`.
+
+    Raises:
+        ValueError: It is larger, or not whole.
+        zlib.error: It was not compressed.
+    """
+    unpacker = zlib.decompressobj()
+    content = unpacker.decompress(data, MAX_PAGE_BYTES)
+    if not unpacker.eof:
+        raise ValueError("the page is too large or not whole")
+    return content
+
+
 def encode_caches(pairs: list[tuple[int, str]]) -> bytes:
     """Returns parts of prompts and the ids of their servers as a value."""
     names = sorted({server_id for _, server_id in pairs})
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -94,8 +94,8 @@
         while True:
             now_ms = self._clock.now_ms()
             if not relist and not self._peers.should_watch(now_ms):
-                await self._follow()
-                continue
+                if await self._follow():
+                    continue
             try:
                 with anyio.CancelScope() as scope:
                     self._scope = scope
@@ -164,22 +164,29 @@
         since_ms = self._clock.now_ms() - self._outage_ms
         return max(0, LAPSE_MS - since_ms)
 
-    async def _follow(self) -> None:
-        """Waits for a peer that knows more, and asks it."""
+    async def _follow(self) -> bool:
+        """Waits for a peer that knows more, and asks it.
+
+        Returns:
+            False if a peer that knows more could not be asked, so that the
+            store has to be.
+        """
         self._contact_ms = None
         with anyio.move_on_after(FOLLOW_POLL_MS / MS_PER_SECOND):
             await self._wake.wait()
         self._wake = anyio.Event()
-        await self._pull()
+        return await self._pull()
 
-    async def _pull(self) -> None:
+    async def _pull(self) -> bool:
+        """Asks a peer that knows more; returns False if that failed."""
         replica = self._beliefs.replica
         ahead = self._peers.ahead_of(replica.revision, self._clock.now_ms())
         if ahead is None or self._peering is None:
-            return
+            return True
         page = await self._peering.pull(ahead)
         if page is not None:
             self._beliefs.apply(page, ahead.name, self._grace_ms())
+        return page is not None
 
 
 class CacheKeeper:
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -64,11 +64,17 @@
 class HostListed(Record):
     """An entry host is in service."""
 
-    __slots__ = ("name", "callers", "peers", "data_centre")
+    __slots__ = ("name", "callers", "peers", "data_centre", "link_mbps")
 
     def __init__(
-        self, name: str, callers: Address, peers: Address, data_centre: str
+        self,
+        name: str,
+        callers: Address,
+        peers: Address,
+        data_centre: str,
+        link_mbps: float,
     ) -> None:
+        self.link_mbps = link_mbps
         self.name = name
         self.callers = callers
         self.peers = peers
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -97,6 +97,7 @@
     callers: str
     peers: str
     data_centre: str
+    link_mbps: float = 0.0
 
 
 class RecordError(Exception):
@@ -192,7 +193,10 @@
 
 
 def encode_host(
-    callers: tuple[str, int], peers: tuple[str, int], data_centre: str
+    callers: tuple[str, int],
+    peers: tuple[str, int],
+    data_centre: str,
+    link_mbps: float,
 ) -> bytes:
     """Returns the record of an entry host."""
     return msgspec.json.encode(
@@ -200,14 +204,18 @@
             f"{callers[0]}:{callers[1]}",
             f"{peers[0]}:{peers[1]}",
             data_centre,
+            link_mbps,
         )
     )
 
 
 def decode_host(
     name: str, value: bytes
-) -> tuple[tuple[str, int], tuple[str, int], str]:
-    """Returns where an entry host serves callers and peers, and its place.
+) -> tuple[tuple[str, int], tuple[str, int], str, float]:
+    """Returns what the record of an entry host says.
+
+    These are where it serves callers and peers, its data centre, and the
+    speed of its link in Mbit/s.
 
     Raises:
         RecordError: The record can't be read.
@@ -218,6 +226,7 @@
             parse_address(raw.callers),
             parse_address(raw.peers),
             raw.data_centre,
+            raw.link_mbps,
         )
     except (msgspec.MsgspecError, SettingsError) as exc:
         raise RecordError(f"record of host {name}: {exc}") from exc
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -39,6 +39,7 @@
         repeat_slack: Repeats beyond that, of all hosts.
         repeat_window_ms: Span over which repeats are counted.
         directory_ttl_s: Longest time that callers keep an answer.
+        link_mbps: Speed of the host's link; 0 if untold.
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "repeat_slack",
         "repeat_window_ms",
         "directory_ttl_s",
+        "link_mbps",
     )
 
     def __init__(self, raw: _File) -> None:
@@ -78,6 +80,7 @@
         self.repeat_slack = bounds.retry_budget_slack
         self.repeat_window_ms = int(bounds.budget_window_s * MS_PER_SECOND)
         self.directory_ttl_s = bounds.ttl_max_s
+        self.link_mbps = raw.limits.link_speed_mbps
 
 
 class _Listen(msgspec.Struct):
@@ -100,6 +103,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct):
+    link_speed_mbps: float = 0.0
+
+
 class _File(msgspec.Struct):
     node_name: str
     zone: str
@@ -109,6 +116,7 @@
     platform: _Store
     heartbeat_interval_ms: float = 1_200
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def parse_address(text: str) -> tuple[str, int]:
