Keep one copy of addresses and of the headers of one connection

Cause: read as a newcomer, three modules named the same pair of IP number and port, and two listed the same headers. Conclusion: one module each.

--- a/corianderdoor/adapters/backend_answer.py
+++ b/corianderdoor/adapters/backend_answer.py
@@ -11,6 +11,7 @@
 
 from ..core.messages import Stage
 from ..ports.backend import AnswerCut, AttemptFault
+from .hop_headers import HOP_HEADERS
 from .lanes import Lane
 
 REQUEST_ID: Final = "x-request-id"
@@ -19,19 +20,6 @@
 END_MARKER: Final = b"data: [DONE]"
 TAIL_BYTES: Final = 32
 NO_BODY_STATUSES: Final = frozenset({204, 304})
-HOP_HEADERS: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 ANSWER_HEADERS: Final = frozenset(
     {b"date", b"server", REQUEST_ID.encode(), RESUME_TOKEN.encode()}
 )
--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -15,8 +15,8 @@
 import h11
 
 from ..core.clock import MS_PER_SECOND
+from ..core.entry.addresses import Address
 
-Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
 
 # Bytes that wait to be parsed before the peer is made to wait.
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -11,8 +11,9 @@
 import h11
 
 from ..core.clock import MS_PER_SECOND
+from ..core.entry.addresses import Address
 from ..core.entry.routing import CallerLimits
-from .http1 import Address, ConnectionCutError, Headers, Wire
+from .http1 import ConnectionCutError, Headers, Wire
 
 BACKLOG: Final = 1_024
 # A caller that reads its refusal has this long to end a connection on
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from ..records import Record
+from .addresses import Address
 
 # Without a beat for this long, a peer counts as out of reach, and callers
 # are sent there no longer. Both are stretched to `MISSED_BEATS` in a large
@@ -31,8 +32,6 @@
 # A watcher whose contact with the store is older than this does not count.
 CONTACT_MS: Final = 2_200
 
-Address = tuple[str, int]
-
 
 class Beat(Record):
     """What a host tells its peers several times a second.
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -10,10 +10,11 @@
 import anyio
 import h11
 
-from ..adapters.http1 import Address, connect, ConnectionCutError
+from ..adapters.http1 import connect, ConnectionCutError
 from ..adapters.http1_server import Received, ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.addresses import Address
 from ..core.entry.peers import Beat, Peer, Peers
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Page, Replica
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -4,6 +4,7 @@
 
 from typing import TypeAlias
 
+from ..core.entry.addresses import Address
 from ..core.entry.replica import Change
 from ..core.entry.routing import DesiredState
 from ..core.entry.servers import BackendServer
@@ -20,8 +21,6 @@
     SERVER_PREFIX,
 )
 
-Address = tuple[str, int]
-
 
 class ServerListed(Record):
     """A backend server is listed, or its entry changed."""
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -4,11 +4,12 @@
 
 from typing import Final
 
+from ..adapters.hop_headers import HOP_HEADERS
+from ..adapters.http1 import Headers
+from ..core.entry.addresses import Address
 from ..core.entry.requests import CallerRequest, PromptPart
 from ..core.records import Record
 
-Headers = list[tuple[bytes, bytes]]
-
 ATTEMPT_ID: Final = b"attempt-id"
 DEADLINE: Final = b"deadline-ms"
 LAST_EVENT_ID: Final = b"last-event-id"
@@ -37,21 +38,7 @@
         b"kv-from",
     }
 )
-# Headers that concern one connection (RFC 9110, section 7.6.1).
-HOP: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
+HOP: Final = HOP_HEADERS | {b"expect"}
 # Headers that a `Connection` header can't take away.
 KEPT: Final = frozenset(
     {ATTEMPT_ID, LAST_EVENT_ID, PROMPT_PARTS, TOKENS, b"model-name", b"host"}
@@ -222,7 +209,7 @@
     urgency: int,
     left_ms: int,
     last_event_id: int | None,
-    fetch_from: tuple[str, int] | None,
+    fetch_from: Address | None,
 ) -> Headers:
     """Returns the headers with which a request goes to a server.
 
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..core.entry.addresses import Address
 from ..core.entry.routing import (
     CallerLimits,
     DesiredState,
@@ -193,8 +194,8 @@
 
 
 def encode_host(
-    callers: tuple[str, int],
-    peers: tuple[str, int],
+    callers: Address,
+    peers: Address,
     data_centre: str,
     link_mbps: float,
 ) -> bytes:
@@ -211,7 +212,7 @@
 
 def decode_host(
     name: str, value: bytes
-) -> tuple[tuple[str, int], tuple[str, int], str, float]:
+) -> tuple[Address, Address, str, float]:
     """Returns what the record of an entry host says.
 
     These are where it serves callers and peers, its data centre, and the
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..core.entry.addresses import Address
 from ..core.records import Record
 
 PATH_VARIABLE: Final = "CORIANDERDOOR_BOOT"
@@ -119,7 +120,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-def parse_address(text: str) -> tuple[str, int]:
+def parse_address(text: str) -> Address:
     """Returns the IP number and the port of "IP:PORT".
 
     Raises:
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -10,8 +10,9 @@
 import h11
 import msgspec
 
-from ..adapters.http1 import Address, connect, ConnectionCutError, Wire
+from ..adapters.http1 import connect, ConnectionCutError, Wire
 from ..core.clock import MS_PER_SECOND
+from ..core.entry.addresses import Address
 from ..core.entry.tallies import Tallies
 from ..core.records import Record
 
