End answers in progress and bodies that stop without harm to others

Cause, found by reading the diff: when the time of a request ran out while its whole answer waited for a caller that does not read, a second answer was begun on the same connection; the protocol error ended the task group, and with it the host. And a plain answer whose head had come but whose body stopped was taken for a stream after the time of silence, so that a second server was asked a second too late.

Change: a refusal cuts the connection once an answer has begun; a fault at one connection is logged and ends that one alone; silence is told apart from a stream's head.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -200,6 +200,10 @@
         if data and not self.lost:
             self._live().write(data)
 
+    def stop_reading(self) -> None:
+        """Takes nothing more, for stand-ins that misbehave."""
+        self._live().pause_reading()
+
     def write_raw(self, data: bytes) -> None:
         """Sends bytes past the serializer, for stand-ins that misbehave."""
         if not self.lost:
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -14,6 +14,7 @@
 from ..core.entry.addresses import Address
 from ..core.entry.routing import CallerLimits
 from .http1 import ConnectionCutError, Headers, Wire
+from .logs import log_event
 
 BACKLOG: Final = 1_024
 # A caller that reads its refusal has this long to end a connection on
@@ -152,6 +153,12 @@
         self.wire.write(h11.EndOfMessage())
         await self.wire.flush()
 
+    @property
+    def answering(self) -> bool:
+        """Whether the answer to the request in progress has begun."""
+        state = self.wire.h11.our_state
+        return state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     def start(self, status: int, headers: Headers) -> None:
         """Sends the head of an answer."""
         if self.closing:
@@ -195,6 +202,10 @@
     async def run(wire: Wire) -> None:
         try:
             await handler(ServerConnection(wire))
+        except Exception as exc:
+            # A fault at one connection must not end all others.
+            log_event("connection_failed", "ERROR", detail=repr(exc))
+            wire.abort()
         finally:
             wire.close()
 
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -226,7 +226,7 @@
         silence_s = float("inf")
         if send.silence_ms is not None:
             silence_s = send.silence_ms / MS_PER_SECOND
-        with anyio.move_on_after(silence_s):
+        with anyio.move_on_after(silence_s) as scope:
             head = await self._read_head(wire)
             if head is None:
                 return Ending.SPOILED
@@ -236,7 +236,7 @@
                     return Ending.SPOILED
             else:
                 return await self._read_answer(wire, head)
-        if self._head is None:
+        if self._head is None or scope.cancelled_caught:
             return Ending.SILENT
         return await self._relay_events(wire, self._head, flight, send)
 
@@ -372,7 +372,7 @@
         self._planner.tallies.add(
             "refusals", reason=refusal.reason, status=str(refusal.status)
         )
-        if flight is not None and flight.begun:
+        if self._conn.answering:
             # A cut tells the caller that the answer is not whole.
             self._conn.wire.abort()
             return
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -13,6 +13,7 @@
 from ..core.entry.routing import FIRST_LIMITS
 
 EVENTS: Final = 6
+LARGE_BYTES: Final = 8_000_000
 EVENT_GAP_MS: Final = 4
 # Tokens of a prompt that an engine reads in a millisecond.
 TOKENS_PER_MS: Final = 200.0
@@ -28,7 +29,8 @@
             run), "error" (500), "cut" (ends inside the second event),
             "drop" (ends without an answer), "silent", "unframed" (no
             length), "stray" (another request's answer comes first),
-            "unsigned", "moved" (another worker has the address).
+            "unsigned", "stall" (the head comes, the body does not), "large"
+            (a body of 8 MB), "moved" (another worker has the address).
         runs: How often each request ran here.
         seen: Headers of the last request.
         cached: Parts of prompts that were read.
@@ -82,11 +84,9 @@
         self.seen = headers
         request_id = headers[b"attempt-id"]
         wanted = headers.get(b"expected-instance", self.id.encode())
-        if self.mode == "moved" or wanted != self.id.encode():
-            await conn.respond(421, [(b"Instance-Id", b"other")])
-            return
-        if self.mode == "decline":
-            await conn.respond(503, [(b"Not-Executed", b"1")])
+        moved = self.mode == "moved" or wanted != self.id.encode()
+        if moved or self.mode == "decline":
+            await self._decline(conn, moved)
             return
         self.runs[request_id.decode()] += 1
         if self.mode == "drop":
@@ -111,6 +111,20 @@
             return
         await anyio.sleep(self.work_ms / MS_PER_SECOND)
         body = b"done " + req.body
+        if self.mode == "large":
+            body = b"x" * LARGE_BYTES
+        await self._send_plain(conn, signed, body)
+
+    async def _send_plain(
+        self,
+        conn: ServerConnection,
+        signed: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        if self.mode == "stall":
+            length = (b"Content-Length", b"%d" % len(body))
+            conn.start(200, [*signed, length])
+            await anyio.sleep_forever()
         if self.mode == "unframed":
             lines = [b"%s: %s\r\n" % pair for pair in signed]
             head = b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\n"
@@ -119,6 +133,13 @@
             return
         await conn.respond(200, signed, body)
 
+    @staticmethod
+    async def _decline(conn: ServerConnection, moved: bool) -> None:
+        if moved:
+            await conn.respond(421, [(b"Instance-Id", b"other")])
+        else:
+            await conn.respond(503, [(b"Not-Executed", b"1")])
+
     async def _read_prompt(self, headers: dict[bytes, bytes]) -> None:
         text = headers.get(b"prompt-prefix", b"").decode()
         tokens = 0
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -6,6 +6,7 @@
 import re
 
 import anyio
+from loguru import logger
 import pytest
 
 from corianderdoor.adapters.http1 import connect
@@ -199,6 +200,20 @@
     run(scenario, hosts=1)
 
 
+def test_read_whose_body_does_not_come_goes_to_another_worker_in_time():
+    async def scenario(fleet):
+        await fleet.chat("host-0", "id-0", "/read/x")
+        used = next(w for w in fleet.workers.values() if w.runs["id-0"])
+        used.mode = "stall"
+        reply = await fleet.chat(
+            "host-0", "id-1", "/read/x", Deadline_Ms="1500"
+        )
+        assert used.runs["id-1"] == 1
+        assert (reply.status, reply.body) == (200, b"done hello")
+
+    run(scenario, hosts=1)
+
+
 def test_answer_of_another_request_is_read_past():
     async def scenario(fleet):
         set_modes(fleet, "stray", engine=False)
@@ -257,6 +272,33 @@
     run(scenario, hosts=1)
 
 
+def test_caller_that_does_not_read_its_answer_harms_nobody_else():
+    """The time of the request ends while its answer can't be sent."""
+
+    async def scenario(fleet):
+        lines: list[str] = []
+        sink = logger.add(lines.append)
+        set_modes(fleet, "large", engine=False)
+        wire = await connect(fleet.hosts["host-0"], 1_000, 0)
+        wire.stop_reading()
+        wire.write_raw(
+            b"POST /pay/x HTTP/1.1\r\nHost: chat.example\r\n"
+            b"Attempt-Id: id-1\r\nAuthorization: Token key-1\r\n"
+            b"Deadline-Ms: 400\r\nContent-Length: 0\r\n\r\n"
+        )
+        await wait_for(lambda: total_runs(fleet, "id-1") == 1)
+        await anyio.sleep(0.6)
+        set_modes(fleet, "", engine=False)
+        reply = await fleet.chat("host-0", "id-2", "/pay/x")
+        assert reply.status == 200
+        wire.abort()
+        logger.remove(sink)
+        assert not [line for line in lines if "connection_failed" in line]
+        assert [line for line in lines if "reason=timeout" in line]
+
+    run(scenario, hosts=1)
+
+
 def test_worker_stops_when_the_caller_leaves():
     async def scenario(fleet):
         set_modes(fleet, "silent", engine=True)
