Take the mean load over all servers of a service

The mean was taken over the servers to choose from; those that get nothing lower the mean of the service. Ruled out: late views of the load, as the test fails with exact ones.

Change: the mean is over all listed servers of the service.

Test: test_mean_counts_servers_of_an_evacuated_data_centre, 17 of 40 sends over the bound before, none after.

--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -70,19 +70,22 @@
 
 def under_bound(
     servers: Sequence[BackendServer],
+    listed: Sequence[BackendServer],
     load_of: Callable[[str], int],
     bound: tuple[float, float],
 ) -> list[BackendServer]:
     """Returns the servers that may take one request more.
 
     Args:
-        servers: Servers of one service.
+        servers: Servers to choose from.
+        listed: All servers of their service, over which the mean is taken:
+            those that get nothing now lower it.
         load_of: Tells the requests in progress at a server.
         bound: Highest load, as a multiple of the mean and a constant.
     """
     if len(servers) < 2:
         return list(servers)
-    loads = {server.id: load_of(server.id) for server in servers}
     factor, slack = bound
-    most = factor * sum(loads.values()) / len(loads) + slack
-    return [server for server in servers if loads[server.id] + 1 <= most]
+    total = sum(load_of(server.id) for server in listed)
+    most = factor * total / len(listed) + slack
+    return [s for s in servers if load_of(s.id) + 1 <= most]
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -213,14 +213,16 @@
                 self._data_centre,
             )
         holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
-        open_servers = under_bound(servers, load_of, FULL_BOUND)
+        listed = self.servers.listed(flight.service)
+        open_servers = under_bound(servers, listed, load_of, FULL_BOUND)
         keep = [server for server in open_servers if server.id in holders]
         if keep:
             keep.sort(key=lambda server: holders[server.id], reverse=True)
             return keep
         ranked = rank_by_prompt(flight.req, servers)
         for bound in (NEW_CHAT_BOUND, FULL_BOUND):
-            free = {s.id for s in under_bound(servers, load_of, bound)}
+            found = under_bound(servers, listed, load_of, bound)
+            free = {server.id for server in found}
             if free:
                 return [s for s in ranked if s.id in free]
         return sorted(ranked, key=lambda server: load_of(server.id))
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -170,6 +170,10 @@
             self._by[service] = found
         return found
 
+    def listed(self, service: str) -> list[BackendServer]:
+        """Returns all servers of `service`, usable or not."""
+        return [s for s in self._listed.values() if s.service == service]
+
     def may_use(self, server: BackendServer) -> bool:
         """Returns whether `server` as chosen before may still be used."""
         now = self._listed.get(server.id)
--- a/tests/test_entry_chat_affinity.py
+++ b/tests/test_entry_chat_affinity.py
@@ -135,3 +135,22 @@
     caches.record(chat(1), "s1", 0)
     caches.restore([(5, "s2")], 0)
     assert all(server == "s1" for _, server in caches.snapshot(0))
+
+
+def test_mean_counts_servers_of_an_evacuated_data_centre():
+    """Two of five servers get nothing, which lowers the mean of all."""
+    planner = build_planner()
+    for number in (3, 4):
+        server = build_server(f"s{number}", data_centre="b")
+        planner.servers.put(server, 0)
+    planner.servers.set_evacuated(frozenset({"b"}))
+    rng = random.Random(9)
+    over = 0
+    for number in range(40):
+        about = 0 if rng.random() < 0.6 else rng.randrange(1, 30)
+        flight = planner.arrive(chat(about, f"r{number}"), 0)
+        step = planner.choose(flight, 0)
+        planner.record_sent(flight, step.server, 0)
+        loads = [planner.loads.of(f"s{n}", 0) for n in range(5)]
+        over += max(loads) > 2 * sum(loads) / 5 + 3
+    assert over == 0
