--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -1,6 +1,6 @@
 """Metrics of an entry host as text, by OpenTelemetry.
 
-The libraries cost about 5 MB and a tenth of a second, so they are loaded
+The SDK alone costs about 3 MB and a tenth of a second, so they are loaded
 when metrics are asked for the first time. Totals are kept from the start;
 latencies are collected from then on.
 """
