Hear a host that starts again after its clock jumped back

Beats carry the time of day of the start, to tell starts apart. A host whose clock jumped back and that then started again had a lower number, and its peers passed over its beats until its clock caught up: callers were not sent there, and it was never forgotten, as the store lists it.

A lower number now counts as a new start once the host was silent for as long as makes a peer unnamed. A late beat of the former start cannot be that old.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -183,14 +183,19 @@
             peer.listed = False
 
     def hear(self, beat: Beat, now_ms: int) -> Peer | None:
-        """Takes a beat; returns its sender, or None if it is outdated."""
+        """Takes a beat; returns its sender, or None if it is outdated.
+
+        The numbers of starts come from the time of day, which may jump
+        back: a host that was silent counts as started anew.
+        """
         if beat.sender == self._own:
             return None
         peer = self._peers.setdefault(beat.sender, Peer(beat.sender))
         if peer.beat is not None:
-            if beat.boot < peer.beat.boot:
+            silent = peer.silent(now_ms, self._unnamed_ms())
+            if beat.boot < peer.beat.boot and not silent:
                 return None
-            if beat.boot > peer.beat.boot:
+            if beat.boot != peer.beat.boot:
                 peer.beats = 0
         peer.beat = beat
         peer.heard_ms = now_ms
