Add a fault soak of real entry hosts: plan, proxy, checks

Callers keep their connections. What callers and workers saw is checked against the promises (soak/promises.py), with the platform's bounds.

--- /dev/null
+++ b/corianderdoor/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of entry hosts: faults from outside, and checks."""
--- /dev/null
+++ b/corianderdoor/soak/promises.py
@@ -0,0 +1,274 @@
+"""Checks of a run against what callers and operators were promised."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections import defaultdict
+from typing import Final
+
+from ..core.records import Record
+from .ledger import Arrival, Attempt, Ledger
+
+# The platform's bounds for large deployments, from its pages.
+IN_TOUCH_MS: Final = 4_000
+LEAVE_MS: Final = 3_000
+DESIRED_MS: Final = 3_000
+EVACUATION_MS: Final = 5_000
+LATE_ANSWER_MS: Final = 500
+LOSS_SLACK_MS: Final = 200
+REPEAT_WINDOW_MS: Final = 10_000
+SECOND_MS: Final = 1_000
+
+ENGINE_KINDS: Final = frozenset({"chat", "draft"})
+RUN_ONCE: Final = frozenset({"pay", "draft"})
+NOT_RUN: Final = frozenset({408, 421, 429, 503})
+DENIALS: Final = frozenset({401, 403, 404})
+
+
+class Limits(Record):
+    """What the deployment of a run allows.
+
+    Attributes:
+        timeout_ms: Longest time that a route keeps a caller waiting.
+        events: Events of a whole stream.
+        attempts: Servers that a request which may be repeated may use.
+        repeat_ratio: Repeats for each request.
+        repeat_slack: Repeats beyond that.
+        cold_most: Requests that a cold server bears in a second.
+    """
+
+    __slots__ = (
+        "timeout_ms",
+        "events",
+        "attempts",
+        "repeat_ratio",
+        "repeat_slack",
+        "cold_most",
+    )
+
+    def __init__(
+        self,
+        timeout_ms: int,
+        events: int,
+        attempts: int,
+        repeat_ratio: float,
+        repeat_slack: float,
+        cold_most: float,
+    ) -> None:
+        self.timeout_ms = timeout_ms
+        self.events = events
+        self.attempts = attempts
+        self.repeat_ratio = repeat_ratio
+        self.repeat_slack = repeat_slack
+        self.cold_most = cold_most
+
+
+class Violation(Record):
+    """A broken promise: which one, and what was seen."""
+
+    __slots__ = ("promise", "detail")
+
+    def __init__(self, promise: str, detail: str) -> None:
+        self.promise = promise
+        self.detail = detail
+
+
+def find_violations(ledger: Ledger, limits: Limits) -> list[Violation]:
+    """Returns every broken promise of a run."""
+    arrivals = ledger.arrivals_of()
+    found: list[Violation] = []
+    for attempt in ledger.attempts.values():
+        mine = arrivals.get(attempt.id, [])
+        found += _check_answer(attempt, limits)
+        found += _check_runs(attempt, mine, limits)
+        found += _check_ending(ledger, attempt, mine, limits)
+    for arrival in ledger.arrivals:
+        found += _check_arrival(ledger, arrival)
+    found += _check_closed(ledger)
+    found += _check_probes(ledger)
+    found += _check_repeats(ledger, limits)
+    found += _check_cold(ledger, limits)
+    found += [
+        Violation("ended", f"{name} ended by itself with status {status}")
+        for name, status in ledger.ended
+    ]
+    return found
+
+
+def event_numbers(body: bytes) -> list[int]:
+    """Returns the ids of the whole events in a stream."""
+    whole = body.split(b"\n\n")[:-1]
+    return [
+        int(event.partition(b"\n")[0].removeprefix(b"id: "))
+        for event in whole
+        if event.startswith(b"id: ")
+    ]
+
+
+def _check_answer(attempt: Attempt, limits: Limits) -> Iterator[Violation]:
+    if attempt.status != 200:
+        if attempt.headers.get(b"response-signature") and attempt.whole:
+            if attempt.status != 500:
+                yield Violation(
+                    "mixed",
+                    f"{attempt.id}: {attempt.status} with a server's proof",
+                )
+        return
+    proof = attempt.headers.get(b"response-signature")
+    if proof != b"sig." + attempt.id.encode():
+        yield Violation("mixed", f"{attempt.id}: proof {proof!r}")
+    if attempt.kind in ENGINE_KINDS:
+        numbers = event_numbers(attempt.body)
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield Violation("order", f"{attempt.id}: events {numbers}")
+        if attempt.whole and len(numbers) != limits.events:
+            yield Violation("order", f"{attempt.id}: ends after {numbers}")
+    elif attempt.whole and attempt.body != b"done " + attempt.id.encode():
+        yield Violation("mixed", f"{attempt.id}: body {attempt.body[:60]!r}")
+
+
+def _check_runs(
+    attempt: Attempt, arrivals: list[Arrival], limits: Limits
+) -> Iterator[Violation]:
+    runs = [arrival for arrival in arrivals if arrival.ran]
+    where = ", ".join(f"{run.worker} at {run.at_ms}" for run in runs)
+    most = 1 if attempt.kind in RUN_ONCE else limits.attempts
+    if len(runs) > most:
+        yield Violation("twice", f"{attempt.id} ran on {where}")
+    if attempt.kind in RUN_ONCE and attempt.status in NOT_RUN and runs:
+        yield Violation(
+            "refused", f"{attempt.id}: {attempt.status}, yet ran on {where}"
+        )
+
+
+def _check_ending(
+    ledger: Ledger,
+    attempt: Attempt,
+    arrivals: list[Arrival],
+    limits: Limits,
+) -> Iterator[Violation]:
+    if attempt.left:
+        return
+    begin_ms = attempt.sent_ms - IN_TOUCH_MS
+    took_ms = attempt.ended_ms - attempt.sent_ms
+    detail = (
+        f"{attempt.id} ({attempt.kind}) at {attempt.host}, sent at "
+        f"{attempt.sent_ms}, status {attempt.status} after {took_ms} ms, "
+        f"{len(arrivals)} sends"
+    )
+    if took_ms > limits.timeout_ms + LATE_ANSWER_MS:
+        if not ledger.out_of_touch(attempt.host, begin_ms, attempt.ended_ms):
+            yield Violation("late", detail)
+    if ledger.disturbed(begin_ms, attempt.ended_ms, None):
+        return
+    if attempt.status in DENIALS and attempt.kind != "probe":
+        yield Violation("denied", detail)
+    # A request may cross the close of a kept connection.
+    crossed = not arrivals and not attempt.fresh
+    crossed = crossed or not arrivals and took_ms < LOSS_SLACK_MS
+    if not attempt.status and not crossed:
+        yield Violation("lost", detail)
+    if attempt.status == 200 and not attempt.whole:
+        yield Violation("lost", f"{detail}, cut")
+
+
+def _check_arrival(ledger: Ledger, arrival: Arrival) -> Iterator[Violation]:
+    attempt = ledger.attempts.get(arrival.id)
+    if attempt is None:
+        yield Violation("unasked", f"{arrival.id} at {arrival.worker}")
+        return
+    sent = (f"/{attempt.kind}/x".encode(), attempt.id.encode())
+    if attempt.kind != "probe" and (arrival.path, arrival.body) != sent:
+        yield Violation("unasked", f"{arrival.id}: {arrival.path!r} changed")
+    if arrival.keyed or arrival.workspace != b"acme":
+        yield Violation(
+            "unasked", f"{arrival.id}: workspace {arrival.workspace!r}"
+        )
+    if arrival.engine != (attempt.kind in ENGINE_KINDS):
+        yield Violation("route", f"{arrival.id} at {arrival.worker}")
+
+
+def _check_closed(ledger: Ledger) -> Iterator[Violation]:
+    """Checks that servers which leave or are evacuated get nothing."""
+    for arrival in ledger.arrivals:
+        attempt = ledger.attempts.get(arrival.id)
+        if attempt is None or not arrival.ran:
+            continue
+        for span in ledger.closed.get(arrival.worker, ()):
+            bound_ms = EVACUATION_MS if span.kind == "evacuate" else LEAVE_MS
+            from_ms = span.begin_ms + bound_ms
+            if not span.meets(arrival.at_ms, arrival.at_ms):
+                continue
+            if arrival.at_ms < from_ms:
+                continue
+            begin_ms = arrival.at_ms - IN_TOUCH_MS - bound_ms
+            if ledger.out_of_touch(attempt.host, begin_ms, arrival.at_ms):
+                continue
+            yield Violation(
+                span.kind,
+                f"{arrival.id} from {attempt.host} at {arrival.worker}, "
+                f"{arrival.at_ms - span.begin_ms} ms after",
+            )
+
+
+def _check_probes(ledger: Ledger) -> Iterator[Violation]:
+    for id, accepted_ms, allowed in ledger.probes:
+        attempt = ledger.attempts[id]
+        if attempt.sent_ms < accepted_ms + DESIRED_MS or not attempt.status:
+            continue
+        begin_ms = attempt.sent_ms - IN_TOUCH_MS - DESIRED_MS
+        if ledger.out_of_touch(attempt.host, begin_ms, attempt.ended_ms):
+            continue
+        if attempt.status not in allowed | NOT_RUN | {502, 504}:
+            yield Violation(
+                "config",
+                f"{id} at {attempt.host}: {attempt.status}, "
+                f"{attempt.sent_ms - accepted_ms} ms after acceptance",
+            )
+
+
+def _check_repeats(ledger: Ledger, limits: Limits) -> Iterator[Violation]:
+    for engine in (False, True):
+        asked = sorted(
+            attempt.sent_ms
+            for attempt in ledger.attempts.values()
+            if (attempt.kind in ENGINE_KINDS) == engine
+        )
+        seen: set[str] = set()
+        repeats = []
+        for arrival in ledger.arrivals:
+            if arrival.engine != engine:
+                continue
+            if arrival.id in seen:
+                repeats.append(arrival.at_ms)
+            seen.add(arrival.id)
+        for end_ms in repeats:
+            count = _count(repeats, end_ms)
+            requests = max(
+                _count(asked, end_ms - back_ms)
+                for back_ms in (0, REPEAT_WINDOW_MS // 2, REPEAT_WINDOW_MS)
+            )
+            most = limits.repeat_ratio * requests + limits.repeat_slack
+            if count > most:
+                yield Violation(
+                    "budget", f"{count} repeats of {requests} by {end_ms}"
+                )
+                break
+
+
+def _count(times: list[int], end_ms: int) -> int:
+    return sum(end_ms - REPEAT_WINDOW_MS < at_ms <= end_ms for at_ms in times)
+
+
+def _check_cold(ledger: Ledger, limits: Limits) -> Iterator[Violation]:
+    by_worker: defaultdict[str, list[int]] = defaultdict(list)
+    for arrival in ledger.arrivals:
+        if arrival.cold and arrival.engine:
+            by_worker[arrival.worker].append(arrival.at_ms)
+    for worker, times in by_worker.items():
+        most = max(
+            sum(at_ms - SECOND_MS < other <= at_ms for other in times)
+            for at_ms in times
+        )
+        if most > limits.cold_most:
+            yield Violation("cold", f"{worker} got {most} in a second")
--- /dev/null
+++ b/corianderdoor/soak/proxy.py
@@ -0,0 +1,111 @@
+"""A proxy on loopback that delays, resets, cuts and silences."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import anyio
+
+from ..core.clock import MS_PER_SECOND
+from ..core.entry.addresses import Address
+
+CHUNK_BYTES: Final = 65_536
+DELAY_MS: Final = 250
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    Attributes:
+        mode: "" passes on; "delay" adds `DELAY_MS` to each chunk; "reset"
+            ends connections; "silent" holds back both directions until the
+            mode changes, as lost packets are sent again; "one-way" holds
+            back answers alone.
+    """
+
+    __slots__ = ("mode", "_target", "_open", "_changed")
+
+    def __init__(self, target: Address) -> None:
+        self.mode = ""
+        self._target = target
+        self._open: set[asyncio.StreamWriter] = set()
+        self._changed = asyncio.Event()
+
+    async def listen(self, address: Address) -> asyncio.Server:
+        """Takes connections at `address`."""
+        return await asyncio.start_server(self._serve, *address)
+
+    def set_mode(self, mode: str) -> None:
+        """Changes what happens to all connections."""
+        self.mode = mode
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if mode == "reset":
+            self.reset_all()
+
+    def reset_all(self) -> None:
+        """Ends every connection at once."""
+        for writer in self._open:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        try:
+            await self._join(reader, writer, up_reader, up_writer)
+        except asyncio.CancelledError:
+            return  # the run ends, and nobody waits for this task
+
+    async def _join(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        up_reader: asyncio.StreamReader,
+        up_writer: asyncio.StreamWriter,
+    ) -> None:
+        self._open |= {writer, up_writer}
+        try:
+            async with anyio.create_task_group() as tasks:
+                end = tasks.cancel_scope.cancel
+                tasks.start_soon(self._pump, reader, up_writer, False, end)
+                tasks.start_soon(self._pump, up_reader, writer, True, end)
+        finally:
+            self._open -= {writer, up_writer}
+            writer.transport.abort()
+            up_writer.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        back: bool,
+        end: Callable[[], None],
+    ) -> None:
+        try:
+            while True:
+                data = await reader.read(CHUNK_BYTES)
+                await self._hold(back)
+                if not data:
+                    if not writer.is_closing():
+                        writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            end()  # one end was reset, and the other has to learn it
+
+    async def _hold(self, back: bool) -> None:
+        if self.mode == "delay":
+            await anyio.sleep(DELAY_MS / MS_PER_SECOND)
+        while self.mode == "silent" or (self.mode == "one-way" and back):
+            await self._changed.wait()
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -33,6 +33,15 @@
 CONNECT_TIMEOUT_MS: Final = 2_000
 CALLER_HOST: Final = "chat.example"
 KEY: Final = "key-1"
+# Bounds of the platform's pages for small deployments.
+GRACE_S: Final = 6
+COLD_PER_S: Final = 9.0
+COLD_FACTOR: Final = 1.5
+COLD_SLACK: Final = 5
+REPEAT_RATIO: Final = 0.2
+REPEAT_SLACK: Final = 50
+TIMEOUT_MS: Final = 3_000
+MAX_ATTEMPTS: Final = 2
 ENGINE_SERVICE: Final = "engines"
 PLAIN_SERVICE: Final = "accounts"
 READY_TIMEOUT_S: Final = 20.0
@@ -65,11 +74,11 @@
         "host": CALLER_HOST,
         "path_prefix": path,
         "kind": kind,
-        "timeout_ms": 3_000,
+        "timeout_ms": TIMEOUT_MS,
         "target_latency_ms": 500,
         "priority": 1,
         "service": service,
-        "max_attempts": 2 if kind != "non_idempotent" else 1,
+        "max_attempts": MAX_ATTEMPTS if kind != "non_idempotent" else 1,
         "public": False,
         "stream_resumption": kind == "streaming",
         **changes,
@@ -86,7 +95,9 @@
 )
 
 
-def build_config(version: int, routes: Any = ROUTES) -> bytes:
+def build_config(
+    version: int, routes: Any = ROUTES, keys: tuple[str, ...] = (KEY,)
+) -> bytes:
     """Returns a desired state as operators write it."""
     service = {"health_check_path": "/health", "connection_limit": 200}
     return msgspec.json.encode(
@@ -94,7 +105,7 @@
             "version": version,
             "routes": list(routes),
             "services": [
-                {"name": ENGINE_SERVICE, "cold_per_s": 9.0, **service},
+                {"name": ENGINE_SERVICE, "cold_per_s": COLD_PER_S, **service},
                 {"name": PLAIN_SERVICE, "cold_per_s": 0.0, **service},
             ],
             "limits": {
@@ -103,7 +114,34 @@
                 "header_timeout_ms": 1_000,
                 "idle_timeout_ms": 5_000,
             },
-            "tenants": [{"name": "acme", "api_keys": [KEY]}],
+            "tenants": [{"name": "acme", "api_keys": list(keys)}],
+        }
+    )
+
+
+def build_settings(
+    name: str, address: str, store: tuple[str, int], data_centre: str = "a"
+) -> bytes:
+    """Returns the settings file of an entry host at `address`."""
+    return msgspec.json.encode(
+        {
+            "node_name": name,
+            "zone": data_centre,
+            "ip_address": address,
+            "listen_addresses": {
+                "frontend": f"{address}:{PORT}",
+                "ready": f"{address}:{READY_PORT}",
+                "directory_service": f"{address}:{READY_PORT}",
+            },
+            "internal_port_range": [PEER_PORT, PEER_PORT + 5],
+            "platform": {"address": f"{store[0]}:{store[1]}"},
+            "bounds": {
+                "grace_period_s": GRACE_S,
+                "cold_factor": COLD_FACTOR,
+                "cold_slack": COLD_SLACK,
+                "retry_budget_ratio": REPEAT_RATIO,
+                "retry_budget_slack": REPEAT_SLACK,
+            },
         }
     )
 
@@ -112,7 +150,9 @@
     """A deployment of stand-ins and real entry hosts.
 
     Attributes:
+        clock: The clock of all parts.
         store: The store.
+        store_at: Its address; set by `start`.
         workers: Workers by id.
         hosts: Addresses of callers' ports by host name.
     """
@@ -128,14 +168,15 @@
         pid = os.getpid()
         self._net = f"127.{1 + pid // 250 % 250}.{1 + pid % 250}"
 
-    def _address(self) -> str:
+    def take_address(self) -> str:
+        """Returns a loopback address that nothing else of this run has."""
         self._next += 1
         return f"{self._net}.{self._next}"
 
     async def start(self, engines: int, plain: int, hosts: int) -> None:
         """Starts everything and waits until the hosts are ready."""
-        self._store_at = self._address()
-        await listen((self._store_at, PORT), self._tasks, self.store.serve)
+        self.store_at = (self.take_address(), PORT)
+        await listen(self.store_at, self._tasks, self.store.serve)
         self.store.state.put("op/config", build_config(1))
         for number in range(engines):
             await self.add_worker(f"engine-{number}", True)
@@ -147,15 +188,15 @@
     async def add_worker(self, id: str, engine: bool) -> Worker:
         """Starts a worker and lists it."""
         worker = self.workers[id] = Worker(id, engine)
-        address = self._address()
+        address = self.take_address()
         await listen((address, PORT), self._tasks, worker.serve)
         self.list_worker(id, address)
         return worker
 
     def list_worker(
-        self, id: str, address: str, state: str = "available"
+        self, id: str, address: str, state: str = "available", **changes: Any
     ) -> None:
-        """Writes the entry of a worker."""
+        """Writes the entry of a worker, with some fields changed."""
         engine = self.workers[id].engine
         entry = {
             "service": ENGINE_SERVICE if engine else PLAIN_SERVICE,
@@ -165,34 +206,17 @@
             "state": state,
             "cold_remaining_ms": 0,
             "born": 1,
+            **changes,
         }
         value = msgspec.json.encode(entry)
         self.store.state.put(f"servers/{id}", value)
 
     async def add_host(self, name: str) -> None:
         """Starts an entry host and waits until it is ready."""
-        address = self._address()
-        settings = {
-            "node_name": name,
-            "zone": "a",
-            "ip_address": address,
-            "listen_addresses": {
-                "frontend": f"{address}:{PORT}",
-                "ready": f"{address}:{READY_PORT}",
-                "directory_service": f"{address}:{READY_PORT}",
-            },
-            "internal_port_range": [PEER_PORT, PEER_PORT + 5],
-            "platform": {"address": f"{self._store_at}:{PORT}"},
-            "bounds": {
-                "grace_period_s": 6,
-                "cold_factor": 1.5,
-                "cold_slack": 5,
-                "retry_budget_ratio": 0.2,
-                "retry_budget_slack": 50,
-            },
-        }
+        address = self.take_address()
+        settings = build_settings(name, address, self.store_at)
         host = EntryHost(
-            decode_settings(msgspec.json.encode(settings)),
+            decode_settings(settings),
             pathlib.Path(),
             self.clock,
             random.Random(name),
--- a/corianderdoor/standins/platform_store.py
+++ b/corianderdoor/standins/platform_store.py
@@ -168,7 +168,8 @@
     Attributes:
         state: The store.
         trouble: "" if it works; "busy" answers 503, "silent" answers
-            nothing, "reset" resets connections.
+            nothing, "reset" resets connections, "lost" does what is asked and
+            resets the connection instead of answering.
         calls: Calls by their name.
     """
 
@@ -191,8 +192,11 @@
             if self.trouble == "silent":
                 await anyio.sleep_forever()
             status, answer = 503, dict[str, Any]()
-            if not self.trouble:
+            if self.trouble in ("", "lost"):
                 status, answer = await self._answer(received)
+            if self.trouble == "lost":
+                conn.wire.abort()
+                return
             kind = (b"Content-Type", b"application/json")
             await conn.respond(status, [kind], msgspec.json.encode(answer))
             if not await conn.finish():
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections import Counter
 from typing import Final
 
@@ -37,6 +38,7 @@
         read_tokens: Tokens of prompts that were read.
         active: Requests in progress.
         work_ms: How long a plain request takes.
+        on_request: Called with each request and whether it runs.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         "read_tokens",
         "active",
         "work_ms",
+        "on_request",
     )
 
     def __init__(self, id: str, engine: bool, work_ms: float = 5.0) -> None:
@@ -61,6 +64,7 @@
         self.read_tokens = 0
         self.active = 0
         self.work_ms = work_ms
+        self.on_request: Callable[[Worker, Received, bool], None] = _ignore
 
     async def serve(self, conn: ServerConnection) -> None:
         """Serves one connection."""
@@ -85,7 +89,9 @@
         request_id = headers[b"attempt-id"]
         wanted = headers.get(b"expected-instance", self.id.encode())
         moved = self.mode == "moved" or wanted != self.id.encode()
-        if moved or self.mode == "decline":
+        declined = moved or self.mode == "decline"
+        self.on_request(self, req, not declined)
+        if declined:
             await self._decline(conn, moved)
             return
         self.runs[request_id.decode()] += 1
@@ -181,3 +187,7 @@
             await conn.wire.flush()
             await anyio.sleep(EVENT_GAP_MS / MS_PER_SECOND)
         conn.wire.write(h11.EndOfMessage())
+
+
+def _ignore(worker: Worker, req: Received, runs: bool) -> None:
+    """Takes no note of a request."""
