Explain a request from the logs of many hosts

corianderdoorctl explain ID FILES puts the lines of one request in order, shows the state of its host then and how the servers that were asked did with all requests, and names the cause.

--- a/corianderdoor/tools/ctl.py
+++ b/corianderdoor/tools/ctl.py
@@ -16,6 +16,7 @@
     read_rules,
     run_config,
 )
+from .explain import add_explain_parser, run_explain
 from .history import add_history_parsers, run_history
 from .orders import add_orders_parser, run_orders
 
@@ -39,6 +40,7 @@
     add_config_parsers(commands)
     add_history_parsers(commands)
     add_orders_parser(commands)
+    add_explain_parser(commands)
     return parser
 
 
@@ -47,6 +49,8 @@
     args = _build_parser().parse_args(argv)
     if args.command == "check":
         return _check(args)
+    if args.command == "explain":
+        return run_explain(args)
     if args.command == "orders":
         return anyio.run(run_orders, args)
     if args.command in ("history", "diff"):
