Send callers to a quarter of a large fleet

Cause: with 66 and 88 hosts each took two to four calls a second and told the others every 1.3 to 1.8 s.

Fleets of more than 16 hosts now use a quarter of them, from all data centres in turn and those with fast links first; these beat to each other every 8 ms for each of them, at least 200 ms. The others are in reserve, serve who comes, and are told loads but not caches. When the hosts in use are busy, all are used. Each beat says when the next is due, so that a host which beats less often is not taken for dead.

Processor time now comes from getrusage, over 5 s, and the first span is left out.

--- a/corianderdoor/core/clock.py
+++ b/corianderdoor/core/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import time
 from typing import Final, Protocol
 
@@ -21,6 +22,9 @@
     def wall_ms(self) -> int:
         """Returns time since the Unix epoch in ms, for civil time."""
 
+    def processor_ms(self) -> int:
+        """Returns the processor time that this process has used, in ms."""
+
 
 class SystemClock:
     """The clock of the operating system."""
@@ -35,15 +39,21 @@
         """Returns time since the Unix epoch in ms."""
         return time.time_ns() // NS_PER_MS
 
+    def processor_ms(self) -> int:
+        """Returns the processor time that this process has used, in ms."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return int((usage.ru_utime + usage.ru_stime) * MS_PER_SECOND)
+
 
 class ManualClock:
     """A clock that moves only when told to, for tests and replays."""
 
-    __slots__ = ("_now_ms", "_wall_ms")
+    __slots__ = ("_now_ms", "_wall_ms", "_processor_ms")
 
     def __init__(self, now_ms: int = 0, wall_ms: int = 0) -> None:
         self._now_ms = now_ms
         self._wall_ms = wall_ms
+        self._processor_ms = 0
 
     def now_ms(self) -> int:
         """Returns monotonic time in ms."""
@@ -53,6 +63,14 @@
         """Returns time since the Unix epoch in ms."""
         return self._wall_ms
 
+    def processor_ms(self) -> int:
+        """Returns the processor time that was spent so far, in ms."""
+        return self._processor_ms
+
+    def spend(self, delta_ms: int) -> None:
+        """Counts `delta_ms` of processor time."""
+        self._processor_ms += delta_ms
+
     def advance(self, delta_ms: int) -> None:
         """Moves both readings forward by `delta_ms`."""
         self._now_ms += delta_ms
--- a/corianderdoor/core/entry/loads.py
+++ b/corianderdoor/core/entry/loads.py
@@ -3,11 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Final
-
-# A peer tells its requests several times a second; after this long its
-# last word says nothing about the present.
-PEER_FRESH_MS: Final = 1_500
 
 
 class Loads:
@@ -15,15 +10,13 @@
 
     Attributes:
         own: Own requests in progress by server.
-        fresh_ms: How long the word of a peer counts.
 
     State is one count for each server and host with requests there.
     """
 
-    __slots__ = ("own", "fresh_ms", "_peers")
+    __slots__ = ("own", "_peers")
 
     def __init__(self) -> None:
-        self.fresh_ms = PEER_FRESH_MS
         self.own: Counter[str] = Counter()
         self._peers: dict[str, tuple[int, dict[str, int]]] = {}
 
@@ -37,9 +30,18 @@
         if self.own[server_id] <= 0:
             del self.own[server_id]
 
-    def hear(self, peer: str, counts: dict[str, int], now_ms: int) -> None:
-        """Takes what a peer has in progress at each server."""
-        self._peers[peer] = (now_ms, counts)
+    def hear(self, peer: str, counts: dict[str, int], until_ms: int) -> None:
+        """Takes what a peer has in progress at each server.
+
+        Args:
+            peer: Its name.
+            counts: Its requests by server.
+            until_ms: When this says nothing about the present any more.
+        """
+        if counts:
+            self._peers[peer] = (until_ms, counts)
+        else:
+            self._peers.pop(peer, None)
 
     def forget(self, peer: str) -> None:
         """Drops what a peer told."""
@@ -48,7 +50,7 @@
     def of(self, server_id: str, now_ms: int) -> int:
         """Returns the requests in progress at `server_id`."""
         total = self.own.get(server_id, 0)
-        for at_ms, counts in self._peers.values():
-            if now_ms - at_ms < self.fresh_ms:
+        for until_ms, counts in self._peers.values():
+            if now_ms < until_ms:
                 total += counts.get(server_id, 0)
         return total
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -7,18 +7,23 @@
 import xxhash
 
 from ..records import Record
+from .active_hosts import ActiveHosts, Candidate, SLOW_LINK_MBPS
 from .addresses import Address
 
 # Without a beat for this long, a peer counts as out of reach, and callers
-# are sent there no longer. Both are stretched to `MISSED_BEATS` in a large
-# fleet, whose hosts beat less often.
+# are sent there no longer. Both are stretched to `MISSED_BEATS` for a peer
+# that beats less often.
 SILENT_MS: Final = 2_500
 UNNAMED_MS: Final = 1_200
 MISSED_BEATS: Final = 3
-# Hosts beat this often. In a large fleet each beats less often, so that a
-# host sends and takes about 50 beats a second.
+# Hosts in use beat this often to each other. With many of them each beats
+# less often, so that a host sends and takes about 100 beats a second.
 BEAT_MS: Final = 200
+BEAT_MS_PER_USED: Final = 8
+# Hosts in reserve beat for each host of the fleet, 50 times a second.
 BEAT_MS_PER_PEER: Final = 20
+# A host in use tells those in reserve with each such beat.
+RESERVE_BEATS: Final = 4
 # A host that is listed but was never heard counts this long.
 UNHEARD_MS: Final = 2_500
 # Beats of a start after which a host should hear its peers.
@@ -27,8 +32,6 @@
 # this many hosts, so that each sends few copies over its link.
 WATCHERS: Final = 2
 HOSTS_PER_WATCHER: Final = 20
-# Hosts with slower links watch only if there are too few others.
-SLOW_LINK_MBPS: Final = 50.0
 # A watcher whose contact with the store is older than this does not count.
 CONTACT_MS: Final = 1_200
 
@@ -48,6 +51,8 @@
         paused: Servers that it passes over after failures, as digests.
         broke: Requests and the servers that went down while they ran them,
             as digests.
+        gap_ms: Time until the next beat to the same host.
+        busy: Part of its processor time in use, in percent.
     """
 
     __slots__ = (
@@ -61,6 +66,8 @@
         "heard",
         "paused",
         "broke",
+        "gap_ms",
+        "busy",
     )
 
     def __init__(
@@ -75,7 +82,11 @@
         heard: int = 0,
         paused: tuple[int, ...] = (),
         broke: tuple[tuple[int, int], ...] = (),
+        gap_ms: int = BEAT_MS,
+        busy: int = 0,
     ) -> None:
+        self.gap_ms = gap_ms
+        self.busy = busy
         self.broke = broke
         self.paused = paused
         self.heard = heard
@@ -135,24 +146,50 @@
         return self.beat is not None and self.beat.leaving
 
     def silent(self, now_ms: int, limit_ms: int) -> bool:
-        """Returns whether nothing was heard of it for `limit_ms`."""
-        return self.heard_ms is None or now_ms - self.heard_ms > limit_ms
+        """Returns whether nothing was heard of it for too long.
+
+        Args:
+            now_ms: Monotonic time.
+            limit_ms: Shortest time that counts, for a peer that beats often.
+        """
+        if self.heard_ms is None or self.beat is None:
+            return True
+        limit_ms = max(limit_ms, MISSED_BEATS * self.beat.gap_ms)
+        return now_ms - self.heard_ms > limit_ms
 
 
 class Peers:
-    """The other entry hosts. State is one record for each."""
+    """The other entry hosts. State is one record for each.
 
-    __slots__ = ("_own", "_own_link", "_peers")
+    Attributes:
+        active: The hosts that callers are sent to.
+        busy: Part of this host's processor time in use, in percent.
+    """
 
-    def __init__(self, own: str, link_mbps: float = 0.0) -> None:
+    __slots__ = (
+        "active",
+        "busy",
+        "_own",
+        "_own_link",
+        "_data_centre",
+        "_peers",
+    )
+
+    def __init__(
+        self, own: str, link_mbps: float = 0.0, data_centre: str = ""
+    ) -> None:
         """Creates it.
 
         Args:
             own: Name of this host.
             link_mbps: Speed of its link; 0 if unknown.
+            data_centre: Where this host is.
         """
+        self.active = ActiveHosts()
+        self.busy = 0
         self._own = own
         self._own_link = link_mbps
+        self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
 
     def enlist(
@@ -192,7 +229,7 @@
             return None
         peer = self._peers.setdefault(beat.sender, Peer(beat.sender))
         if peer.beat is not None:
-            silent = peer.silent(now_ms, self._unnamed_ms())
+            silent = peer.silent(now_ms, UNNAMED_MS)
             if beat.boot < peer.beat.boot and not silent:
                 return None
             if beat.boot != peer.beat.boot:
@@ -207,16 +244,49 @@
         return list(self._peers.values())
 
     def in_service(self, now_ms: int, store_reached: bool) -> list[Peer]:
-        """Returns the hosts that callers may be sent to.
+        """Returns the hosts that callers are sent to, but for this one.
 
-        A host that others hear but that hears few of them itself is left
-        out: packets reach it no longer, and callers would wait in vain. If
-        no peer at all is heard, the fault is on this host's side, and all
-        that the store lists are named.
+        Args:
+            now_ms: Monotonic time.
+            store_reached: Whether this host knows what the store lists now.
+        """
+        able = self._able(now_ms, store_reached)
+        used = [peer for peer in able if self.active.includes(peer.name)]
+        return used or able
+
+    def choose_active(
+        self, now_ms: int, store_reached: bool, leaving: bool
+    ) -> bool:
+        """Chooses the hosts to use; returns whether the choice changed.
 
         Args:
             now_ms: Monotonic time.
             store_reached: Whether this host knows what the store lists now.
+            leaving: Whether this host shuts down.
+        """
+        hosts = [
+            Candidate(
+                peer.name,
+                peer.data_centre,
+                peer.link_mbps,
+                peer.beat.busy if peer.beat else 0,
+            )
+            for peer in self._able(now_ms, store_reached)
+        ]
+        if not leaving:
+            own = Candidate(
+                self._own, self._data_centre, self._own_link, self.busy
+            )
+            hosts.append(own)
+        return self.active.choose(hosts, now_ms)
+
+    def _able(self, now_ms: int, store_reached: bool) -> list[Peer]:
+        """Returns the peers that callers may be sent to.
+
+        A host that others hear but that hears few of them itself is left
+        out: packets reach it no longer, and callers would wait in vain. If
+        no peer at all is heard, the fault is on this host's side, and all
+        that the store lists are named.
         """
         known = [
             peer
@@ -233,26 +303,36 @@
             ]
         return [peer for peer in known if self._reachable(peer, heard, now_ms)]
 
-    def beat_ms(self) -> int:
-        """Returns the time between two beats of a host."""
-        return max(BEAT_MS, BEAT_MS_PER_PEER * len(self._peers))
-
-    def _unnamed_ms(self) -> int:
-        return max(UNNAMED_MS, MISSED_BEATS * self.beat_ms())
+    @property
+    def is_active(self) -> bool:
+        """Whether callers are sent to this host."""
+        return self.active.includes(self._own)
+
+    def split_by_use(self) -> tuple[list[Peer], list[Peer]]:
+        """Returns the hosts that callers are sent to, and the others."""
+        used: list[Peer] = []
+        reserve: list[Peer] = []
+        for peer in self._peers.values():
+            part = used if self.active.includes(peer.name) else reserve
+            part.append(peer)
+        return used, reserve
 
-    def silent_ms(self) -> int:
-        """Returns how long an unheard host counts as within reach."""
-        return max(SILENT_MS, MISSED_BEATS * self.beat_ms())
+    def beat_ms(self) -> int:
+        """Returns the time between two beats of this host."""
+        if not self.is_active:
+            return max(BEAT_MS, BEAT_MS_PER_PEER * len(self._peers))
+        others = len(self.active.names) - 1 or len(self._peers)
+        return max(BEAT_MS, BEAT_MS_PER_USED * others)
 
     def count_heard(self, now_ms: int) -> int:
         """Returns how many peers were heard of late."""
         return sum(
-            not peer.silent(now_ms, self._unnamed_ms())
+            not peer.silent(now_ms, UNNAMED_MS)
             for peer in self._peers.values()
         )
 
     def _reachable(self, peer: Peer, heard: int, now_ms: int) -> bool:
-        if peer.beat is None or peer.silent(now_ms, self._unnamed_ms()):
+        if peer.beat is None or peer.silent(now_ms, UNNAMED_MS):
             return False
         if peer.beats < JUDGED_BEATS:
             return True
@@ -266,7 +346,7 @@
         names = [
             peer.name
             for peer in self._peers.values()
-            if peer.listed or not peer.silent(now_ms, self.silent_ms())
+            if peer.listed or not peer.silent(now_ms, SILENT_MS)
         ]
         return sorted([*names, self._own])
 
@@ -275,7 +355,7 @@
         gone = [
             peer.name
             for peer in self._peers.values()
-            if not peer.listed and peer.silent(now_ms, self.silent_ms())
+            if not peer.listed and peer.silent(now_ms, SILENT_MS)
         ]
         for name in gone:
             del self._peers[name]
@@ -289,11 +369,16 @@
         links = {
             peer.name: peer.link_mbps
             for peer in self._peers.values()
-            if not peer.leaving and not peer.silent(now_ms, self.silent_ms())
+            if not peer.leaving and not peer.silent(now_ms, SILENT_MS)
         }
         links[self._own] = self._own_link
         return sorted(
-            links, key=lambda name: (links[name] < SLOW_LINK_MBPS, _rank(name))
+            links,
+            key=lambda name: (
+                not self.active.includes(name),
+                links[name] < SLOW_LINK_MBPS,
+                _rank(name),
+            ),
         )
 
     def should_watch(self, now_ms: int) -> bool:
@@ -311,8 +396,7 @@
         )
 
     def _in_contact(self, peer: Peer, now_ms: int) -> bool:
-        limit_ms = MISSED_BEATS * self.beat_ms()
-        if peer.beat is None or peer.silent(now_ms, limit_ms):
+        if peer.beat is None or peer.silent(now_ms, MISSED_BEATS * BEAT_MS):
             return False
         return peer.beat.contact_ms < CONTACT_MS
 
@@ -328,7 +412,7 @@
             if peer.beat is not None
             and peer.address is not None
             and peer.beat.revision > revision
-            and not peer.silent(now_ms, self.silent_ms())
+            and not peer.silent(now_ms, SILENT_MS)
         ]
         return max(
             ahead,
--- a/corianderdoor/entry/directory.py
+++ b/corianderdoor/entry/directory.py
@@ -103,7 +103,7 @@
             self._named = names
             log_event("hosts_named", peers=",".join(sorted(names)))
         addresses = [peer.callers for peer in peers if peer.callers]
-        if self.ready:
+        if self.ready and (self._peers.is_active or not addresses):
             addresses.insert(0, self._settings.callers)
         if not addresses:
             await conn.respond(503, [])
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -16,6 +16,8 @@
   heard @7 :UInt16;
   paused @8 :List(UInt64);  # digests of servers
   broke @9 :List(Broke);
+  gapMs @10 :UInt16 = 200;
+  busy @11 :UInt8;  # in percent
 }
 
 # A request, known by a digest, under which a backend server went down.
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -33,6 +33,9 @@
 # A tick that comes this late tells that the host stood still.
 PAUSE_MS: Final = 1_200
 TRIM_TICKS: Final = 10
+# Processor time is measured over five seconds, longer than a burst of
+# changes takes to read.
+BUSY_TICKS: Final = 50
 # How long a host that leaves goes on taking connections: callers that hold
 # an old answer find it closed no sooner.
 ACCEPT_MS: Final = 2_500
@@ -43,6 +46,26 @@
 STOP_POLL_MS: Final = 20
 
 
+class ProcessorMeter:
+    """Measures how much of its processor time this process uses."""
+
+    __slots__ = ("_clock", "_share", "_at_ms", "_used_ms")
+
+    def __init__(self, clock: Clock, share: float) -> None:
+        self._clock = clock
+        self._share = share
+        self._at_ms = clock.now_ms()
+        self._used_ms = clock.processor_ms()
+
+    def measure(self, now_ms: int) -> int:
+        """Returns the part in use since the last call, in percent."""
+        used_ms = self._clock.processor_ms()
+        span_ms = (now_ms - self._at_ms) * self._share
+        spent_ms = used_ms - self._used_ms
+        self._at_ms, self._used_ms = now_ms, used_ms
+        return min(100, int(100 * spent_ms / span_ms)) if span_ms > 0 else 0
+
+
 class EntryHost:
     """One entry host and its tasks."""
 
@@ -95,7 +118,9 @@
             ),
             rng,
         )
-        self._peers = Peers(settings.name, settings.link_mbps)
+        self._peers = Peers(
+            settings.name, settings.link_mbps, settings.data_centre
+        )
         self._backends = Backends(clock, self._planner.tallies)
         self._planner.is_connected = self._backends.is_connected
         self._beliefs = Beliefs(
@@ -213,6 +238,7 @@
 
     async def _tick_for_ever(self) -> None:
         last_ms = self._clock.now_ms()
+        meter = ProcessorMeter(self._clock, self._settings.processor_share)
         ticks = 0
         while True:
             await anyio.sleep(TICK_MS / MS_PER_SECOND)
@@ -228,9 +254,25 @@
                 self._planner.loads.forget(name)
                 log_event("peer_gone", peer=name)
             self._planner.hosts = self._peers.spenders(now_ms)
-            self._planner.loads.fresh_ms = self._peers.silent_ms()
+            self._choose_active(now_ms)
             if ticks % TRIM_TICKS == 0:
                 self._backends.trim()
+            if ticks % BUSY_TICKS == 0:
+                busy = meter.measure(now_ms)
+                # A start takes all there is, and says nothing of the load.
+                self._peers.busy = busy if ticks > BUSY_TICKS else 0
+
+    def _choose_active(self, now_ms: int) -> None:
+        changed = self._peers.choose_active(
+            now_ms, self._store_reached(), self._peering.leaving
+        )
+        if changed:
+            log_event(
+                "hosts_in_use",
+                count=len(self._peers.active.names),
+                own=self._peers.is_active,
+                heard=self._peers.count_heard(now_ms),
+            )
 
     async def _stop(self, listener: asyncio.Server) -> None:
         """Leaves service without cutting answers in progress."""
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -16,6 +16,7 @@
 MAX_COUNT: Final = 2**16 - 1
 # The fastest level; records are text that shrinks well at any.
 COMPRESSION_LEVEL: Final = 1
+MAX_PERCENT: Final = 100
 MAX_PAGE_BYTES: Final = 33_554_432
 # Words that a message may hold, against one that points to itself.
 MAX_WORDS: Final = 4_194_304
@@ -44,6 +45,8 @@
             for server, count in beat.loads
         ],
         held=[{"part": part, "server": server} for part, server in beat.held],
+        gapMs=min(MAX_COUNT, beat.gap_ms),
+        busy=min(MAX_PERCENT, beat.busy),
     )
     return bytes(message.to_bytes_packed())
 
@@ -67,6 +70,8 @@
             raw.heard,
             tuple(raw.paused),
             tuple((broke.request, broke.server) for broke in raw.broke),
+            raw.gapMs,
+            raw.busy,
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -15,7 +15,14 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
-from ..core.entry.peers import Beat, Peer, Peers
+from ..core.entry.peers import (
+    Beat,
+    MISSED_BEATS,
+    Peer,
+    Peers,
+    RESERVE_BEATS,
+    SILENT_MS,
+)
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Page, Replica
 from ..core.entry.routing import FIRST_LIMITS
@@ -110,7 +117,8 @@
             server_id = find(digest)
             if server_id is not None:
                 counts[server_id] = count
-        self._planner.loads.hear(beat.sender, counts, now_ms)
+        fresh_ms = max(SILENT_MS, MISSED_BEATS * beat.gap_ms)
+        self._planner.loads.hear(beat.sender, counts, now_ms + fresh_ms)
         doubted = frozenset(
             server_id
             for server_id in map(find, beat.paused)
@@ -124,45 +132,68 @@
             if server_id is not None:
                 self._planner.caches.hear(part, server_id, now_ms)
 
-    def send_beats(self) -> None:
-        """Tells all peers the state of this host."""
+    def send_beats(self, to_all: bool = True) -> None:
+        """Tells peers the state of this host.
+
+        Args:
+            to_all: Whether hosts in reserve are told too. They learn who
+                lives and what is in progress, but not what servers keep in
+                their caches, which is most of what hosts tell.
+        """
         if self._transport is None:
             return
-        now_ms = self._clock.now_ms()
-        data = encode_beat(
-            Beat(
-                self._name,
-                self._boot,
-                self._replica.changed,
-                self._contact_ms(),
-                self.leaving,
-                tuple(
-                    (digest_id(server_id), count)
-                    for server_id, count in self._planner.loads.own.items()
-                ),
-                tuple(
-                    (part, digest_id(server_id))
-                    for part, server_id in self._planner.caches.take_news(
-                        HELD_IN_BEAT
-                    )
-                ),
-                self._peers.count_heard(now_ms),
-                tuple(
-                    digest_id(server_id)
-                    for server_id in self._planner.doubts.own_paused(now_ms)
-                ),
-                tuple(self._planner.lethal.take_news()),
-            )
-        )
-        for peer in self._peers.all():
+        used, reserve = self._peers.split_by_use()
+        broke = tuple(self._planner.lethal.take_news())
+        gap_ms = self._peers.beat_ms()
+        if not self._peers.is_active:
+            self._send(used + reserve, self._build_beat(True, broke, gap_ms))
+            return
+        self._send(used, self._build_beat(True, broke, gap_ms))
+        if reserve and (to_all or broke):
+            gap_ms *= RESERVE_BEATS
+            self._send(reserve, self._build_beat(False, broke, gap_ms))
+
+    def _send(self, peers: list[Peer], beat: Beat) -> None:
+        assert self._transport is not None
+        data = encode_beat(beat)
+        for peer in peers:
             if peer.address is not None:
                 self._transport.sendto(data, peer.address)
 
+    def _build_beat(
+        self, caches: bool, broke: tuple[tuple[int, int], ...], gap_ms: int
+    ) -> Beat:
+        now_ms = self._clock.now_ms()
+        planner = self._planner
+        held = planner.caches.take_news(HELD_IN_BEAT) if caches else []
+        return Beat(
+            self._name,
+            self._boot,
+            self._replica.changed,
+            self._contact_ms(),
+            self.leaving,
+            tuple(
+                (digest_id(server_id), count)
+                for server_id, count in planner.loads.own.items()
+            ),
+            tuple((part, digest_id(server_id)) for part, server_id in held),
+            self._peers.count_heard(now_ms),
+            tuple(
+                digest_id(server_id)
+                for server_id in planner.doubts.own_paused(now_ms)
+            ),
+            broke,
+            gap_ms,
+            self._peers.busy,
+        )
+
     async def beat_for_ever(self) -> None:
         """Sends beats at a steady pace, until cancelled."""
+        turn = 0
         try:
             while True:
-                self.send_beats()
+                turn = (turn + 1) % RESERVE_BEATS
+                self.send_beats(to_all=turn == 0)
                 await anyio.sleep(self._peers.beat_ms() / MS_PER_SECOND)
         finally:
             if self._transport is not None:
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -41,6 +41,8 @@
         repeat_window_ms: Span over which repeats are counted.
         directory_ttl_s: Longest time that callers keep an answer.
         link_mbps: Speed of the host's link; 0 if untold.
+        processor_share: Part of a processor that this process may use; it
+            runs on one at a time.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "repeat_window_ms",
         "directory_ttl_s",
         "link_mbps",
+        "processor_share",
     )
 
     def __init__(self, raw: _File) -> None:
@@ -82,6 +85,8 @@
         self.repeat_window_ms = int(bounds.budget_window_s * MS_PER_SECOND)
         self.directory_ttl_s = bounds.ttl_max_s
         self.link_mbps = raw.limits.link_speed_mbps
+        limits = raw.limits
+        self.processor_share = min(1.0, limits.cpu_share * limits.cpu_cores)
 
 
 class _Listen(msgspec.Struct):
@@ -106,6 +111,9 @@
 
 class _Limits(msgspec.Struct):
     link_speed_mbps: float = 0.0
+    # Share of each core, not of the host.
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
 
 
 class _File(msgspec.Struct):
