Place chats by what servers have still to read

Cause: a server counts as free by its requests in progress, whether they are streams of small cost or prompts of 9,000 tokens that take 0.28 s to read. In a large service the mean is one or two requests, so that four long prompts queue at a server while most are idle.

Beats now tell, beside the requests in progress at a server, the tokens of their prompts that it has still to read. A new chat goes to the first server of its order with at most 6,500 such tokens; a chat leaves the server that keeps its prompt at over 16,000 and has it copied.

--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -120,6 +120,7 @@
         arrived_ms: When it was read.
         deadline_ms: When it ends, on the monotonic clock.
         server: Server that works on it.
+        unread: Tokens of its prompt that the server has still to read.
         tried: Ids of servers that it was sent to or could not reach.
         runs: Servers that may have run it.
         sends: Servers that it arrived at.
@@ -135,6 +136,7 @@
         "arrived_ms",
         "deadline_ms",
         "server",
+        "unread",
         "tried",
         "runs",
         "sends",
@@ -158,6 +160,7 @@
         self.arrived_ms = arrived_ms
         self.deadline_ms = deadline_ms
         self.server: BackendServer | None = None
+        self.unread = 0
         self.tried: set[str] = set()
         self.runs = 0
         self.sends = 0
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -45,7 +45,8 @@
         revision: Revision of the store up to which it knows all changes.
         contact_ms: Age of its last contact with the store, in ms.
         leaving: Whether it shuts down.
-        loads: Requests in progress by a digest of the server's id.
+        loads: Requests in progress and tokens of their prompts that are
+            still to be read, by a digest of the server's id.
         held: Parts of prompts and servers that keep them, as digests.
         heard: How many peers it heard of late.
         paused: Servers that it passes over after failures, as digests.
@@ -77,7 +78,7 @@
         revision: int,
         contact_ms: int,
         leaving: bool,
-        loads: tuple[tuple[int, int], ...],
+        loads: tuple[tuple[int, int, int], ...],
         held: tuple[tuple[int, int], ...] = (),
         heard: int = 0,
         paused: tuple[int, ...] = (),
--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -20,6 +20,12 @@
 # platform's bound, as views of the load are late.
 NEW_CHAT_BOUND: Final = (1.4, 1.5)
 FULL_BOUND: Final = (1.8, 2.5)
+# Tokens still to be read over which a server gets no new chat: 0.2 s at the
+# 32 tokens a millisecond of the platform's pages.
+NEW_CHAT_BACKLOG: Final = 6_500
+# The same for a chat whose prompt the server keeps: 0.5 s, about what
+# reading the longest prompts there takes elsewhere.
+HOLDER_BACKLOG: Final = 16_000
 
 
 def _score(key: str, server: BackendServer) -> int:
@@ -89,3 +95,20 @@
     total = sum(load_of(server.id) for server in listed)
     most = factor * total / len(listed) + slack
     return [s for s in servers if load_of(s.id) + 1 <= most]
+
+
+def put_idle_first(
+    servers: Sequence[BackendServer], unread_of: Callable[[str], int]
+) -> list[BackendServer]:
+    """Returns `servers` with those first that have little to read.
+
+    The order stays among those; the others follow by what they have to
+    read.
+    """
+    unread = {server.id: unread_of(server.id) for server in servers}
+    return sorted(
+        servers,
+        key=lambda server: (
+            0 if unread[server.id] <= NEW_CHAT_BACKLOG else unread[server.id]
+        ),
+    )
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -25,7 +25,9 @@
 from .loads import Loads
 from .placing import (
     FULL_BOUND,
+    HOLDER_BACKLOG,
     NEW_CHAT_BOUND,
+    put_idle_first,
     rank_by_load,
     rank_by_prompt,
     under_bound,
@@ -203,6 +205,9 @@
         def load_of(server_id: str) -> int:
             return self.loads.of(server_id, now_ms)
 
+        def unread_of(server_id: str) -> int:
+            return self.loads.unread_of(server_id, now_ms)
+
         if not flight.req.parts:
             # Without a prompt, any server does.
             return rank_by_load(
@@ -215,7 +220,11 @@
         holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
         listed = self.servers.listed(flight.service)
         open_servers = under_bound(servers, listed, load_of, FULL_BOUND)
-        keep = [server for server in open_servers if server.id in holders]
+        keep = [
+            server
+            for server in open_servers
+            if server.id in holders and unread_of(server.id) <= HOLDER_BACKLOG
+        ]
         if keep:
             keep.sort(key=lambda server: holders[server.id], reverse=True)
             return keep
@@ -224,7 +233,8 @@
             found = under_bound(servers, listed, load_of, bound)
             free = {server.id for server in found}
             if free:
-                return [s for s in ranked if s.id in free]
+                choice = [s for s in ranked if s.id in free]
+                return put_idle_first(choice, unread_of)
         return sorted(ranked, key=lambda server: load_of(server.id))
 
     def _find_source(
@@ -286,6 +296,7 @@
         """Notes that the request is on its way to `server`."""
         if flight.req.parts:
             self._tally_prompt(flight.req, server, now_ms)
+            flight.unread = self._count_unread(flight.req, server, now_ms)
             self.caches.record(flight.req, server.id, now_ms)
         if flight.sends:
             self.tallies.add("repeats")
@@ -293,7 +304,28 @@
         flight.tried.add(server.id)
         flight.sends += 1
         flight.runs += 1
-        self.loads.start(server.id)
+        self.loads.start(server.id, flight.unread)
+
+    def _count_unread(
+        self, req: CallerRequest, server: BackendServer, now_ms: int
+    ) -> int:
+        """Returns the tokens that `server` has to read.
+
+        Parts that it copies from another server count too: the copy waits
+        for its turn like a prompt that is read.
+        """
+        held = sum(
+            part.tokens
+            for part in req.shared_parts()
+            if server.id in self.caches.holders(part, now_ms)
+        )
+        return sum(part.tokens for part in req.parts) - held
+
+    def record_reading_done(self, flight: Flight) -> None:
+        """Notes that the server has read the prompt."""
+        if flight.server is not None and flight.unread:
+            self.loads.end_reading(flight.server.id, flight.unread)
+        flight.unread = 0
 
     def _tally_prompt(
         self, req: CallerRequest, server: BackendServer, now_ms: int
@@ -308,6 +340,7 @@
     def record_left(self, flight: Flight) -> None:
         """Notes that no server works on the request any longer."""
         if flight.server is not None:
+            self.record_reading_done(flight)
             self.loads.end(flight.server.id)
             flight.server = None
 
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -36,6 +36,7 @@
 struct Load {
   server @0 :UInt64;  # digest of the server's id
   count @1 :UInt16;
+  unread @2 :UInt32;  # tokens of their prompts
 }
 
 # What is known of caches, kept in the store for hosts that start.
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -17,6 +17,7 @@
 # The fastest level; records are text that shrinks well at any.
 COMPRESSION_LEVEL: Final = 1
 MAX_PERCENT: Final = 100
+MAX_TOKENS: Final = 2**32 - 1
 MAX_PAGE_BYTES: Final = 33_554_432
 # Words that a message may hold, against one that points to itself.
 MAX_WORDS: Final = 4_194_304
@@ -41,8 +42,12 @@
             for request, server in beat.broke
         ],
         loads=[
-            {"server": server, "count": min(MAX_COUNT, count)}
-            for server, count in beat.loads
+            {
+                "server": server,
+                "count": min(MAX_COUNT, count),
+                "unread": min(MAX_TOKENS, unread),
+            }
+            for server, count, unread in beat.loads
         ],
         held=[{"part": part, "server": server} for part, server in beat.held],
         gapMs=min(MAX_COUNT, beat.gap_ms),
@@ -65,7 +70,9 @@
             raw.revision,
             raw.contactMs,
             raw.leaving,
-            tuple((load.server, load.count) for load in raw.loads),
+            tuple(
+                (load.server, load.count, load.unread) for load in raw.loads
+            ),
             tuple((held.part, held.server) for held in raw.held),
             raw.heard,
             tuple(raw.paused),
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -15,6 +15,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
+from ..core.entry.loads import PeerLoads
 from ..core.entry.peers import (
     Beat,
     MISSED_BEATS,
@@ -112,13 +113,14 @@
 
     def _take_news(self, beat: Beat, now_ms: int) -> None:
         find = self._planner.servers.find
-        counts: dict[str, int] = {}
-        for digest, count in beat.loads:
+        fresh_ms = max(SILENT_MS, MISSED_BEATS * beat.gap_ms)
+        loads = PeerLoads(now_ms + fresh_ms, {}, {})
+        for digest, count, unread in beat.loads:
             server_id = find(digest)
             if server_id is not None:
-                counts[server_id] = count
-        fresh_ms = max(SILENT_MS, MISSED_BEATS * beat.gap_ms)
-        self._planner.loads.hear(beat.sender, counts, now_ms + fresh_ms)
+                loads.requests[server_id] = count
+                loads.unread[server_id] = unread
+        self._planner.loads.hear(beat.sender, loads)
         doubted = frozenset(
             server_id
             for server_id in map(find, beat.paused)
@@ -165,6 +167,7 @@
     ) -> Beat:
         now_ms = self._clock.now_ms()
         planner = self._planner
+        loads = planner.loads
         held = planner.caches.take_news(HELD_IN_BEAT) if caches else []
         return Beat(
             self._name,
@@ -173,8 +176,8 @@
             self._contact_ms(),
             self.leaving,
             tuple(
-                (digest_id(server_id), count)
-                for server_id, count in planner.loads.own.items()
+                (digest_id(server_id), count, loads.own_unread[server_id])
+                for server_id, count in loads.own.items()
             ),
             tuple((part, digest_id(server_id)) for part, server_id in held),
             self._peers.count_heard(now_ms),
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -216,6 +216,10 @@
             attempt=flight.sends,
             after_event=flight.last_event_id,
             load=self._planner.loads.of(send.server.id, self._clock.now_ms()),
+            unread=flight.unread,
+            backlog=self._planner.loads.unread_of(
+                send.server.id, self._clock.now_ms()
+            ),
             parts=",".join(f"{p.id}:{p.tokens}" for p in self._req.parts),
             fetch_from=source.id if source is not None else "",
         )
@@ -350,6 +354,7 @@
         if flight.begun:
             return
         flight.begun = True
+        self._planner.record_reading_done(flight)
         self._record_first()
         chunked = (b"Transfer-Encoding", b"chunked")
         self._conn.start(head.status, [*head.headers, chunked])
--- a/tests/test_entry_active_hosts.py
+++ b/tests/test_entry_active_hosts.py
@@ -19,7 +19,7 @@
     Candidate,
     WIDE_MS,
 )
-from corianderdoor.core.entry.loads import Loads
+from corianderdoor.core.entry.loads import Loads, PeerLoads
 from corianderdoor.core.entry.peers import (
     Beat,
     BEAT_MS,
@@ -150,11 +150,11 @@
 
 def test_load_that_a_peer_told_counts_as_long_as_its_beats_may_take():
     loads = Loads()
-    loads.hear("h1", {"s": 3}, 500)
-    assert loads.of("s", 499) == 3
-    assert loads.of("s", 500) == 0
-    loads.hear("h1", {"s": 2}, 900)
-    loads.hear("h1", {}, 1_000)
+    loads.hear("h1", PeerLoads(500, {"s": 3}, {"s": 70}))
+    assert (loads.of("s", 499), loads.unread_of("s", 499)) == (3, 70)
+    assert (loads.of("s", 500), loads.unread_of("s", 500)) == (0, 0)
+    loads.hear("h1", PeerLoads(900, {"s": 2}, {"s": 9}))
+    loads.hear("h1", PeerLoads(1_000, {}, {}))
     assert loads.of("s", 600) == 0
 
 
--- a/tests/test_entry_platform.py
+++ b/tests/test_entry_platform.py
@@ -257,7 +257,7 @@
 
 def test_messages_between_hosts_come_back_as_they_were():
     beat = Beat(
-        *("h1", 2**40, 2**50, 7, True, ((2**63, 4),), ((1, 2**62),)),
+        *("h1", 2**40, 2**50, 7, True, ((2**63, 4, 9),), ((1, 2**62),)),
         *(3, (7,), ((8, 2**63),), 440, 33),
     )
     assert decode_beat(encode_beat(beat)) == beat
