Give a server that has much to read more time before it counts as silent

Cause: a request that heard nothing for 1.5 times its target was sent to another server, with its prompt copied or read a second time; most servers that were silent so long were reading prompts before it.

The time in which a server that is known to have tokens to read may be silent grows by what it takes to read them.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -54,6 +54,9 @@
 # asked no longer, if the request may run elsewhere.
 SILENCE_FACTOR: Final = 1.5
 SHORTEST_SILENCE_MS: Final = 350
+# What a server reads of prompts in a millisecond, a little under the 32 of
+# the platform's pages.
+TOKENS_READ_PER_MS: Final = 30.0
 # Tokens of a part that are worth a copy from another server.
 LEAST_FETCH: Final = 64
 # Less time than this is no use at a server.
@@ -283,13 +286,26 @@
         left_ms = flight.deadline_ms - now_ms
         silence_ms: int | None = None
         if self._may_run_again(flight, 1):
-            silence_ms = max(
-                SHORTEST_SILENCE_MS,
-                int(flight.route.target_ms * SILENCE_FACTOR),
-            )
+            silence_ms = self._longest_silence_ms(flight, server, now_ms)
         source = self._find_source(flight, server, now_ms)
         return Send(server, flight.urgency(), left_ms, silence_ms, source)
 
+    def _longest_silence_ms(
+        self, flight: Flight, server: BackendServer, now_ms: int
+    ) -> int:
+        """Returns how long `server` may stay silent.
+
+        A server that has much to read is not dead: to send its requests
+        elsewhere has the same prompts read twice, when servers are busiest.
+        """
+        usual_ms = max(
+            SHORTEST_SILENCE_MS, int(flight.route.target_ms * SILENCE_FACTOR)
+        )
+        unread = self.loads.unread_of(server.id, now_ms)
+        if flight.req.parts:
+            unread += self._count_unread(flight.req, server, now_ms)
+        return usual_ms + int(unread / TOKENS_READ_PER_MS)
+
     def record_sent(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> None:
--- a/tests/test_entry_backlog.py
+++ b/tests/test_entry_backlog.py
@@ -14,7 +14,11 @@
 from corianderdoor.core.entry.flights import Flight, Send
 from corianderdoor.core.entry.loads import PeerLoads
 from corianderdoor.core.entry.placing import HOLDER_BACKLOG, NEW_CHAT_BACKLOG
-from corianderdoor.core.entry.planner import Planner
+from corianderdoor.core.entry.planner import (
+    Planner,
+    SILENCE_FACTOR,
+    TOKENS_READ_PER_MS,
+)
 
 LONG = 6_000
 
@@ -88,3 +92,21 @@
         stays = backlog <= HOLDER_BACKLOG
         assert (again.server.id == home) is stays
         assert stays or again.fetch_from is step.server
+
+
+def test_server_with_much_to_read_may_be_silent_for_longer():
+    planner = build_planner(servers=1)
+    limits = []
+    for number in range(4):
+        limits.append(send(planner, chat(number))[1].silence_ms)
+    tokens = (2_600 + LONG + 400, LONG + 400)
+    assert limits[1] - limits[0] == int(
+        (tokens[0] + tokens[1]) / TOKENS_READ_PER_MS
+    ) - int(tokens[0] / TOKENS_READ_PER_MS)
+    assert limits == sorted(limits)
+
+
+def test_idle_server_that_is_silent_is_left_as_before():
+    planner = build_planner(servers=1, plain=1)
+    flight, step = send(planner, build_request("/read/x", parts=()))
+    assert step.silence_ms == flight.route.target_ms * SILENCE_FACTOR
