Renew hosts' records less often, and name other hosts in each answer

Records now last 5 s and are renewed every 2 s; beats tell who lives, and 5 s stay inside the 6 s in which a host that hears nobody may still name a dead one.

When all hosts of a larger fleet are in use, each named the same first ones; each host now has an order of its own. The test failed first.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -247,13 +247,18 @@
     def in_service(self, now_ms: int, store_reached: bool) -> list[Peer]:
         """Returns the hosts that callers are sent to, but for this one.
 
+        Each host has an order of its own: an answer may have to leave out
+        the last ones, and all are to get callers.
+
         Args:
             now_ms: Monotonic time.
             store_reached: Whether this host knows what the store lists now.
         """
         able = self._able(now_ms, store_reached)
         used = [peer for peer in able if self.active.includes(peer.name)]
-        return used or able
+        return sorted(
+            used or able, key=lambda peer: _rank(f"{self._own} {peer.name}")
+        )
 
     def choose_active(
         self, now_ms: int, store_reached: bool, leaving: bool
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -28,9 +28,12 @@
 FIRST_RETRY_MS: Final = 100
 LONGEST_RETRY_MS: Final = 800
 FOLLOW_POLL_MS: Final = 100
-# A record in the store outlives its host by at most this long.
-LEASE_MS: Final = 3_000
-RENEW_MS: Final = 1_000
+# A record in the store outlives its host by at most this long. Beats tell
+# sooner who is gone; a host that hears none names what the store lists, and
+# may not name a dead host for over six seconds (platform's pages).
+LEASE_MS: Final = 5_000
+# Leaves time for a second try; each renewal is a call to the store.
+RENEW_MS: Final = 2_000
 # What was learnt since the last save is lost if all hosts end at once.
 SAVE_MS: Final = 3_000
 NO_LEASE: Final = 0
--- a/tests/test_entry_active_hosts.py
+++ b/tests/test_entry_active_hosts.py
@@ -29,6 +29,7 @@
     UNNAMED_MS,
 )
 from corianderdoor.entry.host import ProcessorMeter
+from corianderdoor.platform.directory import MOST_ADDRESSES
 
 SLOW, FAST = 10.0, 200.0
 CENTRES = "abcde"
@@ -117,6 +118,20 @@
     assert named == peers.active.names - {"h0"}
 
 
+def test_all_hosts_get_callers_when_answers_hold_fewer_than_are_used():
+    named: Counter[str] = Counter()
+    for number in range(12):
+        peers = build_peers(f"h{number}")
+        for peer in peers.all():
+            busy = Beat(peer.name, 1, 1, 0, False, (), heard=87, busy=99)
+            peers.hear(busy, 10)
+        peers.choose_active(10, True, False)
+        hosts = peers.in_service(10, True)
+        assert len(hosts) == 87
+        named.update(peer.name for peer in hosts[:MOST_ADDRESSES])
+    assert len(named) == 88
+
+
 def test_hosts_in_use_beat_more_often_than_those_in_reserve():
     used = build_peers("h0")
     reserve_name = min({f"h{n}" for n in range(88)} - used.active.names)
