--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DEPLOYMENT ?= cuidadoras
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: trial setup demo test paused check format lint types lock wheel
+.PHONY: trial setup demo test paused soak check format lint types lock wheel
 
 setup: $(STAMP)
 
@@ -36,6 +36,11 @@
 paused: setup
 	$(PY) scripts/check_paused_leader.py
 
+# Seeds that once failed, and three short runs of fixed seeds.
+soak: setup
+	$(PY) scripts/soak.py --known --jobs 3
+	$(PY) scripts/soak.py --seed 3 --count 3 --jobs 3 --seconds 6
+
 check: format lint types test
 
 lock: setup
--- a/corianderdoor/soak/plan.py
+++ b/corianderdoor/soak/plan.py
@@ -16,6 +16,9 @@
     "store-trouble",
     "store-history",
     "worker-link",
+    # There are many ways for a worker to misbehave.
+    "worker-mode",
+    "worker-mode",
     "worker-mode",
 )
 LINK_MODES: Final = ("delay", "reset", "silent", "one-way")
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -80,8 +80,10 @@
 EXPIRY_POLL_MS = 100
 # Grace of SIGTERM on the platform; a host that still runs then is killed.
 TERM_MS = 8_000
-REMOVE_AFTER_MS = 1_500
-RETURN_AFTER_MS = 4_500
+# Longer than hosts may go on sending there, so that it shows if they do.
+REMOVE_AFTER_MS = 4_500
+RETURN_AFTER_MS = 1_500
+EVACUATED_MS = 5_500
 COLD_MS = 3_000
 # Time after the last fault in which service must be back (15 s in the
 # platform's pages), and the requests that show it.
@@ -454,7 +456,7 @@
                 span = Span(self._clock.now_ms(), name, "evacuate", True)
                 self._ledger.closed[name].append(span)
                 spans.append(span)
-        await anyio.sleep((RETURN_AFTER_MS + step.for_ms) / 1_000)
+        await anyio.sleep((EVACUATED_MS + step.for_ms) / 1_000)
         for span in spans:
             self._close(span)
         state.remove(f"op/evacuate/{centre}")
@@ -532,6 +534,7 @@
 
     def _end_hosts(self) -> None:
         for host in self._hosts:
+            host.busy = True  # its end is no finding
             if host.proc.poll() is None:
                 host.proc.kill()
                 host.proc.wait()
