Show and check a deployment on the platform from the command line

corianderdoorctl platform status reads the store with the one client and the one decoder and shows what hosts would make of it; platform check names what is wrong with a settings or a deploy file.

The soak's proxy no longer writes to a connection that is closing; it wrote tracebacks to the soak's output, and the other end learnt of the reset as before.

--- a/corianderdoor/soak/proxy.py
+++ b/corianderdoor/soak/proxy.py
@@ -99,6 +99,9 @@
                     if not writer.is_closing():
                         writer.write_eof()
                     return
+                if writer.is_closing():
+                    end()
+                    return
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/corianderdoor/tools/ctl.py
+++ b/corianderdoor/tools/ctl.py
@@ -19,6 +19,7 @@
 from .explain import add_explain_parser, run_explain
 from .history import add_history_parsers, run_history
 from .orders import add_orders_parser, run_orders
+from .platform import add_platform_parser, run_platform
 
 
 def _check(args: argparse.Namespace) -> int:
@@ -41,6 +42,7 @@
     add_history_parsers(commands)
     add_orders_parser(commands)
     add_explain_parser(commands)
+    add_platform_parser(commands)
     return parser
 
 
@@ -51,6 +53,8 @@
         return _check(args)
     if args.command == "explain":
         return run_explain(args)
+    if args.command == "platform":
+        return anyio.run(run_platform, args)
     if args.command == "orders":
         return anyio.run(run_orders, args)
     if args.command in ("history", "diff"):
