--- a/tests/test_entry_active_hosts.py
+++ b/tests/test_entry_active_hosts.py
@@ -9,11 +9,13 @@
 
 from collections import Counter
 
+from hypothesis import given, settings, strategies as st
 import pytest
 
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.active_hosts import (
     ACTIVE_LEAST,
+    ACTIVE_SHARE,
     ActiveHosts,
     BUSY_PERCENT,
     Candidate,
@@ -182,3 +184,44 @@
     clock.advance(1_000)
     assert meter.measure(clock.now_ms()) == 0
     assert meter.measure(clock.now_ms()) == 0
+
+
+@st.composite
+def fleets(draw) -> list[Candidate]:
+    """Draws hosts of up to six data centres with fast and slow links."""
+    count = draw(st.integers(ACTIVE_LEAST + 2, 120))
+    places = draw(
+        st.lists(st.sampled_from("abcdef"), min_size=count, max_size=count)
+    )
+    links = draw(
+        st.lists(st.sampled_from((SLOW, FAST)), min_size=count, max_size=count)
+    )
+    names = draw(st.integers(0, 10**6))
+    return [
+        Candidate(f"h{names + n}", place, link, 0)
+        for n, (place, link) in enumerate(zip(places, links))
+    ]
+
+
+@settings(max_examples=300, deadline=None)
+@given(fleets(), st.randoms(use_true_random=False))
+def test_any_fleet_uses_the_same_hosts_whatever_is_known_first(hosts, rng):
+    names = choose(hosts)
+    assert len(names) == max(ACTIVE_LEAST, int(len(hosts) * ACTIVE_SHARE))
+    shuffled = [*hosts]
+    rng.shuffle(shuffled)
+    assert choose(shuffled) == names
+
+
+@settings(max_examples=300, deadline=None)
+@given(fleets(), st.integers(0, 200))
+def test_host_that_goes_changes_at_most_one_other_place(hosts, which):
+    gone = hosts[which % len(hosts)].name
+    before = choose(hosts)
+    after = choose([host for host in hosts if host.name != gone])
+    kept = before - {gone}
+    # The number in use falls by one with each fourth host.
+    fewer = len(before) - len(after)
+    assert fewer in (0, 1)
+    assert len(kept - after) <= 1 + fewer
+    assert len(after - kept) <= 2
