Keep the first request of a test in progress, however slow the machine

The service stood still for 2 s; replacing both routers took longer there, so the first request had ended and its answer was rightly replayed. Seen again on an idle path with the wait set to 10 ms: the same KeyError. The first request now waits for an hour and is cancelled at the end; what is asserted is unchanged.

--- a/corianderdoor/soak/plan.py
+++ b/corianderdoor/soak/plan.py
@@ -20,6 +20,7 @@
     "worker-mode",
     "worker-mode",
     "worker-mode",
+    "all-cold",
 )
 LINK_MODES: Final = ("delay", "reset", "silent", "one-way")
 STORE_TROUBLES: Final = ("busy", "silent", "reset", "lost")
@@ -35,7 +36,7 @@
 # Faults begin this far apart on average; they last longer, so they overlap.
 MEAN_GAP_MS: Final = 600
 SHORTEST_MS: Final = 300
-LONGEST_MS: Final = 4_000
+LONGEST_MS: Final = 6_000
 # Share of the seeds whose plan holds planned work alone, or single faults.
 THEMES: Final = ("planned", "single", "overlapping")
 # Single faults are this far apart, longer than hosts need to recover.
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -96,7 +96,10 @@
 
 
 def build_config(
-    version: int, routes: Any = ROUTES, keys: tuple[str, ...] = (KEY,)
+    version: int,
+    routes: Any = ROUTES,
+    keys: tuple[str, ...] = (KEY,),
+    cold_per_s: float = COLD_PER_S,
 ) -> bytes:
     """Returns a desired state as operators write it."""
     service = {"health_check_path": "/health", "connection_limit": 200}
@@ -105,7 +108,7 @@
             "version": version,
             "routes": list(routes),
             "services": [
-                {"name": ENGINE_SERVICE, "cold_per_s": COLD_PER_S, **service},
+                {"name": ENGINE_SERVICE, "cold_per_s": cold_per_s, **service},
                 {"name": PLAIN_SERVICE, "cold_per_s": 0.0, **service},
             ],
             "limits": {
@@ -120,7 +123,11 @@
 
 
 def build_settings(
-    name: str, address: str, store: tuple[str, int], data_centre: str = "a"
+    name: str,
+    address: str,
+    store: tuple[str, int],
+    data_centre: str = "a",
+    repeat_slack: int = REPEAT_SLACK,
 ) -> bytes:
     """Returns the settings file of an entry host at `address`."""
     return msgspec.json.encode(
@@ -140,7 +147,7 @@
                 "cold_factor": COLD_FACTOR,
                 "cold_slack": COLD_SLACK,
                 "retry_budget_ratio": REPEAT_RATIO,
-                "retry_budget_slack": REPEAT_SLACK,
+                "retry_budget_slack": repeat_slack,
             },
         }
     )
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -47,7 +47,6 @@
     build_route,
     build_settings,
     COLD_FACTOR,
-    COLD_PER_S,
     COLD_SLACK,
     KEY,
     MAX_ATTEMPTS,
@@ -56,7 +55,6 @@
     PORT,
     READY_PORT,
     REPEAT_RATIO,
-    REPEAT_SLACK,
     ROUTES,
     TIMEOUT_MS,
 )
@@ -67,6 +65,9 @@
 CENTRES = ("a", "b")
 SECOND_KEY = "key-2"
 EXTRA = build_route("/probe/", "idempotent", PLAIN_SERVICE)
+# Small enough that the load of a run reaches them.
+COLD_PER_S = 1.0
+REPEAT_SLACK = 4
 LIMITS = Limits(
     TIMEOUT_MS,
     EVENTS,
@@ -85,6 +86,10 @@
 RETURN_AFTER_MS = 1_500
 EVACUATED_MS = 5_500
 COLD_MS = 3_000
+# Time in which engines that start again are away, and from their entry in
+# the store until they take connections.
+RESTART_MS = 1_500
+OPEN_MS = 200
 # Time after the last fault in which service must be back (15 s in the
 # platform's pages), and the requests that show it.
 RECOVERY_MS = 15_000
@@ -189,6 +194,8 @@
 
     async def _start(self) -> None:
         await self._fleet.start(0, 0, 0)
+        value = build_config(self._version, cold_per_s=COLD_PER_S)
+        self._fleet.store.state.put("op/config", value)
         for number in range(self._args.engines):
             await self._add_worker(f"engine-{number}", True, number)
         for number in range(self._args.plain):
@@ -225,7 +232,10 @@
         address = self._fleet.take_address()
         path = self._folder / f"{name}.json"
         centre = CENTRES[number % len(CENTRES)]
-        path.write_bytes(build_settings(name, address, store_at, centre))
+        settings = build_settings(
+            name, address, store_at, centre, REPEAT_SLACK
+        )
+        path.write_bytes(settings)
         log = (self._folder / f"{name}.log").open("a")
         self._fleet.hosts[name] = (address, PORT)
         self._hosts.append(Host(name, address, path, log))
@@ -324,6 +334,7 @@
             "store-history": self._drop_history,
             "worker-link": self._harm_worker_link,
             "worker-mode": self._harm_worker,
+            "all-cold": self._chill,
         }[step.kind]
         await play(step)
 
@@ -402,7 +413,7 @@
             self._second_key = not self._second_key
         routes = (*ROUTES, EXTRA) if self._extra_on else ROUTES
         keys = (KEY, SECOND_KEY) if self._second_key else (KEY,)
-        value = build_config(self._version, routes, keys)
+        value = build_config(self._version, routes, keys, COLD_PER_S)
         self._fleet.store.state.put("op/config", value)
         self._accepted_ms = self._clock.now_ms()
 
@@ -508,6 +519,34 @@
         worker.mode = ""
         self._close(span)
 
+    async def _chill(self, step: Step) -> None:
+        """Has all engines end and start again at once, cold."""
+        engines = [w.id for w in self._fleet.workers.values() if w.engine]
+        links = [self._worker_links[name] for name in engines]
+        if self._leaving or any(link.mode for link in links):
+            return
+        span = self._open(step, EVERYWHERE)
+        for link in links:
+            link.set_mode("reset")
+        await anyio.sleep(RESTART_MS / 1_000)
+        self._born += 1
+        for name in engines:
+            address, centre = self._places[name]
+            self._fleet.workers[name].cached.clear()
+            self._cold_until[name] = self._clock.now_ms() + COLD_MS
+            self._fleet.list_worker(
+                name,
+                address,
+                zone=centre,
+                born=self._born,
+                cold_remaining_ms=COLD_MS,
+            )
+        await anyio.sleep(OPEN_MS / 1_000)
+        for link in links:
+            link.set_mode("")
+        await anyio.sleep(COLD_MS / 1_000)
+        self._close(span)
+
     # -- the end
 
     async def _watch_hosts(self) -> None:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -4,7 +4,10 @@
 from once_fleet import once_fleet, PAYMENT
 import pytest
 
+from corianderdoor.standins import service
+
 HOPPED = "?corianderdoor-hop=1"
+HOUR_MS = 3_600_000
 
 pytestmark = pytest.mark.anyio
 
@@ -175,7 +178,11 @@
         assert len(fleet.service.records) == 1
 
 
-async def test_claim_with_lost_answer_and_replaced_router_is_not_run_again():
+async def test_claim_with_lost_answer_and_replaced_router_is_not_run_again(
+    monkeypatch,
+):
+    # The first request stays in progress, however long the rest takes.
+    monkeypatch.setattr(service, "SLOW_MS", HOUR_MS)
     async with once_fleet("r1", "r2") as fleet:
         fleet.store.faults.set("lose-answer", 1)
         fleet.service.faults.set("slow", 1)
