--- a/corianderdoor/tools/explain.py
+++ b/corianderdoor/tools/explain.py
@@ -156,6 +156,8 @@
     if last.event == "refusal_sent":
         return _explain_refusal(last, failures, servers)
     if last.event == "request_done":
+        if failures and failures[-1].pairs.get("follow") == "deliver":
+            return _explain_passed_on(failures[-1], servers)
         return _explain_served(own, last, failures)
     if last.event == "caller_gone":
         return _explain_gone(own, last)
@@ -184,6 +186,17 @@
     return f"refused with {pairs.get('status')}: {text}"
 
 
+def _explain_passed_on(
+    failure: Line, servers: dict[str, tuple[int, int]]
+) -> str:
+    server = failure.pairs.get("server", "")
+    sent, failed = servers.get(server, (0, 0))
+    return (
+        f"the failure with which {server} answered was passed on ({failed} "
+        f"of {sent} requests sent there failed)"
+    )
+
+
 def _explain_served(own: list[Line], last: Line, failures: list[Line]) -> str:
     took = last.pairs.get("took_ms", "?")
     if failures:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -97,6 +97,23 @@
     )
 
 
+def test_failure_of_a_server_that_is_passed_on_is_not_called_served(
+    tmp_path, capsys
+):
+    log = write_log(
+        tmp_path / "h1.log",
+        sent("r1", "s1"),
+        {**failed("r1", "s1", "server-error"), "follow": "deliver"},
+        {"event": "request_done", "request_id": "r1", "took_ms": 5},
+    )
+    assert main(["explain", "r1", log]) == 0
+    cause = capsys.readouterr().out.splitlines()[-1]
+    assert cause == (
+        "cause: the failure with which s1 answered was passed on (1 of 1 "
+        "requests sent there failed)"
+    )
+
+
 def test_log_that_ends_without_an_outcome_is_told_as_such(tmp_path, capsys):
     log = write_log(tmp_path / "h1.log", sent("r1", "s1"))
     assert main(["explain", "r1", log]) == 0
