Keep no count of unread tokens for servers that have none to read

Found by reading the diff: each server that got a plain request left an entry of zero for ever. Comments and the glossary name hosts in use and in reserve.

--- a/corianderdoor/core/entry/loads.py
+++ b/corianderdoor/core/entry/loads.py
@@ -49,7 +49,8 @@
             unread: Tokens that it has to read.
         """
         self.own[server_id] += 1
-        self.own_unread[server_id] += unread
+        if unread:
+            self.own_unread[server_id] += unread
 
     def end_reading(self, server_id: str, unread: int) -> None:
         """Takes back tokens that have been read."""
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -17,12 +17,12 @@
 UNNAMED_MS: Final = 1_200
 MISSED_BEATS: Final = 3
 # Hosts in use beat this often to each other. With many of them each beats
-# less often, so that a host sends and takes about 100 beats a second.
+# less often, so that a host sends and takes at most 125 beats a second.
 BEAT_MS: Final = 200
 BEAT_MS_PER_USED: Final = 8
 # Hosts in reserve beat for each host of the fleet, 50 times a second.
 BEAT_MS_PER_PEER: Final = 20
-# A host in use tells those in reserve with each such beat.
+# A host in use tells those in reserve once in this many beats.
 RESERVE_BEATS: Final = 4
 # A host that is listed but was never heard counts this long.
 UNHEARD_MS: Final = 2_500
--- a/tests/test_entry_backlog.py
+++ b/tests/test_entry_backlog.py
@@ -71,6 +71,14 @@
     assert planner.loads.unread_of(step.server.id, 0) == 0
 
 
+def test_requests_without_a_prompt_leave_no_state_behind():
+    planner = build_planner()
+    flight, _ = send(planner, build_request("/read/x", parts=()))
+    assert not planner.loads.own_unread
+    planner.record_whole(flight)
+    assert not planner.loads.own
+
+
 def test_chat_that_returns_has_only_its_new_part_read():
     planner = build_planner(servers=6)
     flight, step = send(planner, chat(1))
