Write requests and read answers of stand-in callers in one place

The soak and the stand-in fleet each had a loop that reads an answer, and the soak spelled the platform's headers itself. Both use standins/platform_caller.py now; no behaviour changes. Ruled out: keeping the words in soak/, which checks promises and need not know them.

--- a/corianderdoor/soak/callers.py
+++ b/corianderdoor/soak/callers.py
@@ -7,13 +7,13 @@
 from typing import Final
 
 import anyio
-import h11
 import msgspec
 
-from ..adapters.http1 import connect, ConnectionCutError, Wire
+from ..adapters.http1 import connect, Wire
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..platform.directory import DIRECTORY_PATH
+from ..standins.platform_caller import read_answer, write_chat
 from ..standins.platform_fleet import ask, CALLER_HOST, KEY, TIMEOUT_MS
 from .ledger import Attempt, Ledger
 
@@ -127,7 +127,15 @@
         limit_ms = TIMEOUT_MS + PATIENCE_MS
         if self._rng.random() < LEAVING:
             limit_ms = LEAVE_MS
-        send(self._wire, attempt, f"/{kind}/x", KEY, self._prompt(kind))
+        write_chat(
+            self._wire,
+            CALLER_HOST,
+            attempt.id,
+            f"/{kind}/x",
+            KEY,
+            self._prompt(kind),
+            TIMEOUT_MS,
+        )
         with anyio.move_on_after(limit_ms / MS_PER_SECOND) as scope:
             await read_answer(self._wire, attempt)
         attempt.left = scope.cancelled_caught and limit_ms == LEAVE_MS
@@ -151,42 +159,3 @@
             return ""
         chat = self._rng.randrange(CHATS)
         return f"t{chat % 4}:2500,c{chat}:3000,{self._name}{self._number}:300"
-
-
-def send(
-    wire: Wire, attempt: Attempt, path: str, key: str, prompt: str
-) -> None:
-    """Sends the request of an attempt; its body is its id."""
-    body = attempt.id.encode()
-    fields = {
-        "Host": CALLER_HOST,
-        "Attempt-Id": attempt.id,
-        "Authorization": f"Token {key}",
-        "Deadline-Ms": str(TIMEOUT_MS),
-        "Content-Length": str(len(body)),
-    }
-    if prompt:
-        fields["Prompt-Prefix"] = prompt
-    wire.write(
-        h11.Request(method="POST", target=path, headers=[*fields.items()])
-    )
-    wire.write(h11.Data(data=body))
-    wire.write(h11.EndOfMessage())
-
-
-async def read_answer(wire: Wire, attempt: Attempt) -> None:
-    """Reads the answer of an attempt as far as it comes."""
-    try:
-        while not attempt.whole:
-            event = await wire.next_event()
-            if isinstance(event, h11.Response):
-                attempt.status = event.status_code
-                attempt.headers = dict(event.headers)
-            elif isinstance(event, h11.Data):
-                attempt.body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                attempt.whole = True
-            else:
-                return
-    except ConnectionCutError:
-        return
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -15,14 +15,14 @@
 
 import anyio
 import anyio.abc
-import h11
 import msgspec
 
-from ..adapters.http1 import connect, ConnectionCutError
+from ..adapters.http1 import connect
 from ..adapters.http1_server import listen
 from ..core.clock import SystemClock
 from ..entry.host import EntryHost
 from ..platform.settings import decode_settings
+from .platform_caller import read_answer, write_request
 from .platform_store import StoreServer, StoreState
 from .platform_worker import Worker
 
@@ -282,29 +282,9 @@
     if wire is None:
         return reply
     fields = {"Host": "test", **(headers or {})}
-    if body:
-        fields["Content-Length"] = str(len(body))
-    method = "POST" if body else "GET"
-    wire.write(
-        h11.Request(method=method, target=target, headers=[*fields.items()])
-    )
-    if body:
-        wire.write(h11.Data(data=body))
-    wire.write(h11.EndOfMessage())
     try:
-        while not reply.whole:
-            event = await wire.next_event()
-            if isinstance(event, h11.Response):
-                reply.status = event.status_code
-                reply.headers = dict(event.headers)
-            elif isinstance(event, h11.Data):
-                reply.body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                reply.whole = True
-            else:
-                break
-    except ConnectionCutError:
-        reply.whole = False
+        write_request(wire, "POST" if body else "GET", target, fields, body)
+        await read_answer(wire, reply)
     finally:
         wire.abort()
     return reply
--- a/corianderdoor/tools/explain.py
+++ b/corianderdoor/tools/explain.py
@@ -279,7 +279,7 @@
     parser = commands.add_parser(
         "explain", help="tell the story of one request from hosts' logs"
     )
-    parser.add_argument("id", help="the request's id, Attempt-Id")
+    parser.add_argument("id", help="the request's id")
     parser.add_argument(
         "files", nargs="+", type=pathlib.Path, help="logs of entry hosts"
     )
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -20,7 +20,7 @@
 
 from corianderdoor.adapters.http1 import connect
 from corianderdoor.adapters.http1_server import listen, Received
-from corianderdoor.soak.callers import Caller, read_answer, send
+from corianderdoor.soak.callers import Caller
 from corianderdoor.soak.ledger import (
     Arrival,
     Attempt,
@@ -36,10 +36,12 @@
     Violation,
 )
 from corianderdoor.soak.proxy import Proxy
+from corianderdoor.standins.platform_caller import read_answer, write_chat
 from corianderdoor.standins.platform_fleet import (
     build_config,
     build_route,
     build_settings,
+    CALLER_HOST,
     COLD_FACTOR,
     COLD_SLACK,
     KEY,
@@ -291,7 +293,7 @@
         now_ms = self._clock.now_ms()
         attempt = Attempt(f"p{number}", "probe", host.name, now_ms, True)
         self._ledger.attempts[attempt.id] = attempt
-        send(wire, attempt, path, key, "")
+        write_chat(wire, CALLER_HOST, attempt.id, path, key, "", TIMEOUT_MS)
         with anyio.move_on_after(2 * TIMEOUT_MS / 1_000):
             await read_answer(wire, attempt)
         wire.abort()
