Split the soak's run into deployment, faults and report

Ruled out: one class in several files by inheritance; the deployment is a part of its own with named attributes.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -17,7 +17,8 @@
 import time
 
 import anyio
-from soak_run import ROOT, Soak
+from soak_deployment import ROOT
+from soak_run import Soak
 
 from corianderdoor.adapters.logs import set_up_entry_logs
 from corianderdoor.core.clock import SystemClock
