Rank the hosts of a fleet only when they change

Cause: every host sorts all hosts ten times a second to choose the active ones, and as often to see whether it watches the store.

Change: peers keep the times at which they time out, and the orders of hosts are kept until the hosts, their links or the active ones change.

--- a/corianderdoor/core/entry/active_hosts.py
+++ b/corianderdoor/core/entry/active_hosts.py
@@ -48,9 +48,10 @@
         data_centre: Data centre of the host.
         link_mbps: Link speed in Mbit/s; 0 if unknown.
         cpu_percent: CPU use in percent.
+        place: Data centre, and whether the link is slow.
     """
 
-    __slots__ = ("name", "data_centre", "link_mbps", "cpu_percent")
+    __slots__ = ("name", "data_centre", "link_mbps", "cpu_percent", "place")
 
     def __init__(
         self, name: str, data_centre: str, link_mbps: float, cpu_percent: int
@@ -59,6 +60,7 @@
         self.data_centre = data_centre
         self.link_mbps = link_mbps
         self.cpu_percent = cpu_percent
+        self.place = (data_centre, link_mbps < SLOW_LINK_MBPS)
 
 
 class ActiveHosts:
@@ -72,11 +74,14 @@
         names: Names of the active hosts; empty until the first choice.
     """
 
-    __slots__ = ("names", "_all_active_until_ms")
+    __slots__ = ("names", "_all_active_until_ms", "_ordered", "_places")
 
     def __init__(self) -> None:
         self.names: frozenset[str] = frozenset()
         self._all_active_until_ms = 0
+        # The last order of candidates, and the places that it depends on.
+        self._ordered: list[str] = []
+        self._places: dict[str, tuple[str, bool]] = {}
 
     def choose(self, candidates: Iterable[Candidate], now_ms: int) -> bool:
         """Chooses the active hosts; returns whether the choice changed.
@@ -85,16 +90,20 @@
             candidates: Hosts that callers can be sent to.
             now_ms: Monotonic time in ms.
         """
-        ordered = _order(candidates)
-        used = [
-            host.cpu_percent for host in ordered if host.name in self.names
-        ]
+        hosts = list(candidates)
+        places = {host.name: host.place for host in hosts}
+        # Sorting costs far more than the comparison, and hosts rarely change.
+        if places != self._places:
+            self._places = places
+            self._ordered = [host.name for host in _order(hosts)]
+        ordered = self._ordered
+        used = [host.cpu_percent for host in hosts if host.name in self.names]
         if used and sum(used) > MAX_CPU_PERCENT * len(used):
             self._all_active_until_ms = now_ms + ALL_ACTIVE_MS
         count = len(ordered)
         if now_ms >= self._all_active_until_ms:
             count = max(MIN_ACTIVE_HOSTS, int(count * ACTIVE_SHARE))
-        names = frozenset(host.name for host in ordered[:count])
+        names = frozenset(ordered[:count])
         changed = names != self.names
         self.names = names
         return changed
@@ -118,5 +127,4 @@
 
 
 def _preference(host: Candidate) -> tuple[bool, int]:
-    slow = host.link_mbps < SLOW_LINK_MBPS
-    return slow, rank_host(host.name)
+    return host.place[1], rank_host(host.name)
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -33,6 +33,8 @@
 # and one per this many hosts, so that each sends few copies over its link.
 MIN_WATCHERS: Final = 2
 HOSTS_PER_WATCHER: Final = 20
+# Time before the first heartbeat of a peer.
+NEVER_MS: Final = -1
 # A watcher does not count if its last contact with the store is older.
 MAX_CONTACT_AGE_MS: Final = 1_200
 
@@ -120,6 +122,11 @@
         last_heartbeat: The last heartbeat; None before the first.
         heartbeats: Number of heartbeats since the peer's last start.
         link_mbps: Link speed in Mbit/s; 0 if unknown.
+        alive_until_ms: When the peer counts as unreachable without another
+            heartbeat.
+        named_until_ms: When callers are no longer sent to the peer without
+            another heartbeat.
+        candidate: The peer as a possible active host.
     """
 
     __slots__ = (
@@ -133,6 +140,9 @@
         "last_heartbeat",
         "heartbeats",
         "link_mbps",
+        "alive_until_ms",
+        "named_until_ms",
+        "candidate",
     )
 
     def __init__(self, name: str) -> None:
@@ -146,6 +156,30 @@
         self.listed_ms = 0
         self.last_heartbeat_ms: int | None = None
         self.last_heartbeat: Heartbeat | None = None
+        self.alive_until_ms = NEVER_MS
+        self.named_until_ms = NEVER_MS
+        self.candidate = Candidate(name, "", 0.0, 0)
+
+    def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> None:
+        """Records a heartbeat of the peer and when the peer times out."""
+        self.last_heartbeat = heartbeat
+        self.last_heartbeat_ms = now_ms
+        self.heartbeats += 1
+        missed_ms = MISSED_HEARTBEATS * heartbeat.interval_ms
+        self.alive_until_ms = now_ms + max(PEER_TIMEOUT_MS, missed_ms)
+        self.named_until_ms = now_ms + max(DIRECTORY_TIMEOUT_MS, missed_ms)
+        if self.candidate.cpu_percent != heartbeat.cpu_percent:
+            self.update_candidate()
+
+    def update_candidate(self) -> None:
+        """Updates `candidate` from the other attributes."""
+        heartbeat = self.last_heartbeat
+        self.candidate = Candidate(
+            self.name,
+            self.data_centre,
+            self.link_mbps,
+            heartbeat.cpu_percent if heartbeat else 0,
+        )
 
     @property
     def leaving(self) -> bool:
@@ -183,6 +217,9 @@
         "_own_link",
         "_data_centre",
         "_peers",
+        "_ordered",
+        "_ordered_links",
+        "_ordered_active",
     )
 
     def __init__(
@@ -201,6 +238,10 @@
         self._own_link = link_mbps
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
+        # The last order of hosts, and what it was computed from.
+        self._ordered: list[str] = []
+        self._ordered_links: dict[str, float] = {}
+        self._ordered_active: frozenset[str] = frozenset()
 
     def add_listed(
         self,
@@ -222,6 +263,7 @@
         peer.data_centre = data_centre
         peer.link_mbps = link_mbps
         peer.listed = True
+        peer.update_candidate()
 
     def mark_unlisted(self, name: str) -> None:
         """Marks that the record of a peer is gone from the store."""
@@ -245,14 +287,12 @@
             return None
         peer = self._peers.setdefault(heartbeat.sender, Peer(heartbeat.sender))
         if peer.last_heartbeat is not None:
-            timed_out = peer.timed_out(now_ms, DIRECTORY_TIMEOUT_MS)
+            timed_out = now_ms > peer.named_until_ms
             if heartbeat.boot < peer.last_heartbeat.boot and not timed_out:
                 return None
             if heartbeat.boot != peer.last_heartbeat.boot:
                 peer.heartbeats = 0
-        peer.last_heartbeat = heartbeat
-        peer.last_heartbeat_ms = now_ms
-        peer.heartbeats += 1
+        peer.record_heartbeat(heartbeat, now_ms)
         return peer
 
     def all(self) -> list[Peer]:
@@ -291,12 +331,7 @@
             leaving: Whether this host shuts down.
         """
         hosts = [
-            Candidate(
-                peer.name,
-                peer.data_centre,
-                peer.link_mbps,
-                peer.last_heartbeat.cpu_percent if peer.last_heartbeat else 0,
-            )
+            peer.candidate
             for peer in self._list_candidates(now_ms, store_reached)
         ]
         if not leaving:
@@ -358,14 +393,11 @@
     def count_live(self, now_ms: int) -> int:
         """Returns the number of peers that have not timed out."""
         return sum(
-            not peer.timed_out(now_ms, DIRECTORY_TIMEOUT_MS)
-            for peer in self._peers.values()
+            now_ms <= peer.named_until_ms for peer in self._peers.values()
         )
 
     def _is_reachable(self, peer: Peer, live: int, now_ms: int) -> bool:
-        if peer.last_heartbeat is None or peer.timed_out(
-            now_ms, DIRECTORY_TIMEOUT_MS
-        ):
+        if peer.last_heartbeat is None or now_ms > peer.named_until_ms:
             return False
         if peer.heartbeats < MIN_JUDGED_HEARTBEATS:
             return True
@@ -380,7 +412,7 @@
         names = [
             peer.name
             for peer in self._peers.values()
-            if peer.listed or not peer.timed_out(now_ms, PEER_TIMEOUT_MS)
+            if peer.listed or now_ms <= peer.alive_until_ms
         ]
         return sorted([*names, self._own])
 
@@ -393,7 +425,7 @@
         expired = [
             peer.name
             for peer in self._peers.values()
-            if not peer.listed and peer.timed_out(now_ms, PEER_TIMEOUT_MS)
+            if not peer.listed and now_ms > peer.alive_until_ms
         ]
         for name in expired:
             del self._peers[name]
@@ -407,20 +439,27 @@
         return self._order(now_ms)[0] == self._own
 
     def _order(self, now_ms: int) -> list[str]:
+        """Returns the live hosts in an order that all of them share."""
         links = {
             peer.name: peer.link_mbps
             for peer in self._peers.values()
-            if not peer.leaving and not peer.timed_out(now_ms, PEER_TIMEOUT_MS)
+            if now_ms <= peer.alive_until_ms and not peer.leaving
         }
         links[self._own] = self._own_link
-        return sorted(
-            links,
-            key=lambda name: (
-                not self.active.includes(name),
-                links[name] < SLOW_LINK_MBPS,
-                rank_host(name),
-            ),
-        )
+        active = self.active.names
+        # Sorting costs far more than the comparison, and hosts rarely change.
+        if links != self._ordered_links or active != self._ordered_active:
+            self._ordered_links = links
+            self._ordered_active = active
+            self._ordered = sorted(
+                links,
+                key=lambda name: (
+                    not self.active.includes(name),
+                    links[name] < SLOW_LINK_MBPS,
+                    rank_host(name),
+                ),
+            )
+        return self._ordered
 
     def should_watch(self, now_ms: int) -> bool:
         """Returns whether this host watches the store itself.
@@ -458,7 +497,7 @@
             if peer.last_heartbeat is not None
             and peer.address is not None
             and peer.last_heartbeat.revision > revision
-            and not peer.timed_out(now_ms, PEER_TIMEOUT_MS)
+            and now_ms <= peer.alive_until_ms
         ]
         return max(
             ahead,
