Call the store less when a fleet starts and while it watches

Change: hosts that are listed count as watchers until their first heartbeat is due (1.5 s); at a first start of all hosts the store is read 0.7 s later, when all records are there; two watches are at least 100 ms apart; at most four hosts watch, with calls of 1 s. A record lives as long as the time in which the loss of a host has to be noticed, from the settings, and two seconds; it is renewed after 0.4 of that.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -31,12 +31,18 @@
 MIN_JUDGED_HEARTBEATS: Final = 5
 # Hosts that watch the store and pass changes on to the others: at least two,
 # and one per this many hosts, so that each sends few copies over its link.
+# More than four would cost the store more calls than they save a link: the
+# hosts with the fastest links watch, and hosts that have a copy pass it on.
 MIN_WATCHERS: Final = 2
 HOSTS_PER_WATCHER: Final = 20
+MAX_WATCHERS: Final = 4
+# How long a listed host counts as a watcher with contact to the store before
+# its first heartbeat. Hosts that start together would all watch otherwise.
+WATCHER_GRACE_MS: Final = 1_500
 # Time before the first heartbeat of a peer.
 NEVER_MS: Final = -1
 # A watcher does not count if its last contact with the store is older.
-MAX_CONTACT_AGE_MS: Final = 1_200
+MAX_CONTACT_AGE_MS: Final = 1_400
 
 
 class Heartbeat(Record):
@@ -186,6 +192,14 @@
         """Whether the last heartbeat said that the peer shuts down."""
         return self.last_heartbeat is not None and self.last_heartbeat.leaving
 
+    def is_starting(self, now_ms: int) -> bool:
+        """Returns whether the first heartbeat may still be on its way."""
+        return (
+            self.last_heartbeat is None
+            and self.listed
+            and now_ms - self.listed_ms < WATCHER_GRACE_MS
+        )
+
     def timed_out(self, now_ms: int, limit_ms: int) -> bool:
         """Returns whether the last heartbeat is too old or missing.
 
@@ -443,7 +457,11 @@
         links = {
             peer.name: peer.link_mbps
             for peer in self._peers.values()
-            if now_ms <= peer.alive_until_ms and not peer.leaving
+            if (
+                now_ms <= peer.alive_until_ms
+                and not peer.leaving
+                or peer.is_starting(now_ms)
+            )
         }
         links[self._own] = self._own_link
         active = self.active.names
@@ -468,7 +486,8 @@
         that knows no watcher with contact to the store.
         """
         order = self._order(now_ms)
-        watching = order[: max(MIN_WATCHERS, len(order) // HOSTS_PER_WATCHER)]
+        count = max(MIN_WATCHERS, len(order) // HOSTS_PER_WATCHER)
+        watching = order[: min(MAX_WATCHERS, count)]
         if self._own in watching:
             return True
         return not any(
@@ -476,6 +495,8 @@
         )
 
     def _has_contact(self, peer: Peer, now_ms: int) -> bool:
+        if peer.is_starting(now_ms):
+            return True
         if peer.last_heartbeat is None or peer.timed_out(
             now_ms, MISSED_HEARTBEATS * HEARTBEAT_MS
         ):
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -27,7 +27,12 @@
 from .metrics import MetricsService
 from .peering import Peering
 from .state_applier import StateApplier
-from .state_sync import CacheMapSaver, Registration, StateSync
+from .state_sync import (
+    CacheMapSaver,
+    FIRST_START_DELAY_MS,
+    Registration,
+    StateSync,
+)
 
 TICK_MS: Final = 100
 # A longer time between two ticks shows that the process was suspended.
@@ -132,6 +137,7 @@
             self._applier,
             self._peers,
             clock,
+            FIRST_START_DELAY_MS if settings.first_start else 0,
         )
         peer_address = (settings.address, settings.peer_ports[0])
         self._cache_saver = CacheMapSaver(
@@ -149,6 +155,7 @@
                 settings.data_centre,
                 settings.link_mbps,
             ),
+            settings.lost_after_ms,
         )
         self._peering = Peering(
             settings.name,
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -20,7 +20,13 @@
 
 # The store answers a watch without changes after this time, which shows that
 # the connection is alive.
-WATCH_WAIT_MS: Final = 700
+WATCH_WAIT_MS: Final = 1_000
+# Shortest time between two watches: each change ends a watch, and changes
+# come in bursts, such as when all hosts start.
+WATCH_INTERVAL_MS: Final = 100
+# When all hosts start for the first time, they read the store after this
+# delay, so that they find the records of all others at once.
+FIRST_START_DELAY_MS: Final = 700
 # An answer to a watch that is late by more than this shows an outage of the
 # store.
 WATCH_LATE_MS: Final = 500
@@ -31,14 +37,15 @@
 FIRST_RETRY_MS: Final = 100
 MAX_RETRY_MS: Final = 800
 FOLLOW_POLL_MS: Final = 100
-# A host's record in the store expires at most this long after the host
-# crashes. Missed heartbeats show a crash sooner, but a host that receives no
-# heartbeats names the hosts that the store lists, and must not name a
-# crashed host for over six seconds (platform's documentation).
-LEASE_MS: Final = 5_000
-# Leaves time for a second attempt before the lease expires; not shorter, as
-# each renewal is a call to the store.
-RENEW_INTERVAL_MS: Final = 2_000
+# A host's record in the store expires at most this long after the time in
+# which the loss of a host has to be noticed. Missed heartbeats show a crash
+# sooner, but a host that receives no heartbeats names the hosts that the
+# store lists, and must not name a crashed host for three seconds more than
+# that time (platform's documentation).
+LEASE_MARGIN_MS: Final = 2_000
+# Share of the lease after which it is renewed. Leaves time for a second
+# attempt; not smaller, as each renewal is a call to the store.
+RENEW_SHARE: Final = 0.4
 # If all hosts stop at once, what they learnt since the last save is lost.
 SAVE_INTERVAL_MS: Final = 3_000
 NO_LEASE: Final = 0
@@ -62,6 +69,8 @@
         "_store_reached",
         "_wake",
         "_scope",
+        "_start_delay_ms",
+        "_next_watch_ms",
     )
 
     def __init__(
@@ -70,7 +79,19 @@
         applier: StateApplier,
         peers: Peers,
         clock: Clock,
+        start_delay_ms: int = 0,
     ) -> None:
+        """Creates the task that keeps the replica up to date.
+
+        Args:
+            store: Client of the store, for this task alone.
+            applier: Applies the changes.
+            peers: The other hosts.
+            clock: The clock.
+            start_delay_ms: Time before the store is first read.
+        """
+        self._start_delay_ms = start_delay_ms
+        self._next_watch_ms = 0
         self._store = store
         self._applier = applier
         self._peers = peers
@@ -107,6 +128,7 @@
 
     async def run(self) -> None:
         """Keeps the replica up to date until cancelled."""
+        await anyio.sleep(self._start_delay_ms / MS_PER_SECOND)
         retry_ms = FIRST_RETRY_MS
         relist = True
         while True:
@@ -166,6 +188,9 @@
         if relist:
             items, at = await self._store.read_all("")
         else:
+            wait_ms = self._next_watch_ms - self._clock.now_ms()
+            await anyio.sleep(max(0, wait_ms) / MS_PER_SECOND)
+            self._next_watch_ms = self._clock.now_ms() + WATCH_INTERVAL_MS
             items, at = await self._store.watch(
                 "", replica.revision, WATCH_WAIT_MS
             )
@@ -264,9 +289,32 @@
         reached: Whether the store answered the last call.
     """
 
-    __slots__ = ("reached", "_store", "_key", "_value", "_lease")
+    __slots__ = (
+        "reached",
+        "_store",
+        "_key",
+        "_value",
+        "_lease",
+        "_lease_ms",
+    )
 
-    def __init__(self, store: StoreClient, name: str, value: bytes) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        name: str,
+        value: bytes,
+        lost_after_ms: int,
+    ) -> None:
+        """Creates the record, which is written by `run`.
+
+        Args:
+            store: Client of the store, for this task alone.
+            name: Name of this host.
+            value: The record.
+            lost_after_ms: Time in which the loss of a host has to be
+                noticed.
+        """
+        self._lease_ms = lost_after_ms + LEASE_MARGIN_MS
         self.reached = False
         self._store = store
         self._key = HOST_PREFIX + name
@@ -279,7 +327,7 @@
             try:
                 await self._renew()
                 self.reached = True
-                await anyio.sleep(RENEW_INTERVAL_MS / MS_PER_SECOND)
+                await anyio.sleep(self._lease_ms * RENEW_SHARE / MS_PER_SECOND)
             except StoreError as exc:
                 if self.reached:
                     log_event(
@@ -294,7 +342,7 @@
     async def _renew(self) -> None:
         if self._lease is not None and await self._store.renew(self._lease):
             return
-        self._lease = await self._store.grant(LEASE_MS)
+        self._lease = await self._store.grant(self._lease_ms)
         if not await self._store.write(self._key, self._value, self._lease):
             self._lease = None
             return
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -45,6 +45,9 @@
         link_mbps: Speed of the host's network link in Mbit/s; 0 if unknown.
         processor_share: Share of one CPU core that this process may use; at
             most 1, as it runs on one core at a time.
+        lost_after_ms: Time after which a host without connections is no
+            longer held to the bounds of reaction times.
+        first_start: Whether all hosts start for the first time, together.
     """
 
     __slots__ = (
@@ -66,6 +69,8 @@
         "directory_ttl_s",
         "link_mbps",
         "processor_share",
+        "lost_after_ms",
+        "first_start",
     )
 
     def __init__(self, raw: _File) -> None:
@@ -89,6 +94,8 @@
         self.link_mbps = raw.limits.link_speed_mbps
         limits = raw.limits
         self.processor_share = min(1.0, limits.cpu_share * limits.cpu_cores)
+        self.lost_after_ms = int(bounds.connectivity_ms)
+        self.first_start = raw.initial_start
 
 
 class _Listen(msgspec.Struct):
@@ -105,6 +112,7 @@
     retry_budget_slack: float = 0.0
     budget_window_s: float = 10.0
     ttl_max_s: float = 5.0
+    connectivity_ms: float = 3_000
 
 
 class _Store(msgspec.Struct):
@@ -126,6 +134,7 @@
     internal_port_range: tuple[int, int]
     platform: _Store
     heartbeat_interval_ms: float = 1_200
+    initial_start: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
