Treat servers as cold that may have restarted while the store is away

While it answers nobody, engines that restart look as warm as before: gave two engines 15 and 36 requests in a second on the commit before, of 6.5 allowed.

Change: a server that this host could not reach counts as cold for a second, in which its record arrives if the store is in contact; without contact for its slow start, which the desired state tells. Then broken connections and reports of peers, in a new field of the heartbeat, count as well. With contact they do not: servers that run well break some connections, and a peer may have lost its own links.

Ruled out: unreachable servers alone; the soak's engines accept and reset connections while they are down (44 and 13 requests in a second).

Three of the new tests failed with the new condition taken out.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -66,6 +66,8 @@
             crashed while they ran them.
         interval_ms: Time until the next heartbeat to the same peer.
         cpu_percent: CPU use of the host in percent.
+        unreached: Digests of the servers that the host could not reach
+            lately.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "crashes",
         "interval_ms",
         "cpu_percent",
+        "unreached",
     )
 
     def __init__(
@@ -97,7 +100,9 @@
         crashes: tuple[tuple[int, int], ...] = (),
         interval_ms: int = HEARTBEAT_MS,
         cpu_percent: int = 0,
+        unreached: tuple[int, ...] = (),
     ) -> None:
+        self.unreached = unreached
         self.interval_ms = interval_ms
         self.cpu_percent = cpu_percent
         self.crashes = crashes
@@ -485,15 +490,28 @@
         The first hosts of an order that all hosts share do. So does a host
         that knows no watcher with contact to the store.
         """
-        order = self._order(now_ms)
-        count = max(MIN_WATCHERS, len(order) // HOSTS_PER_WATCHER)
-        watching = order[: min(MAX_WATCHERS, count)]
+        watching = self._watchers(now_ms)
         if self._own in watching:
             return True
         return not any(
             self._has_contact(self._peers[name], now_ms) for name in watching
         )
 
+    def _watchers(self, now_ms: int) -> list[str]:
+        order = self._order(now_ms)
+        count = max(MIN_WATCHERS, len(order) // HOSTS_PER_WATCHER)
+        return order[: min(MAX_WATCHERS, count)]
+
+    def has_contact(self, now_ms: int) -> bool:
+        """Returns whether a peer that is heard has contact to the store."""
+        # The watchers come first, as one of them is enough.
+        names = [*self._watchers(now_ms), *self._peers]
+        return any(
+            peer.last_heartbeat is not None and self._has_contact(peer, now_ms)
+            for peer in map(self._peers.get, names)
+            if peer is not None
+        )
+
     def _has_contact(self, peer: Peer, now_ms: int) -> bool:
         if peer.is_starting(now_ms):
             return True
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -37,6 +37,7 @@
 from .routing import DesiredState, Route
 from .server_ejection import ServerEjections
 from .servers import BackendServer, Servers
+from .suspected_restarts import SuspectedRestarts
 from .windows import ColdRateLimiter, RetryBudget
 
 NOT_READY_RETRY_MS: Final = 500
@@ -78,6 +79,7 @@
         caches: Prompt parts that the servers have cached.
         counters: Counters of decisions and results.
         crashing_requests: Requests that crash the servers that run them.
+        restarts: Servers that may have restarted unnoticed.
         hosts: Names of the entry hosts that share limits, this one
             included.
         is_connected: Returns whether a connection to a server was used
@@ -92,6 +94,7 @@
         "caches",
         "counters",
         "crashing_requests",
+        "restarts",
         "hosts",
         "is_connected",
         "_name",
@@ -116,6 +119,7 @@
         self.caches = CacheMap()
         self.counters = Counters()
         self.crashing_requests = CrashingRequests()
+        self.restarts = SuspectedRestarts()
         self.hosts: list[str] = [name]
         self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
@@ -143,6 +147,7 @@
         self.ejections.retain(ids)
         self._cold_limiter.retain(ids)
         self.crashing_requests.retain(ids)
+        self.restarts.retain(ids)
         return expired
 
     def admit(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
@@ -189,7 +194,7 @@
             s for s in usable if not self.ejections.is_ejected(s.id, now_ms)
         ]
         usable = healthy or usable
-        warm = [s for s in usable if not self.servers.is_cold(s.id, now_ms)]
+        warm = [s for s in usable if not self._may_be_cold(s, now_ms)]
         if warm:
             return self._send(
                 flight, self._rank(flight, warm, now_ms)[0], now_ms
@@ -208,6 +213,15 @@
         share = max(1, service.connection_limit // max(1, len(self.hosts)))
         return self.loads.own.get(server.id, 0) < share
 
+    def _may_be_cold(self, server: BackendServer, now_ms: int) -> bool:
+        if self.servers.is_cold(server.id, now_ms):
+            return True
+        assert self.desired is not None
+        service = self.desired.services.get(server.service)
+        return service is not None and self.restarts.includes(
+            server.id, service.cold_ms, now_ms
+        )
+
     def _hold(
         self, flight: Flight, delay_ms: int, reason: str, now_ms: int
     ) -> Hold | Refuse:
@@ -408,11 +422,13 @@
         self.counters.add("sends", ending=ending.value)
         self._update_ejections(server, ending, now_ms)
         if ending is Ending.BROKEN:
+            self.restarts.record_broken(server.id, now_ms)
             self.crashing_requests.record_broken_connection(
                 flight.req, server.id, now_ms
             )
         if ending is Ending.UNREACHED:
             self.crashing_requests.confirm_crash(server.id, now_ms)
+            self.restarts.record_unreachable(server.id, now_ms)
             flight.excluded.add(server.id)
             return Again()
         if ending in CERTAINLY_NOT_RUN:
--- a/corianderdoor/core/entry/routing.py
+++ b/corianderdoor/core/entry/routing.py
@@ -117,9 +117,16 @@
         cold_per_s: Requests per second that a cold server can handle; 0 if
             cold servers need no limit.
         cache_tokens: Size of a server's cache in tokens; 0 without a cache.
+        cold_ms: How long a server is cold after its start, in ms.
     """
 
-    __slots__ = ("name", "connection_limit", "cold_per_s", "cache_tokens")
+    __slots__ = (
+        "name",
+        "connection_limit",
+        "cold_per_s",
+        "cache_tokens",
+        "cold_ms",
+    )
 
     def __init__(
         self,
@@ -127,7 +134,9 @@
         connection_limit: int,
         cold_per_s: float,
         cache_tokens: int,
+        cold_ms: int = 0,
     ) -> None:
+        self.cold_ms = cold_ms
         self.name = name
         self.connection_limit = connection_limit
         self.cold_per_s = cold_per_s
--- /dev/null
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -0,0 +1,83 @@
+"""Backend servers that may have restarted without a record of it.
+
+The store tells hosts which servers started anew and are cold. While it
+answers nobody, a server that could not be reached for a moment may come back
+cold, and hosts would send it as much as to a warm one.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Time after which the record of a server that restarted has arrived here if
+# the store is in contact with the hosts.
+RECORD_DELAY_MS: Final = 1_000
+# How long a server that this host could not reach is reported to peers;
+# longer than the time between two heartbeats to a host in reserve.
+REPORT_MS: Final = 1_600
+
+
+class SuspectedRestarts:
+    """Servers that could not be reached lately, by this host or by peers.
+
+    A broken connection and the report of a peer count only without contact
+    to the store: servers that run well break some connections, and a peer
+    may have lost its own links. Holds at most one time of each kind for each
+    listed server.
+
+    Attributes:
+        in_contact: Whether this host, or a peer that it hears, has contact
+            to the store.
+    """
+
+    __slots__ = ("in_contact", "_unreached", "_broken", "_reported")
+
+    def __init__(self) -> None:
+        self.in_contact = True
+        self._unreached: dict[str, int] = {}
+        self._broken: dict[str, int] = {}
+        self._reported: dict[str, int] = {}
+
+    def record_unreachable(self, server_id: str, now_ms: int) -> None:
+        """Records that this host could not reach a server."""
+        self._unreached[server_id] = now_ms
+
+    def record_broken(self, server_id: str, now_ms: int) -> None:
+        """Records that a server broke a connection before its answer."""
+        self._broken[server_id] = now_ms
+
+    def add_report(self, server_id: str, now_ms: int) -> None:
+        """Records that a peer could not reach a server."""
+        self._reported[server_id] = now_ms
+
+    def recent(self, now_ms: int) -> list[str]:
+        """Returns the servers to report to peers."""
+        return [
+            server_id
+            for server_id, at_ms in (self._broken | self._unreached).items()
+            if now_ms - at_ms < REPORT_MS
+        ]
+
+    def includes(self, server_id: str, cold_ms: int, now_ms: int) -> bool:
+        """Returns whether a server may have restarted and be cold.
+
+        Args:
+            server_id: Id of the server.
+            cold_ms: How long a server is cold after its start, in ms.
+            now_ms: Monotonic time in ms.
+        """
+        times = [self._unreached.get(server_id)]
+        if self.in_contact:
+            cold_ms = min(cold_ms, RECORD_DELAY_MS)
+        else:
+            times.append(self._broken.get(server_id))
+            times.append(self._reported.get(server_id))
+        return any(
+            at_ms is not None and now_ms - at_ms < cold_ms for at_ms in times
+        )
+
+    def retain(self, ids: frozenset[str]) -> None:
+        """Drops the records of all servers but `ids`."""
+        for times in (self._unreached, self._broken, self._reported):
+            for name in times.keys() - ids:
+                del times[name]
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -19,6 +19,7 @@
   broke @9 :List(Broke);
   gapMs @10 :UInt16 = 200;  # until the next heartbeat
   busy @11 :UInt8;  # in percent
+  unreached @12 :List(UInt64);  # digests of servers
 }
 
 # A request, identified by a digest, during which a backend server crashed.
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -15,7 +15,7 @@
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.entry.peers import Peers
+from ..core.entry.peers import MAX_CONTACT_AGE_MS, Peers
 from ..core.entry.planner import Planner
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
 from ..platform.records import encode_host
@@ -259,6 +259,10 @@
                 self._sync.cancel_call()
             last_ms = now_ms
             ticks += 1
+            self._planner.restarts.in_contact = (
+                self._sync.contact_age_ms() < MAX_CONTACT_AGE_MS
+                or self._peers.has_contact(now_ms)
+            )
             for server_id in self._planner.tick(now_ms):
                 log_event("server_lapsed", server=server_id)
             for name in self._peers.remove_expired(now_ms):
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -57,6 +57,7 @@
         ],
         gapMs=min(MAX_COUNT, heartbeat.interval_ms),
         busy=min(MAX_PERCENT, heartbeat.cpu_percent),
+        unreached=list(heartbeat.unreached),
     )
     return bytes(message.to_bytes_packed())
 
@@ -84,6 +85,7 @@
             tuple((crash.request, crash.server) for crash in raw.broke),
             raw.gapMs,
             raw.busy,
+            tuple(raw.unreached),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -131,6 +131,9 @@
             if server_id is not None
         )
         self._planner.ejections.update_peer(heartbeat.sender, ejected, now_ms)
+        for server_id in map(find_server, heartbeat.unreached):
+            if server_id is not None:
+                self._planner.restarts.add_report(server_id, now_ms)
         for fingerprint, digest in heartbeat.crashes:
             self._planner.crashing_requests.add_crash(
                 fingerprint, digest, now_ms
@@ -210,6 +213,7 @@
             crashes,
             interval_ms,
             self._peers.cpu_percent,
+            tuple(map(digest_id, planner.restarts.recent(now_ms))),
         )
 
     async def run_heartbeats(self) -> None:
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.routing import (
     CallerLimits,
@@ -70,6 +71,7 @@
     name: str
     connection_limit: int = 100
     cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
     inference_engine: _Engine | None = None
 
 
@@ -154,6 +156,7 @@
                     if service.inference_engine
                     else 0
                 ),
+                int(service.cold_start_s * MS_PER_SECOND),
             )
             for service in raw.services
         ],
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
+from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.records import Record
 
 PATH_VARIABLE: Final = "CORIANDERDOOR_BOOT"
 DEFAULT_PATH: Final = "/etc/corianderdoor/boot.json"
-MS_PER_SECOND: Final = 1_000
 
 
 class SettingsError(Exception):
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -36,6 +36,7 @@
 # Limits from the platform's documentation for small deployments.
 GRACE_PERIOD_S: Final = 6
 COLD_PER_S: Final = 9.0
+COLD_START_S: Final = 3.0
 COLD_FACTOR: Final = 1.5
 COLD_SLACK: Final = 5
 RETRY_BUDGET_RATIO: Final = 0.2
@@ -108,7 +109,12 @@
             "version": version,
             "routes": list(routes),
             "services": [
-                {"name": ENGINE_SERVICE, "cold_per_s": cold_per_s, **service},
+                {
+                    "name": ENGINE_SERVICE,
+                    "cold_per_s": cold_per_s,
+                    "cold_start_s": COLD_START_S,
+                    **service,
+                },
                 {"name": PLAIN_SERVICE, "cold_per_s": 0.0, **service},
             ],
             "limits": {
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -18,6 +18,7 @@
 from corianderdoor.core.entry.windows import ColdRateLimiter, RetryBudget
 
 KEY = "key-1"
+COLD_MS = 3_000
 
 
 def build_route(
@@ -54,7 +55,7 @@
         version,
         routes,
         [
-            Service("llm", 620, cold_per_s, 200_000),
+            Service("llm", 620, cold_per_s, 200_000, COLD_MS),
             Service("plain", 110, 0.0, 0),
         ],
         DEFAULT_LIMITS,
--- /dev/null
+++ b/tests/test_entry_cold_unnoticed.py
@@ -0,0 +1,136 @@
+"""Load pattern: all servers come back cold while the store answers nobody.
+
+Hosts learnt of cold servers from the store alone. Each engine of the soak
+got 11 to 47 requests in a second, of 6 that it can handle.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from entry_builders import (
+    build_planner,
+    build_request,
+    build_server,
+    COLD_MS,
+)
+import pytest
+
+from corianderdoor.core.entry.flights import Ending, Hold, Send
+from corianderdoor.core.entry.planner import Planner
+from corianderdoor.core.entry.suspected_restarts import (
+    RECORD_DELAY_MS,
+    REPORT_MS,
+    SuspectedRestarts,
+)
+from corianderdoor.core.entry.windows import COLD_WINDOW_MS
+
+# What the platform allows to a cold server in any second: 9 x 1.5 + 5.
+COLD_BOUND = 18.5
+SERVERS = ["s0", "s1"]
+
+
+def fail_everywhere(
+    planner: Planner, now_ms: int, ending: Ending = Ending.UNREACHED
+) -> None:
+    """Lets a request fail at each server."""
+    flight = planner.admit(build_request(id=f"lost-{now_ms}"), now_ms)
+    for server_id in SERVERS:
+        server = planner.servers.get(server_id)
+        planner.handle_failure(flight, server, ending, now_ms)
+
+
+def most_in_a_second(times: list[int]) -> int:
+    """Returns the highest number of sends in any sliding second."""
+    return max(
+        sum(end - COLD_WINDOW_MS < time <= end for time in times)
+        for end in times
+    )
+
+
+def send_burst(planner: Planner, start_ms: int) -> dict[str, list[int]]:
+    """Returns when each server got requests, 100 of them in a second."""
+    sent: dict[str, list[int]] = {server_id: [] for server_id in SERVERS}
+    waiting = []
+    for now_ms in range(start_ms, start_ms + 1_000, 10):
+        request = build_request(id=f"r{now_ms}", parts=())
+        waiting.append(planner.admit(request, now_ms))
+        for flight in list(waiting):
+            step = planner.choose(flight, now_ms)
+            if isinstance(step, Hold):
+                continue
+            waiting.remove(flight)
+            if isinstance(step, Send):
+                planner.record_sent(flight, step.server, now_ms)
+                planner.record_complete_answer(flight)
+                sent[step.server.id].append(now_ms)
+    return sent
+
+
+@pytest.mark.parametrize("ending", [Ending.UNREACHED, Ending.BROKEN])
+def test_servers_that_come_back_unnoticed_get_what_they_can_bear(ending):
+    planner = build_planner(servers=2)
+    planner.restarts.in_contact = False
+    fail_everywhere(planner, 1_000, ending)
+    sent = send_burst(planner, 1_000 + COLD_MS - 1_100)
+    for times in sent.values():
+        assert 5 <= len(times)
+        assert most_in_a_second(times) <= COLD_BOUND
+
+
+def test_report_of_a_peer_is_enough_without_the_store():
+    planner = build_planner(servers=2)
+    planner.restarts.in_contact = False
+    for server_id in SERVERS:
+        planner.restarts.add_report(server_id, 1_000)
+    for times in send_burst(planner, 1_200).values():
+        assert most_in_a_second(times) <= COLD_BOUND
+
+
+def test_servers_are_warm_again_after_their_slow_start():
+    planner = build_planner(servers=2)
+    planner.restarts.in_contact = False
+    fail_everywhere(planner, 1_000)
+    sent = send_burst(planner, 1_000 + COLD_MS)
+    assert sum(map(len, sent.values())) == 100
+
+
+def test_warm_servers_are_used_first():
+    planner = build_planner(servers=2)
+    planner.servers.put(build_server("warm"), 0)
+    planner.restarts.in_contact = False
+    fail_everywhere(planner, 1_000)
+    chosen: Counter[str] = Counter()
+    for number in range(20):
+        flight = planner.admit(build_request(id=f"r{number}", parts=()), 1_100)
+        step = planner.choose(flight, 1_100)
+        assert isinstance(step, Send)
+        chosen[step.server.id] += 1
+    assert chosen == {"warm": 20}
+
+
+def test_store_in_contact_clears_the_suspicion():
+    restarts = SuspectedRestarts()
+    restarts.add_report("s", 0)
+    restarts.record_broken("s", 0)
+    assert not restarts.includes("s", COLD_MS, 1)
+    restarts.record_unreachable("s", 0)
+    assert restarts.includes("s", COLD_MS, RECORD_DELAY_MS - 1)
+    assert not restarts.includes("s", COLD_MS, RECORD_DELAY_MS)
+
+
+def test_services_without_a_slow_start_are_not_limited():
+    restarts = SuspectedRestarts()
+    restarts.in_contact = False
+    restarts.record_unreachable("s", 0)
+    assert not restarts.includes("s", 0, 0)
+
+
+def test_unreachable_server_is_reported_for_a_while():
+    restarts = SuspectedRestarts()
+    restarts.record_unreachable("s", 0)
+    restarts.add_report("other", 0)
+    assert restarts.recent(REPORT_MS - 1) == ["s"]
+    assert restarts.recent(REPORT_MS) == []
+    restarts.retain(frozenset())
+    assert restarts.recent(0) == []
--- a/tests/test_entry_platform.py
+++ b/tests/test_entry_platform.py
@@ -261,7 +261,7 @@
 def test_messages_between_hosts_are_unchanged_by_the_codec():
     heartbeat = Heartbeat(
         *("h1", 2**40, 2**50, 7, True, ((2**63, 4, 9),), ((1, 2**62),)),
-        *(3, (7,), ((8, 2**63),), 440, 33),
+        *(3, (7,), ((8, 2**63),), 440, 33, (2**63, 5)),
     )
     assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
     page = Page((Change("a", b"x", 1), Change("b", None, 2, 9)), 2, True)
