Wait for watchers that have not read the store yet

Change: a host that was listed less than 1.5 s ago counts as a watcher with contact until it reports the age of a contact; two watches of a burst are at least 250 ms apart.

The new test of watchers failed before.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -36,9 +36,12 @@
 MIN_WATCHERS: Final = 2
 HOSTS_PER_WATCHER: Final = 20
 MAX_WATCHERS: Final = 4
-# How long a listed host counts as a watcher with contact to the store before
-# its first heartbeat. Hosts that start together would all watch otherwise.
+# How long a newly listed host counts as a watcher with contact to the store
+# before its heartbeats show it. Hosts that start together would all watch
+# otherwise.
 WATCHER_GRACE_MS: Final = 1_500
+# Age of the contact to the store of a host that does not watch it.
+NOT_WATCHING_MS: Final = 2**31
 # Time before the first heartbeat of a peer.
 NEVER_MS: Final = -1
 # A watcher does not count if its last contact with the store is older.
@@ -198,11 +201,12 @@
         return self.last_heartbeat is not None and self.last_heartbeat.leaving
 
     def is_starting(self, now_ms: int) -> bool:
-        """Returns whether the first heartbeat may still be on its way."""
+        """Returns whether the peer may not have read the store yet."""
+        if not self.listed or now_ms - self.listed_ms >= WATCHER_GRACE_MS:
+            return False
         return (
             self.last_heartbeat is None
-            and self.listed
-            and now_ms - self.listed_ms < WATCHER_GRACE_MS
+            or self.last_heartbeat.contact_age_ms >= NOT_WATCHING_MS
         )
 
     def timed_out(self, now_ms: int, limit_ms: int) -> bool:
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -10,7 +10,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.cache_map import CacheMap
-from ..core.entry.peers import Peers
+from ..core.entry.peers import NOT_WATCHING_MS, Peers
 from ..core.entry.replica import Change, Page
 from ..platform.records import CACHES_KEY, HOST_PREFIX
 from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
@@ -22,8 +22,8 @@
 # the connection is alive.
 WATCH_WAIT_MS: Final = 1_000
 # Shortest time between two watches: each change ends a watch, and changes
-# come in bursts, such as when all hosts start.
-WATCH_INTERVAL_MS: Final = 100
+# come in bursts, such as when all servers start.
+WATCH_INTERVAL_MS: Final = 250
 # When all hosts start for the first time, they read the store after this
 # delay, so that they find the records of all others at once.
 FIRST_START_DELAY_MS: Final = 700
@@ -110,10 +110,11 @@
     def contact_age_ms(self) -> int:
         """Returns the time since the store last answered, in ms.
 
-        It is 2**31 if this host does not watch the store or gets no answer.
+        It is `NOT_WATCHING_MS` if this host does not watch the store or gets
+        no answer.
         """
         if self._contact_at_ms is None:
-            return 2**31
+            return NOT_WATCHING_MS
         return self._clock.now_ms() - self._contact_at_ms
 
     def wake(self) -> None:
--- a/tests/test_entry_fleet_start.py
+++ b/tests/test_entry_fleet_start.py
@@ -13,6 +13,7 @@
 from corianderdoor.core.entry.peers import (
     Heartbeat,
     MAX_WATCHERS,
+    NOT_WATCHING_MS,
     Peers,
     WATCHER_GRACE_MS,
 )
@@ -105,6 +106,20 @@
     assert 2 <= len(watching) <= MAX_WATCHERS
 
 
+def test_watchers_that_have_not_read_the_store_yet_are_waited_for():
+    watching = []
+    for own in range(HOSTS):
+        peers = build_listed(own, HOSTS)
+        for peer in peers.all():
+            heartbeat = Heartbeat(
+                peer.name, 1, 1, NOT_WATCHING_MS, False, (), interval_ms=600
+            )
+            peers.record_heartbeat(heartbeat, 10)
+        watching.append(peers.should_watch(WATCHER_GRACE_MS - 1))
+        assert peers.should_watch(WATCHER_GRACE_MS)
+    assert sum(watching) == MAX_WATCHERS
+
+
 def test_host_that_hears_no_listed_watcher_watches_itself():
     for own in range(HOSTS):
         peers = build_listed(own, HOSTS)
