Copy the state of peers while a starting host waits for the store

Change: while the store is read in full, a heartbeat of a peer that is ahead starts a pull.

Both new tests failed before.

--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -187,7 +187,7 @@
     async def _read_store(self, relist: bool) -> None:
         replica = self._applier.replica
         if relist:
-            items, at = await self._store.read_all("")
+            items, at = await self._read_all()
         else:
             wait_ms = self._next_watch_ms - self._clock.now_ms()
             await anyio.sleep(max(0, wait_ms) / MS_PER_SECOND)
@@ -198,6 +198,34 @@
         self._record_contact(WATCH_WAIT_MS)
         self._apply(items, at, relist)
 
+    async def _read_all(self) -> tuple[list[Item], int]:
+        """Reads all items and copies those of peers until they are there.
+
+        The store may be silent for seconds, in which a host that started
+        would know no desired state.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        failure: StoreError | None = None
+        answer: tuple[list[Item], int] = ([], 0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._copy_from_peers)
+            try:
+                answer = await self._store.read_all("")
+            except StoreError as exc:
+                failure = exc
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return answer
+
+    async def _copy_from_peers(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._pull_from_peer()
+
     def _apply(self, items: list[Item], at: int, full: bool) -> None:
         grace_ms = self._removal_grace_ms()
         changes = tuple(
--- /dev/null
+++ b/tests/test_entry_restart_in_outage.py
@@ -0,0 +1,97 @@
+"""Load pattern: hosts restart while the store is silent.
+
+Each waited 1.5 s for the store before it asked its peers for a copy, and
+refused its callers meanwhile. Found in the logs of inc-0cce.
+"""
+
+from __future__ import annotations
+
+import anyio
+from entry_builders import build_planner
+import pytest
+
+from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.replica import Change, Page
+from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry.state_applier import StateApplier
+from corianderdoor.entry.state_sync import StateSync
+from corianderdoor.platform.store import Item, StoreError
+
+COPY = Page((Change("other/a", b"x", 7),), 7, True)
+
+
+class SlowStore:
+    """Answers a listing once `answer` is set; fails if `error` is given."""
+
+    def __init__(self, error: StoreError | None = None) -> None:
+        self.answer = anyio.Event()
+        self.error = error
+
+    async def read_all(self, prefix):
+        """Returns one item, newer than those of the peers."""
+        await self.answer.wait()
+        if self.error is not None:
+            raise self.error
+        return [Item("other/a", b"y", 9)], 9
+
+    async def watch(self, prefix, after, wait_ms):
+        """Waits for ever."""
+        await anyio.sleep_forever()
+
+
+class CopyingPeering:
+    """Serves the copy of a peer."""
+
+    def __init__(self) -> None:
+        self.pulls = 0
+
+    async def pull(self, peer):
+        """Returns the copy."""
+        self.pulls += 1
+        return COPY
+
+    def send_heartbeats(self):
+        """Sends nothing."""
+
+
+def build_sync(store: SlowStore) -> tuple[StateSync, StateApplier]:
+    """Returns the task under test with a peer that is ahead."""
+    clock = ManualClock(1_000)
+    planner = build_planner()
+    peers = Peers("h0")
+    peers.add_listed("h1", ("x", 1), ("x", 2), "a", 0)
+    peers.record_heartbeat(Heartbeat("h1", 1, 7, 0, False, ()), 1_000)
+    pool = ConnectionPool(clock, planner.counters)
+    applier = StateApplier(planner, peers, pool, clock)
+    sync = StateSync(store, applier, peers, clock)
+    sync.attach(CopyingPeering())
+    return sync, applier
+
+
+async def wait_for_revision(applier: StateApplier, revision: int) -> None:
+    """Waits until the replica has `revision`."""
+    with anyio.fail_after(5):
+        while applier.replica.revision < revision:
+            await anyio.sleep(0.001)
+
+
+@pytest.mark.parametrize("fails", [False, True])
+def test_copy_of_a_peer_is_taken_while_the_store_is_silent(fails):
+    async def run() -> None:
+        error = StoreError("kv-range", "silent", True) if fails else None
+        store = SlowStore(error)
+        sync, applier = build_sync(store)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(sync.run)
+            sync.wake()
+            await wait_for_revision(applier, 7)
+            assert not store.answer.is_set()
+            store.answer.set()
+            if not fails:
+                await wait_for_revision(applier, 9)
+            await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        assert sync.contact_age_ms() == (2**31 if fails else 0)
+
+    anyio.run(run)
