Spread new chats that find their first servers busy over all others

Cause: the servers after the first three of a prompt's first part follow in an order of that part alone. When the three have a backlog, all hosts take the same fourth one until they hear of each other, 0.4 s later.

Change: the servers after the first three follow in an order of each chat, as the first three do.

--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -41,15 +41,18 @@
 
     All hosts compute the same order without communication. Chats that begin
     with the same part have the same first `SPREAD` servers, in an order of
-    each chat, so that few servers prefill that part.
+    each chat, so that few servers prefill that part. The others follow in an
+    order of each chat too: when the first ones are busy, hosts that have not
+    heard of each other's choices yet would all take the same next one.
     """
     shared = req.shared_parts()
     first = shared[0].id if shared else req.id
     session = shared[-1].id if shared else req.id
     by_first = sorted(servers, key=lambda server: _score(first, server))
-    near = by_first[:SPREAD]
-    near.sort(key=lambda server: _score(session, server))
-    return near + by_first[SPREAD:]
+    near, others = by_first[:SPREAD], by_first[SPREAD:]
+    for part in (near, others):
+        part.sort(key=lambda server: _score(session, server))
+    return near + others
 
 
 def rank_by_load(
