Keep the errors of a listing out of the task group that copies

Change: the end of the store's history is caught and raised again like a failed call. The new case of the test failed before.

--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -206,14 +206,16 @@
 
         Raises:
             StoreError: The store did not answer.
+            HistoryGoneError: The store's history is gone.
         """
-        failure: StoreError | None = None
+        failure: StoreError | HistoryGoneError | None = None
         answer: tuple[list[Item], int] = ([], 0)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._copy_from_peers)
             try:
                 answer = await self._store.read_all("")
-            except StoreError as exc:
+            except (StoreError, HistoryGoneError) as exc:
+                # Raised below, as a task group would wrap it.
                 failure = exc
             tasks.cancel_scope.cancel()
         if failure is not None:
--- a/tests/test_entry_restart_in_outage.py
+++ b/tests/test_entry_restart_in_outage.py
@@ -11,12 +11,16 @@
 import pytest
 
 from corianderdoor.core.clock import ManualClock
-from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.peers import (
+    Heartbeat,
+    NOT_WATCHING_MS,
+    Peers,
+)
 from corianderdoor.core.entry.replica import Change, Page
 from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import StateSync
-from corianderdoor.platform.store import Item, StoreError
+from corianderdoor.platform.store import HistoryGoneError, Item, StoreError
 
 COPY = Page((Change("other/a", b"x", 7),), 7, True)
 
@@ -24,7 +28,7 @@
 class SlowStore:
     """Answers a listing once `answer` is set; fails if `error` is given."""
 
-    def __init__(self, error: StoreError | None = None) -> None:
+    def __init__(self, error: Exception | None = None) -> None:
         self.answer = anyio.Event()
         self.error = error
 
@@ -76,10 +80,11 @@
             await anyio.sleep(0.001)
 
 
-@pytest.mark.parametrize("fails", [False, True])
-def test_copy_of_a_peer_is_taken_while_the_store_is_silent(fails):
+@pytest.mark.parametrize(
+    "error", [None, StoreError("kv-range", "silent", True), HistoryGoneError()]
+)
+def test_copy_of_a_peer_is_taken_while_the_store_is_silent(error):
     async def run() -> None:
-        error = StoreError("kv-range", "silent", True) if fails else None
         store = SlowStore(error)
         sync, applier = build_sync(store)
         async with anyio.create_task_group() as tasks:
@@ -88,10 +93,10 @@
             await wait_for_revision(applier, 7)
             assert not store.answer.is_set()
             store.answer.set()
-            if not fails:
+            if error is None:
                 await wait_for_revision(applier, 9)
             await anyio.sleep(0.01)
             tasks.cancel_scope.cancel()
-        assert sync.contact_age_ms() == (2**31 if fails else 0)
+        assert sync.contact_age_ms() == (NOT_WATCHING_MS if error else 0)
 
     anyio.run(run)
