Log what ended a server's connection and a caller's answer

Cause: for LOST, three hypotheses could not be told apart from the logs: a line said that an attempt was broken, not whether the server, the operating system or this host ended it, and none said that an answer was cut or that a connection was closed over bytes that had arrived. Change: send_failed has detail and quiet_ms; new events answer_cut and idle_conn_closed_unread; the counter answers_cut by reason.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -49,6 +49,8 @@
         h11: Parser and serializer of the current request cycle.
         eof: Whether the peer has sent its end of stream.
         lost: Whether the connection is closed.
+        lost_reason: What closed it: the operating system's error, the peer,
+            or this side; empty while it is open.
         on_peer_closed: Called once when the peer ends its stream or the
             connection is lost.
         bytes_received: Bytes received since the last complete request cycle.
@@ -76,6 +78,7 @@
         )
         self.eof = False
         self.lost = False
+        self.lost_reason = ""
         self.on_peer_closed: Callable[[], None] | None = None
         self.bytes_received = 0
         self._role = role
@@ -135,6 +138,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the close of the connection, whether clean or not."""
         self.lost = True
+        closer = "closed by the peer" if self.eof else "closed here"
+        self.lost_reason = closer if exc is None else str(exc)
         self._wake_reader()
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
@@ -180,7 +185,9 @@
                 return event  # type: ignore[return-value]
             self._unparsed_bytes = 0
             if self.lost:
-                raise ConnectionBrokenError("the connection was reset")
+                raise ConnectionBrokenError(
+                    f"connection lost: {self.lost_reason}"
+                )
             if self._paused:
                 self._paused = False
                 self._open_transport().resume_reading()
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -82,11 +82,7 @@
         Also returns None if it stays idle for longer than `limits` allow.
         """
         self.busy = self.protocol.h11.trailing_data[0] != b""
-        try:
-            if not self.busy:
-                async with asyncio.timeout(limits.idle_ms / MS_PER_SECOND):
-                    await self.protocol.wait_for_bytes()
-        except TimeoutError:
+        if not self.busy and not await self._wait_while_idle(limits.idle_ms):
             return None
         if self.protocol.lost or (
             self.protocol.eof and not self.protocol.bytes_received
@@ -106,6 +102,26 @@
             return None
         return await self._read_body(event, limits)
 
+    async def _wait_while_idle(self, idle_ms: float) -> bool:
+        """Waits for the first bytes of a request, or for the end.
+
+        Returns:
+            False if the connection stayed idle for `idle_ms`.
+        """
+        try:
+            async with asyncio.timeout(idle_ms / MS_PER_SECOND):
+                await self.protocol.wait_for_bytes()
+        except TimeoutError:
+            if self.protocol.bytes_received:
+                log_event(
+                    "idle_conn_closed_unread",
+                    "WARNING",
+                    unread_bytes=self.protocol.bytes_received,
+                    idle_ms=idle_ms,
+                )
+            return False
+        return True
+
     @staticmethod
     def _error_status(exc: ConnectionBrokenError) -> int:
         cause = exc.__cause__
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -58,6 +58,8 @@
         "_last_answer",
         "_sent",
         "_head",
+        "_heard_ms",
+        "_failure_detail",
     )
 
     def __init__(
@@ -77,6 +79,9 @@
         self._last_answer: ServerAnswer | None = None
         self._sent: h11.Request | None = None
         self._head: AnswerHead | None = None
+        # When the server was last heard, and why its connection failed.
+        self._heard_ms = 0
+        self._failure_detail = ""
 
     async def run(self) -> None:
         """Serves the request until it is answered, refused or timed out."""
@@ -157,6 +162,8 @@
                 follow=type(next_step).__name__.lower(),
                 runs=flight.runs,
                 begun=flight.answer_started,
+                quiet_ms=self._clock.now_ms() - self._heard_ms,
+                detail=self._failure_detail,
             )
             if isinstance(next_step, Refuse):
                 return next_step
@@ -172,6 +179,8 @@
         """
         server = send.server
         fresh = not flight.route.may_retry()
+        self._heard_ms = self._clock.now_ms()
+        self._failure_detail = ""
         protocol = await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
@@ -188,6 +197,7 @@
                     released = True
             return ending
         except ConnectionBrokenError as exc:
+            self._failure_detail = str(exc)
             return Ending.SPOILED if exc.protocol_error else Ending.BROKEN
         finally:
             if not released:
@@ -240,6 +250,7 @@
             if head is None:
                 return Ending.SPOILED
             self._head = head
+            self._heard_ms = self._clock.now_ms()
             if head.status in SUCCESS_STATUSES and flight.route.is_stream:
                 if not head.signed or head.encoded:
                     return Ending.SPOILED
@@ -328,6 +339,7 @@
                 event = await protocol.next_event()
                 if isinstance(event, h11.Data):
                     scope.deadline = float("inf")
+                    self._heard_ms = self._clock.now_ms()
                     await self._forward_events(
                         splitter, bytes(event.data), head
                     )
@@ -398,6 +410,16 @@
             "refusals", reason=refusal.reason, status=str(refusal.status)
         )
         if self._conn.response_started:
+            log_event(
+                "answer_cut",
+                "WARNING",
+                request_id=self._req.id,
+                reason=refusal.reason,
+                after_event=flight.last_event_id if flight else None,
+                quiet_ms=now_ms - self._heard_ms,
+                detail=self._failure_detail,
+            )
+            self._planner.counters.add("answers_cut", reason=refusal.reason)
             # Cutting the connection shows that the answer is incomplete.
             self._conn.protocol.abort()
             return
