--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -31,7 +31,8 @@
             (aborts without an answer), "silent" (never answers), "unframed"
             (no content length), "stray" (sends another request's answer
             first), "unsigned" (no signature), "stall" (sends the head but
-            no body), "large" (a body of 8 MB), "moved" (421, as if another
+            no body), "pause" (silent for `pause_ms` inside its answer, then
+            goes on), "large" (a body of 8 MB), "moved" (421, as if another
             worker had the address).
         runs: Number of runs of each request.
         last_headers: Headers of the last request.
@@ -40,6 +41,7 @@
             cached.
         active: Number of requests in progress.
         work_ms: Time that a plain request takes.
+        pause_ms: How long the mode "pause" is silent.
         on_request: Called with the worker, the request, and whether the
             worker runs it.
     """
@@ -54,6 +56,7 @@
         "prompt_tokens_read",
         "active",
         "work_ms",
+        "pause_ms",
         "on_request",
     )
 
@@ -67,6 +70,7 @@
         self.prompt_tokens_read = 0
         self.active = 0
         self.work_ms = work_ms
+        self.pause_ms = 0.0
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
             _do_nothing
         )
@@ -140,6 +144,8 @@
             length = (b"Content-Length", b"%d" % len(body))
             conn.start(200, [*signed_headers, length])
             await anyio.sleep_forever()
+        if self.mode == "pause":
+            await anyio.sleep(self.pause_ms / MS_PER_SECOND)
         if self.mode == "unframed":
             lines = [b"%s: %s\r\n" % pair for pair in signed_headers]
             head = b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\n"
@@ -194,6 +200,8 @@
                 await anyio.sleep(EVENT_GAP_MS / MS_PER_SECOND)
                 conn.protocol.abort()
                 return
+            if self.mode == "pause" and number == first + 2:
+                await anyio.sleep(self.pause_ms / MS_PER_SECOND)
             conn.protocol.write(h11.Data(data=event))
             await conn.protocol.flush()
             await anyio.sleep(EVENT_GAP_MS / MS_PER_SECOND)
