Read whole answers in the tests of idle connections

Cause: an answer may arrive in two pieces, head and body; the test took the second piece of the first answer for the end of the connection and failed once in 2 runs of the entry tests. Change: it reads up to the end of the body; what it asserts is unchanged.

--- a/tests/test_entry_idle_connections.py
+++ b/tests/test_entry_idle_connections.py
@@ -19,6 +19,7 @@
 
 IDLE_MS = 300
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+ANSWER_END = b"\r\n\r\nok"
 
 
 async def answer_requests(conn: ServerConnection) -> None:
@@ -44,7 +45,7 @@
                 )
                 caller.settimeout(2)
                 caller.sendall(REQUEST)
-                assert await receive(caller)
+                assert (await receive(caller)).endswith(ANSWER_END)
                 await scenario(caller)
                 caller.close()
                 tasks.cancel_scope.cancel()
@@ -53,8 +54,14 @@
 
 
 async def receive(caller: socket.socket) -> bytes:
-    """Returns what arrives next at the caller; nothing at the end."""
-    return await anyio.to_thread.run_sync(caller.recv, 4_096)
+    """Returns the next answer; what has arrived if the connection ends."""
+    answer = b""
+    while not answer.endswith(ANSWER_END):
+        data = await anyio.to_thread.run_sync(caller.recv, 4_096)
+        if not data:
+            break
+        answer += data
+    return answer
 
 
 # Guards against LOST: a busy process saw the request and the end of the idle
