Keep a request at its silent server until another one takes it

What callers saw: an answer that had begun ended without its last events, or a read got 502, because its server was silent for a second or so. Cause: the host ended the connection to the silent server first and asked only then whether the request may be sent again; with the retry budget spent, no other server, or servers that declined, the begun answer was cut. Change: the planner grants a move only to a server that takes the request now and with a retry left to come back; the host opens the connection there before it leaves the silent server, and stays if that one is heard meanwhile. A server left so may serve again if the others decline, and a begun answer waits up to a second for a connection. Why it works: giving up and having another place are now one decision. The stand-in's pause now silences the whole worker once, as the operators describe it.

--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -129,6 +129,8 @@
         answer_started: Whether a part of the answer was sent to the caller.
         last_event_id: Id of the last event that the caller has; None before
             the first.
+        interrupted_ms: When the begun answer lost its server; None unless
+            it waits for one to resume it.
     """
 
     __slots__ = (
@@ -145,6 +147,7 @@
         "sends",
         "answer_started",
         "last_event_id",
+        "interrupted_ms",
     )
 
     def __init__(
@@ -169,6 +172,7 @@
         self.sends = 0
         self.answer_started = False
         self.last_event_id = req.last_event_id
+        self.interrupted_ms: int | None = None
 
     def urgency(self) -> int:
         """Returns the priority at the server, from 0 (highest) to 9."""
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -49,6 +49,9 @@
 # or a connection.
 MAX_HOLD_SHARE: Final = 0.5
 MIN_HOLD_MS: Final = 20
+# How long a begun answer may wait for a server to resume it; callers leave a
+# stream after a pause of two seconds or more.
+MAX_RESUME_HOLD_MS: Final = 1_000
 # Interval at which a request that waits for a connection chooses again.
 CONNECTION_POLL_MS: Final = 20
 # Sends after which a request that a server declined is refused.
@@ -229,6 +232,9 @@
         held_until = (
             flight.arrived_ms + flight.route.target_latency_ms * MAX_HOLD_SHARE
         )
+        if flight.interrupted_ms is not None:
+            # A begun answer can't be refused any more, only cut.
+            held_until = flight.interrupted_ms + MAX_RESUME_HOLD_MS
         if now_ms + delay_ms > held_until:
             return self._refuse(flight, reason, now_ms)
         return Hold(max(MIN_HOLD_MS, delay_ms))
@@ -359,6 +365,7 @@
         if flight.sends:
             self.counters.add("repeats")
         flight.server = server
+        flight.interrupted_ms = None
         flight.excluded.add(server.id)
         flight.sends += 1
         flight.runs += 1
@@ -419,6 +426,11 @@
     ) -> Again | Refuse | Deliver:
         """Records a failed attempt and decides what follows."""
         self.record_attempt_end(flight)
+        if flight.interrupted_ms is None and flight.answer_started:
+            flight.interrupted_ms = now_ms
+        if ending is Ending.UNREACHED:
+            self.record_unreached(flight, server, now_ms)
+            return Again()
         self.counters.add("sends", ending=ending.value)
         self._update_ejections(server, ending, now_ms)
         if ending is Ending.BROKEN:
@@ -426,11 +438,9 @@
             self.crashing_requests.record_broken_connection(
                 flight.req, server.id, now_ms
             )
-        if ending is Ending.UNREACHED:
-            self.crashing_requests.confirm_crash(server.id, now_ms)
-            self.restarts.record_unreachable(server.id, now_ms)
-            flight.excluded.add(server.id)
-            return Again()
+        if ending is Ending.SILENT:
+            # It may go on soon, and serves if no other server does.
+            flight.excluded.discard(server.id)
         if ending in CERTAINLY_NOT_RUN:
             flight.runs -= 1
         if self._may_continue(flight, ending, now_ms):
@@ -439,16 +449,51 @@
             return Deliver()
         return self._refuse(flight, ending.value, now_ms)
 
+    def record_unreached(
+        self, flight: Flight, server: BackendServer, now_ms: int
+    ) -> None:
+        """Records that no connection to a server could be opened."""
+        self.counters.add("sends", ending=Ending.UNREACHED.value)
+        self._update_ejections(server, Ending.UNREACHED, now_ms)
+        self.crashing_requests.confirm_crash(server.id, now_ms)
+        self.restarts.record_unreachable(server.id, now_ms)
+        flight.excluded.add(server.id)
+
+    def find_move(self, flight: Flight, now_ms: int) -> Send | None:
+        """Chooses another server for a request whose server is silent.
+
+        Takes a retry from the budget.
+
+        Returns:
+            The other server; None if the request has to stay, as giving it
+            up would end an answer that the silent server may still send.
+        """
+        if not self._may_retry(flight, 0):
+            return None
+        step = self.choose(flight, now_ms)
+        if not isinstance(step, Send):
+            return None
+        # One more must be left, to return if the other server declines.
+        if not self._retry_budget.take(
+            flight.service, len(self.hosts), now_ms, spare=1
+        ):
+            return None
+        return step
+
     def _may_continue(
         self, flight: Flight, ending: Ending, now_ms: int
     ) -> bool:
         if ending is Ending.TIMEOUT:
             return False
+        if ending is Ending.SILENT:
+            # A move to another server has been granted, or none may be.
+            return self._may_retry(flight, 0)
         if flight.deadline_ms - now_ms < MIN_LEFT_MS:
             return False
         if ending in CERTAINLY_NOT_RUN:
             if flight.sends >= MAX_DECLINED_SENDS:
-                return False
+                if not flight.answer_started:
+                    return False
         elif not self._may_retry(flight, 0):
             return False
         others = [
--- a/corianderdoor/core/entry/windows.py
+++ b/corianderdoor/core/entry/windows.py
@@ -123,19 +123,22 @@
         """Records a request of a caller."""
         self._count(self._requests, service).add(now_ms)
 
-    def take(self, service: str, hosts: int, now_ms: int) -> bool:
+    def take(
+        self, service: str, hosts: int, now_ms: int, spare: int = 0
+    ) -> bool:
         """Takes one retry from the budget; returns whether one was left.
 
         Args:
             service: Name of the service.
             hosts: Number of hosts that share the fixed part.
             now_ms: Monotonic time in ms.
+            spare: Number of retries that have to be left besides this one.
         """
         requests = self._count(self._requests, service).count(now_ms)
         retries = self._count(self._retries, service)
         fixed = self._slack * SAFE_SHARE / max(1, hosts)
         if (
-            retries.count(now_ms) + 1
+            retries.count(now_ms) + 1 + spare
             > fixed + SAFE_SHARE * self._ratio * requests
         ):
             return False
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -26,6 +26,8 @@
 MAX_STRAY_ANSWERS: Final = 3
 # Longest pause within a stream before it resumes at another server.
 STREAM_IDLE_TIMEOUT_MS: Final = 1_000
+# Interval at which a request whose server is silent looks for another one.
+MOVE_POLL_MS: Final = 200
 MAX_ANSWER_BYTES: Final = 16_777_216
 # Failures that suggest that the request did not run. Without the server's
 # signature they don't prove it and are not passed on to the caller.
@@ -45,6 +47,20 @@
         self.body = body
 
 
+class _MovedError(Exception):
+    """The request leaves its silent server for the one in `Relay._move`."""
+
+
+class _Move:
+    """A server to move a request to, with an open connection to it."""
+
+    __slots__ = ("send", "protocol")
+
+    def __init__(self, send: Send, protocol: H11Protocol) -> None:
+        self.send = send
+        self.protocol = protocol
+
+
 class Relay:
     """Serves one request of a caller."""
 
@@ -60,6 +76,7 @@
         "_head",
         "_heard_ms",
         "_failure_detail",
+        "_move",
     )
 
     def __init__(
@@ -82,6 +99,7 @@
         # When the server was last heard, and why its connection failed.
         self._heard_ms = 0
         self._failure_detail = ""
+        self._move: _Move | None = None
 
     async def run(self) -> None:
         """Serves the request until it is answered, refused or timed out."""
@@ -142,13 +160,20 @@
 
     async def _run_attempts(self, flight: Flight) -> Refuse | None:
         while True:
-            step = self._planner.choose(flight, self._clock.now_ms())
+            move, self._move = self._move, None
+            step = (
+                self._planner.choose(flight, self._clock.now_ms())
+                if move is None
+                else move.send
+            )
             if isinstance(step, Refuse):
                 return step
             if isinstance(step, Hold):
                 await anyio.sleep(step.delay_ms / MS_PER_SECOND)
                 continue
-            ending = await self._attempt(flight, step)
+            ending = await self._attempt(
+                flight, step, move.protocol if move is not None else None
+            )
             if ending is None:
                 return None
             next_step = self._planner.handle_failure(
@@ -171,9 +196,16 @@
                 await self._deliver_failure()
                 return None
 
-    async def _attempt(self, flight: Flight, send: Send) -> Ending | None:
+    async def _attempt(
+        self, flight: Flight, send: Send, opened: H11Protocol | None
+    ) -> Ending | None:
         """Sends the request to one server.
 
+        Args:
+            flight: The request.
+            send: The server, and how to send.
+            opened: An open connection to it; None to get one from the pool.
+
         Returns:
             How the attempt failed, or None once the caller has its answer.
         """
@@ -181,7 +213,7 @@
         fresh = not flight.route.may_retry()
         self._heard_ms = self._clock.now_ms()
         self._failure_detail = ""
-        protocol = await self._pool.acquire(server, fresh)
+        protocol = opened or await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
         self._planner.record_sent(flight, server, self._clock.now_ms())
@@ -196,6 +228,8 @@
                     self._pool.release(server, protocol, head.keep_alive_s)
                     released = True
             return ending
+        except _MovedError:
+            return Ending.SILENT
         except ConnectionBrokenError as exc:
             self._failure_detail = str(exc)
             return Ending.SPOILED if exc.protocol_error else Ending.BROKEN
@@ -242,25 +276,76 @@
     async def _relay_answer(
         self, protocol: H11Protocol, flight: Flight, send: Send
     ) -> Ending | None:
-        timeout_s = float("inf")
-        if send.silence_ms is not None:
-            timeout_s = send.silence_ms / MS_PER_SECOND
-        with anyio.move_on_after(timeout_s) as scope:
-            head = await self._read_head(protocol)
-            if head is None:
+        head = await self._read_head(protocol, send.silence_ms)
+        if head is None:
+            return Ending.SPOILED
+        self._head = head
+        if head.status in SUCCESS_STATUSES and flight.route.is_stream:
+            if not head.signed or head.encoded:
                 return Ending.SPOILED
-            self._head = head
+            return await self._relay_events(protocol, head, flight, send)
+        return await self._relay_complete_answer(
+            protocol, head, send.silence_ms
+        )
+
+    async def _next_event(
+        self, protocol: H11Protocol, silence_ms: float | None
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event from the server.
+
+        While the server is silent, looks for another one that takes the
+        request; without one the request stays where it is, as a silent
+        server may go on.
+
+        Args:
+            protocol: Connection to the server.
+            silence_ms: Silence after which to look for another server; None
+                to wait without a limit.
+
+        Raises:
+            _MovedError: The request goes on at another server.
+            ConnectionBrokenError: The connection broke.
+        """
+        if silence_ms is None:
+            event = await protocol.next_event()
             self._heard_ms = self._clock.now_ms()
-            if head.status in SUCCESS_STATUSES and flight.route.is_stream:
-                if not head.signed or head.encoded:
-                    return Ending.SPOILED
-            else:
-                return await self._relay_complete_answer(protocol, head)
-        if self._head is None or scope.cancelled_caught:
-            return Ending.SILENT
-        return await self._relay_events(protocol, self._head, flight, send)
+            return event
+        wait_ms = silence_ms
+        while True:
+            with anyio.move_on_after(wait_ms / MS_PER_SECOND):
+                event = await protocol.next_event()
+                self._heard_ms = self._clock.now_ms()
+                return event
+            await self._look_for_other_server(protocol)
+            wait_ms = MOVE_POLL_MS
 
-    async def _read_head(self, protocol: H11Protocol) -> AnswerHead | None:
+    async def _look_for_other_server(self, protocol: H11Protocol) -> None:
+        """Moves the request from its silent server if another takes it.
+
+        Raises:
+            _MovedError: `_move` has the other server.
+        """
+        flight = self._flight
+        assert flight is not None
+        send = self._planner.find_move(flight, self._clock.now_ms())
+        if send is None:
+            return
+        received_bytes = protocol.bytes_received
+        opened = await self._pool.acquire(send.server, fresh=True)
+        if opened is None:
+            self._planner.record_unreached(
+                flight, send.server, self._clock.now_ms()
+            )
+            return
+        if protocol.lost or protocol.bytes_received != received_bytes:
+            opened.abort()
+            return
+        self._move = _Move(send, opened)
+        raise _MovedError
+
+    async def _read_head(
+        self, protocol: H11Protocol, silence_ms: float | None
+    ) -> AnswerHead | None:
         """Returns the head of the answer to this request.
 
         Skips answers to other requests that arrive before it.
@@ -269,9 +354,9 @@
             The head, or None if no valid one was found.
         """
         for _ in range(MAX_STRAY_ANSWERS):
-            event = await protocol.next_event()
+            event = await self._next_event(protocol, silence_ms)
             while isinstance(event, h11.InformationalResponse):
-                event = await protocol.next_event()
+                event = await self._next_event(protocol, silence_ms)
             if not isinstance(event, h11.Response):
                 return None
             pairs = [(name, value) for name, value in event.headers]
@@ -283,15 +368,18 @@
             if head.request_id is None and refused:
                 return head
             log_event("stray_answer", request_id=self._req.id)
-            await _read_body(protocol)
+            await self._read_body(protocol, silence_ms)
             assert self._sent is not None
             protocol.restart_reading(self._sent, self._req.body)
         return None
 
     async def _relay_complete_answer(
-        self, protocol: H11Protocol, head: AnswerHead
+        self,
+        protocol: H11Protocol,
+        head: AnswerHead,
+        silence_ms: float | None,
     ) -> Ending | None:
-        body = await _read_body(protocol)
+        body = await self._read_body(protocol, silence_ms)
         if head.wrong_server:
             return Ending.WRONG_SERVER
         if head.not_run:
@@ -308,6 +396,34 @@
         await self._deliver(self._last_answer)
         return None
 
+    async def _read_body(
+        self, protocol: H11Protocol, silence_ms: float | None
+    ) -> bytes:
+        """Returns the body of the answer whose head has been read.
+
+        Raises:
+            _MovedError: The request goes on at another server.
+            ConnectionBrokenError: The body is truncated or larger than
+                `MAX_ANSWER_BYTES`.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event(protocol, silence_ms)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_ANSWER_BYTES:
+                    raise ConnectionBrokenError(
+                        "answer is larger than 16 MiB", True
+                    )
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise ConnectionBrokenError(
+                    "connection closed before the end of the answer"
+                )
+
     async def _deliver_failure(self) -> None:
         failure = self._last_answer
         if failure is None or (self._flight and self._flight.answer_started):
@@ -330,27 +446,18 @@
         send: Send,
     ) -> Ending | None:
         splitter = EventSplitter()
-        idle_timeout_s = float("inf")
+        silence_ms = None
         if send.silence_ms is not None:
-            idle_timeout_s = STREAM_IDLE_TIMEOUT_MS / MS_PER_SECOND
-        with anyio.CancelScope() as scope:
-            while True:
-                scope.deadline = anyio.current_time() + idle_timeout_s
-                event = await protocol.next_event()
-                if isinstance(event, h11.Data):
-                    scope.deadline = float("inf")
-                    self._heard_ms = self._clock.now_ms()
-                    await self._forward_events(
-                        splitter, bytes(event.data), head
-                    )
-                    if len(splitter.rest) > MAX_EVENT_BYTES:
-                        return Ending.SPOILED
-                    continue
-                if not isinstance(event, h11.EndOfMessage) or splitter.rest:
-                    return Ending.BROKEN
+            silence_ms = STREAM_IDLE_TIMEOUT_MS
+        while True:
+            event = await self._next_event(protocol, silence_ms)
+            if not isinstance(event, h11.Data):
                 break
-        if scope.cancelled_caught:
-            return Ending.SILENT
+            await self._forward_events(splitter, bytes(event.data), head)
+            if len(splitter.rest) > MAX_EVENT_BYTES:
+                return Ending.SPOILED
+        if not isinstance(event, h11.EndOfMessage) or splitter.rest:
+            return Ending.BROKEN
         self._start_answer(head, flight)
         self._planner.record_complete_answer(flight)
         self._conn.protocol.write(h11.EndOfMessage())
@@ -425,29 +532,3 @@
             return
         headers = build_refusal_headers(self._req.id, refusal.retry_after_ms)
         await self._conn.respond(refusal.status, headers)
-
-
-async def _read_body(protocol: H11Protocol) -> bytes:
-    """Returns the body of the answer whose head has been read.
-
-    Raises:
-        ConnectionBrokenError: The body is truncated or larger than
-            `MAX_ANSWER_BYTES`.
-    """
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        event = await protocol.next_event()
-        if isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > MAX_ANSWER_BYTES:
-                raise ConnectionBrokenError(
-                    "answer is larger than 16 MiB", True
-                )
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
-        else:
-            raise ConnectionBrokenError(
-                "connection closed before the end of the answer"
-            )
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -10,7 +10,7 @@
 import h11
 
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
-from ..core.clock import MS_PER_SECOND
+from ..core.clock import MS_PER_SECOND, SystemClock
 from ..core.entry.routing import DEFAULT_LIMITS
 
 EVENT_COUNT: Final = 6
@@ -31,9 +31,9 @@
             (aborts without an answer), "silent" (never answers), "unframed"
             (no content length), "stray" (sends another request's answer
             first), "unsigned" (no signature), "stall" (sends the head but
-            no body), "pause" (silent for `pause_ms` inside its answer, then
-            goes on), "large" (a body of 8 MB), "moved" (421, as if another
-            worker had the address).
+            no body), "pause" (silent for `pause_ms` inside its next answer,
+            then goes on and serves normally), "large" (a body of 8 MB),
+            "moved" (421, as if another worker had the address).
         runs: Number of runs of each request.
         last_headers: Headers of the last request.
         cached: Prompt parts in the cache.
@@ -58,6 +58,8 @@
         "work_ms",
         "pause_ms",
         "on_request",
+        "_silent_until_ms",
+        "_clock",
     )
 
     def __init__(self, id: str, engine: bool, work_ms: float = 5.0) -> None:
@@ -71,6 +73,8 @@
         self.active = 0
         self.work_ms = work_ms
         self.pause_ms = 0.0
+        self._silent_until_ms = 0
+        self._clock = SystemClock()
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
             _do_nothing
         )
@@ -95,6 +99,7 @@
     async def _answer(
         self, conn: ServerConnection, req: ReceivedRequest
     ) -> None:
+        await self._wait_while_silent()
         headers = dict(req.headers)
         self.last_headers = headers
         request_id = headers[b"attempt-id"]
@@ -134,6 +139,16 @@
             body = b"x" * LARGE_BODY_BYTES
         await self._send_plain(conn, signed_headers, body)
 
+    async def _pause(self) -> None:
+        """Is silent on all connections for `pause_ms`."""
+        self.mode = ""
+        self._silent_until_ms = self._clock.now_ms() + int(self.pause_ms)
+        await self._wait_while_silent()
+
+    async def _wait_while_silent(self) -> None:
+        left_ms = self._silent_until_ms - self._clock.now_ms()
+        await anyio.sleep(max(0, left_ms) / MS_PER_SECOND)
+
     async def _send_plain(
         self,
         conn: ServerConnection,
@@ -145,7 +160,7 @@
             conn.start(200, [*signed_headers, length])
             await anyio.sleep_forever()
         if self.mode == "pause":
-            await anyio.sleep(self.pause_ms / MS_PER_SECOND)
+            await self._pause()
         if self.mode == "unframed":
             lines = [b"%s: %s\r\n" % pair for pair in signed_headers]
             head = b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\n"
@@ -201,7 +216,7 @@
                 conn.protocol.abort()
                 return
             if self.mode == "pause" and number == first + 2:
-                await anyio.sleep(self.pause_ms / MS_PER_SECOND)
+                await self._pause()
             conn.protocol.write(h11.Data(data=event))
             await conn.protocol.flush()
             await anyio.sleep(EVENT_GAP_MS / MS_PER_SECOND)
--- a/tests/test_entry_silent_servers.py
+++ b/tests/test_entry_silent_servers.py
@@ -7,8 +7,19 @@
 
 import re
 
+from entry_builders import build_planner, build_request
+import pytest
 from test_entry_path import run, set_modes
 
+from corianderdoor.core.entry.flights import (
+    Again,
+    Ending,
+    Hold,
+    Refuse,
+    Send,
+)
+from corianderdoor.core.entry.windows import SAFE_SHARE
+
 # A second or so, as the operators say, with a margin.
 PAUSE_MS = 1_800
 IDS = re.compile(rb"id: (\d+)")
@@ -54,3 +65,73 @@
         assert (reply.status, reply.body) == (200, b"done hello")
 
     run(scenario, engines=0, plain=1, hosts=1)
+
+
+def start_stream(planner):
+    """Returns a resumable stream that has begun, and its server."""
+    flight = planner.admit(build_request(parts=()), 0)
+    step = planner.choose(flight, 0)
+    planner.record_sent(flight, step.server, 0)
+    flight.answer_started = True
+    return flight, step.server
+
+
+# Guards against LOST: without a retry left, the answer of a silent server
+# was cut instead of waited for.
+def test_request_stays_at_its_silent_server_without_a_retry_left():
+    planner = build_planner()
+    planner._retry_budget._slack = 0
+    flight, _ = start_stream(planner)
+    assert planner.find_move(flight, 1_500) is None
+
+
+# Guards against LOST: a move whose new server declines needs a second retry
+# to go back.
+@pytest.mark.parametrize(("slack", "moves"), [(1, False), (2, True)])
+def test_move_needs_a_retry_to_spare(slack, moves):
+    planner = build_planner()
+    planner._retry_budget._slack = slack / SAFE_SHARE
+    planner._retry_budget._ratio = 0
+    flight, _ = start_stream(planner)
+    assert (planner.find_move(flight, 1_500) is not None) is moves
+
+
+# Guards against LOST: a begun answer was cut when enough servers declined it,
+# though the silent one was left.
+def test_begun_answer_returns_to_its_silent_server_when_others_decline():
+    planner = build_planner(servers=4)
+    flight, silent = start_stream(planner)
+    move = planner.find_move(flight, 1_500)
+    follow = planner.handle_failure(flight, silent, Ending.SILENT, 1_500)
+    assert isinstance(follow, Again)
+    server = move.server
+    for now_ms in range(1_510, 1_550, 10):
+        planner.record_sent(flight, server, now_ms)
+        if server == silent:
+            break
+        planner.handle_failure(flight, server, Ending.NOT_RUN, now_ms)
+        step = planner.choose(flight, now_ms)
+        assert isinstance(step, Send)
+        server = step.server
+    assert flight.server == silent
+
+
+# Guards against LOST: a begun answer that lost its server was cut at once
+# when all connections to the others were in use.
+def test_begun_answer_waits_for_a_connection():
+    planner = build_planner(servers=2)
+    flight, silent = start_stream(planner)
+    other = next(s for s in planner.servers.usable("llm") if s != silent)
+    planner.handle_failure(flight, silent, Ending.BROKEN, 3_000)
+    for _ in range(620):
+        planner.loads.start(other.id)
+    assert isinstance(planner.choose(flight, 3_500), Hold)
+    assert isinstance(planner.choose(flight, 4_100), Refuse)
+
+
+def test_request_that_may_not_run_twice_never_moves():
+    planner = build_planner()
+    flight = planner.admit(build_request("/once/x", parts=()), 0)
+    step = planner.choose(flight, 0)
+    planner.record_sent(flight, step.server, 0)
+    assert planner.find_move(flight, 1_500) is None
