Give servers three seconds to acknowledge what was sent

What callers saw: a stream that may not be resumed was cut, or a payment got 502, when its server read or acknowledged nothing for a second or so. Cause: TCP_USER_TIMEOUT of 1 s on connections to servers; it also ends keep-alive probing, after 2 s without a sign, whatever the number of probes, and counts a closed window. Change: 3 s, longer than a server that runs well may be silent. Why it works: the operating system now ends a connection only when the server is silent for longer than the operators allow.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -23,7 +23,8 @@
 READ_HIGH_WATER_BYTES: Final = 262_144
 # `flush` waits above this number of unsent bytes.
 WRITE_HIGH_WATER_BYTES: Final = 65_536
-# TCP keep-alive detects a dead network path within seconds.
+# TCP keep-alive detects a dead network path within seconds: after the last
+# probe, or after the timeout for unacknowledged bytes where one is set.
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 3
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -12,9 +12,10 @@
 # Opening a connection takes one round trip; a server that has not answered
 # within this time is unreachable.
 CONNECT_TIMEOUT_MS: Final = 400
-# A connection whose sent bytes stay unacknowledged for this long is lost;
-# leaves time for three retransmissions.
-UNACKED_TIMEOUT_MS: Final = 1_000
+# A connection whose sent bytes stay unacknowledged, or whose server reads
+# nothing or answers no keep-alive probe for this long, is lost. Servers that
+# run well may be silent for up to two seconds.
+UNACKED_TIMEOUT_MS: Final = 3_000
 # Used if the server does not send its idle timeout.
 DEFAULT_IDLE_TIMEOUT_MS: Final = 4_000
 # Idle connections are closed this long before the server closes them.
--- a/tests/test_entry_stalled_readers.py
+++ b/tests/test_entry_stalled_readers.py
@@ -18,6 +18,8 @@
 
 # A second or so, as the operators say, with a margin.
 PAUSE_MS = 1_800
+# Longest silence of a server that runs well.
+SILENCE_MS = 2_000
 LONG_BODY = b"x" * 1_000_000
 SMALL_BUFFER_BYTES = 4_096
 
@@ -62,3 +64,28 @@
     async with server:
         with anyio.fail_after(10):
             assert await send_long_request(listening.getsockname()) == b"ok"
+
+
+# Guards against LOST: with TCP_USER_TIMEOUT set, the operating system also
+# gives up keep-alive probing after that time, whatever their number.
+@pytest.mark.anyio
+async def test_no_option_of_a_connection_ends_it_within_two_seconds():
+    async with await asyncio.start_server(
+        lambda reader, writer: None, "127.0.0.1", 0
+    ) as server:
+        address = server.sockets[0].getsockname()
+        pool = ConnectionPool(SystemClock(), Counters())
+        protocol = await pool.acquire(
+            build_server("s", host=address[0], port=address[1]), fresh=True
+        )
+        sock = protocol._transport.get_extra_info("socket")
+
+        def read(option: int) -> int:
+            return sock.getsockopt(socket.IPPROTO_TCP, option)
+
+        assert read(socket.TCP_USER_TIMEOUT) > SILENCE_MS
+        probing_s = read(socket.TCP_KEEPIDLE) + read(
+            socket.TCP_KEEPINTVL
+        ) * read(socket.TCP_KEEPCNT)
+        assert probing_s * 1_000 > SILENCE_MS
+        protocol.abort()
