Let idle connections wait for a longer time that comes into force

What callers saw: a request on a kept connection found it closed, beside a change of the desired state that allows connections to be idle for longer. Cause: the time was taken when the wait started, so connections that were idle before the change were closed after the former time. Change: when the time ends, the one in force by then is asked for; a shorter one holds for connections that become idle after it. Why it works: a connection is never closed before the time that callers may read from the state in force.

--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -75,14 +75,24 @@
         self.busy = False
 
     async def read_request(
-        self, limits: CallerLimits
+        self,
+        limits: CallerLimits,
+        current_idle_ms: Callable[[], float] | None = None,
     ) -> ReceivedRequest | UnreadableRequest | None:
         """Returns the next request, or None once the connection ends.
 
         Also returns None if it stays idle for longer than `limits` allow.
+
+        Args:
+            limits: Limits of size and time.
+            current_idle_ms: Returns how long a connection may be idle by
+                now, in ms; a longer time than that of `limits` counts for a
+                connection that waits already.
         """
         self.busy = self.protocol.h11.trailing_data[0] != b""
-        if not self.busy and not await self._wait_while_idle(limits.idle_ms):
+        if not self.busy and not await self._wait_while_idle(
+            limits.idle_ms, current_idle_ms
+        ):
             return None
         if self.protocol.lost or (
             self.protocol.eof and not self.protocol.bytes_received
@@ -102,12 +112,25 @@
             return None
         return await self._read_body(event, limits)
 
-    async def _wait_while_idle(self, idle_ms: float) -> bool:
+    async def _wait_while_idle(
+        self, idle_ms: float, current_idle_ms: Callable[[], float] | None
+    ) -> bool:
         """Waits for the first bytes of a request, or for the end.
 
         Returns:
-            False if no byte came for `idle_ms`.
+            False if no byte came for `idle_ms`, or for what
+            `current_idle_ms` returns by then if that is longer.
         """
+        waited_ms = 0.0
+        while not await self._wait_for_bytes(idle_ms - waited_ms):
+            waited_ms = idle_ms
+            if current_idle_ms is not None:
+                idle_ms = current_idle_ms()
+            if idle_ms <= waited_ms:
+                return False
+        return True
+
+    async def _wait_for_bytes(self, idle_ms: float) -> bool:
         try:
             async with asyncio.timeout(idle_ms / MS_PER_SECOND):
                 await self.protocol.wait_for_bytes()
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -74,7 +74,9 @@
         return DEFAULT_LIMITS if desired is None else desired.limits
 
     async def _serve_request(self, conn: ServerConnection) -> bool:
-        received = await conn.read_request(self._limits())
+        received = await conn.read_request(
+            self._limits(), lambda: self._limits().idle_ms
+        )
         conn.closing = self.draining
         if received is None:
             return False
