Leave a stream at its server for a silence of a second or so

What could be seen: a stream was moved after 1 s of silence (0.9 s before the first event of a kind with a target of 600 ms), though a server that runs well may be silent for a second or so; when it goes on, the stream runs twice for a moment. Evidence: the new test failed, with two runs. Change: streams are moved after 1.5 s.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -60,6 +60,10 @@
 # latency. It applies if another server may run the request.
 SILENCE_FACTOR: Final = 1.5
 MIN_SILENCE_MS: Final = 350
+# The same for a stream, before and after its first event. A server that runs
+# well may be silent for a second or so, and would go on with a stream that
+# runs elsewhere by then.
+MIN_STREAM_SILENCE_MS: Final = 1_500
 # Prefill rate of a server, a little below the platform's 32 tokens per
 # millisecond.
 PREFILL_TOKENS_PER_MS: Final = 30.0
@@ -346,7 +350,11 @@
         same prompts twice when the servers are busiest.
         """
         usual_ms = max(
-            MIN_SILENCE_MS,
+            (
+                MIN_STREAM_SILENCE_MS
+                if flight.route.is_stream
+                else MIN_SILENCE_MS
+            ),
             int(flight.route.target_latency_ms * SILENCE_FACTOR),
         )
         unread = self.loads.unread_of(server.id, now_ms)
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -13,7 +13,11 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.events import EventSplitter, MAX_EVENT_BYTES, read_event_id
 from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
-from ..core.entry.planner import Planner, RETRYABLE_STATUSES
+from ..core.entry.planner import (
+    MIN_STREAM_SILENCE_MS,
+    Planner,
+    RETRYABLE_STATUSES,
+)
 from ..core.entry.requests import CallerRequest
 from ..platform.headers import (
     AnswerHead,
@@ -24,8 +28,6 @@
 
 # Answers to other requests that are skipped on one connection.
 MAX_STRAY_ANSWERS: Final = 3
-# Longest pause within a stream before it resumes at another server.
-STREAM_IDLE_TIMEOUT_MS: Final = 1_000
 # Interval at which a request whose server is silent looks for another one.
 MOVE_POLL_MS: Final = 200
 MAX_ANSWER_BYTES: Final = 16_777_216
@@ -448,7 +450,7 @@
         splitter = EventSplitter()
         silence_ms = None
         if send.silence_ms is not None:
-            silence_ms = STREAM_IDLE_TIMEOUT_MS
+            silence_ms = MIN_STREAM_SILENCE_MS
         while True:
             event = await self._next_event(protocol, silence_ms)
             if not isinstance(event, h11.Data):
--- a/tests/test_entry_silent_servers.py
+++ b/tests/test_entry_silent_servers.py
@@ -9,7 +9,7 @@
 
 from entry_builders import build_planner, build_request
 import pytest
-from test_entry_path import run, set_modes
+from test_entry_path import run, set_modes, total_runs
 
 from corianderdoor.core.entry.flights import (
     Again,
@@ -22,6 +22,7 @@
 
 # A second or so, as the operators say, with a margin.
 PAUSE_MS = 1_800
+SHORT_PAUSE_MS = 1_250
 IDS = re.compile(rb"id: (\d+)")
 ALL_IDS = [b"%d" % number for number in range(1, 7)]
 
@@ -67,6 +68,21 @@
     run(scenario, engines=0, plain=1, hosts=1)
 
 
+# Guards against a second run beside a sound server: a stream was moved after
+# a silence of one second, and its server went on soon after.
+def test_stream_stays_where_it_runs_during_a_silence_of_a_second():
+    async def scenario(fleet):
+        pause(fleet, *fleet.workers)
+        for worker in fleet.workers.values():
+            worker.pause_ms = SHORT_PAUSE_MS
+        reply = await fleet.chat("host-0", "id-1", "/chat/x")
+        assert reply.complete
+        assert IDS.findall(reply.body) == ALL_IDS
+        assert total_runs(fleet, "id-1") == 1
+
+    run(scenario, engines=3, plain=0, hosts=1)
+
+
 def start_stream(planner):
     """Returns a resumable stream that has begun, and its server."""
     flight = planner.admit(build_request(parts=()), 0)
