--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import socket
 from typing import cast, Final
 
@@ -321,3 +321,7 @@
     except (OSError, TimeoutError):
         return None
     return protocol
+
+
+# Opens a connection, as `connect` does.
+Connect = Callable[[Address, int, int], Awaitable[H11Protocol | None]]
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from ..adapters.http1 import connect, H11Protocol
+from ..adapters.http1 import Connect, connect, H11Protocol
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.counters import Counters
 from ..core.entry.servers import BackendServer
@@ -39,9 +39,12 @@
 class ConnectionPool:
     """Idle connections by server id."""
 
-    __slots__ = ("_counters", "_clock", "_idle")
+    __slots__ = ("_counters", "_clock", "_connect", "_idle")
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self, clock: Clock, counters: Counters, connect: Connect = connect
+    ) -> None:
+        self._connect = connect
         self._counters = counters
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
@@ -59,7 +62,7 @@
         if idle_protocol is not None:
             return idle_protocol
         address = (server.host, server.port)
-        protocol = await connect(
+        protocol = await self._connect(
             address, CONNECT_TIMEOUT_MS, UNACKED_TIMEOUT_MS
         )
         if protocol is None:
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -11,6 +11,7 @@
 import anyio
 import anyio.abc
 
+from ..adapters.http1 import Connect, connect
 from ..adapters.http1_server import listen
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
@@ -99,6 +100,7 @@
         clock: Clock,
         rng: random.Random,
         metrics_port: int | None = None,
+        connect_server: Connect = connect,
     ) -> None:
         """Initializes the host and its parts.
 
@@ -108,6 +110,7 @@
             clock: The clock of all parts.
             rng: Source of jitter.
             metrics_port: Port that serves metrics; None disables them.
+            connect_server: Opens connections to servers.
         """
         self._metrics_port = metrics_port
         self._settings = settings
@@ -127,7 +130,9 @@
         self._peers = Peers(
             settings.name, settings.link_mbps, settings.data_centre
         )
-        self._pool = ConnectionPool(clock, self._planner.counters)
+        self._pool = ConnectionPool(
+            clock, self._planner.counters, connect_server
+        )
         self._planner.is_connected = self._pool.is_connected
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -23,6 +23,7 @@
 from ..entry.host import EntryHost
 from ..platform.settings import decode_settings
 from .platform_caller import read_answer, write_request
+from .platform_links import ServerLinks
 from .platform_store import StoreServer, StoreState
 from .platform_worker import Worker
 
@@ -168,6 +169,7 @@
         store_address: Address of the store; set by `start`.
         workers: Workers by id.
         hosts: Address for callers of each entry host, by name.
+        links: Links of each entry host to the workers, by name.
     """
 
     def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -175,6 +177,7 @@
         self.store = StoreServer(StoreState(self.clock))
         self.workers: dict[str, Worker] = {}
         self.hosts: dict[str, tuple[str, int]] = {}
+        self.links: dict[str, ServerLinks] = {}
         self._stop_events: dict[str, anyio.Event] = {}
         self._tasks = tasks
         self._next_address = 1
@@ -228,12 +231,14 @@
         """Starts an entry host and waits until it is ready."""
         address = self.allocate_address()
         settings = build_settings(name, address, self.store_address)
+        self.links[name] = ServerLinks()
         host = EntryHost(
             decode_settings(settings),
             pathlib.Path(),
             self.clock,
             random.Random(name),
             METRICS_PORT,
+            self.links[name].connect,
         )
         self._stop_events[name] = anyio.Event()
         self.hosts[name] = (address, PORT)
