Reach servers through a peer when the own links are gone

Cause: a host takes its own failure to reach a server for the server's; each request tried one server after the other, 400 ms each, and the next request began anew. Change: when a connection of the host's own is refused, or not open after 150 ms, it asks up to three peers to open it and pass the bytes on; the host still decides about the request, the peer passes bytes to listed servers alone, so that there is one hop at most and nothing is decided or counted twice. A server that a peer reached is not ejected; it is reached that way until a check, every 250 ms, gets through directly. Idle connections of before the loss are not used. If all servers are silent for 400 ms while requests wait, a new connection shows whose fault it is. Answers whose end shows only by the end of the connection are not taken from a peer, as a reset would look like the end. Why it works: a failed link accuses the link first, and the server only when a peer fails too.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -55,6 +55,8 @@
         on_peer_closed: Called once when the peer ends its stream or the
             connection is lost.
         bytes_received: Bytes received since the last complete request cycle.
+        via_peer: Whether a peer passes the bytes on, which hides whether the
+            other end closed the connection or reset it.
     """
 
     def __init__(
@@ -82,6 +84,8 @@
         self.lost_reason = ""
         self.on_peer_closed: Callable[[], None] | None = None
         self.bytes_received = 0
+        self.via_peer = False
+        self._pass_to: H11Protocol | None = None
         self._role = role
         self._max_head_bytes = max_head_bytes
         self._unacked_timeout_ms = unacked_timeout_ms
@@ -117,6 +121,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffers received bytes; pauses reading above the high-water mark."""
+        if self._pass_to is not None:
+            self._pass_to.write_raw(data)
+            return
         self.bytes_received += len(data)
         self._unparsed_bytes += len(data)
         try:
@@ -131,7 +138,8 @@
     def eof_received(self) -> bool:
         """Handles the end of the peer's stream."""
         self.eof = True
-        self.h11.receive_data(b"")
+        if self._pass_to is None:
+            self.h11.receive_data(b"")
         self._wake_reader()
         self._notify_peer_closed()
         return False
@@ -152,11 +160,15 @@
             callback()
 
     def pause_writing(self) -> None:
-        """Makes `flush` wait."""
+        """Makes `flush` wait, or the sender of what is passed on."""
+        if self._pass_to is not None:
+            self._pass_to._pause_source(True)
         self._drain_waiter = asyncio.get_running_loop().create_future()
 
     def resume_writing(self) -> None:
-        """Resumes `flush`."""
+        """Resumes `flush`, or the sender of what is passed on."""
+        if self._pass_to is not None:
+            self._pass_to._pause_source(False)
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
         self._drain_waiter = None
@@ -224,8 +236,36 @@
         """Stops reading; used to simulate misbehaving peers."""
         self._open_transport().pause_reading()
 
+    def restart_as_tunnel(self) -> None:
+        """Prepares a connection through a peer for its first request."""
+        self.h11 = h11.Connection(
+            self._role, max_incomplete_event_size=self._max_head_bytes
+        )
+        self.bytes_received = 0
+        self.via_peer = True
+
+    def pass_to(self, other: H11Protocol, on_end: Callable[[], None]) -> None:
+        """Passes all bytes that arrive from now on to `other`.
+
+        Args:
+            other: Connection to write to; it passes its bytes back here.
+            on_end: Called once when this connection ends.
+        """
+        self._pass_to = other
+        self.on_peer_closed = on_end
+        if self.eof or self.lost:
+            self._notify_peer_closed()
+
+    def _pause_source(self, paused: bool) -> None:
+        if self.lost:
+            return
+        if paused:
+            self._open_transport().pause_reading()
+        else:
+            self._open_transport().resume_reading()
+
     def write_raw(self, data: bytes) -> None:
-        """Bypasses the serializer; used to simulate misbehaving peers."""
+        """Sends `data` as it is, past the serializer."""
         if not self.lost:
             self._open_transport().write(data)
 
--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -19,7 +19,8 @@
     "sends": "Sends to backend servers by how they ended.",
     "repeats": "Sends beyond the first of a request.",
     "prompt_tokens": "Prompt tokens by where they were expected.",
-    "connections": "Connections opened to backend servers.",
+    "connections": "Connections to backend servers by how they were opened.",
+    "tunnels": "Connections to backend servers that peers asked for.",
     "store_calls": "Calls to the platform's store.",
 }
 METRIC_PREFIX: Final = "corianderdoor_"
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 
 from ..records import Record
@@ -71,6 +72,7 @@
         cpu_percent: CPU use of the host in percent.
         unreached: Digests of the servers that the host could not reach
             lately.
+        links_cut: Whether the host reaches servers only through its peers.
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "interval_ms",
         "cpu_percent",
         "unreached",
+        "links_cut",
     )
 
     def __init__(
@@ -104,7 +107,9 @@
         interval_ms: int = HEARTBEAT_MS,
         cpu_percent: int = 0,
         unreached: tuple[int, ...] = (),
+        links_cut: bool = False,
     ) -> None:
+        self.links_cut = links_cut
         self.unreached = unreached
         self.interval_ms = interval_ms
         self.cpu_percent = cpu_percent
@@ -200,6 +205,13 @@
         """Whether the last heartbeat said that the peer shuts down."""
         return self.last_heartbeat is not None and self.last_heartbeat.leaving
 
+    @property
+    def links_cut(self) -> bool:
+        """Whether the peer reaches servers only through its peers."""
+        return (
+            self.last_heartbeat is not None and self.last_heartbeat.links_cut
+        )
+
     def is_starting(self, now_ms: int) -> bool:
         """Returns whether the peer may not have read the store yet."""
         if not self.listed or now_ms - self.listed_ms >= WATCHER_GRACE_MS:
@@ -231,11 +243,13 @@
     Attributes:
         active: The active hosts, to which callers are sent.
         cpu_percent: CPU use of this host in percent.
+        links_cut: Whether this host reaches servers only through peers.
     """
 
     __slots__ = (
         "active",
         "cpu_percent",
+        "links_cut",
         "_own",
         "_own_link",
         "_data_centre",
@@ -257,6 +271,7 @@
         """
         self.active = ActiveHosts()
         self.cpu_percent = 0
+        self.links_cut = False
         self._own = own
         self._own_link = link_mbps
         self._data_centre = data_centre
@@ -388,9 +403,30 @@
                     or now_ms - peer.listed_ms < NEW_PEER_GRACE_MS
                 )
             ]
-        return [
+        found = [
             peer for peer in known if self._is_reachable(peer, live, now_ms)
         ]
+        return found
+
+    def list_helpers(self, server_id: str, now_ms: int) -> list[Address]:
+        """Returns the peers to ask for a connection to a server, best first.
+
+        Peers that reach servers themselves come first, the data centres in
+        turn, in an order of this host and the server.
+        """
+        live = [
+            peer
+            for peer in self._peers.values()
+            if peer.address is not None and now_ms <= peer.named_until_ms
+        ]
+        live.sort(key=lambda p: rank_host(f"{self._own} {server_id} {p.name}"))
+        seen: Counter[str] = Counter()
+        turns: dict[str, int] = {}
+        for peer in live:
+            turns[peer.name] = seen[peer.data_centre]
+            seen[peer.data_centre] += 1
+        live.sort(key=lambda p: (p.links_cut, turns[p.name]))
+        return [peer.address for peer in live if peer.address is not None]
 
     @property
     def is_active(self) -> bool:
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -161,6 +161,13 @@
         """Returns the listed server `server_id`; None if it is not listed."""
         return self._listed.get(server_id)
 
+    def find_at(self, host: str, port: str) -> BackendServer | None:
+        """Returns the listed server at an address; None if there is none."""
+        for server in self._listed.values():
+            if server.host == host and str(server.port) == port:
+                return server
+        return None
+
     def ids(self) -> frozenset[str]:
         """Returns the ids of all listed servers."""
         return frozenset(self._listed)
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -4,18 +4,11 @@
 
 from typing import Final
 
-from ..adapters.http1 import Connect, connect, H11Protocol
+from ..adapters.http1 import H11Protocol
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.entry.counters import Counters
 from ..core.entry.servers import BackendServer
+from .server_links import ServerLinks
 
-# Opening a connection takes one round trip; a server that has not answered
-# within this time is unreachable.
-CONNECT_TIMEOUT_MS: Final = 400
-# A connection whose sent bytes stay unacknowledged, or whose server reads
-# nothing or answers no keep-alive probe for this long, is lost. Servers that
-# run well may be silent for up to two seconds.
-UNACKED_TIMEOUT_MS: Final = 3_000
 # Used if the server does not send its idle timeout.
 DEFAULT_IDLE_TIMEOUT_MS: Final = 4_000
 # Idle connections are closed this long before the server closes them.
@@ -26,12 +19,13 @@
 
 
 class _IdleConnection:
-    __slots__ = ("protocol", "fresh_until_ms", "expires_ms")
+    __slots__ = ("protocol", "used_ms", "fresh_until_ms", "expires_ms")
 
     def __init__(
         self, protocol: H11Protocol, now_ms: int, idle_ms: int
     ) -> None:
         self.protocol = protocol
+        self.used_ms = now_ms
         self.fresh_until_ms = now_ms + int(idle_ms * FRESH_SHARE)
         self.expires_ms = now_ms + idle_ms
 
@@ -39,38 +33,36 @@
 class ConnectionPool:
     """Idle connections by server id."""
 
-    __slots__ = ("_counters", "_clock", "_connect", "_idle")
+    __slots__ = ("_links", "_clock", "_idle")
 
-    def __init__(
-        self, clock: Clock, counters: Counters, connect: Connect = connect
-    ) -> None:
-        self._connect = connect
-        self._counters = counters
+    def __init__(self, clock: Clock, links: ServerLinks) -> None:
+        self._links = links
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
 
     async def acquire(
-        self, server: BackendServer, fresh: bool
+        self, server: BackendServer, fresh: bool, used_after_ms: int = -1
     ) -> H11Protocol | None:
         """Returns an open connection, or None if the server is unreachable.
 
         Args:
             server: Server to connect to.
             fresh: Whether to reuse only connections used recently.
+            used_after_ms: Reuses only connections used after this time.
         """
-        idle_protocol = self._pop_idle(server, fresh)
+        idle_protocol = self._pop_idle(server, fresh, used_after_ms)
         if idle_protocol is not None:
             return idle_protocol
-        address = (server.host, server.port)
-        protocol = await self._connect(
-            address, CONNECT_TIMEOUT_MS, UNACKED_TIMEOUT_MS
-        )
+        protocol = await self._links.open(server)
         if protocol is None:
             self.close_idle(server.id)
-            return None
-        self._counters.add("connections")
         return protocol
 
+    def record_heard(self, server_id: str, protocol: H11Protocol) -> None:
+        """Records that bytes of a server arrived."""
+        if not protocol.via_peer:
+            self._links.paths.record_heard(server_id, self._clock.now_ms())
+
     def is_connected(self, server_id: str) -> bool:
         """Returns whether a connection to the server was used recently."""
         idle = self._idle.get(server_id)
@@ -79,7 +71,7 @@
         return self._clock.now_ms() <= idle[-1].fresh_until_ms
 
     def _pop_idle(
-        self, server: BackendServer, fresh: bool
+        self, server: BackendServer, fresh: bool, used_after_ms: int
     ) -> H11Protocol | None:
         idle = self._idle.get(server.id)
         now_ms = self._clock.now_ms()
@@ -87,12 +79,24 @@
             last = idle[-1]
             if fresh and now_ms > last.fresh_until_ms:
                 return None
+            if last.used_ms <= used_after_ms:
+                return None
             idle.pop()
-            if last.protocol.reusable and now_ms < last.expires_ms:
+            if self._is_usable(server.id, last, now_ms):
                 return last.protocol
             last.protocol.abort()
         return None
 
+    def _is_usable(
+        self, server_id: str, idle: _IdleConnection, now_ms: int
+    ) -> bool:
+        if not idle.protocol.reusable or now_ms >= idle.expires_ms:
+            return False
+        paths = self._links.paths
+        if idle.protocol.via_peer:
+            return paths.is_relayed(server_id, now_ms)
+        return paths.trusts(server_id, idle.used_ms)
+
     def release(
         self,
         server: BackendServer,
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -20,6 +20,7 @@
   gapMs @10 :UInt16 = 200;  # until the next heartbeat
   busy @11 :UInt8;  # in percent
   unreached @12 :List(UInt64);  # digests of servers
+  linksCut @13 :Bool;  # the sender reaches servers only through peers
 }
 
 # A request, identified by a digest, during which a backend server crashed.
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -16,6 +16,7 @@
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.addresses import Address
 from ..core.entry.peers import MAX_CONTACT_AGE_MS, Peers
 from ..core.entry.planner import Planner
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
@@ -27,6 +28,7 @@
 from .directory import DirectoryService
 from .metrics import MetricsService
 from .peering import Peering
+from .server_links import ServerLinks
 from .state_applier import StateApplier
 from .state_sync import (
     CacheMapSaver,
@@ -34,6 +36,7 @@
     Registration,
     StateSync,
 )
+from .tunnels import TunnelService
 
 TICK_MS: Final = 100
 # A longer time between two ticks shows that the process was suspended.
@@ -82,6 +85,7 @@
         "_clock",
         "_planner",
         "_peers",
+        "_links",
         "_pool",
         "_applier",
         "_sync",
@@ -130,9 +134,11 @@
         self._peers = Peers(
             settings.name, settings.link_mbps, settings.data_centre
         )
-        self._pool = ConnectionPool(
+        self._links = ServerLinks(
             clock, self._planner.counters, connect_server
         )
+        self._links.list_helpers = self._list_helpers
+        self._pool = ConnectionPool(clock, self._links)
         self._planner.is_connected = self._pool.is_connected
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock
@@ -171,6 +177,9 @@
             clock,
             self._sync.contact_age_ms,
             self._sync.wake,
+            TunnelService(
+                self._planner.servers, self._planner.counters, connect_server
+            ),
         )
         self._sync.attach(self._peering)
         self._callers = CallerService(self._planner, self._pool, clock)
@@ -178,6 +187,12 @@
             settings, self._planner, self._peers, clock, self._store_reached
         )
 
+    def _list_helpers(self, server_id: str) -> list[Address]:
+        return self._peers.list_helpers(server_id, self._clock.now_ms())
+
+    def _list_waiting(self) -> list[str]:
+        return list(self._planner.loads.own)
+
     def _store_reached(self) -> bool:
         return self._registration.reached
 
@@ -202,6 +217,11 @@
             tasks.start_soon(self._registration.run, self._is_serving)
             tasks.start_soon(self._cache_saver.run)
             tasks.start_soon(self._peering.run_heartbeats)
+            tasks.start_soon(
+                self._links.run_checks,
+                self._planner.servers.get,
+                self._list_waiting,
+            )
             tasks.start_soon(self._run_ticks)
             # What the start allocated is kept; later collections skip it.
             gc.freeze()
@@ -275,6 +295,8 @@
                 self._planner.loads.remove(name)
                 log_event("peer_gone", peer=name)
             self._planner.hosts = self._peers.hosts_sharing_limits(now_ms)
+            self._links.paths.retain(self._planner.servers.ids())
+            self._update_links_cut(now_ms)
             self._choose_active(now_ms)
             if ticks % EVICTION_TICKS == 0:
                 self._pool.evict_expired()
@@ -286,6 +308,13 @@
                     cpu_percent if ticks > CPU_TICKS else 0
                 )
 
+    def _update_links_cut(self, now_ms: int) -> None:
+        """Tells peers at once when the links to the servers are gone."""
+        cut = self._links.paths.is_cut(now_ms)
+        if cut != self._peers.links_cut:
+            self._peers.links_cut = cut
+            self._peering.send_heartbeats()
+
     def _choose_active(self, now_ms: int) -> None:
         changed = self._peers.choose_active(
             now_ms, self._store_reached(), self._peering.leaving
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -58,6 +58,7 @@
         gapMs=min(MAX_COUNT, heartbeat.interval_ms),
         busy=min(MAX_PERCENT, heartbeat.cpu_percent),
         unreached=list(heartbeat.unreached),
+        linksCut=heartbeat.links_cut,
     )
     return bytes(message.to_bytes_packed())
 
@@ -86,6 +87,7 @@
             raw.gapMs,
             raw.busy,
             tuple(raw.unreached),
+            raw.linksCut,
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -13,6 +13,7 @@
 from ..adapters.http1 import connect, ConnectionBrokenError
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
 from ..adapters.logs import log_event
+from ..adapters.tunnel import CONNECT_METHOD
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.loads import PeerLoads
@@ -36,6 +37,7 @@
     encode_page,
     MessageError,
 )
+from .tunnels import TunnelService
 
 PULL_TIMEOUT_MS: Final = 500
 # Prompt parts reported in one heartbeat; bounds a datagram to 1 KB.
@@ -60,6 +62,7 @@
         clock: Clock,
         contact_age_ms: Callable[[], int],
         on_newer_revision: Callable[[], None],
+        tunnels: TunnelService,
     ) -> None:
         """Initializes the protocol.
 
@@ -74,6 +77,7 @@
                 store, in ms.
             on_newer_revision: Called when a peer has a newer revision of
                 the store's items than this host.
+            tunnels: Opens connections to servers for peers.
         """
         self.leaving = False
         self._name = name
@@ -84,6 +88,7 @@
         self._clock = clock
         self._contact_age_ms = contact_age_ms
         self._on_newer_revision = on_newer_revision
+        self._tunnels = tunnels
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -214,6 +219,7 @@
             interval_ms,
             self._peers.cpu_percent,
             tuple(map(digest_id, planner.restarts.recent(now_ms))),
+            self._peers.links_cut,
         )
 
     async def run_heartbeats(self) -> None:
@@ -231,10 +237,13 @@
                 self._transport.close()
 
     async def serve(self, conn: ServerConnection) -> None:
-        """Answers a peer that requests the store's items."""
+        """Answers a peer that requests the store's items or a tunnel."""
         received = await conn.read_request(DEFAULT_LIMITS)
         if not isinstance(received, ReceivedRequest):
             return
+        if received.method == CONNECT_METHOD:
+            await self._tunnels.serve(conn, received)
+            return
         path, _, query = received.target.partition(b"?")
         after = parse_qs(query.decode("latin-1")).get("after", [""])[0]
         if path != STATE_PATH or not after.isdigit():
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -282,6 +282,9 @@
         if head is None:
             return Ending.SPOILED
         self._head = head
+        if protocol.via_peer and not head.framed:
+            # A reset at the server would look like the end of the answer.
+            return Ending.SPOILED
         if head.status in SUCCESS_STATUSES and flight.route.is_stream:
             if not head.signed or head.encoded:
                 return Ending.SPOILED
@@ -310,17 +313,23 @@
         """
         if silence_ms is None:
             event = await protocol.next_event()
-            self._heard_ms = self._clock.now_ms()
+            self._record_heard(protocol)
             return event
         wait_ms = silence_ms
         while True:
             with anyio.move_on_after(wait_ms / MS_PER_SECOND):
                 event = await protocol.next_event()
-                self._heard_ms = self._clock.now_ms()
+                self._record_heard(protocol)
                 return event
             await self._look_for_other_server(protocol)
             wait_ms = MOVE_POLL_MS
 
+    def _record_heard(self, protocol: H11Protocol) -> None:
+        self._heard_ms = self._clock.now_ms()
+        flight = self._flight
+        if flight is not None and flight.server is not None:
+            self._pool.record_heard(flight.server.id, protocol)
+
     async def _look_for_other_server(self, protocol: H11Protocol) -> None:
         """Moves the request from its silent server if another takes it.
 
@@ -333,7 +342,9 @@
         if send is None:
             return
         received_bytes = protocol.bytes_received
-        opened = await self._pool.acquire(send.server, fresh=True)
+        opened = await self._pool.acquire(
+            send.server, fresh=True, used_after_ms=self._heard_ms
+        )
         if opened is None:
             self._planner.record_unreached(
                 flight, send.server, self._clock.now_ms()
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -75,6 +75,8 @@
         keep_alive_s: How long the server keeps an idle connection; None if
             unknown.
         closes: Whether the server closes the connection after this answer.
+        framed: Whether the end of the body shows in the answer itself, and
+            not only by the end of the connection.
         headers: Headers to forward.
     """
 
@@ -88,6 +90,7 @@
         "load",
         "keep_alive_s",
         "closes",
+        "framed",
         "headers",
     )
 
@@ -103,6 +106,9 @@
         self.load = _parse_load(by_name.get(INSTANCE_LOAD))
         self.keep_alive_s = _parse_keep_alive(by_name.get(b"keep-alive"))
         self.closes = b"close" in by_name.get(b"connection", b"").lower()
+        self.framed = (
+            b"content-length" in by_name or b"transfer-encoding" in by_name
+        )
         self.headers = [
             pair
             for pair in headers
--- a/corianderdoor/standins/platform_links.py
+++ b/corianderdoor/standins/platform_links.py
@@ -53,6 +53,10 @@
         """Restores the links; connections that hung stay silent for good."""
         self._mode = ""
 
+    def count_opened(self) -> int:
+        """Returns how many connections were opened."""
+        return len(self._opened)
+
     async def connect(
         self, address: Address, timeout_ms: int, unacked_timeout_ms: int
     ) -> H11Protocol | None:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -4,6 +4,8 @@
 
 import random
 
+from corianderdoor.adapters.http1 import connect
+from corianderdoor.core.entry.counters import Counters
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.core.entry.requests import CallerRequest, PromptPart
 from corianderdoor.core.entry.routing import (
@@ -16,6 +18,8 @@
 )
 from corianderdoor.core.entry.servers import BackendServer
 from corianderdoor.core.entry.windows import ColdRateLimiter, RetryBudget
+from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry.server_links import ServerLinks
 
 KEY = "key-1"
 COLD_MS = 3_000
@@ -121,3 +125,9 @@
         server = build_server(f"p{number}", "plain", slots=6)
         planner.servers.put(server, 0)
     return planner
+
+
+def build_pool(clock, counters=None, connect_server=connect) -> ConnectionPool:
+    """Returns a pool of connections to servers, without peers that help."""
+    links = ServerLinks(clock, counters or Counters(), connect_server)
+    return ConnectionPool(clock, links)
--- a/tests/test_entry_fleet_start.py
+++ b/tests/test_entry_fleet_start.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import anyio
-from entry_builders import build_planner
+from entry_builders import build_planner, build_pool
 
 from corianderdoor.core.clock import MS_PER_SECOND, SystemClock
 from corianderdoor.core.entry.peers import (
@@ -17,7 +17,6 @@
     Peers,
     WATCHER_GRACE_MS,
 )
-from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import (
     LEASE_MARGIN_MS,
@@ -56,7 +55,7 @@
     """Returns the task under test of a host with `peers`."""
     clock = SystemClock()
     planner = build_planner()
-    pool = ConnectionPool(clock, planner.counters)
+    pool = build_pool(clock, planner.counters)
     applier = StateApplier(planner, peers, pool, clock)
     return StateSync(store, applier, peers, clock, start_delay_ms)
 
--- a/tests/test_entry_restart_in_outage.py
+++ b/tests/test_entry_restart_in_outage.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import anyio
-from entry_builders import build_planner
+from entry_builders import build_planner, build_pool
 import pytest
 
 from corianderdoor.core.clock import ManualClock
@@ -17,7 +17,6 @@
     Peers,
 )
 from corianderdoor.core.entry.replica import Change, Page
-from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import StateSync
 from corianderdoor.platform.store import HistoryGoneError, Item, StoreError
@@ -66,7 +65,7 @@
     peers = Peers("h0")
     peers.add_listed("h1", ("x", 1), ("x", 2), "a", 0)
     peers.record_heartbeat(Heartbeat("h1", 1, 7, 0, False, ()), 1_000)
-    pool = ConnectionPool(clock, planner.counters)
+    pool = build_pool(clock, planner.counters)
     applier = StateApplier(planner, peers, pool, clock)
     sync = StateSync(store, applier, peers, clock)
     sync.attach(CopyingPeering())
--- a/tests/test_entry_stalled_readers.py
+++ b/tests/test_entry_stalled_readers.py
@@ -6,14 +6,12 @@
 import socket
 
 import anyio
-from entry_builders import build_server
+from entry_builders import build_pool, build_server
 import h11
 import pytest
 
 from corianderdoor.adapters.http1 import H11Protocol
 from corianderdoor.core.clock import SystemClock
-from corianderdoor.core.entry.counters import Counters
-from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.platform.store import read_full_answer
 
 # A second or so, as the operators say, with a margin.
@@ -36,7 +34,7 @@
 
 async def send_long_request(address: tuple[str, int]) -> bytes:
     """Returns the answer to a request with `LONG_BODY`."""
-    pool = ConnectionPool(SystemClock(), Counters())
+    pool = build_pool(SystemClock())
     server = build_server("s", host=address[0], port=address[1])
     protocol = await pool.acquire(server, fresh=True)
     assert isinstance(protocol, H11Protocol)
@@ -74,7 +72,7 @@
         lambda reader, writer: None, "127.0.0.1", 0
     ) as server:
         address = server.sockets[0].getsockname()
-        pool = ConnectionPool(SystemClock(), Counters())
+        pool = build_pool(SystemClock())
         protocol = await pool.acquire(
             build_server("s", host=address[0], port=address[1]), fresh=True
         )
--- a/tests/test_entry_watchers.py
+++ b/tests/test_entry_watchers.py
@@ -9,11 +9,10 @@
 import random
 
 import anyio
-from entry_builders import build_planner
+from entry_builders import build_planner, build_pool
 
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.peers import Heartbeat, MAX_CONTACT_AGE_MS, Peers
-from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import StateSync, WATCH_WAIT_MS
 from corianderdoor.platform.store import StoreError
@@ -46,7 +45,7 @@
     clock = ManualClock(1_000)
     planner = build_planner()
     peers = Peers("h0")
-    pool = ConnectionPool(clock, planner.counters)
+    pool = build_pool(clock, planner.counters)
     applier = StateApplier(planner, peers, pool, clock)
     sync = StateSync(RefusingStore(), applier, peers, clock)
     counter = HeartbeatCounter()
