Send callers to hosts that reach the servers

What callers saw: directory answers named hosts without servers as before. Cause: nothing in a heartbeat said so. Change: a host whose links are gone says so to its peers at once; it is not chosen as active and not named, unless no host reaches the servers. It stays ready and serves those who come.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -372,7 +372,7 @@
             peer.candidate
             for peer in self._list_candidates(now_ms, store_reached)
         ]
-        if not leaving:
+        if not leaving and not (self.links_cut and hosts):
             own = Candidate(
                 self._own, self._data_centre, self._own_link, self.cpu_percent
             )
@@ -406,6 +406,9 @@
         found = [
             peer for peer in known if self._is_reachable(peer, live, now_ms)
         ]
+        with_servers = [peer for peer in found if not peer.links_cut]
+        if with_servers or not self.links_cut:
+            return with_servers
         return found
 
     def list_helpers(self, server_id: str, now_ms: int) -> list[Address]:
--- a/corianderdoor/entry/directory.py
+++ b/corianderdoor/entry/directory.py
@@ -107,7 +107,8 @@
             self._last_names = names
             log_event("hosts_named", peers=",".join(sorted(names)))
         addresses = [peer.callers for peer in peers if peer.callers]
-        if self.ready and (self._peers.is_active or not addresses):
+        named = self._peers.is_active and not self._peers.links_cut
+        if self.ready and (named or not addresses):
             addresses.insert(0, self._settings.callers)
         if not addresses:
             await conn.respond(503, [])
