Reserve the way back of a request that leaves its silent server

What callers saw, or would have seen: a begun answer was cut after all when several requests left one silent server and its successor declined them, as all had counted on the same spare retry; a request went back to the silent server although others were well; it left for a server that was ejected, or for an idle connection that proved nothing. Change: a move takes both retries and gives the spare one back when the answer goes on, goes to a warm server that is not ejected, over a new connection, and is cancelled with its retries when that fails or the server is heard meanwhile; bytes that a busy process had not read yet count as heard; a silence counts once against a server, whether the request moves or not. A resumed stream no longer counts its prompt as unread after its first event.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -29,6 +29,8 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 3
 MAX_HEAD_BYTES: Final = 65_536
+# Turns of the event loop in which it delivers what has arrived.
+LOOP_TURNS: Final = 2
 
 
 class ConnectionBrokenError(Exception):
@@ -322,6 +324,11 @@
         self.bytes_received = 0
         return True
 
+    @property
+    def ended(self) -> bool:
+        """Whether the peer has ended its stream, or the connection is lost."""
+        return self.eof or self.lost
+
     @property
     def reusable(self) -> bool:
         """Whether the idle connection is open and has received nothing."""
@@ -344,6 +351,16 @@
             self._transport.abort()
 
 
+async def deliver_pending() -> None:
+    """Lets the event loop deliver what has arrived.
+
+    A busy process may learn of bytes and of a timeout at once, in either
+    order.
+    """
+    for _ in range(LOOP_TURNS):
+        await asyncio.sleep(0)
+
+
 async def connect(
     address: Address, timeout_ms: int, unacked_timeout_ms: int
 ) -> H11Protocol | None:
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -13,7 +13,12 @@
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.routing import CallerLimits
-from .http1 import ConnectionBrokenError, H11Protocol, Headers
+from .http1 import (
+    ConnectionBrokenError,
+    deliver_pending,
+    H11Protocol,
+    Headers,
+)
 from .logs import log_event
 
 LISTEN_BACKLOG: Final = 1_024
@@ -135,10 +140,7 @@
             async with asyncio.timeout(idle_ms / MS_PER_SECOND):
                 await self.protocol.wait_for_bytes()
         except TimeoutError:
-            # A busy process may learn of bytes and of the timeout at once,
-            # in either order; two turns of the event loop deliver the bytes.
-            for _ in range(2):
-                await asyncio.sleep(0)
+            await deliver_pending()
             return bool(self.protocol.bytes_received)
         return True
 
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -129,6 +129,11 @@
         answer_started: Whether a part of the answer was sent to the caller.
         last_event_id: Id of the last event that the caller has; None before
             the first.
+        left_server: Id of the silent server that the request left for
+            another one; it serves again if that one declines. None if there
+            is none.
+        spare_retry: Whether a retry is kept for the way back to that server.
+        returning: Whether the request goes back there.
         interrupted_ms: When the begun answer lost its server; None unless
             it waits for one to resume it.
     """
@@ -147,6 +152,9 @@
         "sends",
         "answer_started",
         "last_event_id",
+        "left_server",
+        "spare_retry",
+        "returning",
         "interrupted_ms",
     )
 
@@ -172,6 +180,9 @@
         self.sends = 0
         self.answer_started = False
         self.last_event_id = req.last_event_id
+        self.left_server: str | None = None
+        self.spare_retry = False
+        self.returning = False
         self.interrupted_ms: int | None = None
 
     def urgency(self) -> int:
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -188,8 +188,7 @@
             return self._refuse(flight, "out-of-time", now_ms)
         if self.crashing_requests.should_refuse(flight.req, now_ms):
             return self._refuse(flight, "breaks-servers", now_ms)
-        listed = self.servers.usable(flight.service)
-        usable = [s for s in listed if s.id not in flight.excluded]
+        usable = self._list_usable(flight)
         if not usable:
             return self._refuse(flight, "no-server", now_ms)
         usable = [s for s in usable if self._has_free_connection(s)]
@@ -208,6 +207,13 @@
             )
         return self._choose_cold(flight, usable, now_ms)
 
+    def _list_usable(self, flight: Flight) -> list[BackendServer]:
+        """Returns the servers that may get the request."""
+        listed = self.servers.usable(flight.service)
+        if flight.returning:
+            return [s for s in listed if s.id == flight.left_server]
+        return [s for s in listed if s.id not in flight.excluded]
+
     def _has_free_connection(self, server: BackendServer) -> bool:
         """Returns whether this host may open one more connection there.
 
@@ -410,8 +416,19 @@
                 place = "here" if server.id in holders else "elsewhere"
             self.counters.add("prompt_tokens", part.tokens, cached=place)
 
+    def record_answer_begun(self, flight: Flight) -> None:
+        """Records that the server has begun to answer."""
+        self.record_prefill_done(flight)
+        self._give_back_spare_retry(flight)
+
+    def record_end(self, flight: Flight) -> None:
+        """Records that the request has ended."""
+        self.record_attempt_end(flight)
+        self._give_back_spare_retry(flight)
+
     def record_attempt_end(self, flight: Flight) -> None:
         """Records that no server works on the request any longer."""
+        flight.returning = False
         if flight.server is not None:
             self.record_prefill_done(flight)
             self.loads.end(flight.server.id)
@@ -423,7 +440,7 @@
         self.crashing_requests.record_complete_answer(flight.req)
         if flight.server is not None:
             self.ejections.record_success(flight.server.id)
-        self.record_attempt_end(flight)
+        self.record_end(flight)
 
     def handle_failure(
         self,
@@ -447,8 +464,7 @@
                 flight.req, server.id, now_ms
             )
         if ending is Ending.SILENT:
-            # It may go on soon, and serves if no other server does.
-            flight.excluded.discard(server.id)
+            flight.left_server = server.id
         if ending in CERTAINLY_NOT_RUN:
             flight.runs -= 1
         if self._may_continue(flight, ending, now_ms):
@@ -470,23 +486,47 @@
     def find_move(self, flight: Flight, now_ms: int) -> Send | None:
         """Chooses another server for a request whose server is silent.
 
-        Takes a retry from the budget.
+        Takes two retries from the budget: one to get there, and one to come
+        back if that server declines.
 
         Returns:
-            The other server; None if the request has to stay, as giving it
-            up would end an answer that the silent server may still send.
+            The other server, warm and well; None if the request has to stay,
+            as giving it up would end an answer that may still come.
         """
-        if not self._may_retry(flight, 0):
+        left_ms = flight.deadline_ms - now_ms
+        if left_ms < MIN_LEFT_MS or not self._may_retry(flight, 0):
             return None
-        step = self.choose(flight, now_ms)
-        if not isinstance(step, Send):
+        if self.crashing_requests.should_refuse(flight.req, now_ms):
             return None
-        # One more must be left, to return if the other server declines.
-        if not self._retry_budget.take(
-            flight.service, len(self.hosts), now_ms, spare=1
+        servers = [
+            server
+            for server in self._list_usable(flight)
+            if self._has_free_connection(server)
+            and not self.ejections.is_ejected(server.id, now_ms)
+            and not self._may_be_cold(server, now_ms)
+        ]
+        if not servers or not self._retry_budget.take(
+            flight.service, len(self.hosts), now_ms, count=2
         ):
             return None
-        return step
+        flight.spare_retry = True
+        return self._send(
+            flight, self._rank(flight, servers, now_ms)[0], now_ms
+        )
+
+    def cancel_move(self, flight: Flight) -> None:
+        """Records that the request stays where it is after all."""
+        self._give_back_spare_retry(flight)
+        self._retry_budget.give_back(flight.service, 1)
+
+    def _give_back_spare_retry(self, flight: Flight) -> None:
+        if flight.spare_retry:
+            flight.spare_retry = False
+            self._retry_budget.give_back(flight.service, 1)
+
+    def record_silence(self, server: BackendServer, now_ms: int) -> None:
+        """Records that a server has been silent for too long."""
+        self.ejections.record_failure(server.id, now_ms)
 
     def _may_continue(
         self, flight: Flight, ending: Ending, now_ms: int
@@ -499,17 +539,22 @@
         if flight.deadline_ms - now_ms < MIN_LEFT_MS:
             return False
         if ending in CERTAINLY_NOT_RUN:
-            if flight.sends >= MAX_DECLINED_SENDS:
-                if not flight.answer_started:
-                    return False
-        elif not self._may_retry(flight, 0):
+            if self._may_try_another(flight, now_ms):
+                return True
+            # The way back to the silent server has its retry already.
+            flight.returning, flight.spare_retry = flight.spare_retry, False
+            return flight.returning
+        if not self._may_retry(flight, 0):
             return False
-        others = [
-            server
-            for server in self.servers.usable(flight.service)
-            if server.id not in flight.excluded
-        ]
-        if not others:
+        return self._take_retry(flight, now_ms)
+
+    def _may_try_another(self, flight: Flight, now_ms: int) -> bool:
+        if flight.sends >= MAX_DECLINED_SENDS:
+            return False
+        return self._take_retry(flight, now_ms)
+
+    def _take_retry(self, flight: Flight, now_ms: int) -> bool:
+        if not self._list_usable(flight):
             return False
         return self._retry_budget.take(flight.service, len(self.hosts), now_ms)
 
@@ -526,7 +571,6 @@
             self.ejections.record_unreachable(server.id, now_ms)
         elif ending in (
             Ending.BROKEN,
-            Ending.SILENT,
             Ending.SPOILED,
             Ending.SERVER_ERROR,
         ):
--- a/corianderdoor/core/entry/windows.py
+++ b/corianderdoor/core/entry/windows.py
@@ -28,6 +28,11 @@
         """Counts an event at `now_ms`."""
         self._times.append(now_ms)
 
+    def remove_newest(self) -> None:
+        """Removes the newest event, if one is left."""
+        if self._times:
+            self._times.pop()
+
     def count(self, now_ms: int) -> int:
         """Returns the number of events in the window that ends at `now_ms`."""
         times = self._times
@@ -124,27 +129,33 @@
         self._count(self._requests, service).add(now_ms)
 
     def take(
-        self, service: str, hosts: int, now_ms: int, spare: int = 0
+        self, service: str, hosts: int, now_ms: int, count: int = 1
     ) -> bool:
-        """Takes one retry from the budget; returns whether one was left.
+        """Takes retries from the budget; returns whether enough were left.
 
         Args:
             service: Name of the service.
             hosts: Number of hosts that share the fixed part.
             now_ms: Monotonic time in ms.
-            spare: Number of retries that have to be left besides this one.
+            count: Number of retries to take; all or none are taken.
         """
         requests = self._count(self._requests, service).count(now_ms)
         retries = self._count(self._retries, service)
         fixed = self._slack * SAFE_SHARE / max(1, hosts)
         if (
-            retries.count(now_ms) + 1 + spare
+            retries.count(now_ms) + count
             > fixed + SAFE_SHARE * self._ratio * requests
         ):
             return False
-        retries.add(now_ms)
+        for _ in range(count):
+            retries.add(now_ms)
         return True
 
+    def give_back(self, service: str, count: int) -> None:
+        """Returns retries that were taken and not used."""
+        for _ in range(count):
+            self._count(self._retries, service).remove_newest()
+
     def _count(
         self, counts: dict[str, SlidingCount], service: str
     ) -> SlidingCount:
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -41,18 +41,18 @@
         self._idle: dict[str, list[_IdleConnection]] = {}
 
     async def acquire(
-        self, server: BackendServer, fresh: bool, used_after_ms: int = -1
+        self, server: BackendServer, fresh: bool
     ) -> H11Protocol | None:
         """Returns an open connection, or None if the server is unreachable.
 
         Args:
             server: Server to connect to.
             fresh: Whether to reuse only connections used recently.
-            used_after_ms: Reuses only connections used after this time.
         """
-        idle_protocol = self._pop_idle(server, fresh, used_after_ms)
-        if idle_protocol is not None:
-            return idle_protocol
+        return self._pop_idle(server, fresh) or await self.open(server)
+
+    async def open(self, server: BackendServer) -> H11Protocol | None:
+        """Opens a connection; returns None if the server is unreachable."""
         protocol = await self._links.open(server)
         if protocol is None:
             self.close_idle(server.id)
@@ -71,7 +71,7 @@
         return self._clock.now_ms() <= idle[-1].fresh_until_ms
 
     def _pop_idle(
-        self, server: BackendServer, fresh: bool, used_after_ms: int
+        self, server: BackendServer, fresh: bool
     ) -> H11Protocol | None:
         idle = self._idle.get(server.id)
         now_ms = self._clock.now_ms()
@@ -79,8 +79,6 @@
             last = idle[-1]
             if fresh and now_ms > last.fresh_until_ms:
                 return None
-            if last.used_ms <= used_after_ms:
-                return None
             idle.pop()
             if self._is_usable(server.id, last, now_ms):
                 return last.protocol
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -7,7 +7,12 @@
 import anyio
 import h11
 
-from ..adapters.http1 import ConnectionBrokenError, H11Protocol, Headers
+from ..adapters.http1 import (
+    ConnectionBrokenError,
+    deliver_pending,
+    H11Protocol,
+    Headers,
+)
 from ..adapters.http1_server import ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
@@ -78,6 +83,7 @@
         "_head",
         "_heard_ms",
         "_failure_detail",
+        "_silence_recorded",
         "_move",
     )
 
@@ -101,6 +107,7 @@
         # When the server was last heard, and why its connection failed.
         self._heard_ms = 0
         self._failure_detail = ""
+        self._silence_recorded = False
         self._move: _Move | None = None
 
     async def run(self) -> None:
@@ -121,7 +128,7 @@
                 refusal = self._build_timeout_refusal(flight)
             finished = True
         finally:
-            self._planner.record_attempt_end(flight)
+            self._planner.record_end(flight)
             if not finished:
                 self._count_outcome("caller-gone")
                 log_event(
@@ -215,6 +222,7 @@
         fresh = not flight.route.may_retry()
         self._heard_ms = self._clock.now_ms()
         self._failure_detail = ""
+        self._silence_recorded = False
         protocol = opened or await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
@@ -317,11 +325,12 @@
             return event
         wait_ms = silence_ms
         while True:
+            received_bytes = protocol.bytes_received
             with anyio.move_on_after(wait_ms / MS_PER_SECOND):
                 event = await protocol.next_event()
                 self._record_heard(protocol)
                 return event
-            await self._look_for_other_server(protocol)
+            await self._look_for_other_server(protocol, received_bytes)
             wait_ms = MOVE_POLL_MS
 
     def _record_heard(self, protocol: H11Protocol) -> None:
@@ -330,27 +339,41 @@
         if flight is not None and flight.server is not None:
             self._pool.record_heard(flight.server.id, protocol)
 
-    async def _look_for_other_server(self, protocol: H11Protocol) -> None:
+    async def _look_for_other_server(
+        self, protocol: H11Protocol, received_bytes: int
+    ) -> None:
         """Moves the request from its silent server if another takes it.
 
+        Args:
+            protocol: Connection to the silent server.
+            received_bytes: Bytes that it had received before the silence.
+
         Raises:
             _MovedError: `_move` has the other server.
         """
         flight = self._flight
-        assert flight is not None
-        send = self._planner.find_move(flight, self._clock.now_ms())
+        assert flight is not None and flight.server is not None
+        # The time may be over because this process was busy.
+        await deliver_pending()
+        if protocol.ended or protocol.bytes_received != received_bytes:
+            return
+        now_ms = self._clock.now_ms()
+        if not self._silence_recorded:
+            self._silence_recorded = True
+            self._planner.record_silence(flight.server, now_ms)
+        send = self._planner.find_move(flight, now_ms)
         if send is None:
             return
-        received_bytes = protocol.bytes_received
-        opened = await self._pool.acquire(
-            send.server, fresh=True, used_after_ms=self._heard_ms
-        )
+        # Only a new connection shows that the other server is there.
+        opened = await self._pool.open(send.server)
         if opened is None:
+            self._planner.cancel_move(flight)
             self._planner.record_unreached(
                 flight, send.server, self._clock.now_ms()
             )
             return
-        if protocol.lost or protocol.bytes_received != received_bytes:
+        if protocol.ended or protocol.bytes_received != received_bytes:
+            self._planner.cancel_move(flight)
             opened.abort()
             return
         self._move = _Move(send, opened)
@@ -503,10 +526,10 @@
         When another server resumes the stream, its events follow under the
         head that was sent first.
         """
+        self._planner.record_answer_begun(flight)
         if flight.answer_started:
             return
         flight.answer_started = True
-        self._planner.record_prefill_done(flight)
         self._record_first_byte()
         chunked = (b"Transfer-Encoding", b"chunked")
         self._conn.start(head.status, [*head.headers, chunked])
--- a/tests/test_entry_silent_servers.py
+++ b/tests/test_entry_silent_servers.py
@@ -83,9 +83,17 @@
     run(scenario, engines=3, plain=0, hosts=1)
 
 
-def start_stream(planner):
+def build_planner_with_retries(count):
+    """Returns a planner whose budget holds `count` retries."""
+    planner = build_planner()
+    planner._retry_budget._slack = count / SAFE_SHARE
+    planner._retry_budget._ratio = 0
+    return planner
+
+
+def start_stream(planner, id="r1", parts=()):
     """Returns a resumable stream that has begun, and its server."""
-    flight = planner.admit(build_request(parts=()), 0)
+    flight = planner.admit(build_request(id=id, parts=parts), 0)
     step = planner.choose(flight, 0)
     planner.record_sent(flight, step.server, 0)
     flight.answer_started = True
@@ -105,13 +113,99 @@
 # to go back.
 @pytest.mark.parametrize(("slack", "moves"), [(1, False), (2, True)])
 def test_move_needs_a_retry_to_spare(slack, moves):
-    planner = build_planner()
-    planner._retry_budget._slack = slack / SAFE_SHARE
-    planner._retry_budget._ratio = 0
+    planner = build_planner_with_retries(slack)
     flight, _ = start_stream(planner)
     assert (planner.find_move(flight, 1_500) is not None) is moves
 
 
+# Guards against LOST: several streams of one silent server counted on the
+# same spare retry, and only the first could come back.
+def test_each_moved_answer_has_its_own_way_back():
+    planner = build_planner_with_retries(3)
+    moved = []
+    for id in ("r1", "r2"):
+        flight, silent = start_stream(planner, id)
+        move = planner.find_move(flight, 1_500)
+        if move is not None:
+            planner.handle_failure(flight, silent, Ending.SILENT, 1_500)
+            planner.record_sent(flight, move.server, 1_500)
+            moved.append((flight, silent, move.server))
+    assert len(moved) == 1
+    for flight, silent, server in moved:
+        follow = planner.handle_failure(flight, server, Ending.NOT_RUN, 1_510)
+        assert isinstance(follow, Again)
+        step = planner.choose(flight, 1_510)
+        assert isinstance(step, Send)
+        planner.record_sent(flight, step.server, 1_510)
+        if step.server != silent:
+            follow = planner.handle_failure(
+                flight, step.server, Ending.NOT_RUN, 1_520
+            )
+            assert isinstance(follow, Again)
+            assert planner.choose(flight, 1_520).server == silent
+
+
+def test_retries_of_a_move_that_does_not_happen_are_given_back():
+    planner = build_planner_with_retries(2)
+    flight, _ = start_stream(planner)
+    for now_ms in (1_500, 1_700, 1_900):
+        move = planner.find_move(flight, now_ms)
+        assert move is not None
+        planner.cancel_move(flight)
+        planner.record_unreached(flight, move.server, now_ms)
+
+
+def test_spare_retry_is_given_back_when_the_answer_goes_on():
+    planner = build_planner_with_retries(3)
+    flight, silent = start_stream(planner)
+    move = planner.find_move(flight, 1_500)
+    planner.handle_failure(flight, silent, Ending.SILENT, 1_500)
+    planner.record_sent(flight, move.server, 1_500)
+    planner.record_answer_begun(flight)
+    other, _ = start_stream(planner, "r2")
+    assert planner.find_move(other, 1_600) is not None
+
+
+# Guards against a wait at a dead server: the request went back to its silent
+# server although others were well.
+@pytest.mark.parametrize(
+    "parts", [(), (("t", 2_500), ("s", 6_000), ("own", 500))]
+)
+def test_declined_move_goes_on_at_a_server_that_is_well(parts):
+    planner = build_planner(servers=5)
+    flight, silent = start_stream(planner, parts=parts)
+    move = planner.find_move(flight, 1_500)
+    planner.handle_failure(flight, silent, Ending.SILENT, 1_500)
+    planner.record_sent(flight, move.server, 1_500)
+    follow = planner.handle_failure(flight, move.server, Ending.NOT_RUN, 1_510)
+    assert isinstance(follow, Again)
+    step = planner.choose(flight, 1_510)
+    assert step.server not in (silent, move.server)
+
+
+# Guards against LOST: an ejected server took a request from a silent one.
+def test_request_does_not_move_to_an_ejected_server():
+    planner = build_planner(servers=2)
+    flight, silent = start_stream(planner)
+    other = next(s for s in planner.servers.usable("llm") if s != silent)
+    planner.ejections.record_unreachable(other.id, 1_400)
+    assert planner.find_move(flight, 1_500) is None
+
+
+def test_resumed_stream_counts_its_prompt_until_it_goes_on():
+    planner = build_planner(servers=2)
+    flight, first = start_stream(
+        planner, parts=(("t", 2_500), ("s", 6_000), ("own", 500))
+    )
+    planner.record_answer_begun(flight)
+    planner.handle_failure(flight, first, Ending.BROKEN, 1_000)
+    second = planner.choose(flight, 1_000).server
+    planner.record_sent(flight, second, 1_000)
+    assert planner.loads.unread_of(second.id, 1_000)
+    planner.record_answer_begun(flight)
+    assert not planner.loads.unread_of(second.id, 1_000)
+
+
 # Guards against LOST: a begun answer was cut when enough servers declined it,
 # though the silent one was left.
 def test_begun_answer_returns_to_its_silent_server_when_others_decline():
