Do not take a server for unreachable because this host was busy

What callers saw: none seen; a begun answer without another server would have been cut. Cause: the class of LOST; a connection that the operating system had opened was dropped when the process was busy for longer than the 400 ms that opening may take, and the server counted as unreachable. Change: after the time the event loop gets six turns to report the connection.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -31,6 +31,8 @@
 MAX_HEAD_BYTES: Final = 65_536
 # Turns of the event loop in which it delivers what has arrived.
 LOOP_TURNS: Final = 2
+# Turns that it needs to report a connection that is open.
+CONNECT_LOOP_TURNS: Final = 6
 
 
 class ConnectionBrokenError(Exception):
@@ -366,18 +368,42 @@
 ) -> H11Protocol | None:
     """Opens a connection; returns None on failure or timeout."""
     loop = asyncio.get_running_loop()
+    opening = asyncio.ensure_future(
+        loop.create_connection(
+            lambda: H11Protocol(
+                h11.CLIENT, unacked_timeout_ms=unacked_timeout_ms
+            ),
+            address[0],
+            address[1],
+        )
+    )
     try:
-        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-            _, protocol = await loop.create_connection(
-                lambda: H11Protocol(
-                    h11.CLIENT, unacked_timeout_ms=unacked_timeout_ms
-                ),
-                address[0],
-                address[1],
-            )
-    except (OSError, TimeoutError):
+        await asyncio.wait({opening}, timeout=timeout_ms / MS_PER_SECOND)
+        for _ in range(CONNECT_LOOP_TURNS):
+            if not opening.done():
+                await asyncio.sleep(0)
+    except asyncio.CancelledError:
+        opening.add_done_callback(_abort_opened)
+        opening.cancel()
+        raise
+    if not opening.done():
+        opening.add_done_callback(_abort_opened)
+        opening.cancel()
         return None
-    return protocol
+    exc = opening.exception()
+    if exc is None:
+        return opening.result()[1]
+    if not isinstance(exc, OSError):
+        raise exc
+    return None
+
+
+def _abort_opened(
+    opening: asyncio.Future[tuple[asyncio.Transport, H11Protocol]],
+) -> None:
+    """Aborts a connection that nobody waits for any more."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].abort()
 
 
 # Opens a connection, as `connect` does.
