Wait for unsent parts of answers before a host ends

What callers saw, or would have seen: a caller that reads slowly lost the end of its answer when its host stopped. Cause: a connection counted as finished when its answer was handed to the event loop; up to 64 KB can wait there, and the process ended with them. Change: a connection counts as busy, up to the end of the grace period, until the operating system has its answer.

--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -34,7 +34,14 @@
         draining: Whether connections close after the answer in progress.
     """
 
-    __slots__ = ("draining", "_planner", "_pool", "_clock", "_conns")
+    __slots__ = (
+        "draining",
+        "_planner",
+        "_pool",
+        "_clock",
+        "_conns",
+        "_unsent",
+    )
 
     def __init__(
         self, planner: Planner, pool: ConnectionPool, clock: Clock
@@ -44,10 +51,21 @@
         self._pool = pool
         self._clock = clock
         self._conns: set[ServerConnection] = set()
+        # Connections that have ended here with a part of an answer unsent.
+        self._unsent: set[ServerConnection] = set()
 
     def count_busy(self) -> int:
-        """Returns how many connections are receiving or serving a request."""
-        return sum(conn.busy for conn in self._conns)
+        """Returns how many connections have a request or answer in progress.
+
+        An answer is in progress until the operating system has all of it.
+        """
+        self._unsent = {
+            conn for conn in self._unsent if conn.protocol.unsent_bytes()
+        }
+        return len(self._unsent) + sum(
+            conn.busy or conn.protocol.unsent_bytes() > 0
+            for conn in self._conns
+        )
 
     def drain(self) -> None:
         """Makes each connection close after the answer in progress."""
@@ -70,6 +88,8 @@
                 pass
         finally:
             self._conns.discard(conn)
+            if conn.protocol.unsent_bytes():
+                self._unsent.add(conn)
 
     def _limits(self) -> CallerLimits:
         desired = self._planner.desired
