--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -415,12 +415,18 @@
         """Returns the peers to ask for a connection to a server, best first.
 
         Peers that reach servers themselves come first, the data centres in
-        turn, in an order of this host and the server.
+        turn, in an order of this host and the server. Peers that are listed
+        and were not heard yet come last: this host may just have started.
         """
         live = [
             peer
             for peer in self._peers.values()
-            if peer.address is not None and now_ms <= peer.named_until_ms
+            if peer.address is not None
+            and (
+                now_ms <= peer.named_until_ms
+                or peer.listed
+                and peer.last_heartbeat is None
+            )
         ]
         live.sort(key=lambda p: rank_host(f"{self._own} {server_id} {p.name}"))
         seen: Counter[str] = Counter()
@@ -428,7 +434,13 @@
         for peer in live:
             turns[peer.name] = seen[peer.data_centre]
             seen[peer.data_centre] += 1
-        live.sort(key=lambda p: (p.links_cut, turns[p.name]))
+        live.sort(
+            key=lambda p: (
+                p.last_heartbeat is None,
+                p.links_cut,
+                turns[p.name],
+            )
+        )
         return [peer.address for peer in live if peer.address is not None]
 
     @property
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -214,3 +214,5 @@
     assert {port for _, port in helpers[4:]} == {1, 2}
     assert {port % 2 for _, port in helpers[:2]} == {0, 1}
     assert peers.list_helpers("s0", 60_000) == []
+    peers.add_listed("h9", ("x", 9), ("p", 9), "a", 0)
+    assert peers.list_helpers("s0", 10)[-1] == ("p", 9)
