--- a/corianderdoor/standins/platform_store.py
+++ b/corianderdoor/standins/platform_store.py
@@ -18,20 +18,52 @@
 PATH: Final = "/corianderdoor/"
 PAGE_ITEMS: Final = 50
 FIRST_REVISION: Final = 1
+FIRST_ERA: Final = 1
 
 Answer = tuple[int, dict[str, Any]]
 
 
+class Snapshot:
+    """Copy of a store's state at one moment."""
+
+    __slots__ = (
+        "revision",
+        "compacted_revision",
+        "items",
+        "history",
+        "leases",
+        "next_lease",
+    )
+
+    def __init__(
+        self,
+        revision: int,
+        compacted_revision: int,
+        items: dict[str, dict[str, Any]],
+        history: list[dict[str, Any]],
+        leases: dict[int, tuple[int, int]],
+        next_lease: int,
+    ) -> None:
+        self.revision = revision
+        self.compacted_revision = compacted_revision
+        self.items = items
+        self.history = history
+        self.leases = leases
+        self.next_lease = next_lease
+
+
 class StoreState:
     """Items, leases and history of a store.
 
     Attributes:
+        era: Rises by one each time the store is restored from a snapshot.
         revision: Revision of the last change.
         compacted_revision: Changes up to this revision are no longer in
             the history.
     """
 
     __slots__ = (
+        "era",
         "revision",
         "compacted_revision",
         "_items",
@@ -43,6 +75,7 @@
     )
 
     def __init__(self, clock: Clock) -> None:
+        self.era = FIRST_ERA
         self.revision = FIRST_REVISION
         self.compacted_revision = 0
         self._items: dict[str, dict[str, Any]] = {}
@@ -78,9 +111,37 @@
 
     def _record_event(self, event: dict[str, Any]) -> None:
         self._history.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def take_snapshot(self) -> Snapshot:
+        """Returns a copy of the current state."""
+        return Snapshot(
+            self.revision,
+            self.compacted_revision,
+            dict(self._items),
+            list(self._history),
+            dict(self._leases),
+            self._next_lease,
+        )
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Returns to the state in `snapshot` and begins a new era.
+
+        Revisions and lease ids since the snapshot are given out again.
+        """
+        self.era += 1
+        self.revision = snapshot.revision
+        self.compacted_revision = snapshot.compacted_revision
+        self._items = dict(snapshot.items)
+        self._history = list(snapshot.history)
+        self._leases = dict(snapshot.leases)
+        self._next_lease = snapshot.next_lease
+        self._wake_watches()
+
     def compact_history(self) -> None:
         """Drops all changes from the history."""
         self._history.clear()
@@ -116,18 +177,24 @@
         return 200, {"entries": page, "has_more": more, "at": self.revision}
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> Answer:
-        """Returns changes after a revision; waits if there are none yet."""
+        """Returns changes after a revision; waits if there are none yet.
+
+        Status 410 if the store does not have that revision, because its
+        history was compacted or because it was restored.
+        """
         with anyio.move_on_after(wait_ms / MS_PER_SECOND):
-            while (
-                not self._events(prefix, after)
-                and after >= self.compacted_revision
+            while self._has_revision(after) and not self._events(
+                prefix, after
             ):
                 await self._changed.wait()
-        if after < self.compacted_revision:
+        if not self._has_revision(after):
             return 410, {}
         events = self._events(prefix, after)
         return 200, {"events": events, "at": self.revision}
 
+    def _has_revision(self, revision: int) -> bool:
+        return self.compacted_revision <= revision <= self.revision
+
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             event
@@ -203,8 +270,11 @@
             if self.fault == "lost":
                 conn.protocol.abort()
                 return
-            kind = (b"Content-Type", b"application/json")
-            await conn.respond(status, [kind], msgspec.json.encode(answer))
+            headers = [
+                (b"Content-Type", b"application/json"),
+                (b"Store-Era", b"%d" % self.state.era),
+            ]
+            await conn.respond(status, headers, msgspec.json.encode(answer))
             if not await conn.finish():
                 return
 
