Read the era of the platform's store in every answer

A store restored from a copy gives revisions and lease ids out again; nothing here could tell its answers from those before. StoreEra, which the clients of a host share, reads Store-Era in each answer. An answer of an older era and pages of two eras are not used.

--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -15,6 +15,7 @@
 from ..core.entry.addresses import Address
 from ..core.entry.counters import Counters
 from ..core.records import Record
+from .store_era import ERA_HEADER, StoreEra
 
 PATH: Final = "/corianderdoor"
 CONNECT_TIMEOUT_MS: Final = 600
@@ -26,6 +27,7 @@
 MAX_PAGES: Final = 200
 
 AnswerT = TypeVar("AnswerT")
+Headers = list[tuple[bytes, bytes]]
 
 
 class StoreError(Exception):
@@ -35,7 +37,8 @@
         step: Name of the call.
         reason: "unreached" (no connection), "silent" (timeout), "cut"
             (connection lost), "unreadable" (invalid answer), "too many
-            pages", or the HTTP status.
+            pages", "old era" (answer from before a restore of the store),
+            "new era" (restore while pages were read), or the HTTP status.
         not_applied: Whether the call certainly changed nothing.
     """
 
@@ -95,11 +98,22 @@
     A watch holds the connection while it waits and so needs its own client.
     The connection is discarded when an answer is lost, because nothing more
     arrives on it.
+
+    Attributes:
+        era: The store's era, which the clients of a host share. When a call
+            returns, it is the era of the answer: answers of an older era
+            raise `StoreError`.
     """
 
-    __slots__ = ("_address", "_counters", "_protocol")
+    __slots__ = ("era", "_address", "_counters", "_protocol")
 
-    def __init__(self, address: Address, counters: Counters) -> None:
+    def __init__(
+        self,
+        address: Address,
+        counters: Counters,
+        era: StoreEra | None = None,
+    ) -> None:
+        self.era = era or StoreEra(counters)
         self._address = address
         self._counters = counters
         self._protocol: H11Protocol | None = None
@@ -121,6 +135,7 @@
         """
         found: list[Item] = []
         first_revision: int | None = None
+        first_era = self.era.known
         after: str | None = None
         for _ in range(MAX_PAGES):
             query = {"path_prefix": prefix}
@@ -129,6 +144,9 @@
             page = await self._page("kv-range", query, CALL_TIMEOUT_MS)
             if first_revision is None:
                 first_revision = page.at
+                first_era = self.era.known
+            if self.era.known != first_era:
+                raise StoreError("kv-range", "new era", True)
             found.extend(_decode_item(raw) for raw in page.entries)
             if not page.has_more or not page.entries:
                 return found, first_revision
@@ -246,7 +264,9 @@
             with anyio.fail_after(timeout_ms / MS_PER_SECOND):
                 protocol = await self._open(step)
                 sent = True
-                answer = await self._exchange(protocol, method, target, body)
+                status, headers, content = await self._exchange(
+                    protocol, method, target, body
+                )
         except TimeoutError as exc:
             self.disconnect()
             raise StoreError(step, "silent", not sent) from exc
@@ -258,7 +278,10 @@
             raise
         if not protocol.reset_cycle():
             self.disconnect()
-        return answer
+        eras = [value for name, value in headers if name == ERA_HEADER]
+        if self.era.read(eras) < self.era.known:
+            raise StoreError(step, "old era", False)
+        return status, content
 
     async def _open(self, step: str) -> H11Protocol:
         if self._protocol is not None and self._protocol.reusable:
@@ -274,7 +297,7 @@
 
     async def _exchange(
         self, protocol: H11Protocol, method: str, target: str, body: bytes
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, Headers, bytes]:
         headers = [("Host", f"{self._address[0]}:{self._address[1]}")]
         if body:
             headers.append(("Content-Type", "application/json"))
@@ -286,7 +309,7 @@
         if body:
             protocol.write(h11.Data(data=body))
         protocol.write(h11.EndOfMessage())
-        return await read_full_answer(protocol)
+        return await _read_answer(protocol)
 
 
 async def read_full_answer(protocol: H11Protocol) -> tuple[int, bytes]:
@@ -295,16 +318,23 @@
     Raises:
         ConnectionBrokenError: The connection ended before the answer did.
     """
+    status, _, body = await _read_answer(protocol)
+    return status, body
+
+
+async def _read_answer(protocol: H11Protocol) -> tuple[int, Headers, bytes]:
     status = 0
+    headers: Headers = []
     parts: list[bytes] = []
     while True:
         event = await protocol.next_event()
         if isinstance(event, h11.Response):
             status = event.status_code
+            headers = list(event.headers)
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            return status, b"".join(parts)
+            return status, headers, b"".join(parts)
         elif isinstance(event, h11.ConnectionClosed):
             raise ConnectionBrokenError(
                 "closed before the answer was complete"
