Compare the store's revisions within one era only

A restored store gives revisions out again. A host took a reused revision for one that it knew, so that lost items stayed and new ones were missed; hosts exchanged pages of both eras.

The era travels with the revision in pages and heartbeats, and (era, revision) compare in that order. Only a full page leads to a new era, and a page of an older era is not applied. Since the copy is older than what a host knows: - servers that it lacks stay in use for the grace time of an outage, - a server that had left is held back until it writes again or shows a later start; for 10 s at most, as the platform removes the entries of servers that are gone and a sound one may never write a change, - a server that drains goes on draining, and a former incarnation does not replace the known one, - the desired state stays, as before, by its version, - an evacuation that it lacks stays for 30 s, in which the operators write it again; one that was to end holds that long at most. A second restore begins these times anew.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -8,6 +8,7 @@
 from ..records import Record
 from .active_hosts import ActiveHosts, Candidate, rank_host, SLOW_LINK_MBPS
 from .addresses import Address
+from .replica import is_ahead
 
 # Time without a heartbeat after which a peer counts as unreachable, and
 # after which callers are no longer sent to it. For a peer with a longer
@@ -43,6 +44,12 @@
 WATCHER_GRACE_MS: Final = 1_500
 # Age of the contact to the store of a host that does not watch it.
 NOT_WATCHING_MS: Final = 2**31
+# After a restore of the store, hosts that do not watch it wait so long for a
+# peer's copy, and then read it themselves at this interval.
+RELIST_WAIT_MS: Final = 1_500
+RELIST_STEP_MS: Final = 20
+# Interval at which hosts write their records again after a restore.
+REWRITE_STEP_MS: Final = 10
 # Time before the first heartbeat of a peer.
 NEVER_MS: Final = -1
 # A watcher does not count if its last contact with the store is older.
@@ -73,6 +80,7 @@
         unreached: Digests of the servers that the host could not reach
             lately.
         links_cut: Whether the host reaches servers only through its peers.
+        era: Era of the store to which `revision` belongs.
     """
 
     __slots__ = (
@@ -90,6 +98,7 @@
         "cpu_percent",
         "unreached",
         "links_cut",
+        "era",
     )
 
     def __init__(
@@ -108,7 +117,9 @@
         cpu_percent: int = 0,
         unreached: tuple[int, ...] = (),
         links_cut: bool = False,
+        era: int = 0,
     ) -> None:
+        self.era = era
         self.links_cut = links_cut
         self.unreached = unreached
         self.interval_ms = interval_ms
@@ -564,7 +575,25 @@
             return False
         return peer.last_heartbeat.contact_age_ms < MAX_CONTACT_AGE_MS
 
-    def find_peer_ahead(self, revision: int, now_ms: int) -> Peer | None:
+    def relist_delay_ms(self, now_ms: int) -> int:
+        """Returns how long to wait for a peer's copy of a restored store.
+
+        The watchers read the store at once. The others do so only if they
+        get no copy, one after the other.
+        """
+        order = self._order(now_ms)
+        position = order.index(self._own)
+        if position < len(self._watchers(now_ms)):
+            return 0
+        return RELIST_WAIT_MS + RELIST_STEP_MS * position
+
+    def rewrite_delay_ms(self, now_ms: int) -> int:
+        """Returns when to write this host's record after a restore."""
+        return REWRITE_STEP_MS * self._order(now_ms).index(self._own)
+
+    def find_peer_ahead(
+        self, revision: int, now_ms: int, era: int = 0
+    ) -> Peer | None:
         """Returns the peer with the highest revision above `revision`.
 
         Hosts break ties differently, so that no peer has to send copies to
@@ -578,12 +607,18 @@
             for peer in self._peers.values()
             if peer.last_heartbeat is not None
             and peer.address is not None
-            and peer.last_heartbeat.revision > revision
+            and is_ahead(
+                peer.last_heartbeat.era,
+                peer.last_heartbeat.revision,
+                era,
+                revision,
+            )
             and now_ms <= peer.alive_until_ms
         ]
         return max(
             ahead,
             key=lambda peer: (
+                peer.last_heartbeat.era if peer.last_heartbeat else 0,
                 peer.last_heartbeat.revision if peer.last_heartbeat else 0,
                 rank_host(f"{self._own} {peer.name}"),
             ),
--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -13,6 +13,34 @@
 MAX_TOMBSTONES: Final = 2_000
 
 
+def is_ahead(
+    era: int, revision: int, than_era: int, than_revision: int
+) -> bool:
+    """Returns whether a revision is newer than another one.
+
+    Revisions are given out again in each era of the store, so they are
+    compared within one era only.
+    """
+    return (era, revision) > (than_era, than_revision)
+
+
+def may_merge(held_era: int, page_era: int, full: bool) -> bool:
+    """Returns whether a page can be applied to a replica.
+
+    Only a full page leads to a new era: changes alone would be put on items
+    that the store has lost.
+    """
+    return page_era == held_era or (page_era > held_era and full)
+
+
+def owns_lease(lease_era: int, known_era: int) -> bool:
+    """Returns whether a lease is still the one that was granted.
+
+    The store gives the ids of lost leases out again in a new era.
+    """
+    return lease_era == known_era
+
+
 class Change(Record):
     """The write or the removal of a key at a revision.
 
@@ -48,13 +76,23 @@
         revision: Revision up to which the page covers all changes.
         full: Whether the page has all items of the store, so that other keys
             do not exist.
+        era: Era of the store; rises when it is restored from a copy.
+        restored_revision: Items up to this revision may come from the copy
+            from which the store was restored; 0 if none is known to.
     """
 
-    __slots__ = ("changes", "revision", "full")
+    __slots__ = ("changes", "revision", "full", "era", "restored_revision")
 
     def __init__(
-        self, changes: tuple[Change, ...], revision: int, full: bool
+        self,
+        changes: tuple[Change, ...],
+        revision: int,
+        full: bool,
+        era: int = 0,
+        restored_revision: int = 0,
     ) -> None:
+        self.era = era
+        self.restored_revision = restored_revision
         self.changes = changes
         self.revision = revision
         self.full = full
@@ -64,14 +102,20 @@
     """Items by key, each at its newest known revision.
 
     A change replaces only an older one. A removal leaves a tombstone with
-    its revision, so that a late copy of the item does not restore it.
+    its revision, so that a late copy of the item does not restore it. All
+    items are of one era of the store.
 
     Attributes:
+        era: Era of the store.
+        restored_revision: Items up to this revision may come from the copy
+            from which the store was restored.
         revision: Newest revision up to which all changes are known.
         changed_revision: Newest revision at which an item here changed.
     """
 
     __slots__ = (
+        "era",
+        "restored_revision",
         "revision",
         "changed_revision",
         "_items",
@@ -81,6 +125,8 @@
     )
 
     def __init__(self) -> None:
+        self.era = 0
+        self.restored_revision = 0
         self.revision = 0
         self.changed_revision = 0
         self._items: dict[str, Change] = {}
@@ -96,6 +142,10 @@
             grace_ms: How long an item may come back that is missing from a
                 full page.
         """
+        if not may_merge(self.era, page.era, page.full):
+            return []
+        if page.era > self.era:
+            return self._replace(page, grace_ms)
         merged = [change for change in page.changes if self._merge(change)]
         if page.full:
             named = {change.key for change in page.changes}
@@ -113,6 +163,44 @@
         self.changed_revision = max(self.changed_revision, newest)
         return merged
 
+    def _replace(self, page: Page, grace_ms: int) -> list[Change]:
+        """Replaces all items by those of a newer era.
+
+        Returns:
+            The items whose values are new here, and the removals of those
+            that are missing.
+        """
+        former = self._items
+        self._items = {
+            change.key: change
+            for change in page.changes
+            if change.value is not None
+        }
+        merged = [
+            change
+            for key, change in self._items.items()
+            if key not in former or former[key].value != change.value
+        ]
+        removals = [
+            Change(key, None, page.revision, grace_ms)
+            for key in former
+            if key not in self._items
+        ]
+        self._tombstones = {change.key: change for change in removals}
+        self._tombstone_order = deque(
+            (change.revision, change.key) for change in removals
+        )
+        # What was removed before this page is not known.
+        self._trimmed_revision = page.revision
+        if self.revision > 0:
+            self.restored_revision = page.restored_revision or page.revision
+        else:
+            self.restored_revision = page.restored_revision
+        self.era = page.era
+        self.revision = page.revision
+        self.changed_revision = page.revision
+        return merged + removals
+
     def _merge(self, change: Change) -> bool:
         known = self._items.get(change.key) or self._tombstones.get(change.key)
         if known is not None and known.revision >= change.revision:
@@ -142,14 +230,23 @@
         then are not all kept.
         """
         if revision <= 0 or revision < self._trimmed_revision:
-            return Page(tuple(self._items.values()), self.revision, True)
+            return self._page(self._items.values(), True)
         newer = [
             change
             for part in (self._items, self._tombstones)
             for change in part.values()
             if change.revision > revision
         ]
-        return Page(tuple(newer), self.revision, False)
+        return self._page(newer, False)
+
+    def _page(self, changes: Iterable[Change], full: bool) -> Page:
+        return Page(
+            tuple(changes),
+            self.revision,
+            full,
+            self.era,
+            self.restored_revision,
+        )
 
     def items(self) -> Iterable[Change]:
         """Returns the existing items."""
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from ..records import Record
+from .departed_servers import DepartedServers
 
 
 class BackendServer(Record):
@@ -64,6 +65,12 @@
             and self.port == other.port
         )
 
+    def is_no_newer_than(self, other: BackendServer) -> bool:
+        """Returns whether `other` is the same process or a later one."""
+        return (
+            self.same_incarnation(other) or self.started_ms < other.started_ms
+        )
+
 
 def digest_id(server_id: str) -> int:
     """Returns the number that identifies a server between hosts."""
@@ -74,9 +81,13 @@
     """The listed servers and evacuated data centres.
 
     Holds one record for each listed server and evacuated data centre.
+
+    Attributes:
+        departed: Servers that left.
     """
 
     __slots__ = (
+        "departed",
         "_listed",
         "_cold_until",
         "_expiring",
@@ -86,6 +97,7 @@
     )
 
     def __init__(self) -> None:
+        self.departed = DepartedServers()
         self._listed: dict[str, BackendServer] = {}
         self._cold_until: dict[str, int] = {}
         self._expiring: dict[str, int] = {}
@@ -102,6 +114,7 @@
         old = self._listed.get(server.id)
         fresh = old is None or not old.same_incarnation(server)
         self._listed[server.id] = server
+        self.departed.forget(server.id)
         self._digests[digest_id(server.id)] = server.id
         self._expiring.pop(server.id, None)
         if server.cold_ms > 0:
@@ -113,6 +126,36 @@
         self._usable.clear()
         return fresh and old is not None
 
+    def accepts_copy(
+        self, server: BackendServer, now_ms: int, grace_ms: int
+    ) -> bool:
+        """Returns whether to use an entry that a restored store had kept.
+
+        The entry may be older than what is known: its server may have left,
+        started again or begun to drain since.
+
+        Args:
+            server: The entry.
+            now_ms: Monotonic time in ms.
+            grace_ms: How long a later incarnation that is known stays in
+                use without writing its entry again.
+        """
+        known = self._listed.get(server.id)
+        if known is None:
+            return not self.departed.hold_back(server, now_ms)
+        if not server.is_no_newer_than(known):
+            return True
+        if not known.same_incarnation(server):
+            self._expiring.setdefault(server.id, now_ms + grace_ms)
+            return False
+        self._expiring.pop(server.id, None)
+        return known.available and not server.available
+
+    def extend_grace(self, until_ms: int) -> None:
+        """Keeps servers whose entries may come back at least until then."""
+        for server_id, at_ms in self._expiring.items():
+            self._expiring[server_id] = max(at_ms, until_ms)
+
     def remove(self, server_id: str, now_ms: int, grace_ms: int = 0) -> None:
         """Removes `server_id`.
 
@@ -126,7 +169,10 @@
         if grace_ms > 0 and server_id in self._listed:
             self._expiring.setdefault(server_id, now_ms + grace_ms)
             return
-        self._listed.pop(server_id, None)
+        server = self._listed.pop(server_id, None)
+        if server is not None:
+            self.departed.record(server, now_ms)
+        self.departed.stop_holding(server_id)
         self._digests.pop(digest_id(server_id), None)
         self._cold_until.pop(server_id, None)
         self._expiring.pop(server_id, None)
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -21,6 +21,7 @@
   busy @11 :UInt8;  # in percent
   unreached @12 :List(UInt64);  # digests of servers
   linksCut @13 :Bool;  # the sender reaches servers only through peers
+  era @14 :UInt64;  # era of the store that the revision belongs to
 }
 
 # A request, identified by a digest, during which a backend server crashed.
@@ -52,6 +53,8 @@
   revision @0 :UInt64;
   whole @1 :Bool;  # whether it has all items
   changes @2 :List(Change);
+  era @3 :UInt64;  # era of the store
+  restoredRevision @4 :UInt64;  # items up to it may come from a copy
 }
 
 struct Change {
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -59,6 +59,7 @@
         busy=min(MAX_PERCENT, heartbeat.cpu_percent),
         unreached=list(heartbeat.unreached),
         linksCut=heartbeat.links_cut,
+        era=heartbeat.era,
     )
     return bytes(message.to_bytes_packed())
 
@@ -88,6 +89,7 @@
             raw.busy,
             tuple(raw.unreached),
             raw.linksCut,
+            raw.era,
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
@@ -98,6 +100,8 @@
     message = _SCHEMA.Page.new_message(
         revision=page.revision,
         whole=page.full,
+        era=page.era,
+        restoredRevision=page.restored_revision,
         changes=[
             {
                 "key": change.key,
@@ -135,6 +139,8 @@
                 ),
                 raw.revision,
                 raw.whole,
+                raw.era,
+                raw.restoredRevision,
             )
     except (capnp.KjException, ValueError, zlib.error) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -26,7 +26,7 @@
     RESERVE_HEARTBEAT_EVERY,
 )
 from ..core.entry.planner import Planner
-from ..core.entry.replica import Page, Replica
+from ..core.entry.replica import is_ahead, Page, Replica
 from ..core.entry.routing import DEFAULT_LIMITS
 from ..core.entry.servers import digest_id
 from ..platform.store import read_full_answer
@@ -115,7 +115,12 @@
         if peer.address is None:
             peer.address = (addr[0], addr[1])
         self._merge_reports(heartbeat, now_ms)
-        if heartbeat.revision > self._replica.revision:
+        if is_ahead(
+            heartbeat.era,
+            heartbeat.revision,
+            self._replica.era,
+            self._replica.revision,
+        ):
             self._on_newer_revision()
 
     def _merge_reports(self, heartbeat: Heartbeat, now_ms: int) -> None:
@@ -220,6 +225,7 @@
             self._peers.cpu_percent,
             tuple(map(digest_id, planner.restarts.recent(now_ms))),
             self._peers.links_cut,
+            self._replica.era,
         )
 
     async def run_heartbeats(self) -> None:
@@ -245,11 +251,15 @@
             await self._tunnels.serve(conn, received)
             return
         path, _, query = received.target.partition(b"?")
-        after = parse_qs(query.decode("latin-1")).get("after", [""])[0]
+        fields = parse_qs(query.decode("latin-1"))
+        after = fields.get("after", [""])[0]
         if path != STATE_PATH or not after.isdigit():
             await conn.respond(404, [])
             return
-        page = self._replica.changes_since(int(after))
+        # Hosts of earlier releases name no era.
+        era = fields.get("era", [str(self._replica.era)])[0]
+        same_era = era == str(self._replica.era)
+        page = self._replica.changes_since(int(after) if same_era else 0)
         conn.closing = True
         await conn.respond(200, [], encode_page(page))
         await conn.finish()
@@ -267,7 +277,11 @@
                 protocol = await connect(peer.address, PULL_TIMEOUT_MS, 0)
                 if protocol is None:
                     return None
-                target = b"%s?after=%d" % (STATE_PATH, self._replica.revision)
+                target = b"%s?after=%d&era=%d" % (
+                    STATE_PATH,
+                    self._replica.revision,
+                    self._replica.era,
+                )
                 protocol.write(
                     h11.Request(
                         method="GET", target=target, headers=[("Host", "peer")]
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -7,7 +7,7 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
-from ..core.entry.peers import Peers
+from ..core.entry.peers import Peers, WATCHER_GRACE_MS
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Change, Page, Replica
 from ..platform.changes import (
@@ -28,6 +28,13 @@
 # Servers of a data centre that takes requests again may be cold, which their
 # entries show only after their next heartbeat; until then they count as cold.
 READMITTED_COLD_MS: Final = 2_500
+# Servers whose entries expired in an outage of the store or are missing after
+# its restore are listed again within this time after it ends if they still
+# run (the operators specify two seconds).
+OUTAGE_GRACE_MS: Final = 2_300
+# An evacuation that is missing after a restore stays in force for this long,
+# in which the operators write it again.
+EVACUATION_GRACE_MS: Final = 30_000
 
 
 class StateApplier:
@@ -37,7 +44,14 @@
         replica: This host's replica of the store's items.
     """
 
-    __slots__ = ("replica", "_planner", "_peers", "_pool", "_clock")
+    __slots__ = (
+        "replica",
+        "_planner",
+        "_peers",
+        "_pool",
+        "_clock",
+        "_kept_evacuations",
+    )
 
     def __init__(
         self,
@@ -51,10 +65,13 @@
         self._peers = peers
         self._pool = pool
         self._clock = clock
+        self._kept_evacuations: dict[str, int] = {}
 
     def apply(self, page: Page, source: str, grace_ms: int) -> int:
         """Applies the changes of `page` that are not yet known.
 
+        Does nothing if the page is from before a restore of the store.
+
         Args:
             page: Changes, or all items of the store.
             source: Name of the peer that sent the page, or "store".
@@ -64,12 +81,47 @@
         Returns:
             The number of changes applied.
         """
+        restored = 0 < self.replica.revision and self.replica.era < page.era
+        if restored and page.full:
+            grace_ms = OUTAGE_GRACE_MS
+            self._begin_era(page, source)
         changes = self.replica.apply(page, grace_ms)
         for change in changes:
-            self._apply_change(change, source)
+            from_copy = restored and (
+                change.value is None
+                or change.revision <= self.replica.restored_revision
+            )
+            self._apply_change(change, source, from_copy)
         return len(changes)
 
-    def _apply_change(self, change: Change, source: str) -> None:
+    def _begin_era(self, page: Page, source: str) -> None:
+        """Gives writers time anew to write again what the store has lost."""
+        log_event(
+            "belief_restored",
+            "WARNING",
+            era=page.era,
+            revision=page.revision,
+            former=self.replica.revision,
+            source=source,
+        )
+        now_ms = self._clock.now_ms()
+        self._planner.servers.extend_grace(now_ms + OUTAGE_GRACE_MS)
+        for name in self._kept_evacuations:
+            self._kept_evacuations[name] = now_ms + EVACUATION_GRACE_MS
+
+    def tick(self, now_ms: int) -> None:
+        """Ends what was kept for a time after a restore of the store."""
+        for server in self._planner.servers.departed.release(now_ms):
+            log_event("server_readmitted", server=server.id)
+            self._planner.servers.put(server, now_ms)
+        for name, until_ms in list(self._kept_evacuations.items()):
+            if until_ms <= now_ms:
+                log_event("evacuation_lapsed", "WARNING", data_centre=name)
+                self._end_evacuation(name)
+
+    def _apply_change(
+        self, change: Change, source: str, from_copy: bool
+    ) -> None:
         decoded = decode_change(change)
         if decoded is None:
             return
@@ -81,16 +133,28 @@
             grace_ms=change.grace_ms,
             source=source,
         )
-        self._apply_decoded(decoded)
+        self._apply_decoded(decoded, from_copy)
 
     @singledispatchmethod
-    def _apply_decoded(self, decoded: DecodedChange) -> None:
+    def _apply_decoded(self, decoded: DecodedChange, from_copy: bool) -> None:
+        """Applies a change.
+
+        Args:
+            decoded: The change.
+            from_copy: Whether it may come from the copy from which the store
+                was restored, and so be older than what is known.
+        """
         raise TypeError(f"unknown change {type(decoded).__name__}")
 
     @_apply_decoded.register
-    def _(self, decoded: ServerListed) -> None:
+    def _(self, decoded: ServerListed, from_copy: bool) -> None:
         now_ms = self._clock.now_ms()
         server = decoded.server
+        if from_copy and not self._planner.servers.accepts_copy(
+            server, now_ms, OUTAGE_GRACE_MS
+        ):
+            log_event("server_copy_ignored", server=server.id)
+            return
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
             self._planner.ejections.remove(server.id)
@@ -98,7 +162,7 @@
             self._planner.caches.remove(server.id)
 
     @_apply_decoded.register
-    def _(self, decoded: ServerRemoved) -> None:
+    def _(self, decoded: ServerRemoved, from_copy: bool) -> None:
         self._planner.servers.remove(
             decoded.id, self._clock.now_ms(), decoded.grace_ms
         )
@@ -110,42 +174,64 @@
             self._planner.caches.remove(decoded.id)
 
     @_apply_decoded.register
-    def _(self, decoded: Evacuation) -> None:
+    def _(self, decoded: Evacuation, from_copy: bool) -> None:
         servers = self._planner.servers
-        now_ms = self._clock.now_ms()
+        name = decoded.data_centre
         if decoded.active:
-            servers.set_evacuated(servers.evacuated | {decoded.data_centre})
-            return
-        servers.set_evacuated(servers.evacuated - {decoded.data_centre})
+            self._kept_evacuations.pop(name, None)
+            servers.set_evacuated(servers.evacuated | {name})
+        elif from_copy:
+            until_ms = self._clock.now_ms() + EVACUATION_GRACE_MS
+            self._kept_evacuations[name] = until_ms
+            log_event(
+                "evacuation_kept",
+                "WARNING",
+                data_centre=name,
+                grace_ms=EVACUATION_GRACE_MS,
+            )
+        else:
+            self._end_evacuation(name)
+
+    def _end_evacuation(self, data_centre: str) -> None:
+        servers = self._planner.servers
+        now_ms = self._clock.now_ms()
+        self._kept_evacuations.pop(data_centre, None)
+        servers.set_evacuated(servers.evacuated - {data_centre})
         for server_id in servers.ids():
             server = servers.get(server_id)
-            if server and server.data_centre == decoded.data_centre:
+            if server and server.data_centre == data_centre:
                 servers.mark_cold(server_id, now_ms + READMITTED_COLD_MS)
 
     @_apply_decoded.register
-    def _(self, decoded: DesiredStateChange) -> None:
+    def _(self, decoded: DesiredStateChange, from_copy: bool) -> None:
         if self._planner.set_desired(decoded.state):
             log_event("desired_state", version=decoded.state.version)
         else:
             log_event("desired_state_old", version=decoded.state.version)
 
     @_apply_decoded.register
-    def _(self, decoded: HostListed) -> None:
+    def _(self, decoded: HostListed, from_copy: bool) -> None:
+        now_ms = self._clock.now_ms()
+        # A host in the copy may have left; it does not count as starting.
+        listed_ms = now_ms - WATCHER_GRACE_MS if from_copy else now_ms
         self._peers.add_listed(
             decoded.name,
             decoded.callers,
             decoded.peers,
             decoded.data_centre,
-            self._clock.now_ms(),
+            listed_ms,
             decoded.link_mbps,
         )
 
     @_apply_decoded.register
-    def _(self, decoded: HostRemoved) -> None:
+    def _(self, decoded: HostRemoved, from_copy: bool) -> None:
         self._peers.mark_unlisted(decoded.name)
 
     @_apply_decoded.register
-    def _(self, decoded: CacheSnapshot) -> None:
+    def _(self, decoded: CacheSnapshot, from_copy: bool) -> None:
+        if from_copy:
+            # What this host knows is newer.
+            return
         try:
             pairs = decode_caches(decoded.value)
         except MessageError as exc:
@@ -155,7 +241,7 @@
         log_event("caches_restored", parts=len(pairs))
 
     @_apply_decoded.register
-    def _(self, decoded: UnusableRecord) -> None:
+    def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         log_event(
             "record_unusable",
             "WARNING",
