Follow a restored store and write again what it lost

A watch went on at a revision that was given out again; the host's record stayed lost until its lease was to be renewed, a renewal could even succeed for the lease of another host with the same id, and stopping ended that host's lease. A map of caches that did not change was not saved again. A record whose lease was gone between the grant and the write counted as written until the next renewal.

The saver writes the map again in a new era.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -23,6 +23,7 @@
 from ..platform.records import encode_host
 from ..platform.settings import EntrySettings, read_settings, SettingsError
 from ..platform.store import StoreClient
+from ..platform.store_era import StoreEra
 from .backends import ConnectionPool
 from .callers import CallerService
 from .directory import DirectoryService
@@ -88,6 +89,7 @@
         "_links",
         "_pool",
         "_applier",
+        "_era",
         "_sync",
         "_registration",
         "_cache_saver",
@@ -143,22 +145,25 @@
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock
         )
+        self._era = StoreEra(self._planner.counters)
         self._sync = StateSync(
-            StoreClient(settings.store, self._planner.counters),
+            self._connect_store(),
             self._applier,
             self._peers,
             clock,
             FIRST_START_DELAY_MS if settings.first_start else 0,
+            self._era,
         )
         peer_address = (settings.address, settings.peer_ports[0])
         self._cache_saver = CacheMapSaver(
-            StoreClient(settings.store, self._planner.counters),
+            self._connect_store(),
             self._planner.caches,
             self._peers,
             clock,
+            self._era,
         )
         self._registration = Registration(
-            StoreClient(settings.store, self._planner.counters),
+            self._connect_store(),
             settings.name,
             encode_host(
                 settings.callers,
@@ -167,6 +172,8 @@
                 settings.link_mbps,
             ),
             settings.lost_after_ms,
+            self._era,
+            lambda: self._peers.rewrite_delay_ms(clock.now_ms()),
         )
         self._peering = Peering(
             settings.name,
@@ -193,6 +200,11 @@
     def _list_waiting(self) -> list[str]:
         return list(self._planner.loads.own)
 
+    def _connect_store(self) -> StoreClient:
+        return StoreClient(
+            self._settings.store, self._planner.counters, self._era
+        )
+
     def _store_reached(self) -> bool:
         return self._registration.reached
 
@@ -241,6 +253,7 @@
                 self._peers.count_live(self._clock.now_ms())
             ),
             "belief_revision": lambda: float(self._applier.replica.revision),
+            "belief_era": lambda: float(self._applier.replica.era),
             "desired_version": lambda: float(
                 self._planner.desired.version if self._planner.desired else 0
             ),
@@ -291,6 +304,7 @@
             )
             for server_id in self._planner.tick(now_ms):
                 log_event("server_lapsed", server=server_id)
+            self._applier.tick(now_ms)
             for name in self._peers.remove_expired(now_ms):
                 self._planner.loads.remove(name)
                 log_event("peer_gone", peer=name)
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -10,13 +10,15 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.cache_map import CacheMap
+from ..core.entry.counters import Counters
 from ..core.entry.peers import NOT_WATCHING_MS, Peers
-from ..core.entry.replica import Change, Page
+from ..core.entry.replica import Change, owns_lease, Page
 from ..platform.records import CACHES_KEY, HOST_PREFIX
 from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
+from ..platform.store_era import NO_ERA, StoreEra
 from .peer_codec import encode_caches
 from .peering import Peering
-from .state_applier import StateApplier
+from .state_applier import OUTAGE_GRACE_MS, StateApplier
 
 # The store answers a watch without changes after this time, which shows that
 # the connection is alive.
@@ -30,10 +32,6 @@
 # An answer to a watch that is late by more than this shows an outage of the
 # store.
 WATCH_LATE_MS: Final = 500
-# Servers whose entries expired in an outage of the store are listed again
-# within this time after it ends if they still run (the operators specify two
-# seconds).
-OUTAGE_GRACE_MS: Final = 2_300
 FIRST_RETRY_MS: Final = 100
 MAX_RETRY_MS: Final = 800
 FOLLOW_POLL_MS: Final = 100
@@ -52,6 +50,10 @@
 LEASE_RETRY_MS: Final = 300
 
 
+class StoreRestoredError(Exception):
+    """The store was restored, so that all items have to be read again."""
+
+
 class StateSync:
     """Keeps the replica of the store's items up to date.
 
@@ -60,6 +62,7 @@
 
     __slots__ = (
         "_store",
+        "_era",
         "_applier",
         "_peers",
         "_peering",
@@ -80,6 +83,7 @@
         peers: Peers,
         clock: Clock,
         start_delay_ms: int = 0,
+        era: StoreEra | None = None,
     ) -> None:
         """Creates the task that keeps the replica up to date.
 
@@ -89,7 +93,9 @@
             peers: The other hosts.
             clock: The clock.
             start_delay_ms: Time before the store is first read.
+            era: The store's era, as `store` reads it.
         """
+        self._era = era or StoreEra(Counters())
         self._start_delay_ms = start_delay_ms
         self._next_watch_ms = 0
         self._store = store
@@ -145,7 +151,9 @@
                     retry_ms = FIRST_RETRY_MS
             except HistoryGoneError:
                 log_event("store_history_gone")
-                relist = True
+                relist = await self._needs_listing()
+            except StoreRestoredError:
+                relist = await self._needs_listing()
             except StoreError as exc:
                 self._record_failure(exc)
                 await self._pull_from_peer()
@@ -154,6 +162,25 @@
             finally:
                 self._scope = None
 
+    async def _needs_listing(self) -> bool:
+        """Returns whether this host has to read all items of the store.
+
+        After a restore, only the watchers read them at once; the others wait
+        for a peer's copy, so that the store is not flooded.
+        """
+        replica = self._applier.replica
+        now_ms = self._clock.now_ms()
+        if self._era.known > replica.era:
+            self._outage_at_ms = now_ms
+            delay_ms = self._peers.relist_delay_ms(now_ms)
+            with anyio.move_on_after(delay_ms / MS_PER_SECOND):
+                while self._era.known > replica.era and delay_ms:
+                    await self._pull_from_peer()
+                    await self._wake.wait()
+                    self._wake = anyio.Event()
+            return self._era.known > replica.era
+        return True
+
     def _record_failure(self, exc: StoreError) -> None:
         """Records that the store does not answer and notifies peers at once.
 
@@ -187,7 +214,7 @@
     async def _read_store(self, relist: bool) -> None:
         replica = self._applier.replica
         if relist:
-            items, at = await self._read_all()
+            items, at, era = await self._read_all()
         else:
             wait_ms = self._next_watch_ms - self._clock.now_ms()
             await anyio.sleep(max(0, wait_ms) / MS_PER_SECOND)
@@ -195,32 +222,44 @@
             items, at = await self._store.watch(
                 "", replica.revision, WATCH_WAIT_MS
             )
+            era = self._era.known
         self._record_contact(WATCH_WAIT_MS)
-        self._apply(items, at, relist)
-
-    async def _read_all(self) -> tuple[list[Item], int]:
+        if era > replica.era and not relist:
+            raise StoreRestoredError
+        if era < replica.era:
+            # A peer has learnt of a restore in the meantime.
+            raise StoreError("listing", "old era", True)
+        self._apply(items, at, relist, era)
+
+    async def _read_all(self) -> tuple[list[Item], int, int]:
         """Reads all items and copies those of peers until they are there.
 
         The store may be silent for seconds, in which a host that started
         would know no desired state.
 
+        Returns:
+            The items, the store's revision and its era.
+
         Raises:
             StoreError: The store did not answer.
             HistoryGoneError: The store's history is gone.
         """
         failure: StoreError | HistoryGoneError | None = None
         answer: tuple[list[Item], int] = ([], 0)
+        era = self._era.known
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._copy_from_peers)
             try:
                 answer = await self._store.read_all("")
+                # Read at once: a peer may report another one at any time.
+                era = self._era.known
             except (StoreError, HistoryGoneError) as exc:
                 # Raised below, as a task group would wrap it.
                 failure = exc
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        return answer
+        return *answer, era
 
     async def _copy_from_peers(self) -> None:
         while True:
@@ -228,16 +267,20 @@
             self._wake = anyio.Event()
             await self._pull_from_peer()
 
-    def _apply(self, items: list[Item], at: int, full: bool) -> None:
+    def _apply(self, items: list[Item], at: int, full: bool, era: int) -> None:
         grace_ms = self._removal_grace_ms()
         changes = tuple(
             Change(item.key, item.value, item.revision, grace_ms)
             for item in items
             if full or item.key != CACHES_KEY
         )
-        page = Page(changes, at, full)
+        restored = self._applier.replica.era < era
+        restored_revision = (
+            at if restored else self._applier.replica.restored_revision
+        )
+        page = Page(changes, at, full, era, restored_revision)
         count = self._applier.apply(page, "store", grace_ms)
-        if count and self._peering is not None:
+        if (count or restored) and self._peering is not None:
             self._peering.send_heartbeats()
 
     def _removal_grace_ms(self) -> int:
@@ -267,13 +310,14 @@
         """
         replica = self._applier.replica
         ahead = self._peers.find_peer_ahead(
-            replica.revision, self._clock.now_ms()
+            replica.revision, self._clock.now_ms(), replica.era
         )
         if ahead is None or self._peering is None:
             return True
         page = await self._peering.pull(ahead)
         if page is not None:
             self._applier.apply(page, ahead.name, self._removal_grace_ms())
+            self._era.observe(page.era)
         return page is not None
 
 
@@ -285,30 +329,40 @@
     no harm results.
     """
 
-    __slots__ = ("_store", "_caches", "_peers", "_clock", "_saved")
+    __slots__ = ("_store", "_caches", "_peers", "_clock", "_saved", "_era")
 
     def __init__(
-        self, store: StoreClient, caches: CacheMap, peers: Peers, clock: Clock
+        self,
+        store: StoreClient,
+        caches: CacheMap,
+        peers: Peers,
+        clock: Clock,
+        era: StoreEra | None = None,
     ) -> None:
         self._store = store
         self._caches = caches
         self._peers = peers
         self._clock = clock
-        self._saved = b""
+        # The map as saved last, and the era in which it was saved.
+        self._saved = (b"", NO_ERA)
+        self._era = era or StoreEra(Counters())
 
     async def run(self) -> None:
-        """Saves at intervals while this host is the one that saves."""
+        """Saves at intervals while this host is the one that saves.
+
+        A restore of the store may have lost the map, so it is saved again.
+        """
         while True:
             await anyio.sleep(SAVE_INTERVAL_MS / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
             if not self._peers.is_first(now_ms):
                 continue
             value = encode_caches(self._caches.snapshot(now_ms))
-            if value == self._saved:
+            if self._saved == (value, self._era.known):
                 continue
             try:
                 await self._store.write(CACHES_KEY, value, NO_LEASE)
-                self._saved = value
+                self._saved = value, self._era.known
             except StoreError as exc:
                 log_event("caches_not_saved", reason=exc.reason)
 
@@ -316,6 +370,9 @@
 class Registration:
     """Keeps the record of this host in the store while it serves.
 
+    A lease is valid in one era of the store only: after a restore its id may
+    belong to another host.
+
     Attributes:
         reached: Whether the store answered the last call.
     """
@@ -326,7 +383,10 @@
         "_key",
         "_value",
         "_lease",
+        "_lease_era",
         "_lease_ms",
+        "_era",
+        "_rewrite_delay_ms",
     )
 
     def __init__(
@@ -335,6 +395,8 @@
         name: str,
         value: bytes,
         lost_after_ms: int,
+        era: StoreEra | None = None,
+        rewrite_delay_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         """Creates the record, which is written by `run`.
 
@@ -344,13 +406,19 @@
             value: The record.
             lost_after_ms: Time in which the loss of a host has to be
                 noticed.
+            era: The store's era, as `store` reads it.
+            rewrite_delay_ms: Returns when to write the record again after a
+                restore of the store, so that not all hosts do so at once.
         """
+        self._era = era or StoreEra(Counters())
+        self._rewrite_delay_ms = rewrite_delay_ms
         self._lease_ms = lost_after_ms + LEASE_MARGIN_MS
         self.reached = False
         self._store = store
         self._key = HOST_PREFIX + name
         self._value = value
         self._lease: int | None = None
+        self._lease_era = NO_ERA
 
     async def run(self, is_serving: Callable[[], bool]) -> None:
         """Keeps the record until `is_serving` returns False."""
@@ -358,7 +426,7 @@
             try:
                 await self._renew()
                 self.reached = True
-                await anyio.sleep(self._lease_ms * RENEW_SHARE / MS_PER_SECOND)
+                await self._wait_for_renewal()
             except StoreError as exc:
                 if self.reached:
                     log_event(
@@ -370,20 +438,41 @@
                 self.reached = False
                 await anyio.sleep(LEASE_RETRY_MS / MS_PER_SECOND)
 
+    async def _wait_for_renewal(self) -> None:
+        with anyio.move_on_after(self._lease_ms * RENEW_SHARE / MS_PER_SECOND):
+            await self._era.wait_above(self._lease_era)
+            await anyio.sleep(self._rewrite_delay_ms() / MS_PER_SECOND)
+
     async def _renew(self) -> None:
-        if self._lease is not None and await self._store.renew(self._lease):
+        if await self._renew_lease():
             return
         self._lease = await self._store.grant(self._lease_ms)
-        if not await self._store.write(self._key, self._value, self._lease):
+        self._lease_era = self._era.known
+        kept = await self._store.write(self._key, self._value, self._lease)
+        if not kept or not self._owns_lease():
             self._lease = None
-            return
+            raise StoreError("registration", "lease gone", True)
         log_event("registered", lease=self._lease)
 
+    async def _renew_lease(self) -> bool:
+        """Returns whether this host's lease exists; renews it if so."""
+        if not self._owns_lease() or self._lease is None:
+            self._lease = None
+            return False
+        renewed = await self._store.renew(self._lease)
+        # The answer shows the era in which the lease was renewed.
+        return renewed and self._owns_lease()
+
+    def _owns_lease(self) -> bool:
+        return owns_lease(self._lease_era, self._era.known)
+
     async def withdraw(self) -> None:
         """Ends the lease, which removes the record."""
-        if self._lease is None:
-            return
         try:
+            # Renews it first: after a restore that is not known here yet the
+            # id may be the one of another host's lease.
+            if not await self._renew_lease() or self._lease is None:
+                return
             await self._store.end_lease(self._lease)
             log_event("registration_ended", lease=self._lease)
         except StoreError as exc:
