--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -219,13 +219,17 @@
             wait_ms = self._next_watch_ms - self._clock.now_ms()
             await anyio.sleep(max(0, wait_ms) / MS_PER_SECOND)
             self._next_watch_ms = self._clock.now_ms() + WATCH_INTERVAL_MS
+            asked_era = replica.era
             items, at = await self._store.watch(
                 "", replica.revision, WATCH_WAIT_MS
             )
             era = self._era.known
+            # The revision asked for belongs to the era of that moment, even
+            # if the replica has a newer one by now.
+            if era != asked_era:
+                self._record_contact(WATCH_WAIT_MS)
+                raise StoreRestoredError
         self._record_contact(WATCH_WAIT_MS)
-        if era > replica.era and not relist:
-            raise StoreRestoredError
         if era < replica.era:
             # A peer has learnt of a restore in the meantime.
             raise StoreError("listing", "old era", True)
--- a/tests/test_entry_restore_sync.py
+++ b/tests/test_entry_restore_sync.py
@@ -149,6 +149,46 @@
     run_bench(scenario)
 
 
+class SlowWatchStore:
+    """Store that is restored while a watch waits."""
+
+    def __init__(self, bench: Bench) -> None:
+        self.bench = bench
+        self.lists = 0
+
+    async def read_all(self, prefix):
+        """Returns no items."""
+        self.lists += 1
+        self.bench.era.read([b"%d" % self.lists])
+        return [], 9 if self.lists == 1 else 5
+
+    async def watch(self, prefix, after, wait_ms):
+        """Returns no changes since the revision of the former era."""
+        if self.lists > 1:
+            await anyio.sleep_forever()
+        self.bench.era.read([b"2"])
+        self.bench.applier.apply(Page((), 5, True, 2, 5), "peer", 0)
+        return [], 9
+
+
+# Guards against the answer to a watch from a revision of the former era, when
+# a peer's copy has led to the new one meanwhile (found by the model check).
+def test_answer_to_a_watch_counts_only_in_the_era_of_its_revision():
+    async def scenario(bench, tasks):
+        store = SlowWatchStore(bench)
+        sync = StateSync(
+            store, bench.applier, bench.peers, bench.clock, 0, bench.era
+        )
+        tasks.start_soon(sync.run)
+        await wait_until(lambda: store.lists == 2)
+        assert (bench.applier.replica.era, bench.applier.replica.revision) == (
+            2,
+            5,
+        )
+
+    run_bench(scenario)
+
+
 class FollowedPeering:
     """A peer that has the new era after a while."""
 
