--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -81,6 +81,20 @@
     assert "r2" not in out
 
 
+def test_restore_of_the_store_before_the_request_is_named(tmp_path, capsys):
+    log = write_log(
+        tmp_path / "h1.log",
+        {"event": "belief_restored", "era": 4, "revision": 90},
+        {"event": "evacuation_kept", "data_centre": "b"},
+        sent("r1", "s1"),
+        {"event": "request_done", "request_id": "r1", "took_ms": 90},
+    )
+    assert main(["explain", "r1", log]) == 0
+    out = capsys.readouterr().out
+    assert "era=4" in out
+    assert "data_centre=b" in out
+
+
 def test_json_output_holds_lines_in_order(tmp_path, capsys):
     log = write_log(
         tmp_path / "h1.log",
