Count the calls of a restore against the store's limits

Listings and records written again stay below half of what the store of a small site accepts in any second, at 8, 66 and 195 hosts, with and without a peer's copy.

--- a/tests/test_entry_restore_sync.py
+++ b/tests/test_entry_restore_sync.py
@@ -10,7 +10,7 @@
 import pytest
 
 from corianderdoor.adapters.http1_server import listen
-from corianderdoor.core.clock import SystemClock
+from corianderdoor.core.clock import MS_PER_SECOND, SystemClock
 from corianderdoor.core.entry.active_hosts import rank_host
 from corianderdoor.core.entry.counters import Counters
 from corianderdoor.core.entry.peers import (
@@ -36,6 +36,11 @@
 from corianderdoor.standins.platform_store import StoreServer, StoreState
 
 LOST_AFTER_MS = 3_000
+# What the store accepts from all hosts of a small site, per second (site
+# descriptions of the platform), and the share that a restore may use.
+WRITES_PER_S = 400
+READS_PER_S = 2_000
+MAX_SHARE = 0.5
 
 
 class Bench:
@@ -378,6 +383,33 @@
         assert peers.should_watch(now_ms + 310) == (own in readers)
 
 
+def count_per_second(times_ms: list[int]) -> int:
+    """Returns the highest number of calls within any second."""
+    return max(
+        sum(at <= other < at + MS_PER_SECOND for other in times_ms)
+        for at in times_ms
+    )
+
+
+# Guards against calls beyond what the store accepts, which it refuses.
+@pytest.mark.parametrize("peers_reached", [True, False])
+@pytest.mark.parametrize("count", [8, 66, 195])
+def test_calls_after_a_restore_stay_far_below_the_stores_limits(
+    count, peers_reached
+):
+    now_ms = 60_000
+    fleet = build_fleet(count, now_ms).values()
+    delays = [peers.relist_delay_ms(now_ms) for peers in fleet]
+    lists = [at for at in delays if at == 0 or not peers_reached]
+    # All hosts ask the store until one of them reaches it.
+    reads = [0] * count + lists
+    # A new lease and the record.
+    writes = 2 * [peers.rewrite_delay_ms(now_ms) for peers in fleet]
+    assert len(lists) <= (MAX_WATCHERS if peers_reached else count)
+    assert count_per_second(reads) <= MAX_SHARE * READS_PER_S
+    assert count_per_second(writes) <= MAX_SHARE * WRITES_PER_S
+
+
 @pytest.mark.parametrize("count", [8, 66, 195])
 def test_records_are_written_again_one_after_the_other(count):
     fleet = build_fleet(count, 60_000)
