Send nothing new to servers that announce that they leave

Cause: a server that leaves says so in all its answers (`Server-Leaving`), but no module read it, so a host went on sending there until the store said so, and again when the store took it back.

Change: `AnswerHead` decodes it; `ServerMarks` records it from the head of any answer but a 421; `LeavingServers` holds incarnations (id, start and address), listed or, for 60 s, unlisted. Caches are copied from a leaving server if no other has the part. A request that no server takes for this reason is refused with `servers-leaving`.

The test of not-run statuses takes the new ending `withdrawn` as it does `unreached`: by definition nothing was sent. The list of the platform's words grows by the header.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -21,6 +21,7 @@
     "prompt_tokens": "Prompt tokens by where they were expected.",
     "connections": "Connections to backend servers by how they were opened.",
     "tunnels": "Connections to backend servers that peers asked for.",
+    "leaving_servers": "Servers found to be leaving, by who said so.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -14,6 +14,8 @@
     """How an attempt at a server failed.
 
     UNREACHED: No connection could be made; no byte of the request was sent.
+    WITHDRAWN: Nothing was sent, as the server asked for no requests while
+        the connection was opened.
     NOT_RUN: The server answered that it did not run the request.
     WRONG_SERVER: Another server has the address; it did not run the request.
     BROKEN: The connection ended before the answer was complete.
@@ -24,6 +26,7 @@
     """
 
     UNREACHED = "unreached"
+    WITHDRAWN = "withdrawn"
     NOT_RUN = "not-run"
     WRONG_SERVER = "wrong-server"
     BROKEN = "broken"
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -81,6 +81,8 @@
             lately.
         links_cut: Whether the host reaches servers only through its peers.
         era: Era of the store to which `revision` belongs.
+        leaving_servers: Digests of the incarnations of servers whose
+            answers to the host announced that they leave.
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         "unreached",
         "links_cut",
         "era",
+        "leaving_servers",
     )
 
     def __init__(
@@ -118,9 +121,11 @@
         unreached: tuple[int, ...] = (),
         links_cut: bool = False,
         era: int = 0,
+        leaving_servers: tuple[int, ...] = (),
     ) -> None:
         self.era = era
         self.links_cut = links_cut
+        self.leaving_servers = leaving_servers
         self.unreached = unreached
         self.interval_ms = interval_ms
         self.cpu_percent = cpu_percent
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from .cache_map import CacheMap
+from .cache_source import find_cache_source
 from .counters import Counters
 from .crashing_requests import CrashingRequests
 from .flights import (
@@ -23,6 +24,7 @@
     Refuse,
     Send,
 )
+from .leaving_servers import LeavingServers
 from .loads import Loads
 from .placing import (
     CACHED_CHAT_MAX_UNREAD,
@@ -67,8 +69,6 @@
 # Prefill rate of a server, a little below the platform's 32 tokens per
 # millisecond.
 PREFILL_TOKENS_PER_MS: Final = 30.0
-# Size of the smallest part that is worth copying from another server.
-MIN_FETCH_TOKENS: Final = 64
 # A request with less time left is not sent to a server.
 MIN_LEFT_MS: Final = 20
 # Server errors after which another server may succeed.
@@ -87,6 +87,7 @@
         counters: Counters of decisions and results.
         crashing_requests: Requests that crash the servers that run them.
         restarts: Servers that may have restarted unnoticed.
+        leaving: Servers that announced that they leave.
         hosts: Names of the entry hosts that share limits, this one
             included.
         is_connected: Returns whether a connection to a server was used
@@ -102,6 +103,7 @@
         "counters",
         "crashing_requests",
         "restarts",
+        "leaving",
         "hosts",
         "is_connected",
         "_name",
@@ -127,6 +129,7 @@
         self.counters = Counters()
         self.crashing_requests = CrashingRequests()
         self.restarts = SuspectedRestarts()
+        self.leaving = LeavingServers()
         self.hosts: list[str] = [name]
         self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
@@ -155,6 +158,7 @@
         self._cold_limiter.retain(ids)
         self.crashing_requests.retain(ids)
         self.restarts.retain(ids)
+        self.leaving.retain(self.servers.all(), now_ms)
         return expired
 
     def admit(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
@@ -190,7 +194,7 @@
             return self._refuse(flight, "breaks-servers", now_ms)
         usable = self._list_usable(flight)
         if not usable:
-            return self._refuse(flight, "no-server", now_ms)
+            return self._diagnose_and_refuse(flight, "no-server", now_ms)
         usable = [s for s in usable if self._has_free_connection(s)]
         if not usable:
             return self._hold(
@@ -207,13 +211,29 @@
             )
         return self._choose_cold(flight, usable, now_ms)
 
+    def may_send(self, server: BackendServer) -> bool:
+        """Returns whether `server`, chosen before, still takes requests."""
+        return not self.leaving.includes(server)
+
     def _list_usable(self, flight: Flight) -> list[BackendServer]:
         """Returns the servers that may get the request."""
-        listed = self.servers.usable(flight.service)
+        listed = filter(self.may_send, self.servers.usable(flight.service))
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
 
+    def _diagnose_and_refuse(
+        self, flight: Flight, reason: str, now_ms: int
+    ) -> Refuse:
+        """Refuses a request that no server takes.
+
+        Gives `reason` unless the servers asked for no requests.
+        """
+        usable = self.servers.usable(flight.service)
+        if usable and all(map(self.leaving.includes, usable)):
+            return self._refuse(flight, "servers-leaving", now_ms)
+        return self._refuse(flight, reason, now_ms)
+
     def _has_free_connection(self, server: BackendServer) -> bool:
         """Returns whether this host may open one more connection there.
 
@@ -291,25 +311,19 @@
     def _find_cache_source(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> BackendServer | None:
-        """Returns the server to copy prompt parts from; None for none.
-
-        This is the latest user of the last shared part that another healthy
-        server has cached, unless `server` has that part or a later one.
-        """
-        for part in reversed(flight.req.shared_parts()):
-            holders = self.caches.holders(part, now_ms)
-            if server.id in holders:
+        def find_source(server_id: str) -> BackendServer | None:
+            if self.ejections.is_ejected(server_id, now_ms):
                 return None
-            for name in sorted(holders, key=holders.__getitem__, reverse=True):
-                source = self.servers.get(name)
-                healthy = not self.ejections.is_ejected(name, now_ms)
-                if (
-                    source is not None
-                    and healthy
-                    and part.tokens >= MIN_FETCH_TOKENS
-                ):
-                    return source
-        return None
+            return self.servers.get(server_id)
+
+        return find_cache_source(
+            flight.req,
+            server,
+            self.caches,
+            find_source,
+            self.leaving.includes,
+            now_ms,
+        )
 
     def _choose_cold(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
@@ -465,12 +479,16 @@
             )
         if ending is Ending.SILENT:
             flight.left_server = server.id
+        if ending is Ending.WITHDRAWN:
+            return Again()
         if ending in CERTAINLY_NOT_RUN:
             flight.runs -= 1
         if self._may_continue(flight, ending, now_ms):
             return Again()
         if ending is Ending.SERVER_ERROR:
             return Deliver()
+        if ending in CERTAINLY_NOT_RUN:
+            return self._diagnose_and_refuse(flight, ending.value, now_ms)
         return self._refuse(flight, ending.value, now_ms)
 
     def record_unreached(
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import xxhash
 
 from ..records import Record
@@ -218,6 +220,10 @@
         """Returns the ids of all listed servers."""
         return frozenset(self._listed)
 
+    def all(self) -> Iterable[BackendServer]:
+        """Returns all listed servers."""
+        return self._listed.values()
+
     def usable(self, service: str) -> list[BackendServer]:
         """Returns the servers of `service` that accept new requests."""
         found = self._usable.get(service)
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -19,6 +19,7 @@
 from ..platform.headers import HeaderError, read_caller_request
 from .backends import ConnectionPool
 from .relay import Relay
+from .server_marks import ServerMarks
 
 # A host that starts receives its desired state after a few calls to the
 # store; requests that arrive before wait up to this long instead of being
@@ -38,17 +39,23 @@
         "draining",
         "_planner",
         "_pool",
+        "_marks",
         "_clock",
         "_conns",
         "_unsent",
     )
 
     def __init__(
-        self, planner: Planner, pool: ConnectionPool, clock: Clock
+        self,
+        planner: Planner,
+        pool: ConnectionPool,
+        marks: ServerMarks,
+        clock: Clock,
     ) -> None:
         self.draining = False
         self._planner = planner
         self._pool = pool
+        self._marks = marks
         self._clock = clock
         self._conns: set[ServerConnection] = set()
         # Connections that have ended here with a part of an answer unsent.
@@ -134,7 +141,9 @@
             await self._reject(conn, UnreadableRequest(400, str(exc)))
             return
         await self._wait_for_desired_state()
-        relay = Relay(self._planner, self._pool, self._clock, conn, req)
+        relay = Relay(
+            self._planner, self._pool, self._marks, self._clock, conn, req
+        )
         await relay.run()
 
     async def _wait_for_desired_state(self) -> None:
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -22,6 +22,7 @@
   unreached @12 :List(UInt64);  # digests of servers
   linksCut @13 :Bool;  # the sender reaches servers only through peers
   era @14 :UInt64;  # era of the store that the revision belongs to
+  leavingServers @15 :List(UInt64);  # digests of servers' incarnations
 }
 
 # A request, identified by a digest, during which a backend server crashed.
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -30,6 +30,7 @@
 from .metrics import MetricsService
 from .peering import Peering
 from .server_links import ServerLinks
+from .server_marks import ServerMarks
 from .state_applier import StateApplier
 from .state_sync import (
     CacheMapSaver,
@@ -94,6 +95,7 @@
         "_registration",
         "_cache_saver",
         "_peering",
+        "_marks",
         "_callers",
         "_directory",
         "_metrics_port",
@@ -189,7 +191,12 @@
             ),
         )
         self._sync.attach(self._peering)
-        self._callers = CallerService(self._planner, self._pool, clock)
+        self._marks = ServerMarks(
+            self._planner, self._pool, clock, self._peering.send_soon
+        )
+        self._callers = CallerService(
+            self._planner, self._pool, self._marks, clock
+        )
         self._directory = DirectoryService(
             settings, self._planner, self._peers, clock, self._store_reached
         )
@@ -308,6 +315,7 @@
             for name in self._peers.remove_expired(now_ms):
                 self._planner.loads.remove(name)
                 log_event("peer_gone", peer=name)
+            self._marks.close_idle()
             self._planner.hosts = self._peers.hosts_sharing_limits(now_ms)
             self._links.paths.retain(self._planner.servers.ids())
             self._update_links_cut(now_ms)
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -60,6 +60,7 @@
         unreached=list(heartbeat.unreached),
         linksCut=heartbeat.links_cut,
         era=heartbeat.era,
+        leavingServers=list(heartbeat.leaving_servers),
     )
     return bytes(message.to_bytes_packed())
 
@@ -90,6 +91,7 @@
             tuple(raw.unreached),
             raw.linksCut,
             raw.era,
+            tuple(raw.leavingServers),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -16,6 +16,7 @@
 from ..adapters.tunnel import CONNECT_METHOD
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
+from ..core.entry.leaving_servers import digest_incarnation
 from ..core.entry.loads import PeerLoads
 from ..core.entry.peers import (
     Heartbeat,
@@ -42,6 +43,8 @@
 PULL_TIMEOUT_MS: Final = 500
 # Prompt parts reported in one heartbeat; bounds a datagram to 1 KB.
 MAX_PARTS_PER_HEARTBEAT: Final = 48
+# Shortest time between two heartbeats, if one is sent early.
+MIN_HEARTBEAT_GAP_MS: Final = 50
 STATE_PATH: Final = b"/state"
 
 
@@ -90,6 +93,7 @@
         self._on_newer_revision = on_newer_revision
         self._tunnels = tunnels
         self._transport: asyncio.DatagramTransport | None = None
+        self._send_now = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -152,6 +156,23 @@
             server_id = find_server(digest)
             if server_id is not None:
                 self._planner.caches.add_holder(part, server_id, now_ms)
+        self._merge_leaving(heartbeat, now_ms)
+
+    def _merge_leaving(self, heartbeat: Heartbeat, now_ms: int) -> None:
+        leaving = self._planner.leaving
+        for digest in heartbeat.leaving_servers:
+            if leaving.add_report(digest, now_ms):
+                names = [
+                    server.id
+                    for server in self._planner.servers.all()
+                    if digest_incarnation(server) == digest
+                ]
+                log_event(
+                    "server_leaving",
+                    server=names[0] if names else "",
+                    source=heartbeat.sender,
+                )
+                self._planner.counters.add("leaving_servers", source="peer")
 
     def send_heartbeats(self, to_reserve: bool = True) -> None:
         """Sends the state of this host to its peers.
@@ -226,18 +247,28 @@
             tuple(map(digest_id, planner.restarts.recent(now_ms))),
             self._peers.links_cut,
             self._replica.era,
+            planner.leaving.reports(),
         )
 
+    def send_soon(self) -> None:
+        """Sends the next heartbeats early, to the hosts in reserve too."""
+        self._send_now.set()
+
     async def run_heartbeats(self) -> None:
         """Sends heartbeats at regular intervals until cancelled."""
         turn = 0
         try:
             while True:
                 turn = (turn + 1) % RESERVE_HEARTBEAT_EVERY
-                self.send_heartbeats(to_reserve=turn == 0)
-                await anyio.sleep(
-                    self._peers.heartbeat_interval_ms() / MS_PER_SECOND
+                early = self._send_now.is_set()
+                self._send_now.clear()
+                self.send_heartbeats(to_reserve=early or turn == 0)
+                await anyio.sleep(MIN_HEARTBEAT_GAP_MS / MS_PER_SECOND)
+                left_ms = (
+                    self._peers.heartbeat_interval_ms() - MIN_HEARTBEAT_GAP_MS
                 )
+                with anyio.move_on_after(left_ms / MS_PER_SECOND):
+                    await self._send_now.wait()
         finally:
             if self._transport is not None:
                 self._transport.close()
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -30,6 +30,7 @@
     build_server_headers,
 )
 from .backends import ConnectionPool
+from .server_marks import ServerMarks
 
 # Answers to other requests that are skipped on one connection.
 MAX_STRAY_ANSWERS: Final = 3
@@ -74,6 +75,7 @@
     __slots__ = (
         "_planner",
         "_pool",
+        "_marks",
         "_clock",
         "_conn",
         "_req",
@@ -91,12 +93,14 @@
         self,
         planner: Planner,
         pool: ConnectionPool,
+        marks: ServerMarks,
         clock: Clock,
         conn: ServerConnection,
         req: CallerRequest,
     ) -> None:
         self._planner = planner
         self._pool = pool
+        self._marks = marks
         self._clock = clock
         self._conn = conn
         self._req = req
@@ -226,6 +230,9 @@
         protocol = opened or await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
+        if not self._planner.may_send(server):
+            protocol.abort()
+            return Ending.WITHDRAWN
         self._planner.record_sent(flight, server, self._clock.now_ms())
         self._head = None
         released = False
@@ -233,7 +240,9 @@
             self._send(protocol, flight, send)
             ending = await self._relay_answer(protocol, flight, send)
             head = self._head
-            if head is not None and not head.closes:
+            if head is not None and not (
+                head.closes or self._planner.leaving.includes(server)
+            ):
                 if protocol.h11.their_state is h11.DONE:
                     self._pool.release(server, protocol, head.keep_alive_s)
                     released = True
@@ -286,7 +295,7 @@
     async def _relay_answer(
         self, protocol: H11Protocol, flight: Flight, send: Send
     ) -> Ending | None:
-        head = await self._read_head(protocol, send.silence_ms)
+        head = await self._read_head(protocol, send)
         if head is None:
             return Ending.SPOILED
         self._head = head
@@ -372,7 +381,11 @@
                 flight, send.server, self._clock.now_ms()
             )
             return
-        if protocol.ended or protocol.bytes_received != received_bytes:
+        if (
+            protocol.ended
+            or protocol.bytes_received != received_bytes
+            or not self._planner.may_send(send.server)
+        ):
             self._planner.cancel_move(flight)
             opened.abort()
             return
@@ -380,23 +393,25 @@
         raise _MovedError
 
     async def _read_head(
-        self, protocol: H11Protocol, silence_ms: float | None
+        self, protocol: H11Protocol, send: Send
     ) -> AnswerHead | None:
         """Returns the head of the answer to this request.
 
-        Skips answers to other requests that arrive before it.
+        Skips answers to other requests that arrive before it; what they say
+        of the server counts all the same.
 
         Returns:
             The head, or None if no valid one was found.
         """
         for _ in range(MAX_STRAY_ANSWERS):
-            event = await self._next_event(protocol, silence_ms)
+            event = await self._next_event(protocol, send.silence_ms)
             while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event(protocol, silence_ms)
+                event = await self._next_event(protocol, send.silence_ms)
             if not isinstance(event, h11.Response):
                 return None
             pairs = [(name, value) for name, value in event.headers]
             head = AnswerHead(event.status_code, pairs)
+            self._marks.observe(send.server, head)
             own_id = self._req.id.encode("latin-1")
             if head.request_id == own_id:
                 return head
@@ -404,7 +419,7 @@
             if head.request_id is None and refused:
                 return head
             log_event("stray_answer", request_id=self._req.id)
-            await self._read_body(protocol, silence_ms)
+            await self._read_body(protocol, send.silence_ms)
             assert self._sent is not None
             protocol.restart_reading(self._sent, self._req.body)
         return None
--- /dev/null
+++ b/corianderdoor/entry/server_marks.py
@@ -0,0 +1,61 @@
+"""Acts on what backend servers say of themselves in their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..adapters.logs import log_event
+from ..core.clock import Clock
+from ..core.entry.planner import Planner
+from ..core.entry.servers import BackendServer
+from ..platform.headers import AnswerHead
+from .backends import ConnectionPool
+
+
+class ServerMarks:
+    """Passes the marks in servers' answers on to the planner and the pool."""
+
+    __slots__ = ("_planner", "_pool", "_clock", "_on_leaving")
+
+    def __init__(
+        self,
+        planner: Planner,
+        pool: ConnectionPool,
+        clock: Clock,
+        on_leaving: Callable[[], None],
+    ) -> None:
+        """Initializes the object.
+
+        Args:
+            planner: Decides by the marks.
+            pool: Its idle connections to servers that leave are closed.
+            clock: The clock.
+            on_leaving: Called when this host is the first to know that a
+                server leaves, so that its peers are to be told.
+        """
+        self._planner = planner
+        self._pool = pool
+        self._clock = clock
+        self._on_leaving = on_leaving
+
+    def observe(self, server: BackendServer, head: AnswerHead) -> None:
+        """Records the marks in an answer, to whichever request.
+
+        Args:
+            server: Server that the answer was read from.
+            head: Head of the answer.
+        """
+        if head.wrong_server or not head.leaving:
+            return
+        now_ms = self._clock.now_ms()
+        if self._planner.leaving.record(server, now_ms):
+            log_event("server_leaving", server=server.id, source="server")
+            self._planner.counters.add("leaving_servers", source="server")
+            self._on_leaving()
+        self._pool.close_idle(server.id)
+
+    def close_idle(self) -> None:
+        """Closes the idle connections to listed servers that leave."""
+        for server in self._planner.servers.all():
+            if self._planner.leaving.includes(server):
+                self._pool.close_idle(server.id)
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -21,6 +21,7 @@
 RESPONSE_SIGNATURE: Final = b"response-signature"
 INSTANCE_LOAD: Final = b"instance-load"
 INSTANCE_ID: Final = b"instance-id"
+SERVER_LEAVING: Final = b"server-leaving"
 COLD_START_MS: Final = b"cold-start-ms"
 # Headers that only the entry host may set or that are meant for it alone;
 # a caller's values are not forwarded.
@@ -77,6 +78,7 @@
         closes: Whether the server closes the connection after this answer.
         framed: Whether the end of the body shows in the answer itself, and
             not only by the end of the connection.
+        leaving: Whether the server announces that it leaves.
         headers: Headers to forward.
     """
 
@@ -91,6 +93,7 @@
         "keep_alive_s",
         "closes",
         "framed",
+        "leaving",
         "headers",
     )
 
@@ -109,6 +112,7 @@
         self.framed = (
             b"content-length" in by_name or b"transfer-encoding" in by_name
         )
+        self.leaving = by_name.get(SERVER_LEAVING) == b"1"
         self.headers = [
             pair
             for pair in headers
--- a/corianderdoor/standins/platform_load.py
+++ b/corianderdoor/standins/platform_load.py
@@ -20,7 +20,14 @@
 from ..core.clock import SystemClock
 from .platform_fleet import PlatformFleet, Reply, run_fleet
 
-FAULTS: Final = ("none", "cut", "decline", "store-down", "host-stop")
+FAULTS: Final = (
+    "none",
+    "cut",
+    "decline",
+    "leave",
+    "store-down",
+    "host-stop",
+)
 # Start and end of the fault, as shares of the run.
 FAULT_WINDOW: Final = (0.3, 0.6)
 TEMPLATES: Final = 4
@@ -89,6 +96,8 @@
         worker = self._fleet.workers["engine-0"]
         if fault in ("cut", "decline"):
             worker.mode = fault
+        elif fault == "leave":
+            worker.leaving = True
         elif fault == "store-down":
             self._fleet.store.fault = "silent"
         elif fault == "host-stop":
@@ -96,6 +105,7 @@
             self._fleet.stop_host("host-0")
         await anyio.sleep(end - begin)
         worker.mode = ""
+        worker.leaving = False
         self._fleet.store.fault = ""
 
     async def _send_request(self) -> None:
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -40,8 +40,10 @@
         prompt_tokens_read: Prompt tokens processed because they were not
             cached.
         active: Number of requests in progress.
+        connections: Number of open connections.
         work_ms: Time that a plain request takes.
         pause_ms: How long the mode "pause" is silent.
+        leaving: Whether all answers announce that the worker leaves.
         on_request: Called with the worker, the request, and whether the
             worker runs it.
     """
@@ -55,8 +57,10 @@
         "cached",
         "prompt_tokens_read",
         "active",
+        "connections",
         "work_ms",
         "pause_ms",
+        "leaving",
         "on_request",
         "_silent_until_ms",
         "_clock",
@@ -71,16 +75,25 @@
         self.cached: set[str] = set()
         self.prompt_tokens_read = 0
         self.active = 0
+        self.connections = 0
         self.work_ms = work_ms
         self.pause_ms = 0.0
         self._silent_until_ms = 0
         self._clock = SystemClock()
+        self.leaving = False
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
             _do_nothing
         )
 
     async def serve(self, conn: ServerConnection) -> None:
         """Serves one connection."""
+        self.connections += 1
+        try:
+            await self._serve_requests(conn)
+        finally:
+            self.connections -= 1
+
+    async def _serve_requests(self, conn: ServerConnection) -> None:
         while True:
             received = await conn.read_request(DEFAULT_LIMITS)
             if not isinstance(received, ReceivedRequest):
@@ -120,6 +133,7 @@
         signed_headers = [
             (b"Attempt-Id", request_id),
             (b"Instance-Load", b"%d,0,8" % self.active),
+            *self._marks(),
         ]
         if self.mode != "unsigned":
             signed_headers.append(
@@ -169,12 +183,16 @@
             return
         await conn.respond(200, signed_headers, body)
 
-    @staticmethod
-    async def _decline(conn: ServerConnection, moved: bool) -> None:
+    def _marks(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers that the worker adds to all its answers."""
+        return [(b"Server-Leaving", b"1")] if self.leaving else []
+
+    async def _decline(self, conn: ServerConnection, moved: bool) -> None:
+        marks = self._marks()
         if moved:
-            await conn.respond(421, [(b"Instance-Id", b"other")])
+            await conn.respond(421, [(b"Instance-Id", b"other"), *marks])
         else:
-            await conn.respond(503, [(b"Not-Executed", b"1")])
+            await conn.respond(503, [(b"Not-Executed", b"1"), *marks])
 
     async def _read_prompt(self, headers: dict[bytes, bytes]) -> None:
         text = headers.get(b"prompt-prefix", b"").decode()
@@ -187,12 +205,13 @@
         self.prompt_tokens_read += tokens
         await anyio.sleep(tokens / PREFILL_TOKENS_PER_MS / MS_PER_SECOND)
 
-    @staticmethod
-    async def _send_stray(conn: ServerConnection) -> None:
+    async def _send_stray(self, conn: ServerConnection) -> None:
+        marks = b"".join(b"%s: %s\r\n" % pair for pair in self._marks())
         stray = (
             b"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n"
             b"Response-Signature: sig.another\r\n"
-            b"Content-Length: 5\r\n\r\nwrong"
+            + marks
+            + b"Content-Length: 5\r\n\r\nwrong"
         )
         conn.protocol.write_raw(stray)
 
--- a/tests/test_entry_planner.py
+++ b/tests/test_entry_planner.py
@@ -228,7 +228,7 @@
             if isinstance(step, Refuse) and step.status in NOT_RUN_STATUSES:
                 assert may_have_run == 0
             return
-        if ending is not Ending.UNREACHED:
+        if ending not in (Ending.UNREACHED, Ending.WITHDRAWN):
             planner.record_sent(flight, step.server, now_ms)
             certainly_not_run = (Ending.NOT_RUN, Ending.WRONG_SERVER)
             may_have_run += ending not in certainly_not_run
--- a/tests/test_entry_platform.py
+++ b/tests/test_entry_platform.py
@@ -46,6 +46,7 @@
 ROOT = pathlib.Path(__file__).parent.parent / "corianderdoor"
 PLATFORM_WORDS = re.compile(
     r"attempt-id|not-executed|response-signature|expected-instance"
+    r"|server-leaving"
     r"|kv-(?!cache)\w+|prompt-prefix|token-usage|tenant|op/config"
     r"|CORIANDERDOOR_BOOT|\bzone\b|frontend|edge\b|cold_remaining",
     re.IGNORECASE,
