Send nothing to servers that ask for a pause until it is over

Cause: a server that turns a request away with 503 may add `Retry-After`; the host went on sending there, and callers heard of 0.8 s whatever the servers had asked for.

Change: `AnswerHead` decodes the time of a 503, rounded up to ms; `ServerPauses` holds it for this host, the server and its incarnation, at most 60 s, kept while the record of the server is away. No choice, retry, resumed stream or copy of a cache uses the server within it, and a request that waited for a connection is withdrawn. When all servers of the service asked for a pause, callers are refused at once with `servers-paused` and the time until the first is over, spread by 0.48 s and bounded as before.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -38,6 +38,7 @@
 from .requests import CallerRequest
 from .routing import DesiredState, Route
 from .server_ejection import ServerEjections
+from .server_pauses import ServerPauses
 from .servers import BackendServer, Servers
 from .suspected_restarts import SuspectedRestarts
 from .windows import ColdRateLimiter, RetryBudget
@@ -88,6 +89,7 @@
         crashing_requests: Requests that crash the servers that run them.
         restarts: Servers that may have restarted unnoticed.
         leaving: Servers that announced that they leave.
+        pauses: Servers that asked this host for no requests for a while.
         hosts: Names of the entry hosts that share limits, this one
             included.
         is_connected: Returns whether a connection to a server was used
@@ -104,6 +106,7 @@
         "crashing_requests",
         "restarts",
         "leaving",
+        "pauses",
         "hosts",
         "is_connected",
         "_name",
@@ -130,6 +133,7 @@
         self.crashing_requests = CrashingRequests()
         self.restarts = SuspectedRestarts()
         self.leaving = LeavingServers()
+        self.pauses = ServerPauses()
         self.hosts: list[str] = [name]
         self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
@@ -159,6 +163,7 @@
         self.crashing_requests.retain(ids)
         self.restarts.retain(ids)
         self.leaving.retain(self.servers.all(), now_ms)
+        self.pauses.drop_expired(now_ms)
         return expired
 
     def admit(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
@@ -192,7 +197,7 @@
             return self._refuse(flight, "out-of-time", now_ms)
         if self.crashing_requests.should_refuse(flight.req, now_ms):
             return self._refuse(flight, "breaks-servers", now_ms)
-        usable = self._list_usable(flight)
+        usable = self._list_usable(flight, now_ms)
         if not usable:
             return self._diagnose_and_refuse(flight, "no-server", now_ms)
         usable = [s for s in usable if self._has_free_connection(s)]
@@ -211,13 +216,19 @@
             )
         return self._choose_cold(flight, usable, now_ms)
 
-    def may_send(self, server: BackendServer) -> bool:
-        """Returns whether `server`, chosen before, still takes requests."""
+    def may_send(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether `server` did not ask for no requests."""
+        if self.pauses.left_ms(server, now_ms):
+            return False
         return not self.leaving.includes(server)
 
-    def _list_usable(self, flight: Flight) -> list[BackendServer]:
+    def _list_usable(self, flight: Flight, now_ms: int) -> list[BackendServer]:
         """Returns the servers that may get the request."""
-        listed = filter(self.may_send, self.servers.usable(flight.service))
+        listed = [
+            server
+            for server in self.servers.usable(flight.service)
+            if self.may_send(server, now_ms)
+        ]
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
@@ -227,11 +238,17 @@
     ) -> Refuse:
         """Refuses a request that no server takes.
 
-        Gives `reason` unless the servers asked for no requests.
+        Gives `reason` unless all servers asked for no requests.
         """
         usable = self.servers.usable(flight.service)
-        if usable and all(map(self.leaving.includes, usable)):
+        staying = [s for s in usable if not self.leaving.includes(s)]
+        if usable and not staying:
             return self._refuse(flight, "servers-leaving", now_ms)
+        pauses_ms = [self.pauses.left_ms(s, now_ms) for s in staying]
+        if pauses_ms and min(pauses_ms) > 0:
+            return self._refuse(
+                flight, "servers-paused", now_ms, min(pauses_ms)
+            )
         return self._refuse(flight, reason, now_ms)
 
     def _has_free_connection(self, server: BackendServer) -> bool:
@@ -312,9 +329,14 @@
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> BackendServer | None:
         def find_source(server_id: str) -> BackendServer | None:
-            if self.ejections.is_ejected(server_id, now_ms):
+            source = self.servers.get(server_id)
+            if (
+                source is None
+                or self.ejections.is_ejected(server_id, now_ms)
+                or self.pauses.left_ms(source, now_ms)
+            ):
                 return None
-            return self.servers.get(server_id)
+            return source
 
         return find_cache_source(
             flight.req,
@@ -518,7 +540,7 @@
             return None
         servers = [
             server
-            for server in self._list_usable(flight)
+            for server in self._list_usable(flight, now_ms)
             if self._has_free_connection(server)
             and not self.ejections.is_ejected(server.id, now_ms)
             and not self._may_be_cold(server, now_ms)
@@ -572,7 +594,7 @@
         return self._take_retry(flight, now_ms)
 
     def _take_retry(self, flight: Flight, now_ms: int) -> bool:
-        if not self._list_usable(flight):
+        if not self._list_usable(flight, now_ms):
             return False
         return self._retry_budget.take(flight.service, len(self.hosts), now_ms)
 
@@ -594,17 +616,27 @@
         ):
             self.ejections.record_failure(server.id, now_ms)
 
-    def _refuse(self, flight: Flight, reason: str, now_ms: int) -> Refuse:
+    def _refuse(
+        self, flight: Flight, reason: str, now_ms: int, wait_ms: int = 0
+    ) -> Refuse:
         """Refuses the request.
 
         Answers 503, which promises that the request has not run, only if no
         server can have run it.
+
+        Args:
+            flight: The request.
+            reason: Reason for logs and metrics.
+            now_ms: Monotonic time in ms.
+            wait_ms: Time until a server may be asked again; 0 if unknown.
         """
         if flight.runs > 0:
             status = 504 if reason in ("timeout", "out-of-time") else 502
             return Refuse(status, reason)
         left_ms = flight.deadline_ms - now_ms
-        delay_ms = NO_SERVER_RETRY_MS * (0.7 + 0.6 * self._rng.random())
+        # Spread, so that callers do not return together.
+        delay_ms = wait_ms or 0.7 * NO_SERVER_RETRY_MS
+        delay_ms += 0.6 * NO_SERVER_RETRY_MS * self._rng.random()
         return Refuse(
             503, reason, int(min(delay_ms, left_ms * MAX_RETRY_SHARE))
         )
--- /dev/null
+++ b/corianderdoor/core/entry/server_pauses.py
@@ -0,0 +1,57 @@
+"""Backend servers that asked this host for no requests for some time.
+
+Each host keeps its own: a server that turns a request away asks the host
+that sent it, and may well take requests of other hosts.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from .servers import BackendServer
+
+# Longest pause that one answer can ask for.
+MAX_PAUSE_MS: Final = 60_000
+
+
+class ServerPauses:
+    """Pauses that servers asked for, at most one for each server.
+
+    They are kept while a server is not listed, as its record may come back.
+    """
+
+    __slots__ = ("_paused",)
+
+    def __init__(self) -> None:
+        self._paused: dict[str, tuple[BackendServer, int]] = {}
+
+    def record(
+        self, server: BackendServer, pause_ms: int, now_ms: int
+    ) -> bool:
+        """Records that `server` asked for a pause.
+
+        A later answer does not shorten the pause that an earlier one asked
+        for. A pause longer than `MAX_PAUSE_MS` is cut to that.
+
+        Returns:
+            Whether the server was not paused before.
+        """
+        until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+        left_ms = self.left_ms(server, now_ms)
+        if until_ms > now_ms + left_ms:
+            self._paused[server.id] = (server, until_ms)
+        return pause_ms > 0 and left_ms == 0
+
+    def left_ms(self, server: BackendServer, now_ms: int) -> int:
+        """Returns how much longer `server` is paused, in ms; 0 if not."""
+        paused = self._paused.get(server.id)
+        # A server that has started again since asked for nothing.
+        if paused is None or not paused[0].same_incarnation(server):
+            return 0
+        return max(0, paused[1] - now_ms)
+
+    def drop_expired(self, now_ms: int) -> None:
+        """Drops the pauses that are over."""
+        for server_id, (_, until_ms) in list(self._paused.items()):
+            if until_ms <= now_ms:
+                del self._paused[server_id]
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -230,7 +230,7 @@
         protocol = opened or await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
-        if not self._planner.may_send(server):
+        if not self._planner.may_send(server, self._clock.now_ms()):
             protocol.abort()
             return Ending.WITHDRAWN
         self._planner.record_sent(flight, server, self._clock.now_ms())
@@ -384,7 +384,7 @@
         if (
             protocol.ended
             or protocol.bytes_received != received_bytes
-            or not self._planner.may_send(send.server)
+            or not self._planner.may_send(send.server, self._clock.now_ms())
         ):
             self._planner.cancel_move(flight)
             opened.abort()
--- a/corianderdoor/entry/server_marks.py
+++ b/corianderdoor/entry/server_marks.py
@@ -45,9 +45,18 @@
             server: Server that the answer was read from.
             head: Head of the answer.
         """
-        if head.wrong_server or not head.leaving:
+        if head.wrong_server:
             return
         now_ms = self._clock.now_ms()
+        if head.leaving:
+            self._record_leaving(server, now_ms)
+        if self._planner.pauses.record(server, head.pause_ms, now_ms):
+            log_event(
+                "server_paused", server=server.id, pause_ms=head.pause_ms
+            )
+            self._planner.counters.add("server_pauses")
+
+    def _record_leaving(self, server: BackendServer, now_ms: int) -> None:
         if self._planner.leaving.record(server, now_ms):
             log_event("server_leaving", server=server.id, source="server")
             self._planner.counters.add("leaving_servers", source="server")
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
+import re
 from typing import Final
 
 from ..adapters.hop_headers import HOP_BY_HOP_HEADERS
 from ..adapters.http1 import Headers
+from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.requests import CallerRequest, PromptPart
 from ..core.records import Record
@@ -22,6 +25,7 @@
 INSTANCE_LOAD: Final = b"instance-load"
 INSTANCE_ID: Final = b"instance-id"
 SERVER_LEAVING: Final = b"server-leaving"
+RETRY_AFTER: Final = b"retry-after"
 COLD_START_MS: Final = b"cold-start-ms"
 # Headers that only the entry host may set or that are meant for it alone;
 # a caller's values are not forwarded.
@@ -53,6 +57,10 @@
     }
 )
 MISDIRECTED_REQUEST: Final = 421
+SERVICE_UNAVAILABLE: Final = 503
+SECONDS: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A longer time that a server asks for is a mistake.
+MAX_RETRY_AFTER_S: Final = 3_600
 
 
 class HeaderError(Exception):
@@ -79,6 +87,8 @@
         framed: Whether the end of the body shows in the answer itself, and
             not only by the end of the connection.
         leaving: Whether the server announces that it leaves.
+        pause_ms: How long the server, which turned the request away, wants
+            no further ones; 0 if it asks for no pause.
         headers: Headers to forward.
     """
 
@@ -94,6 +104,7 @@
         "closes",
         "framed",
         "leaving",
+        "pause_ms",
         "headers",
     )
 
@@ -113,6 +124,9 @@
             b"content-length" in by_name or b"transfer-encoding" in by_name
         )
         self.leaving = by_name.get(SERVER_LEAVING) == b"1"
+        self.pause_ms = 0
+        if status == SERVICE_UNAVAILABLE:
+            self.pause_ms = _parse_retry_after(by_name.get(RETRY_AFTER)) or 0
         self.headers = [
             pair
             for pair in headers
@@ -130,6 +144,16 @@
     return int(parts[0]) + int(parts[1])
 
 
+def _parse_retry_after(value: bytes | None) -> int | None:
+    """Returns the time in ms, rounded up; None if it is invalid."""
+    if value is None or not SECONDS.fullmatch(value):
+        return None
+    seconds = float(value)
+    if seconds > MAX_RETRY_AFTER_S:
+        return None
+    return math.ceil(seconds * MS_PER_SECOND)
+
+
 def _parse_keep_alive(value: bytes | None) -> int | None:
     if value is None:
         return None
--- a/corianderdoor/standins/platform_load.py
+++ b/corianderdoor/standins/platform_load.py
@@ -25,6 +25,7 @@
     "cut",
     "decline",
     "leave",
+    "retry-after",
     "store-down",
     "host-stop",
 )
@@ -37,6 +38,8 @@
 PATHS: Final = ("/chat/x", "/chat/x", "/pay/x", "/read/x")
 PERCENTILES: Final = (50, 99)
 RETRIES: Final = 1
+# Time that a worker asks for when it turns requests away.
+RETRY_AFTER_S: Final = 1.0
 
 
 class RequestStats:
@@ -96,6 +99,8 @@
         worker = self._fleet.workers["engine-0"]
         if fault in ("cut", "decline"):
             worker.mode = fault
+        elif fault == "retry-after":
+            worker.mode, worker.retry_after_s = "decline", RETRY_AFTER_S
         elif fault == "leave":
             worker.leaving = True
         elif fault == "store-down":
@@ -106,6 +111,7 @@
         await anyio.sleep(end - begin)
         worker.mode = ""
         worker.leaving = False
+        worker.retry_after_s = None
         self._fleet.store.fault = ""
 
     async def _send_request(self) -> None:
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -43,6 +43,8 @@
         connections: Number of open connections.
         work_ms: Time that a plain request takes.
         pause_ms: How long the mode "pause" is silent.
+        retry_after_s: Time in answers with 503 for which the worker wants no
+            requests; None to leave it out.
         leaving: Whether all answers announce that the worker leaves.
         on_request: Called with the worker, the request, and whether the
             worker runs it.
@@ -60,6 +62,7 @@
         "connections",
         "work_ms",
         "pause_ms",
+        "retry_after_s",
         "leaving",
         "on_request",
         "_silent_until_ms",
@@ -80,6 +83,7 @@
         self.pause_ms = 0.0
         self._silent_until_ms = 0
         self._clock = SystemClock()
+        self.retry_after_s: float | None = None
         self.leaving = False
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
             _do_nothing
@@ -192,6 +196,9 @@
         if moved:
             await conn.respond(421, [(b"Instance-Id", b"other"), *marks])
         else:
+            if self.retry_after_s is not None:
+                seconds = b"%g" % self.retry_after_s
+                marks.append((b"Retry-After", seconds))
             await conn.respond(503, [(b"Not-Executed", b"1"), *marks])
 
     async def _read_prompt(self, headers: dict[bytes, bytes]) -> None:
--- a/corianderdoor/tools/explain.py
+++ b/corianderdoor/tools/explain.py
@@ -38,6 +38,7 @@
     "unknown-key": "the desired state in force knows no such key",
     "no-server": "no server of the service could be used",
     "servers-leaving": "every server of the service had said that it leaves",
+    "servers-paused": "every server of the service had asked for a pause",
     "cold-servers": "all servers that could be used were in slow start",
     "servers-full": "this host's share of connections was in use",
     "breaks-servers": "three servers went down while they ran this request",
