Ignore unusable marks of servers, with a count and bounded log lines

Cause: a value that means nothing (empty, huge, negative, not a number, two in one answer) was partly taken, as the last of two counted, and nothing told of it.

Change: `AnswerHead` takes `Server-Leaving` only as one `1`, and `Retry-After` of a 503 only as one decimal number up to 3,600, and names the kinds that it ignored. `IgnoredMarks` allows one line a second for each kind, with the number of marks that it stands for; `corianderdoor_ignored_marks_total` counts all. The answer itself counts as if the header were not there.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -23,6 +23,7 @@
     "tunnels": "Connections to backend servers that peers asked for.",
     "leaving_servers": "Servers found to be leaving, by who said so.",
     "server_pauses": "Pauses that servers asked this host for.",
+    "ignored_marks": "Unusable marks in servers' answers, by kind.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- a/corianderdoor/entry/server_marks.py
+++ b/corianderdoor/entry/server_marks.py
@@ -6,6 +6,7 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
+from ..core.entry.ignored_marks import IgnoredMarks
 from ..core.entry.planner import Planner
 from ..core.entry.servers import BackendServer
 from ..platform.headers import AnswerHead
@@ -15,7 +16,7 @@
 class ServerMarks:
     """Passes the marks in servers' answers on to the planner and the pool."""
 
-    __slots__ = ("_planner", "_pool", "_clock", "_on_leaving")
+    __slots__ = ("_planner", "_pool", "_clock", "_on_leaving", "_ignored")
 
     def __init__(
         self,
@@ -37,6 +38,7 @@
         self._pool = pool
         self._clock = clock
         self._on_leaving = on_leaving
+        self._ignored = IgnoredMarks()
 
     def observe(self, server: BackendServer, head: AnswerHead) -> None:
         """Records the marks in an answer, to whichever request.
@@ -45,9 +47,11 @@
             server: Server that the answer was read from.
             head: Head of the answer.
         """
+        now_ms = self._clock.now_ms()
+        for kind in head.ignored_marks:
+            self._count_ignored(server, kind, now_ms)
         if head.wrong_server:
             return
-        now_ms = self._clock.now_ms()
         if head.leaving:
             self._record_leaving(server, now_ms)
         if self._planner.pauses.record(server, head.pause_ms, now_ms):
@@ -56,6 +60,20 @@
             )
             self._planner.counters.add("server_pauses")
 
+    def _count_ignored(
+        self, server: BackendServer, kind: str, now_ms: int
+    ) -> None:
+        self._planner.counters.add("ignored_marks", mark=kind)
+        count = self._ignored.record(kind, now_ms)
+        if count:
+            log_event(
+                "mark_ignored",
+                "WARNING",
+                mark=kind,
+                server=server.id,
+                count=count,
+            )
+
     def _record_leaving(self, server: BackendServer, now_ms: int) -> None:
         if self._planner.leaving.record(server, now_ms):
             log_event("server_leaving", server=server.id, source="server")
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -89,6 +89,8 @@
         leaving: Whether the server announces that it leaves.
         pause_ms: How long the server, which turned the request away, wants
             no further ones; 0 if it asks for no pause.
+        ignored_marks: Kinds of marks ("leaving", "pause") that are ignored
+            because their values are invalid or appear more than once.
         headers: Headers to forward.
     """
 
@@ -105,6 +107,7 @@
         "framed",
         "leaving",
         "pause_ms",
+        "ignored_marks",
         "headers",
     )
 
@@ -123,10 +126,19 @@
         self.framed = (
             b"content-length" in by_name or b"transfer-encoding" in by_name
         )
-        self.leaving = by_name.get(SERVER_LEAVING) == b"1"
+        self.ignored_marks: list[str] = []
+        self.leaving = False
         self.pause_ms = 0
-        if status == SERVICE_UNAVAILABLE:
-            self.pause_ms = _parse_retry_after(by_name.get(RETRY_AFTER)) or 0
+        if SERVER_LEAVING in by_name:
+            self.leaving = _get_values(headers, SERVER_LEAVING) == [b"1"]
+            if not self.leaving:
+                self.ignored_marks.append("leaving")
+        if RETRY_AFTER in by_name and status == SERVICE_UNAVAILABLE:
+            pause_ms = _parse_retry_after(_get_values(headers, RETRY_AFTER))
+            if pause_ms is None:
+                self.ignored_marks.append("pause")
+            else:
+                self.pause_ms = pause_ms
         self.headers = [
             pair
             for pair in headers
@@ -144,11 +156,15 @@
     return int(parts[0]) + int(parts[1])
 
 
-def _parse_retry_after(value: bytes | None) -> int | None:
+def _get_values(headers: Headers, name: bytes) -> list[bytes]:
+    return [value for other, value in headers if other == name]
+
+
+def _parse_retry_after(values: list[bytes]) -> int | None:
     """Returns the time in ms, rounded up; None if it is invalid."""
-    if value is None or not SECONDS.fullmatch(value):
+    if len(values) != 1 or not SECONDS.fullmatch(values[0]):
         return None
-    seconds = float(value)
+    seconds = float(values[0])
     if seconds > MAX_RETRY_AFTER_S:
         return None
     return math.ceil(seconds * MS_PER_SECOND)
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -43,6 +43,7 @@
         connections: Number of open connections.
         work_ms: Time that a plain request takes.
         pause_ms: How long the mode "pause" is silent.
+        extra_headers: Headers that the worker adds to all its answers.
         retry_after_s: Time in answers with 503 for which the worker wants no
             requests; None to leave it out.
         leaving: Whether all answers announce that the worker leaves.
@@ -62,6 +63,7 @@
         "connections",
         "work_ms",
         "pause_ms",
+        "extra_headers",
         "retry_after_s",
         "leaving",
         "on_request",
@@ -83,6 +85,7 @@
         self.pause_ms = 0.0
         self._silent_until_ms = 0
         self._clock = SystemClock()
+        self.extra_headers: list[tuple[bytes, bytes]] = []
         self.retry_after_s: float | None = None
         self.leaving = False
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
@@ -189,7 +192,8 @@
 
     def _marks(self) -> list[tuple[bytes, bytes]]:
         """Returns the headers that the worker adds to all its answers."""
-        return [(b"Server-Leaving", b"1")] if self.leaving else []
+        leaving = [(b"Server-Leaving", b"1")] if self.leaving else []
+        return leaving + self.extra_headers
 
     async def _decline(self, conn: ServerConnection, moved: bool) -> None:
         marks = self._marks()
