Hold a begun answer until the pause of a server is over

Cause: a begun answer that lost its server was cut at once if all other servers had asked this host for a pause, however short.

Change: it waits for the first pause to end if that comes within the time for which an interrupted answer is held (1 s). Requests without a begun answer are still refused at once.

Result: the new test for a pause of 400 ms fails with the change taken out, with a refusal `broken` that cuts the answer; a pause over 1 s still ends it.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -199,7 +199,9 @@
             return self._refuse(flight, "breaks-servers", now_ms)
         usable = self._list_usable(flight, now_ms)
         if not usable:
-            return self._diagnose_and_refuse(flight, "no-server", now_ms)
+            return self._wait_for_pause(
+                flight, now_ms
+            ) or self._diagnose_and_refuse(flight, "no-server", now_ms)
         usable = [s for s in usable if self._has_free_connection(s)]
         if not usable:
             return self._hold(
@@ -217,22 +219,48 @@
         return self._choose_cold(flight, usable, now_ms)
 
     def may_send(self, server: BackendServer, now_ms: int) -> bool:
-        """Returns whether `server` did not ask for no requests."""
+        """Returns whether `server` takes requests of this host."""
         if self.pauses.left_ms(server, now_ms):
             return False
         return not self.leaving.includes(server)
 
-    def _list_usable(self, flight: Flight, now_ms: int) -> list[BackendServer]:
-        """Returns the servers that may get the request."""
+    def _list_staying(self, flight: Flight) -> list[BackendServer]:
+        """Returns the servers that may get the request, paused or not."""
         listed = [
             server
             for server in self.servers.usable(flight.service)
-            if self.may_send(server, now_ms)
+            if not self.leaving.includes(server)
         ]
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
 
+    def _list_usable(self, flight: Flight, now_ms: int) -> list[BackendServer]:
+        """Returns the servers that may get the request now."""
+        return [
+            server
+            for server in self._list_staying(flight)
+            if not self.pauses.left_ms(server, now_ms)
+        ]
+
+    def _wait_for_pause(self, flight: Flight, now_ms: int) -> Hold | None:
+        """Holds a begun answer until a server takes requests again.
+
+        Returns:
+            The decision; None if that takes too long, or for a request that
+            can still be refused.
+        """
+        if flight.interrupted_ms is None:
+            return None
+        pauses_ms = [
+            self.pauses.left_ms(server, now_ms)
+            for server in self._list_staying(flight)
+        ]
+        if not pauses_ms:
+            return None
+        step = self._hold(flight, min(pauses_ms), "servers-paused", now_ms)
+        return step if isinstance(step, Hold) else None
+
     def _diagnose_and_refuse(
         self, flight: Flight, reason: str, now_ms: int
     ) -> Refuse:
@@ -595,7 +623,8 @@
 
     def _take_retry(self, flight: Flight, now_ms: int) -> bool:
         if not self._list_usable(flight, now_ms):
-            return False
+            if self._wait_for_pause(flight, now_ms) is None:
+                return False
         return self._retry_budget.take(flight.service, len(self.hosts), now_ms)
 
     def _may_retry(self, flight: Flight, more: int) -> bool:
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -12,8 +12,11 @@
 from test_entry_planner import admit, send
 
 from corianderdoor.core.clock import ManualClock
-from corianderdoor.core.entry.flights import Again, Ending, Refuse, Send
-from corianderdoor.core.entry.planner import MAX_RETRY_SHARE
+from corianderdoor.core.entry.flights import Again, Ending, Hold, Refuse, Send
+from corianderdoor.core.entry.planner import (
+    MAX_RESUME_HOLD_MS,
+    MAX_RETRY_SHARE,
+)
 from corianderdoor.core.entry.server_pauses import MAX_PAUSE_MS, ServerPauses
 from corianderdoor.entry.relay import Relay
 from corianderdoor.platform.headers import AnswerHead
@@ -146,6 +149,26 @@
     assert after.reason == "not-run"
 
 
+# Guards against begun answers that are cut although a server takes requests
+# again soon.
+@pytest.mark.parametrize(
+    ("pause_ms", "held"), [(400, True), (MAX_RESUME_HOLD_MS + 1, False)]
+)
+def test_begun_answer_waits_for_a_short_pause(pause_ms, held):
+    planner = build_planner(servers=2)
+    flight = admit(planner, build_request())
+    first = send(planner, flight).server
+    flight.answer_started = True
+    other = next(s for s in planner.servers.usable("llm") if s != first)
+    planner.pauses.record(other, pause_ms, 10)
+    after = planner.handle_failure(flight, first, Ending.BROKEN, 10)
+    assert isinstance(after, Again if held else Refuse)
+    if not held:
+        return
+    assert planner.choose(flight, 10) == Hold(pause_ms)
+    assert send(planner, flight, 10 + pause_ms).server == other
+
+
 def test_nothing_is_copied_from_a_paused_server():
     planner = build_planner()
     req = build_request()
