Build the marks of servers in the tests of a busy host

Cause: the merge of the servers' marks gave the service of callers one more part; six tests of test_entry_busy_host.py failed by its constructor. Change: the tests build it; no assert changed.

--- a/tests/test_entry_busy_host.py
+++ b/tests/test_entry_busy_host.py
@@ -24,6 +24,7 @@
 from corianderdoor.adapters.http1_server import listen
 from corianderdoor.core.clock import SystemClock
 from corianderdoor.entry.callers import CallerService
+from corianderdoor.entry.server_marks import ServerMarks
 
 BUSY_S = 0.5
 CONNECT_TIMEOUT_MS = 400
@@ -91,7 +92,9 @@
             planner.servers.put(
                 build_server(f"p{number}", "plain", host=name, port=port), 0
             )
-        self.callers = CallerService(planner, build_pool(clock), clock)
+        pool = build_pool(clock)
+        marks = ServerMarks(planner, pool, clock, lambda: None)
+        self.callers = CallerService(planner, pool, marks, clock)
         self.address = ("", 0)
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -250,7 +253,7 @@
         desired = None
 
     async def main():
-        service = Service(Planner(), None, SystemClock())
+        service = Service(Planner(), None, None, SystemClock())
         async with anyio.create_task_group() as tasks:
             server = await listen(("127.0.0.1", 0), tasks, service.serve)
             print(server.sockets[0].getsockname()[1], flush=True)
