Count a slow start from the first answer after a failure

Cause: without the store a server counted as cold from its last failure, though it comes back at any time after it. Evidence: the new test sent 100 requests in a second to a server that came back 6 s after its failure; 18.5 are allowed. Change: it counts from the first answer after the failure, and until one comes the server counts as cold, for 30 s at most. test_servers_are_warm_again stated the fault: it now records the answer from which the slow start counts, and asks for the same 100 requests after the same time.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -480,8 +480,10 @@
                 place = "here" if server.id in holders else "elsewhere"
             self.counters.add("prompt_tokens", part.tokens, cached=place)
 
-    def record_answer_begun(self, flight: Flight) -> None:
+    def record_answer_begun(self, flight: Flight, now_ms: int) -> None:
         """Records that the server has begun to answer."""
+        if flight.server is not None:
+            self.restarts.record_answer(flight.server.id, now_ms)
         self.record_prefill_done(flight)
         self._give_back_spare_retry(flight)
 
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -15,6 +15,9 @@
 # How long a server that this host could not reach is reported to peers;
 # longer than the time between two heartbeats to a host in reserve.
 REPORT_MS: Final = 1_600
+# A server that has not answered for this long since it failed is not held
+# back any longer; other means find out whether it is there.
+MAX_UNANSWERED_MS: Final = 30_000
 
 
 class SuspectedRestarts:
@@ -30,13 +33,21 @@
             to the store.
     """
 
-    __slots__ = ("in_contact", "_unreached", "_broken", "_reported")
+    __slots__ = (
+        "in_contact",
+        "_unreached",
+        "_broken",
+        "_reported",
+        "_answered",
+    )
 
     def __init__(self) -> None:
         self.in_contact = True
         self._unreached: dict[str, int] = {}
         self._broken: dict[str, int] = {}
         self._reported: dict[str, int] = {}
+        # First answer after the last failure, which shows the return.
+        self._answered: dict[str, int] = {}
 
     def record_unreachable(self, server_id: str, now_ms: int) -> None:
         """Records that this host could not reach a server."""
@@ -50,6 +61,15 @@
         """Records that a peer could not reach a server."""
         self._reported[server_id] = now_ms
 
+    def record_answer(self, server_id: str, now_ms: int) -> None:
+        """Records that a server answered a request completely."""
+        failed_ms = max(
+            times.get(server_id, -1)
+            for times in (self._unreached, self._broken, self._reported)
+        )
+        if failed_ms > self._answered.get(server_id, -1):
+            self._answered[server_id] = now_ms
+
     def recent(self, now_ms: int) -> list[str]:
         """Returns the servers to report to peers."""
         return [
@@ -66,18 +86,30 @@
             cold_ms: How long a server is cold after its start, in ms.
             now_ms: Monotonic time in ms.
         """
-        times = [self._unreached.get(server_id)]
         if self.in_contact:
-            cold_ms = min(cold_ms, RECORD_DELAY_MS)
-        else:
-            times.append(self._broken.get(server_id))
-            times.append(self._reported.get(server_id))
-        return any(
-            at_ms is not None and now_ms - at_ms < cold_ms for at_ms in times
+            failed_ms = self._unreached.get(server_id)
+            span_ms = min(cold_ms, RECORD_DELAY_MS)
+            return failed_ms is not None and now_ms - failed_ms < span_ms
+        failed_ms = max(
+            times.get(server_id, -1)
+            for times in (self._unreached, self._broken, self._reported)
         )
+        if failed_ms < 0 or cold_ms <= 0:
+            return False
+        # The server may have come back at any time since it failed; its
+        # first answer is the latest time of its return.
+        answered_ms = self._answered.get(server_id, -1)
+        if answered_ms < failed_ms:
+            return now_ms - failed_ms < max(cold_ms, MAX_UNANSWERED_MS)
+        return now_ms - answered_ms < cold_ms
 
     def retain(self, ids: frozenset[str]) -> None:
         """Drops the records of all servers but `ids`."""
-        for times in (self._unreached, self._broken, self._reported):
+        for times in (
+            self._unreached,
+            self._broken,
+            self._reported,
+            self._answered,
+        ):
             for name in times.keys() - ids:
                 del times[name]
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -485,6 +485,9 @@
     async def _deliver(self, answer: ServerAnswer) -> None:
         assert self._flight is not None
         if answer.status < MIN_SERVER_ERROR_STATUS:
+            self._planner.record_answer_begun(
+                self._flight, self._clock.now_ms()
+            )
             self._planner.record_complete_answer(self._flight)
         self._record_first_byte()
         await self._conn.respond(answer.status, answer.headers, answer.body)
@@ -541,7 +544,7 @@
         When another server resumes the stream, its events follow under the
         head that was sent first.
         """
-        self._planner.record_answer_begun(flight)
+        self._planner.record_answer_begun(flight, self._clock.now_ms())
         if flight.answer_started:
             return
         flight.answer_started = True
