Ignore unusable numbers in servers' headers about their state

A server's Instance-Load or Keep-Alive with a number of more than 4300 digits raised ValueError in the relay and ended the request with an error of the program. Numbers of more than six digits, and several different values in one answer, are now ignored and noted in AnswerHead.unusable. AnswerHead also decodes how many requests a brittle server can turn away in a second, and how many requests run at a server.

--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import math
 import re
-from typing import Final
+from typing import Final, TypeVar
 
 from ..adapters.hop_headers import HOP_BY_HOP_HEADERS
 from ..adapters.http1 import Headers
@@ -27,6 +28,10 @@
 SERVER_LEAVING: Final = b"server-leaving"
 RETRY_AFTER: Final = b"retry-after"
 COLD_START_MS: Final = b"cold-start-ms"
+SERVER_BRITTLE: Final = b"server-brittle"
+# Digits of a number in a server's header; longer ones are not plausible.
+MAX_DIGITS: Final = 6
+MAX_LOGGED_VALUE: Final = 64
 # Headers that only the entry host may set or that are meant for it alone;
 # a caller's values are not forwarded.
 RESERVED_HEADERS: Final = frozenset(
@@ -62,6 +67,8 @@
 # A longer time that a server asks for is a mistake.
 MAX_RETRY_AFTER_S: Final = 3_600
 
+_Value = TypeVar("_Value")
+
 
 class HeaderError(Exception):
     """A header or the target of a caller's request is missing or invalid."""
@@ -81,6 +88,11 @@
         encoded: Whether the body has a content encoding and so is not the
             server's original output.
         load: Requests running and queued at the server; None if unknown.
+        running: Requests running at the server; None if unknown.
+        rejections_per_s: Requests that the server can turn away in a second
+            without falling over; None if it does not say that it is brittle.
+        unusable: Names and values, shortened, of headers about the server's
+            state that can't be used.
         keep_alive_s: How long the server keeps an idle connection; None if
             unknown.
         closes: Whether the server closes the connection after this answer.
@@ -102,6 +114,9 @@
         "request_id",
         "encoded",
         "load",
+        "running",
+        "rejections_per_s",
+        "unusable",
         "keep_alive_s",
         "closes",
         "framed",
@@ -120,7 +135,13 @@
         self.request_id = by_name.get(ATTEMPT_ID)
         encoding = by_name.get(b"content-encoding", b"identity").lower()
         self.encoded = encoding != b"identity"
-        self.load = _parse_load(by_name.get(INSTANCE_LOAD))
+        self.unusable: list[tuple[str, str]] = []
+        counts = self._decode(INSTANCE_LOAD, headers, _parse_load)
+        self.load = None if counts is None else sum(counts)
+        self.running = None if counts is None else counts[0]
+        self.rejections_per_s = self._decode(
+            SERVER_BRITTLE, headers, _parse_count
+        )
         self.keep_alive_s = _parse_keep_alive(by_name.get(b"keep-alive"))
         self.closes = b"close" in by_name.get(b"connection", b"").lower()
         self.framed = (
@@ -146,14 +167,39 @@
             and pair[0] != b"content-length"
         ]
 
-
-def _parse_load(value: bytes | None) -> int | None:
-    if value is None:
+    def _decode(
+        self,
+        name: bytes,
+        headers: Headers,
+        parse: Callable[[bytes], _Value | None],
+    ) -> _Value | None:
+        """Returns the value of a header about the server's state.
+
+        Notes the header in `unusable` if its value is invalid, or if it
+        appears more than once with different values.
+        """
+        values = {value for key, value in headers if key == name}
+        if not values:
+            return None
+        found = parse(next(iter(values))) if len(values) == 1 else None
+        if found is None:
+            text = b" | ".join(sorted(values))[:MAX_LOGGED_VALUE]
+            self.unusable.append((name.decode(), text.decode("latin-1")))
+        return found
+
+
+def _parse_count(value: bytes) -> int | None:
+    text = value.strip()
+    if not text.isdigit() or len(text) > MAX_DIGITS:
         return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    return int(text)
+
+
+def _parse_load(value: bytes) -> tuple[int, int] | None:
+    counts = [_parse_count(part) for part in value.split(b",")]
+    if len(counts) != 3 or counts[0] is None or counts[1] is None:
         return None
-    return int(parts[0]) + int(parts[1])
+    return None if counts[2] is None else (counts[0], counts[1])
 
 
 def _get_values(headers: Headers, name: bytes) -> list[bytes]:
@@ -175,8 +221,8 @@
         return None
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return int(seconds)
+        if name.lower() == b"timeout":
+            return _parse_count(seconds)
     return None
 
 
