Let stand-in workers be brittle

A worker can announce that it falls over if it turns away more than a number of requests in a second. Its room for running and waiting requests shrinks some time later, and it is away for some seconds after a fall. While it is brittle, it processes as many requests at a time as it has slots.

--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -20,6 +20,80 @@
 PREFILL_TOKENS_PER_MS: Final = 200.0
 
 
+class Brittleness:
+    """A time in which a worker falls over if it turns away too much.
+
+    Attributes:
+        limit: Requests that it can turn away in a second.
+        slots: Requests that it processes at a time.
+        waiting: Requests that may wait at first.
+        reduced_waiting: Requests that may wait from `notice_ms` on.
+        notice_ms: Time from the announcement to the reduction, in ms.
+        down_ms: How long the worker is away after a fall, in ms.
+        falls: When it fell over, in ms since the announcement.
+        rejections: When it turned away a request, likewise.
+        down_until_ms: When it is back after the last fall, likewise.
+    """
+
+    __slots__ = (
+        "limit",
+        "slots",
+        "waiting",
+        "reduced_waiting",
+        "notice_ms",
+        "down_ms",
+        "falls",
+        "rejections",
+        "down_until_ms",
+    )
+
+    def __init__(
+        self,
+        limit: int,
+        slots: int,
+        waiting: int,
+        reduced_waiting: int,
+        notice_ms: float = 3_000.0,
+        down_ms: float = 4_000.0,
+    ) -> None:
+        self.limit = limit
+        self.slots = slots
+        self.waiting = waiting
+        self.reduced_waiting = reduced_waiting
+        self.notice_ms = notice_ms
+        self.down_ms = down_ms
+        self.falls: list[float] = []
+        self.rejections: list[float] = []
+        self.down_until_ms = 0.0
+
+    def is_down(self, at_ms: float) -> bool:
+        """Returns whether the worker is away after a fall."""
+        return at_ms < self.down_until_ms
+
+    def room(self, at_ms: float) -> int:
+        """Returns how many requests may run and wait together."""
+        reduced = at_ms >= self.notice_ms
+        return self.slots + (self.reduced_waiting if reduced else self.waiting)
+
+    def reject(self, at_ms: float) -> bool:
+        """Counts a request that is turned away.
+
+        Returns:
+            Whether the worker falls over.
+        """
+        self.rejections.append(at_ms)
+        if at_ms < self.notice_ms:
+            return False
+        first = at_ms - MS_PER_SECOND
+        recent = sum(first < time <= at_ms for time in self.rejections)
+        if recent <= self.limit:
+            return False
+        self.rejections.clear()
+        self.falls.append(at_ms)
+        self.down_until_ms = at_ms + self.down_ms
+        return True
+
+
 class Worker:
     """A worker with injectable faults.
 
@@ -47,6 +121,7 @@
         retry_after_s: Time in answers with 503 for which the worker wants no
             requests; None to leave it out.
         leaving: Whether all answers announce that the worker leaves.
+        brittle: Brittleness; None while the worker is sound.
         on_request: Called with the worker, the request, and whether the
             worker runs it.
     """
@@ -66,9 +141,13 @@
         "extra_headers",
         "retry_after_s",
         "leaving",
+        "brittle",
         "on_request",
         "_silent_until_ms",
         "_clock",
+        "_brittle_since_s",
+        "_slots",
+        "_scopes",
     )
 
     def __init__(self, id: str, engine: bool, work_ms: float = 5.0) -> None:
@@ -88,9 +167,27 @@
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self.retry_after_s: float | None = None
         self.leaving = False
+        self.brittle: Brittleness | None = None
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
             _do_nothing
         )
+        self._brittle_since_s = 0.0
+        self._slots: anyio.CapacityLimiter | None = None
+        self._scopes: set[anyio.CancelScope] = set()
+
+    def announce_brittle(self, brittle: Brittleness) -> None:
+        """Makes the worker brittle, which all its answers say from now on."""
+        self.brittle = brittle
+        self._brittle_since_s = anyio.current_time()
+        self._slots = anyio.CapacityLimiter(brittle.slots)
+
+    def end_brittle(self) -> None:
+        """Ends the time in which the worker is brittle."""
+        self.brittle = None
+        self._slots = None
+
+    def _brittle_ms(self) -> float:
+        return (anyio.current_time() - self._brittle_since_s) * MS_PER_SECOND
 
     async def serve(self, conn: ServerConnection) -> None:
         """Serves one connection."""
@@ -105,17 +202,44 @@
             received = await conn.read_request(DEFAULT_LIMITS)
             if not isinstance(received, ReceivedRequest):
                 return
+            if self.brittle and self.brittle.is_down(self._brittle_ms()):
+                conn.protocol.abort()
+                return
             self.active += 1
+            scope = anyio.CancelScope()
+            self._scopes.add(scope)
             try:
-                with anyio.CancelScope() as scope:
+                with scope:
                     conn.protocol.on_peer_closed = scope.cancel
-                    await self._answer(conn, received)
+                    await self._answer_in_slot(conn, received)
             finally:
+                self._scopes.discard(scope)
                 self.active -= 1
             conn.protocol.on_peer_closed = None
             if scope.cancelled_caught or not await conn.finish():
                 return
 
+    async def _answer_in_slot(
+        self, conn: ServerConnection, req: ReceivedRequest
+    ) -> None:
+        brittle = self.brittle
+        if brittle is None or self._slots is None:
+            await self._answer(conn, req)
+            return
+        if self.active > brittle.room(self._brittle_ms()):
+            # The request itself counts as active.
+            self.active -= 1
+            try:
+                if brittle.reject(self._brittle_ms()):
+                    for scope in self._scopes:
+                        scope.cancel()
+                await self._decline(conn, False)
+            finally:
+                self.active += 1
+            return
+        async with self._slots:
+            await self._answer(conn, req)
+
     async def _answer(
         self, conn: ServerConnection, req: ReceivedRequest
     ) -> None:
@@ -139,7 +263,7 @@
         await self._read_prompt(headers)
         signed_headers = [
             (b"Attempt-Id", request_id),
-            (b"Instance-Load", b"%d,0,8" % self.active),
+            *self._state_headers(),
             *self._marks(),
         ]
         if self.mode != "unsigned":
@@ -203,7 +327,26 @@
             if self.retry_after_s is not None:
                 seconds = b"%g" % self.retry_after_s
                 marks.append((b"Retry-After", seconds))
-            await conn.respond(503, [(b"Not-Executed", b"1"), *marks])
+            await conn.respond(
+                503,
+                [(b"Not-Executed", b"1"), *self._brittle_headers(), *marks],
+            )
+
+    def _state_headers(self) -> list[tuple[bytes, bytes]]:
+        return self._brittle_headers() or [
+            (b"Instance-Load", b"%d,0,8" % self.active)
+        ]
+
+    def _brittle_headers(self) -> list[tuple[bytes, bytes]]:
+        if self.brittle is None:
+            return []
+        slots = self.brittle.slots
+        running = min(slots, self.active)
+        load = (running, self.active - running, slots)
+        return [
+            (b"Instance-Load", b"%d,%d,%d" % load),
+            (b"Server-Brittle", b"%d" % self.brittle.limit),
+        ]
 
     async def _read_prompt(self, headers: dict[bytes, bytes]) -> None:
         text = headers.get(b"prompt-prefix", b"").decode()
