Keep brittle servers within the rejections that they bear

Servers that say that they are brittle fell over again and again: each host retried rejections elsewhere, and no host knew what all of them caused.

Each host now has a part of the room that is known at such a server, and a share of the rejections that it bears in a second. Room is learnt from the load that servers state, from answers and from rejections, and travels in heartbeats. Work beyond it goes to other servers, waits briefly or is refused with a Retry-After. A request counts from the choice of its server: over real connections, a burst that was still connecting was sent as a whole.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -24,6 +24,8 @@
     "leaving_servers": "Servers found to be leaving, by who said so.",
     "server_pauses": "Pauses that servers asked this host for.",
     "ignored_marks": "Unusable marks in servers' answers, by kind.",
+    "headers_unusable": "Unusable headers of servers about their state.",
+    "brittle_rejections": "Requests that brittle servers turned away.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -124,6 +124,8 @@
         arrived_ms: When the request was received, on the monotonic clock.
         deadline_ms: Deadline on the monotonic clock.
         server: Server that works on the request; None between attempts.
+        reserved: Id of the server that the request is about to be sent to;
+            None if there is none.
         unread: Prompt tokens that the server has not prefilled yet.
         excluded: Ids of the servers to which the request was sent or that were
             unreachable.
@@ -149,6 +151,7 @@
         "arrived_ms",
         "deadline_ms",
         "server",
+        "reserved",
         "unread",
         "excluded",
         "runs",
@@ -177,6 +180,7 @@
         self.arrived_ms = arrived_ms
         self.deadline_ms = deadline_ms
         self.server: BackendServer | None = None
+        self.reserved: str | None = None
         self.unread = 0
         self.excluded: set[str] = set()
         self.runs = 0
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -9,6 +9,7 @@
 from .active_hosts import ActiveHosts, Candidate, rank_host, SLOW_LINK_MBPS
 from .addresses import Address
 from .replica import is_ahead
+from .server_room import RoomReport
 
 # Time without a heartbeat after which a peer counts as unreachable, and
 # after which callers are no longer sent to it. For a peer with a longer
@@ -83,6 +84,7 @@
         era: Era of the store to which `revision` belongs.
         leaving_servers: Digests of the incarnations of servers whose
             answers to the host announced that they leave.
+        rooms: Room of the brittle servers.
     """
 
     __slots__ = (
@@ -102,6 +104,7 @@
         "links_cut",
         "era",
         "leaving_servers",
+        "rooms",
     )
 
     def __init__(
@@ -122,7 +125,9 @@
         links_cut: bool = False,
         era: int = 0,
         leaving_servers: tuple[int, ...] = (),
+        rooms: tuple[RoomReport, ...] = (),
     ) -> None:
+        self.rooms = rooms
         self.era = era
         self.links_cut = links_cut
         self.leaving_servers = leaving_servers
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -39,6 +39,7 @@
 from .routing import DesiredState, Route
 from .server_ejection import ServerEjections
 from .server_pauses import ServerPauses
+from .server_room import ServerRooms
 from .servers import BackendServer, Servers
 from .suspected_restarts import SuspectedRestarts
 from .windows import ColdRateLimiter, RetryBudget
@@ -90,6 +91,7 @@
         restarts: Servers that may have restarted unnoticed.
         leaving: Servers that announced that they leave.
         pauses: Servers that asked this host for no requests for a while.
+        rooms: Room of the brittle servers.
         hosts: Names of the entry hosts that share limits, this one
             included.
         is_connected: Returns whether a connection to a server was used
@@ -107,6 +109,7 @@
         "restarts",
         "leaving",
         "pauses",
+        "rooms",
         "hosts",
         "is_connected",
         "_name",
@@ -134,6 +137,7 @@
         self.restarts = SuspectedRestarts()
         self.leaving = LeavingServers()
         self.pauses = ServerPauses()
+        self.rooms = ServerRooms(name, self.servers, self.loads)
         self.hosts: list[str] = [name]
         self.is_connected: Callable[[str], bool] = lambda server_id: False
         self._name = name
@@ -164,6 +168,7 @@
         self.restarts.retain(ids)
         self.leaving.retain(self.servers.all(), now_ms)
         self.pauses.drop_expired(now_ms)
+        self.rooms.tick(now_ms)
         return expired
 
     def admit(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
@@ -211,12 +216,23 @@
             s for s in usable if not self.ejections.is_ejected(s.id, now_ms)
         ]
         usable = healthy or usable
-        warm = [s for s in usable if not self._may_be_cold(s, now_ms)]
+        roomy = self.rooms.filter(usable, self.hosts, now_ms)
+        if not roomy:
+            return self._wait_for_room(flight, usable, now_ms)
+        warm = [s for s in roomy if not self._may_be_cold(s, now_ms)]
         if warm:
             return self._send(
                 flight, self._rank(flight, warm, now_ms)[0], now_ms
             )
-        return self._choose_cold(flight, usable, now_ms)
+        return self._choose_cold(flight, roomy, now_ms)
+
+    def _wait_for_room(
+        self, flight: Flight, servers: list[BackendServer], now_ms: int
+    ) -> Hold | Refuse:
+        delay_ms = self.rooms.wait_ms(servers, self.hosts)
+        if delay_ms is None:
+            return self._refuse(flight, "brittle-servers", now_ms)
+        return self._hold(flight, delay_ms, "brittle-servers", now_ms)
 
     def may_send(self, server: BackendServer, now_ms: int) -> bool:
         """Returns whether `server` takes requests of this host."""
@@ -403,6 +419,7 @@
     def _send(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> Send:
+        self.rooms.reserve(flight, server.id)
         left_ms = flight.deadline_ms - now_ms
         silence_ms: int | None = None
         if self._may_retry(flight, 1):
@@ -448,6 +465,8 @@
         flight.sends += 1
         flight.runs += 1
         self.loads.start(server.id, flight.unread)
+        self.rooms.release(flight)
+        self.rooms.record_sent(server.id)
 
     def _count_unread(
         self, req: CallerRequest, server: BackendServer, now_ms: int
@@ -493,6 +512,7 @@
     def record_attempt_end(self, flight: Flight) -> None:
         """Records that no server works on the request any longer."""
         flight.returning = False
+        self.rooms.release(flight)
         if flight.server is not None:
             self.record_prefill_done(flight)
             self.loads.end(flight.server.id)
@@ -573,6 +593,7 @@
             and not self.ejections.is_ejected(server.id, now_ms)
             and not self._may_be_cold(server, now_ms)
         ]
+        servers = self.rooms.filter(servers, self.hosts, now_ms)
         if not servers or not self._retry_budget.take(
             flight.service, len(self.hosts), now_ms, count=2
         ):
@@ -584,6 +605,7 @@
 
     def cancel_move(self, flight: Flight) -> None:
         """Records that the request stays where it is after all."""
+        self.rooms.release(flight)
         self._give_back_spare_retry(flight)
         self._retry_budget.give_back(flight.service, 1)
 
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -23,6 +23,7 @@
   linksCut @13 :Bool;  # the sender reaches servers only through peers
   era @14 :UInt64;  # era of the store that the revision belongs to
   leavingServers @15 :List(UInt64);  # digests of servers' incarnations
+  rooms @16 :List(Room);
 }
 
 # A request, identified by a digest, during which a backend server crashed.
@@ -37,6 +38,14 @@
   server @1 :UInt64;
 }
 
+# Room of a backend server that falls over if it turns away too much.
+struct Room {
+  server @0 :UInt64;  # digest of the server's id
+  limit @1 :UInt32;  # rejections in a second that the server bears
+  rejected @2 :UInt16;  # rejections of the last second, by the sender
+  room @3 :UInt16;  # requests in progress
+}
+
 # Requests that the sender has in progress at one backend server.
 struct Load {
   server @0 :UInt64;  # digest of the server's id
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -265,6 +265,8 @@
                 self._planner.desired.version if self._planner.desired else 0
             ),
             "highest_load_share": self._highest_load_share,
+            "brittle_servers": lambda: float(self._planner.rooms.count()),
+            "lowest_room": self._planner.rooms.lowest_room,
         }
         text = MetricsText(self._planner.counters, gauges)
         address = (self._settings.address, port)
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -10,6 +10,7 @@
 
 from ..core.entry.peers import Heartbeat
 from ..core.entry.replica import Change, Page
+from ..core.entry.server_room import RoomReport
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
 # Highest values that the fields of a heartbeat can hold; higher ones are sent
@@ -61,6 +62,15 @@
         linksCut=heartbeat.links_cut,
         era=heartbeat.era,
         leavingServers=list(heartbeat.leaving_servers),
+        rooms=[
+            {
+                "server": report.server,
+                "limit": report.limit,
+                "rejected": min(MAX_COUNT, report.rejected),
+                "room": min(MAX_COUNT, report.room),
+            }
+            for report in heartbeat.rooms
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -92,6 +102,10 @@
             raw.linksCut,
             raw.era,
             tuple(raw.leavingServers),
+            tuple(
+                RoomReport(room.server, room.limit, room.rejected, room.room)
+                for room in raw.rooms
+            ),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -31,6 +31,7 @@
 from ..core.entry.routing import DEFAULT_LIMITS
 from ..core.entry.servers import digest_id
 from ..platform.store import read_full_answer
+from .answer_signs import merge_room_reports
 from .peer_codec import (
     decode_heartbeat,
     decode_page,
@@ -148,6 +149,7 @@
         for server_id in map(find_server, heartbeat.unreached):
             if server_id is not None:
                 self._planner.restarts.add_report(server_id, now_ms)
+        merge_room_reports(self._planner, heartbeat, now_ms)
         for fingerprint, digest in heartbeat.crashes:
             self._planner.crashing_requests.add_crash(
                 fingerprint, digest, now_ms
@@ -248,6 +250,7 @@
             self._peers.links_cut,
             self._replica.era,
             planner.leaving.reports(),
+            tuple(planner.rooms.take_reports(now_ms)),
         )
 
     def send_soon(self) -> None:
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -29,6 +29,7 @@
     build_refusal_headers,
     build_server_headers,
 )
+from .answer_signs import record_answer_signs
 from .backends import ConnectionPool
 from .server_marks import ServerMarks
 
@@ -253,6 +254,10 @@
             self._failure_detail = str(exc)
             return Ending.SPOILED if exc.protocol_error else Ending.BROKEN
         finally:
+            if self._head is None:
+                self._planner.rooms.record_no_answer(
+                    server.id, self._clock.now_ms()
+                )
             if not released:
                 protocol.abort()
 
@@ -299,6 +304,9 @@
         if head is None:
             return Ending.SPOILED
         self._head = head
+        record_answer_signs(
+            self._planner, send.server.id, head, self._heard_ms
+        )
         if protocol.via_peer and not head.framed:
             # A reset at the server would look like the end of the answer.
             return Ending.SPOILED
