--- a/corianderdoor/tools/explain.py
+++ b/corianderdoor/tools/explain.py
@@ -36,6 +36,7 @@
     "no-desired-state": "the host had no desired state yet",
     "no-route": "no route of the desired state in force matches",
     "unknown-key": "the desired state in force knows no such key",
+    "brittle-servers": "no brittle server had room for this host",
     "no-server": "no server of the service could be used",
     "servers-leaving": "every server of the service had said that it leaves",
     "servers-paused": "every server of the service had asked for a pause",
