Move heartbeats and peers into modules of their own

Cause: core/entry/peers.py had 643 lines, and what a heartbeat and a peer are stood beside the decisions about the fleet. Change: Heartbeat with its two intervals is in heartbeat.py, Peer with its six constants in peer.py; only imports changed elsewhere.

--- a/bench/entry_decision.py
+++ b/bench/entry_decision.py
@@ -15,8 +15,9 @@
 
 from driver import write_result
 
+from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.loads import PeerLoads
-from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.core.entry.requests import CallerRequest, PromptPart
 from corianderdoor.core.entry.routing import (
--- /dev/null
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -0,0 +1,102 @@
+"""State that entry hosts send to each other periodically."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..records import Record
+from .server_room import RoomReport
+
+# Heartbeat interval between active hosts. It grows with the number of active
+# hosts, so that a host sends and receives at most 125 heartbeats per second.
+HEARTBEAT_MS: Final = 200
+HEARTBEAT_MS_PER_ACTIVE: Final = 8
+
+
+class Heartbeat(Record):
+    """State that a host sends to its peers periodically.
+
+    Attributes:
+        sender: Name of the host.
+        boot: Number that rises with each start of the host's process.
+        revision: Newest revision of the store at which an item changed in
+            the host's replica.
+        contact_age_ms: Time since the host's last contact with the store.
+        leaving: Whether the host shuts down.
+        loads: Digests of server ids, each with the number of the host's
+            in-flight requests there and their prompt tokens not prefilled
+            yet.
+        cached_parts: Digests of prompt parts and of the servers that have
+            them cached.
+        live_peers: Number of peers from which the host gets heartbeats.
+        ejected: Digests of the servers that the host has ejected.
+        crashes: Fingerprints of requests and digests of the servers that
+            crashed while they ran them.
+        interval_ms: Time until the next heartbeat to the same peer.
+        cpu_percent: CPU use of the host in percent.
+        unreached: Digests of the servers that the host could not reach
+            lately.
+        links_cut: Whether the host reaches servers only through its peers.
+        era: Era of the store to which `revision` belongs.
+        leaving_servers: Digests of the incarnations of servers whose
+            answers to the host announced that they leave.
+        rooms: Room of the brittle servers.
+    """
+
+    __slots__ = (
+        "sender",
+        "boot",
+        "revision",
+        "contact_age_ms",
+        "leaving",
+        "loads",
+        "cached_parts",
+        "live_peers",
+        "ejected",
+        "crashes",
+        "interval_ms",
+        "cpu_percent",
+        "unreached",
+        "links_cut",
+        "era",
+        "leaving_servers",
+        "rooms",
+    )
+
+    def __init__(
+        self,
+        sender: str,
+        boot: int,
+        revision: int,
+        contact_age_ms: int,
+        leaving: bool,
+        loads: tuple[tuple[int, int, int], ...],
+        cached_parts: tuple[tuple[int, int], ...] = (),
+        live_peers: int = 0,
+        ejected: tuple[int, ...] = (),
+        crashes: tuple[tuple[int, int], ...] = (),
+        interval_ms: int = HEARTBEAT_MS,
+        cpu_percent: int = 0,
+        unreached: tuple[int, ...] = (),
+        links_cut: bool = False,
+        era: int = 0,
+        leaving_servers: tuple[int, ...] = (),
+        rooms: tuple[RoomReport, ...] = (),
+    ) -> None:
+        self.rooms = rooms
+        self.era = era
+        self.links_cut = links_cut
+        self.leaving_servers = leaving_servers
+        self.unreached = unreached
+        self.interval_ms = interval_ms
+        self.cpu_percent = cpu_percent
+        self.crashes = crashes
+        self.ejected = ejected
+        self.live_peers = live_peers
+        self.cached_parts = cached_parts
+        self.sender = sender
+        self.boot = boot
+        self.revision = revision
+        self.contact_age_ms = contact_age_ms
+        self.leaving = leaving
+        self.loads = loads
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -5,22 +5,15 @@
 from collections import Counter
 from typing import Final
 
-from ..records import Record
 from .active_hosts import ActiveHosts, Candidate, rank_host, SLOW_LINK_MBPS
 from .addresses import Address
+from .heartbeat import Heartbeat, HEARTBEAT_MS, HEARTBEAT_MS_PER_ACTIVE
+from .peer import (
+    MISSED_HEARTBEATS,
+    Peer,
+)
 from .replica import is_ahead
-from .server_room import RoomReport
-
-# Time without a heartbeat after which a peer counts as unreachable, and
-# after which callers are no longer sent to it. For a peer with a longer
-# heartbeat interval, both grow to `MISSED_HEARTBEATS` intervals.
-PEER_TIMEOUT_MS: Final = 2_500
-DIRECTORY_TIMEOUT_MS: Final = 1_200
-MISSED_HEARTBEATS: Final = 3
-# Heartbeat interval between active hosts. It grows with the number of active
-# hosts, so that a host sends and receives at most 125 heartbeats per second.
-HEARTBEAT_MS: Final = 200
-HEARTBEAT_MS_PER_ACTIVE: Final = 8
+
 # Interval per host of the fleet at which a reserve host sends heartbeats, so
 # that it sends at most 50 per second.
 HEARTBEAT_MS_PER_PEER: Final = 20
@@ -39,225 +32,16 @@
 MIN_WATCHERS: Final = 2
 HOSTS_PER_WATCHER: Final = 20
 MAX_WATCHERS: Final = 4
-# How long a newly listed host counts as a watcher with contact to the store
-# before its heartbeats show it. Hosts that start together would all watch
-# otherwise.
-WATCHER_GRACE_MS: Final = 1_500
-# Age of the contact to the store of a host that does not watch it.
-NOT_WATCHING_MS: Final = 2**31
 # After a restore of the store, hosts that do not watch it wait so long for a
 # peer's copy, and then read it themselves at this interval.
 RELIST_WAIT_MS: Final = 1_500
 RELIST_STEP_MS: Final = 20
 # Interval at which hosts write their records again after a restore.
 REWRITE_STEP_MS: Final = 10
-# Time before the first heartbeat of a peer.
-NEVER_MS: Final = -1
 # A watcher does not count if its last contact with the store is older.
 MAX_CONTACT_AGE_MS: Final = 1_400
 
 
-class Heartbeat(Record):
-    """State that a host sends to its peers periodically.
-
-    Attributes:
-        sender: Name of the host.
-        boot: Number that rises with each start of the host's process.
-        revision: Newest revision of the store at which an item changed in
-            the host's replica.
-        contact_age_ms: Time since the host's last contact with the store.
-        leaving: Whether the host shuts down.
-        loads: Digests of server ids, each with the number of the host's
-            in-flight requests there and their prompt tokens not prefilled
-            yet.
-        cached_parts: Digests of prompt parts and of the servers that have
-            them cached.
-        live_peers: Number of peers from which the host gets heartbeats.
-        ejected: Digests of the servers that the host has ejected.
-        crashes: Fingerprints of requests and digests of the servers that
-            crashed while they ran them.
-        interval_ms: Time until the next heartbeat to the same peer.
-        cpu_percent: CPU use of the host in percent.
-        unreached: Digests of the servers that the host could not reach
-            lately.
-        links_cut: Whether the host reaches servers only through its peers.
-        era: Era of the store to which `revision` belongs.
-        leaving_servers: Digests of the incarnations of servers whose
-            answers to the host announced that they leave.
-        rooms: Room of the brittle servers.
-    """
-
-    __slots__ = (
-        "sender",
-        "boot",
-        "revision",
-        "contact_age_ms",
-        "leaving",
-        "loads",
-        "cached_parts",
-        "live_peers",
-        "ejected",
-        "crashes",
-        "interval_ms",
-        "cpu_percent",
-        "unreached",
-        "links_cut",
-        "era",
-        "leaving_servers",
-        "rooms",
-    )
-
-    def __init__(
-        self,
-        sender: str,
-        boot: int,
-        revision: int,
-        contact_age_ms: int,
-        leaving: bool,
-        loads: tuple[tuple[int, int, int], ...],
-        cached_parts: tuple[tuple[int, int], ...] = (),
-        live_peers: int = 0,
-        ejected: tuple[int, ...] = (),
-        crashes: tuple[tuple[int, int], ...] = (),
-        interval_ms: int = HEARTBEAT_MS,
-        cpu_percent: int = 0,
-        unreached: tuple[int, ...] = (),
-        links_cut: bool = False,
-        era: int = 0,
-        leaving_servers: tuple[int, ...] = (),
-        rooms: tuple[RoomReport, ...] = (),
-    ) -> None:
-        self.rooms = rooms
-        self.era = era
-        self.links_cut = links_cut
-        self.leaving_servers = leaving_servers
-        self.unreached = unreached
-        self.interval_ms = interval_ms
-        self.cpu_percent = cpu_percent
-        self.crashes = crashes
-        self.ejected = ejected
-        self.live_peers = live_peers
-        self.cached_parts = cached_parts
-        self.sender = sender
-        self.boot = boot
-        self.revision = revision
-        self.contact_age_ms = contact_age_ms
-        self.leaving = leaving
-        self.loads = loads
-
-
-class Peer:
-    """One other entry host.
-
-    Attributes:
-        name: Name of the peer.
-        callers: Address for callers; None until the peer is listed.
-        address: Address for heartbeats and for copies of the store's items;
-            None until it is known.
-        data_centre: Data centre of the peer; empty until it is listed.
-        listed: Whether the peer has a record in the store.
-        listed_ms: When that record was first seen.
-        last_heartbeat_ms: When the last heartbeat arrived; None before the
-            first.
-        last_heartbeat: The last heartbeat; None before the first.
-        heartbeats: Number of heartbeats since the peer's last start.
-        link_mbps: Link speed in Mbit/s; 0 if unknown.
-        alive_until_ms: When the peer counts as unreachable without another
-            heartbeat.
-        named_until_ms: When callers are no longer sent to the peer without
-            another heartbeat.
-        candidate: The peer as a possible active host.
-    """
-
-    __slots__ = (
-        "name",
-        "callers",
-        "address",
-        "data_centre",
-        "listed",
-        "listed_ms",
-        "last_heartbeat_ms",
-        "last_heartbeat",
-        "heartbeats",
-        "link_mbps",
-        "alive_until_ms",
-        "named_until_ms",
-        "candidate",
-    )
-
-    def __init__(self, name: str) -> None:
-        self.heartbeats = 0
-        self.link_mbps = 0.0
-        self.name = name
-        self.callers: Address | None = None
-        self.address: Address | None = None
-        self.data_centre = ""
-        self.listed = False
-        self.listed_ms = 0
-        self.last_heartbeat_ms: int | None = None
-        self.last_heartbeat: Heartbeat | None = None
-        self.alive_until_ms = NEVER_MS
-        self.named_until_ms = NEVER_MS
-        self.candidate = Candidate(name, "", 0.0, 0)
-
-    def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> None:
-        """Records a heartbeat of the peer and when the peer times out."""
-        self.last_heartbeat = heartbeat
-        self.last_heartbeat_ms = now_ms
-        self.heartbeats += 1
-        missed_ms = MISSED_HEARTBEATS * heartbeat.interval_ms
-        self.alive_until_ms = now_ms + max(PEER_TIMEOUT_MS, missed_ms)
-        self.named_until_ms = now_ms + max(DIRECTORY_TIMEOUT_MS, missed_ms)
-        if self.candidate.cpu_percent != heartbeat.cpu_percent:
-            self.update_candidate()
-
-    def update_candidate(self) -> None:
-        """Updates `candidate` from the other attributes."""
-        heartbeat = self.last_heartbeat
-        self.candidate = Candidate(
-            self.name,
-            self.data_centre,
-            self.link_mbps,
-            heartbeat.cpu_percent if heartbeat else 0,
-        )
-
-    @property
-    def leaving(self) -> bool:
-        """Whether the last heartbeat said that the peer shuts down."""
-        return self.last_heartbeat is not None and self.last_heartbeat.leaving
-
-    @property
-    def links_cut(self) -> bool:
-        """Whether the peer reaches servers only through its peers."""
-        return (
-            self.last_heartbeat is not None and self.last_heartbeat.links_cut
-        )
-
-    def is_starting(self, now_ms: int) -> bool:
-        """Returns whether the peer may not have read the store yet."""
-        if not self.listed or now_ms - self.listed_ms >= WATCHER_GRACE_MS:
-            return False
-        return (
-            self.last_heartbeat is None
-            or self.last_heartbeat.contact_age_ms >= NOT_WATCHING_MS
-        )
-
-    def timed_out(self, now_ms: int, limit_ms: int) -> bool:
-        """Returns whether the last heartbeat is too old or missing.
-
-        Args:
-            now_ms: Monotonic time in ms.
-            limit_ms: Timeout; it grows to `MISSED_HEARTBEATS` intervals of
-                the peer if these are longer.
-        """
-        if self.last_heartbeat_ms is None or self.last_heartbeat is None:
-            return True
-        limit_ms = max(
-            limit_ms, MISSED_HEARTBEATS * self.last_heartbeat.interval_ms
-        )
-        return now_ms - self.last_heartbeat_ms > limit_ms
-
-
 class Peers:
     """The other entry hosts, with one record for each.
 
--- a/corianderdoor/entry/answer_signs.py
+++ b/corianderdoor/entry/answer_signs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..adapters.logs import log_event
-from ..core.entry.peers import Heartbeat
+from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.planner import Planner
 from ..core.entry.server_room import RoomChange
 from ..platform.headers import AnswerHead, SERVICE_UNAVAILABLE
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -8,7 +8,7 @@
 
 import capnp
 
-from ..core.entry.peers import Heartbeat
+from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.replica import Change, Page
 from ..core.entry.server_room import RoomReport
 
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -16,16 +16,11 @@
 from ..adapters.tunnel import CONNECT_METHOD
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
+from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.leaving_servers import digest_incarnation
 from ..core.entry.loads import PeerLoads
-from ..core.entry.peers import (
-    Heartbeat,
-    MISSED_HEARTBEATS,
-    Peer,
-    PEER_TIMEOUT_MS,
-    Peers,
-    RESERVE_HEARTBEAT_EVERY,
-)
+from ..core.entry.peer import MISSED_HEARTBEATS, Peer, PEER_TIMEOUT_MS
+from ..core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
 from ..core.entry.planner import Planner
 from ..core.entry.replica import is_ahead, Page, Replica
 from ..core.entry.routing import DEFAULT_LIMITS
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -7,7 +7,8 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
-from ..core.entry.peers import Peers, WATCHER_GRACE_MS
+from ..core.entry.peer import WATCHER_GRACE_MS
+from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Change, Page, Replica
 from ..platform.changes import (
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -11,7 +11,8 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.cache_map import CacheMap
 from ..core.entry.counters import Counters
-from ..core.entry.peers import NOT_WATCHING_MS, Peers
+from ..core.entry.peer import NOT_WATCHING_MS
+from ..core.entry.peers import Peers
 from ..core.entry.replica import Change, owns_lease, Page
 from ..platform.records import CACHES_KEY, HOST_PREFIX
 from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
--- a/corianderdoor/standins/brittle_fleet.py
+++ b/corianderdoor/standins/brittle_fleet.py
@@ -15,13 +15,9 @@
 from typing import Final
 
 from ..core.entry.flights import Again, Ending, Flight, Hold, Send
+from ..core.entry.heartbeat import HEARTBEAT_MS, HEARTBEAT_MS_PER_ACTIVE
 from ..core.entry.loads import PeerLoads
-from ..core.entry.peers import (
-    HEARTBEAT_MS,
-    HEARTBEAT_MS_PER_ACTIVE,
-    MISSED_HEARTBEATS,
-    PEER_TIMEOUT_MS,
-)
+from ..core.entry.peer import MISSED_HEARTBEATS, PEER_TIMEOUT_MS
 from ..core.entry.planner import Planner
 from ..core.entry.requests import CallerRequest
 from ..core.entry.routing import (
--- a/tests/test_entry_active_hosts.py
+++ b/tests/test_entry_active_hosts.py
@@ -23,14 +23,12 @@
     MIN_ACTIVE_HOSTS,
 )
 from corianderdoor.core.entry.loads import Loads, PeerLoads
-from corianderdoor.core.entry.peers import (
+from corianderdoor.core.entry.heartbeat import Heartbeat, HEARTBEAT_MS
+from corianderdoor.core.entry.peer import (
     DIRECTORY_TIMEOUT_MS,
-    Heartbeat,
-    HEARTBEAT_MS,
     MISSED_HEARTBEATS,
-    Peers,
-    RESERVE_HEARTBEAT_EVERY,
 )
+from corianderdoor.core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
 from corianderdoor.entry.host import CpuMeter
 from corianderdoor.platform.directory import MAX_ADDRESSES
 
--- a/tests/test_entry_brittle_servers.py
+++ b/tests/test_entry_brittle_servers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from entry_builders import build_planner, build_request
 import pytest
 
 from corianderdoor.core.entry.flights import Hold, Refuse, Send
+from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.loads import PeerLoads
-from corianderdoor.core.entry.peers import Heartbeat
 from corianderdoor.core.entry.server_room import (
     PLAIN_ANSWERS,
     RoomChange,
@@ -17,8 +18,6 @@
 from corianderdoor.entry.peer_codec import decode_heartbeat, encode_heartbeat
 from corianderdoor.standins.brittle_fleet import BrittleFleet, Scenario
 
-from entry_builders import build_planner, build_request
-
 READ = "/read/x"
 LIMIT = 6
 # Hosts and servers of the small and the large deployment.
--- a/tests/test_entry_clock_steps.py
+++ b/tests/test_entry_clock_steps.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import Peers
 
 CALLERS = ("10.0.0.2", 80)
 PEERS_AT = ("10.0.0.2", 81)
--- a/tests/test_entry_config_fanout.py
+++ b/tests/test_entry_config_fanout.py
@@ -10,7 +10,8 @@
 
 import anyio
 
-from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.replica import Change, Page
 from corianderdoor.entry.peer_codec import encode_page
 from corianderdoor.standins.platform_fleet import (
--- a/tests/test_entry_fleet_start.py
+++ b/tests/test_entry_fleet_start.py
@@ -10,13 +10,9 @@
 from entry_builders import build_planner, build_pool
 
 from corianderdoor.core.clock import MS_PER_SECOND, SystemClock
-from corianderdoor.core.entry.peers import (
-    Heartbeat,
-    MAX_WATCHERS,
-    NOT_WATCHING_MS,
-    Peers,
-    WATCHER_GRACE_MS,
-)
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peer import NOT_WATCHING_MS, WATCHER_GRACE_MS
+from corianderdoor.core.entry.peers import MAX_WATCHERS, Peers
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import (
     LEASE_MARGIN_MS,
--- a/tests/test_entry_leaving_servers.py
+++ b/tests/test_entry_leaving_servers.py
@@ -21,7 +21,7 @@
     MAX_RECORDS,
     MAX_REPORTED,
 )
-from corianderdoor.core.entry.peers import Heartbeat, HEARTBEAT_MS
+from corianderdoor.core.entry.heartbeat import Heartbeat, HEARTBEAT_MS
 from corianderdoor.entry.peer_codec import decode_heartbeat, encode_heartbeat
 from corianderdoor.platform.headers import AnswerHead
 from corianderdoor.standins.platform_fleet import PlatformFleet
--- a/tests/test_entry_platform.py
+++ b/tests/test_entry_platform.py
@@ -14,7 +14,7 @@
 import msgspec
 import pytest
 
-from corianderdoor.core.entry.peers import Heartbeat
+from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.replica import Change, Page
 from corianderdoor.entry.peer_codec import (
     decode_caches,
--- a/tests/test_entry_restart_in_outage.py
+++ b/tests/test_entry_restart_in_outage.py
@@ -11,11 +11,9 @@
 import pytest
 
 from corianderdoor.core.clock import ManualClock
-from corianderdoor.core.entry.peers import (
-    Heartbeat,
-    NOT_WATCHING_MS,
-    Peers,
-)
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peer import NOT_WATCHING_MS
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.replica import Change, Page
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import StateSync
--- a/tests/test_entry_restore_sync.py
+++ b/tests/test_entry_restore_sync.py
@@ -13,8 +13,8 @@
 from corianderdoor.core.clock import MS_PER_SECOND, SystemClock
 from corianderdoor.core.entry.active_hosts import rank_host
 from corianderdoor.core.entry.counters import Counters
+from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peers import (
-    Heartbeat,
     MAX_WATCHERS,
     MIN_WATCHERS,
     Peers,
--- a/tests/test_entry_state.py
+++ b/tests/test_entry_state.py
@@ -9,11 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from corianderdoor.core.entry.peers import (
-    Heartbeat,
-    MIN_JUDGED_HEARTBEATS,
-    Peers,
-)
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import MIN_JUDGED_HEARTBEATS, Peers
 from corianderdoor.core.entry.replica import Change, Page, Replica
 from corianderdoor.core.entry.servers import Servers
 
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -18,7 +18,8 @@
     MAX_REMEMBERED,
     REMEMBERED_MS,
 )
-from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.replica import Change, Page, Replica
 from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.entry.peer_codec import (
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -12,7 +12,8 @@
 from corianderdoor.adapters.http1 import connect, H11Protocol
 from corianderdoor.adapters.staggered import Attempt, open_first
 from corianderdoor.adapters.tunnel import open_tunnel
-from corianderdoor.core.entry.peers import Heartbeat, Peers
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.server_paths import (
     DIRECT_HEAD_START_MS,
     RELAYED_MS,
--- a/tests/test_entry_watchers.py
+++ b/tests/test_entry_watchers.py
@@ -12,7 +12,8 @@
 from entry_builders import build_planner, build_pool
 
 from corianderdoor.core.clock import ManualClock
-from corianderdoor.core.entry.peers import Heartbeat, MAX_CONTACT_AGE_MS, Peers
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import MAX_CONTACT_AGE_MS, Peers
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import StateSync, WATCH_WAIT_MS
 from corianderdoor.platform.store import StoreError
