--- a/tests/test_entry_idle_connections.py
+++ b/tests/test_entry_idle_connections.py
@@ -7,8 +7,8 @@
 import time
 
 import anyio
-import anyio.to_thread
 import pytest
+from test_entry_busy_host import ANSWER_END, receive
 
 from corianderdoor.adapters.http1_server import (
     listen,
@@ -19,7 +19,6 @@
 
 IDLE_MS = 300
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-ANSWER_END = b"\r\n\r\nok"
 
 
 async def answer_requests(conn: ServerConnection) -> None:
@@ -53,17 +52,6 @@
     anyio.run(run, backend_options={"use_uvloop": uvloop})
 
 
-async def receive(caller: socket.socket) -> bytes:
-    """Returns the next answer; what has arrived if the connection ends."""
-    answer = b""
-    while not answer.endswith(ANSWER_END):
-        data = await anyio.to_thread.run_sync(caller.recv, 4_096)
-        if not data:
-            break
-        answer += data
-    return answer
-
-
 # Guards against LOST: a busy process saw the request and the end of the idle
 # time at once, and closed the connection over the request.
 @pytest.mark.parametrize("uvloop", [False, True])
