Drop a connection that opens as its request ends

Change: it is dropped. Result: a new test fails without the change and passes with it; 17 tests of connections through peers pass.

--- a/corianderdoor/adapters/staggered.py
+++ b/corianderdoor/adapters/staggered.py
@@ -56,8 +56,14 @@
             opened.append((index, protocol))
             tasks.cancel_scope.cancel()
 
-    with anyio.move_on_after(timeout_ms / MS_PER_SECOND):
-        async with anyio.create_task_group() as tasks:
-            for index, attempt in enumerate(attempts):
-                tasks.start_soon(run, index, attempt)
+    try:
+        with anyio.move_on_after(timeout_ms / MS_PER_SECOND):
+            async with anyio.create_task_group() as tasks:
+                for index, attempt in enumerate(attempts):
+                    tasks.start_soon(run, index, attempt)
+    except BaseException:
+        # Nobody will use the connection, for example as the caller has left.
+        for _, protocol in opened:
+            protocol.abort()
+        raise
     return opened[0] if opened else None
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -149,6 +149,22 @@
         assert await open_first(attempts, 50) is None
 
 
+# Guards against connections that stay open for good: the request ended in
+# the moment in which its connection was opened.
+@pytest.mark.anyio
+async def test_connection_that_nobody_waits_for_any_more_is_dropped():
+    protocol = FakeProtocol()
+    with anyio.CancelScope() as scope:
+
+        async def open() -> H11Protocol | None:
+            scope.cancel()
+            return protocol  # type: ignore[return-value]
+
+        await open_first([Attempt(0, open)], 60_000)
+    assert scope.cancelled_caught
+    assert protocol.aborted
+
+
 def test_server_that_a_peer_reached_is_not_tried_directly_first():
     paths = ServerPaths()
     assert paths.head_start_ms("s0", 0) == DIRECT_HEAD_START_MS
