Rename log events, metrics and fields to the field's usual terms

Cause: events, metrics and names said that a peer is "heard", a replica is a "belief", a heartbeat a "beat" and an answer "spoiled". Operators read these words on every start.

Change: renames only. Events: peer_heard to peer_discovered, belief_changed to replica_changed, belief_restored to replica_replaced, beat_unusable to heartbeat_invalid, hosts_in_use to active_hosts_changed, hosts_named to directory_changed, caller_gone to caller_disconnected, stop_ends to shutdown_done, server_lapsed to server_expired, evacuation_lapsed to evacuation_expired, peer_gone to peer_removed, answer_cut to answer_aborted, record_unusable to record_invalid, caches_unusable to caches_invalid; the key quiet_ms to silent_ms, heard to live_peers. Metrics: live_peers, replica_revision, replica_era, answers_aborted. Names in entry.capnp are not on the wire.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -15,7 +15,7 @@
 COUNTER_DESCRIPTIONS: Final = {
     "requests": "Requests of callers by kind and outcome.",
     "refusals": "Failures of our own by reason and status.",
-    "answers_cut": "Answers cut off after they had begun, by reason.",
+    "answers_aborted": "Answers cut off after they had begun, by reason.",
     "sends": "Sends to backend servers by how they ended.",
     "repeats": "Sends beyond the first of a request.",
     "prompt_tokens": "Prompt tokens by where they were expected.",
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -20,7 +20,7 @@
     WRONG_SERVER: Another server has the address; it did not run the request.
     BROKEN: The connection ended before the answer was complete.
     SILENT: The server sent no data within the timeout for silence.
-    SPOILED: The received data is not a valid answer to this request.
+    INVALID_ANSWER: The received data is not a valid answer to this request.
     SERVER_ERROR: The server answered with an error.
     TIMEOUT: The deadline of the request passed.
     """
@@ -31,7 +31,7 @@
     WRONG_SERVER = "wrong-server"
     BROKEN = "broken"
     SILENT = "silent"
-    SPOILED = "spoiled"
+    INVALID_ANSWER = "invalid-answer"
     SERVER_ERROR = "server-error"
     TIMEOUT = "timeout"
 
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -221,7 +221,8 @@
 
         Peers that reach servers themselves come first, the data centres in
         turn, in an order of this host and the server. Peers that are listed
-        and were not heard yet come last: this host may just have started.
+        and have sent no heartbeat yet come last: this host may just have
+        started.
         """
         live = [
             peer
@@ -363,7 +364,7 @@
         return order[: min(MAX_WATCHERS, count)]
 
     def has_contact(self, now_ms: int) -> bool:
-        """Returns whether a peer that is heard has contact to the store."""
+        """Returns whether a live peer has contact to the store."""
         # The watchers come first, as one of them is enough.
         names = [*self._watchers(now_ms), *self._peers]
         return any(
--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -43,7 +43,7 @@
     with the same part have the same first `SPREAD` servers, in an order of
     each chat, so that few servers prefill that part. The others follow in an
     order of each chat too: when the first ones are busy, hosts that have not
-    heard of each other's choices yet would all take the same next one.
+    received each other's choices yet would all take the same next one.
     """
     shared = req.shared_parts()
     first = shared[0].id if shared else req.id
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -664,7 +664,7 @@
             self.ejections.record_unreachable(server.id, now_ms)
         elif ending in (
             Ending.BROKEN,
-            Ending.SPOILED,
+            Ending.INVALID_ANSWER,
             Ending.SERVER_ERROR,
         ):
             self.ejections.record_failure(server.id, now_ms)
--- a/corianderdoor/core/entry/server_paths.py
+++ b/corianderdoor/core/entry/server_paths.py
@@ -13,7 +13,7 @@
 # Number of servers that only peers reach, and time without a byte from any
 # server, after which the fault is on this host's side of its links.
 MIN_RELAYED_SERVERS: Final = 2
-UNHEARD_MS: Final = 500
+SILENT_MS: Final = 500
 
 
 class ServerPaths:
@@ -24,24 +24,24 @@
     listed server.
     """
 
-    __slots__ = ("_relayed", "_suspected", "_heard", "_all_suspected_ms")
+    __slots__ = ("_relayed", "_suspected", "_received", "_all_suspected_ms")
 
     def __init__(self) -> None:
         # When the last own connection failed, and since when its servers'
         # other connections are suspect.
         self._relayed: dict[str, int] = {}
         self._suspected: dict[str, int] = {}
-        self._heard: dict[str, int] = {}
+        self._received: dict[str, int] = {}
         self._all_suspected_ms = -1
 
-    def record_heard(self, server_id: str, now_ms: int) -> None:
+    def record_received(self, server_id: str, now_ms: int) -> None:
         """Records bytes or a connection without a peer between."""
-        self._heard[server_id] = now_ms
+        self._received[server_id] = now_ms
 
     def record_direct(self, server_id: str, now_ms: int) -> None:
         """Records that this host opened a connection itself."""
         self._relayed.pop(server_id, None)
-        self.record_heard(server_id, now_ms)
+        self.record_received(server_id, now_ms)
 
     def record_relayed(self, server_id: str, now_ms: int) -> None:
         """Records that a peer reached a server that this host did not."""
@@ -86,14 +86,16 @@
         relayed = self.list_relayed(now_ms)
         if len(relayed) < MIN_RELAYED_SERVERS:
             return False
-        return self.is_unheard(now_ms, UNHEARD_MS)
+        return self.is_silent(now_ms, SILENT_MS)
 
-    def is_unheard(self, now_ms: int, span_ms: int) -> bool:
-        """Returns whether no server was heard without a peer for a time."""
-        return all(now_ms - at_ms >= span_ms for at_ms in self._heard.values())
+    def is_silent(self, now_ms: int, span_ms: int) -> bool:
+        """Returns whether no server sent a byte without a peer for a time."""
+        return all(
+            now_ms - at_ms >= span_ms for at_ms in self._received.values()
+        )
 
     def retain(self, ids: frozenset[str]) -> None:
         """Drops the records of all servers but `ids`."""
-        for times in (self._relayed, self._suspected, self._heard):
+        for times in (self._relayed, self._suspected, self._received):
             for name in times.keys() - ids:
                 del times[name]
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -58,10 +58,10 @@
             self.close_idle(server.id)
         return protocol
 
-    def record_heard(self, server_id: str, protocol: H11Protocol) -> None:
+    def record_received(self, server_id: str, protocol: H11Protocol) -> None:
         """Records that bytes of a server arrived."""
         if not protocol.via_peer:
-            self._links.paths.record_heard(server_id, self._clock.now_ms())
+            self._links.paths.record_received(server_id, self._clock.now_ms())
 
     def is_connected(self, server_id: str) -> bool:
         """Returns whether a connection to the server was used recently."""
--- a/corianderdoor/entry/directory.py
+++ b/corianderdoor/entry/directory.py
@@ -105,7 +105,7 @@
         names = frozenset(peer.name for peer in peers)
         if names != self._last_names:
             self._last_names = names
-            log_event("hosts_named", peers=",".join(sorted(names)))
+            log_event("directory_changed", peers=",".join(sorted(names)))
         addresses = [peer.callers for peer in peers if peer.callers]
         named = self._peers.is_active and not self._peers.links_cut
         if self.ready and (named or not addresses):
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -6,19 +6,19 @@
 @0xc5b1d63f08a47e21;
 
 # Heartbeat to the other entry hosts.
-struct Beat {
+struct Heartbeat {
   sender @0 :Text;
   boot @1 :UInt64;
   revision @2 :UInt64;
-  contactMs @3 :UInt32;  # since the last contact with the store
+  contactAgeMs @3 :UInt32;  # since the last contact with the store
   leaving @4 :Bool;
   loads @5 :List(Load);
-  held @6 :List(Held);
-  heard @7 :UInt16;  # number of peers whose heartbeats arrive
-  paused @8 :List(UInt64);  # digests of ejected servers
-  broke @9 :List(Broke);
-  gapMs @10 :UInt16 = 200;  # until the next heartbeat
-  busy @11 :UInt8;  # in percent
+  cachedParts @6 :List(CachedPart);
+  livePeers @7 :UInt16;  # number of peers whose heartbeats arrive
+  ejected @8 :List(UInt64);  # digests of ejected servers
+  crashes @9 :List(Crash);
+  intervalMs @10 :UInt16 = 200;  # until the next heartbeat
+  cpuPercent @11 :UInt8;  # in percent
   unreached @12 :List(UInt64);  # digests of servers
   linksCut @13 :Bool;  # the sender reaches servers only through peers
   era @14 :UInt64;  # era of the store that the revision belongs to
@@ -27,13 +27,13 @@
 }
 
 # A request, identified by a digest, during which a backend server crashed.
-struct Broke {
+struct Crash {
   request @0 :UInt64;
   server @1 :UInt64;
 }
 
 # A part of prompts that a backend server keeps in its cache.
-struct Held {
+struct CachedPart {
   part @0 :UInt64;  # digest of the part's id
   server @1 :UInt64;
 }
@@ -56,12 +56,12 @@
 # Contents of the servers' caches, saved in the store for hosts that start.
 struct Caches {
   servers @0 :List(Text);
-  held @1 :List(Held);  # each `server` is an index into `servers`
+  cachedParts @1 :List(CachedPart);  # each `server` is an index into `servers`
 }
 
 struct Page {
   revision @0 :UInt64;
-  whole @1 :Bool;  # whether it has all items
+  full @1 :Bool;  # whether it has all items
   changes @2 :List(Change);
   era @3 :UInt64;  # era of the store
   restoredRevision @4 :UInt64;  # items up to it may come from a copy
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -256,11 +256,11 @@
     ) -> None:
         gauges = {
             "in_progress": lambda: float(self._callers.count_busy()),
-            "peers_heard": lambda: float(
+            "live_peers": lambda: float(
                 self._peers.count_live(self._clock.now_ms())
             ),
-            "belief_revision": lambda: float(self._applier.replica.revision),
-            "belief_era": lambda: float(self._applier.replica.era),
+            "replica_revision": lambda: float(self._applier.replica.revision),
+            "replica_era": lambda: float(self._applier.replica.era),
             "desired_version": lambda: float(
                 self._planner.desired.version if self._planner.desired else 0
             ),
@@ -312,11 +312,11 @@
                 or self._peers.has_contact(now_ms)
             )
             for server_id in self._planner.tick(now_ms):
-                log_event("server_lapsed", server=server_id)
+                log_event("server_expired", server=server_id)
             self._applier.tick(now_ms)
             for name in self._peers.remove_expired(now_ms):
                 self._planner.loads.remove(name)
-                log_event("peer_gone", peer=name)
+                log_event("peer_removed", peer=name)
             self._marks.close_idle()
             self._planner.hosts = self._peers.hosts_sharing_limits(now_ms)
             self._links.paths.retain(self._planner.servers.ids())
@@ -345,10 +345,10 @@
         )
         if changed:
             log_event(
-                "hosts_in_use",
+                "active_hosts_changed",
                 count=len(self._peers.active.names),
                 own=self._peers.is_active,
-                heard=self._peers.count_live(now_ms),
+                live_peers=self._peers.count_live(now_ms),
             )
 
     async def _stop(self, listener: asyncio.Server) -> None:
@@ -371,4 +371,4 @@
         while self._callers.count_busy() and self._clock.now_ms() < end_ms:
             await self._callers.close_idle()
             await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
-        log_event("stop_ends", in_progress=self._callers.count_busy())
+        log_event("shutdown_done", in_progress=self._callers.count_busy())
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -32,15 +32,15 @@
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Returns `heartbeat` as a datagram."""
-    message = _SCHEMA.Beat.new_message(
+    message = _SCHEMA.Heartbeat.new_message(
         sender=heartbeat.sender,
         boot=heartbeat.boot,
         revision=heartbeat.revision,
-        contactMs=min(MAX_ENCODED_CONTACT_AGE_MS, heartbeat.contact_age_ms),
+        contactAgeMs=min(MAX_ENCODED_CONTACT_AGE_MS, heartbeat.contact_age_ms),
         leaving=heartbeat.leaving,
-        heard=min(MAX_COUNT, heartbeat.live_peers),
-        paused=list(heartbeat.ejected),
-        broke=[
+        livePeers=min(MAX_COUNT, heartbeat.live_peers),
+        ejected=list(heartbeat.ejected),
+        crashes=[
             {"request": fingerprint, "server": server}
             for fingerprint, server in heartbeat.crashes
         ],
@@ -52,12 +52,12 @@
             }
             for server, count, unread in heartbeat.loads
         ],
-        held=[
+        cachedParts=[
             {"part": part, "server": server}
             for part, server in heartbeat.cached_parts
         ],
-        gapMs=min(MAX_COUNT, heartbeat.interval_ms),
-        busy=min(MAX_PERCENT, heartbeat.cpu_percent),
+        intervalMs=min(MAX_COUNT, heartbeat.interval_ms),
+        cpuPercent=min(MAX_PERCENT, heartbeat.cpu_percent),
         unreached=list(heartbeat.unreached),
         linksCut=heartbeat.links_cut,
         era=heartbeat.era,
@@ -82,22 +82,22 @@
         MessageError: `data` is not a valid heartbeat.
     """
     try:
-        raw = _SCHEMA.Beat.from_bytes_packed(data)
+        raw = _SCHEMA.Heartbeat.from_bytes_packed(data)
         return Heartbeat(
             raw.sender,
             raw.boot,
             raw.revision,
-            raw.contactMs,
+            raw.contactAgeMs,
             raw.leaving,
             tuple(
                 (load.server, load.count, load.unread) for load in raw.loads
             ),
-            tuple((cached.part, cached.server) for cached in raw.held),
-            raw.heard,
-            tuple(raw.paused),
-            tuple((crash.request, crash.server) for crash in raw.broke),
-            raw.gapMs,
-            raw.busy,
+            tuple((cached.part, cached.server) for cached in raw.cachedParts),
+            raw.livePeers,
+            tuple(raw.ejected),
+            tuple((crash.request, crash.server) for crash in raw.crashes),
+            raw.intervalMs,
+            raw.cpuPercent,
             tuple(raw.unreached),
             raw.linksCut,
             raw.era,
@@ -115,7 +115,7 @@
     """Returns `page` as a body, compressed because links may be slow."""
     message = _SCHEMA.Page.new_message(
         revision=page.revision,
-        whole=page.full,
+        full=page.full,
         era=page.era,
         restoredRevision=page.restored_revision,
         changes=[
@@ -154,7 +154,7 @@
                     for change in raw.changes
                 ),
                 raw.revision,
-                raw.whole,
+                raw.full,
                 raw.era,
                 raw.restoredRevision,
             )
@@ -187,7 +187,7 @@
     index_of = {name: index for index, name in enumerate(names)}
     message = _SCHEMA.Caches.new_message(
         servers=names,
-        held=[
+        cachedParts=[
             {"part": part, "server": index_of[server_id]}
             for part, server_id in pairs
         ],
@@ -208,7 +208,7 @@
         names = [str(name) for name in raw.servers]
         return [
             (cached.part, names[cached.server])
-            for cached in raw.held
+            for cached in raw.cachedParts
             if cached.server < len(names)
         ]
     except (capnp.KjException, ValueError) as exc:
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -104,14 +104,14 @@
         try:
             heartbeat = decode_heartbeat(data)
         except MessageError as exc:
-            log_event("beat_unusable", "WARNING", detail=str(exc))
+            log_event("heartbeat_invalid", "WARNING", detail=str(exc))
             return
         now_ms = self._clock.now_ms()
         peer = self._peers.record_heartbeat(heartbeat, now_ms)
         if peer is None:
             return
         if peer.heartbeats == 1:
-            log_event("peer_heard", peer=peer.name, boot=heartbeat.boot)
+            log_event("peer_discovered", peer=peer.name, boot=heartbeat.boot)
         if peer.address is None:
             peer.address = (addr[0], addr[1])
         self._merge_reports(heartbeat, now_ms)
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -84,7 +84,7 @@
         "_last_answer",
         "_sent",
         "_head",
-        "_heard_ms",
+        "_received_ms",
         "_failure_detail",
         "_silence_recorded",
         "_move",
@@ -109,8 +109,8 @@
         self._last_answer: ServerAnswer | None = None
         self._sent: h11.Request | None = None
         self._head: AnswerHead | None = None
-        # When the server was last heard, and why its connection failed.
-        self._heard_ms = 0
+        # When the server last sent a byte, and why its connection failed.
+        self._received_ms = 0
         self._failure_detail = ""
         self._silence_recorded = False
         self._move: _Move | None = None
@@ -135,9 +135,9 @@
         finally:
             self._planner.record_end(flight)
             if not finished:
-                self._count_outcome("caller-gone")
+                self._count_outcome("caller-disconnected")
                 log_event(
-                    "caller_gone",
+                    "caller_disconnected",
                     request_id=self._req.id,
                     runs=flight.runs,
                     begun=flight.answer_started,
@@ -201,7 +201,7 @@
                 follow=type(next_step).__name__.lower(),
                 runs=flight.runs,
                 begun=flight.answer_started,
-                quiet_ms=self._clock.now_ms() - self._heard_ms,
+                silent_ms=self._clock.now_ms() - self._received_ms,
                 detail=self._failure_detail,
             )
             if isinstance(next_step, Refuse):
@@ -225,7 +225,7 @@
         """
         server = send.server
         fresh = not flight.route.may_retry()
-        self._heard_ms = self._clock.now_ms()
+        self._received_ms = self._clock.now_ms()
         self._failure_detail = ""
         self._silence_recorded = False
         protocol = opened or await self._pool.acquire(server, fresh)
@@ -252,7 +252,9 @@
             return Ending.SILENT
         except ConnectionBrokenError as exc:
             self._failure_detail = str(exc)
-            return Ending.SPOILED if exc.protocol_error else Ending.BROKEN
+            return (
+                Ending.INVALID_ANSWER if exc.protocol_error else Ending.BROKEN
+            )
         finally:
             if self._head is None:
                 self._planner.rooms.record_no_answer(
@@ -302,17 +304,17 @@
     ) -> Ending | None:
         head = await self._read_head(protocol, send)
         if head is None:
-            return Ending.SPOILED
+            return Ending.INVALID_ANSWER
         self._head = head
         record_answer_signs(
-            self._planner, send.server.id, head, self._heard_ms
+            self._planner, send.server.id, head, self._received_ms
         )
         if protocol.via_peer and not head.framed:
             # A reset at the server would look like the end of the answer.
-            return Ending.SPOILED
+            return Ending.INVALID_ANSWER
         if head.status in SUCCESS_STATUSES and flight.route.is_stream:
             if not head.signed or head.encoded:
-                return Ending.SPOILED
+                return Ending.INVALID_ANSWER
             return await self._relay_events(protocol, head, flight, send)
         return await self._relay_complete_answer(
             protocol, head, send.silence_ms
@@ -338,23 +340,23 @@
         """
         if silence_ms is None:
             event = await protocol.next_event()
-            self._record_heard(protocol)
+            self._record_received(protocol)
             return event
         wait_ms = silence_ms
         while True:
             received_bytes = protocol.bytes_received
             with anyio.move_on_after(wait_ms / MS_PER_SECOND):
                 event = await protocol.next_event()
-                self._record_heard(protocol)
+                self._record_received(protocol)
                 return event
             await self._look_for_other_server(protocol, received_bytes)
             wait_ms = MOVE_POLL_MS
 
-    def _record_heard(self, protocol: H11Protocol) -> None:
-        self._heard_ms = self._clock.now_ms()
+    def _record_received(self, protocol: H11Protocol) -> None:
+        self._received_ms = self._clock.now_ms()
         flight = self._flight
         if flight is not None and flight.server is not None:
-            self._pool.record_heard(flight.server.id, protocol)
+            self._pool.record_received(flight.server.id, protocol)
 
     async def _look_for_other_server(
         self, protocol: H11Protocol, received_bytes: int
@@ -446,7 +448,7 @@
         if head.status in SUCCESS_STATUSES and (
             not head.signed or head.encoded
         ):
-            return Ending.SPOILED
+            return Ending.INVALID_ANSWER
         if not head.signed and head.status in UNPROVEN_STATUSES:
             return Ending.SERVER_ERROR
         self._last_answer = ServerAnswer(head.status, head.headers, body)
@@ -517,7 +519,7 @@
                 break
             await self._forward_events(splitter, bytes(event.data), head)
             if len(splitter.rest) > MAX_EVENT_BYTES:
-                return Ending.SPOILED
+                return Ending.INVALID_ANSWER
         if not isinstance(event, h11.EndOfMessage) or splitter.rest:
             return Ending.BROKEN
         self._start_answer(head, flight)
@@ -580,15 +582,17 @@
         )
         if self._conn.response_started:
             log_event(
-                "answer_cut",
+                "answer_aborted",
                 "WARNING",
                 request_id=self._req.id,
                 reason=refusal.reason,
                 after_event=flight.last_event_id if flight else None,
-                quiet_ms=now_ms - self._heard_ms,
+                silent_ms=now_ms - self._received_ms,
                 detail=self._failure_detail,
             )
-            self._planner.counters.add("answers_cut", reason=refusal.reason)
+            self._planner.counters.add(
+                "answers_aborted", reason=refusal.reason
+            )
             # Cutting the connection shows that the answer is incomplete.
             self._conn.protocol.abort()
             return
--- a/corianderdoor/entry/server_links.py
+++ b/corianderdoor/entry/server_links.py
@@ -146,7 +146,7 @@
             relayed = self.paths.list_relayed(now_ms)
             if relayed:
                 await self._check_relayed(find_server(relayed[0]))
-            elif self.paths.is_unheard(now_ms, SILENCE_BEFORE_CHECK_MS):
+            elif self.paths.is_silent(now_ms, SILENCE_BEFORE_CHECK_MS):
                 await self._check_silent(
                     [find_server(id) for id in list_waiting()]
                 )
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -98,7 +98,7 @@
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
-            "belief_restored",
+            "replica_replaced",
             "WARNING",
             era=page.era,
             revision=page.revision,
@@ -117,7 +117,7 @@
             self._planner.servers.put(server, now_ms)
         for name, until_ms in list(self._kept_evacuations.items()):
             if until_ms <= now_ms:
-                log_event("evacuation_lapsed", "WARNING", data_centre=name)
+                log_event("evacuation_expired", "WARNING", data_centre=name)
                 self._end_evacuation(name)
 
     def _apply_change(
@@ -127,7 +127,7 @@
         if decoded is None:
             return
         log_event(
-            "belief_changed",
+            "replica_changed",
             key=change.key,
             revision=change.revision,
             removed=change.value is None,
@@ -236,7 +236,7 @@
         try:
             pairs = decode_caches(decoded.value)
         except MessageError as exc:
-            log_event("caches_unusable", "WARNING", detail=str(exc))
+            log_event("caches_invalid", "WARNING", detail=str(exc))
             return
         self._planner.caches.restore(pairs, self._clock.now_ms())
         log_event("caches_restored", parts=len(pairs))
@@ -244,7 +244,7 @@
     @_apply_decoded.register
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         log_event(
-            "record_unusable",
+            "record_invalid",
             "WARNING",
             key=decoded.key,
             detail=decoded.detail,
--- a/corianderdoor/tools/explain.py
+++ b/corianderdoor/tools/explain.py
@@ -22,9 +22,9 @@
     "desired_state": "desired",
     "store_lost": "store",
     "store_regained": "store",
-    "belief_restored": "restore",
+    "replica_replaced": "restore",
     "evacuation_kept": "evacuation",
-    "evacuation_lapsed": "evacuation",
+    "evacuation_expired": "evacuation",
     "paused": "pause",
     "stopping": "life",
     "started": "life",
@@ -51,7 +51,9 @@
     "withdrawn": "the server asked for no requests before this one was sent",
     "broken": "the server ended the connection before its answer was whole",
     "silent": "the server said nothing for too long",
-    "spoiled": "the server sent bytes that are no answer to this request",
+    "invalid-answer": (
+        "the server sent bytes that are no answer to this request"
+    ),
     "server-error": "the server failed",
 }
 
@@ -182,8 +184,8 @@
         if failures and failures[-1].pairs.get("follow") == "deliver":
             return _explain_forwarded_failure(failures[-1], servers)
         return _explain_served(request_lines, last, failures)
-    if last.event == "caller_gone":
-        return _explain_caller_gone(request_lines, last)
+    if last.event == "caller_disconnected":
+        return _explain_caller_disconnected(request_lines, last)
     return (
         f"the log ends with {last.event}: the host ended or was cut off, or "
         "lines were left out"
@@ -242,7 +244,9 @@
     return text
 
 
-def _explain_caller_gone(request_lines: list[LogLine], last: LogLine) -> str:
+def _explain_caller_disconnected(
+    request_lines: list[LogLine], last: LogLine
+) -> str:
     sent = [line for line in request_lines if line.event == "request_sent"]
     if not sent:
         return "the caller left before the request was sent to a server"
--- a/tests/test_entry_brittle_answers.py
+++ b/tests/test_entry_brittle_answers.py
@@ -123,7 +123,7 @@
     """Waits until both hosts share limits with each other."""
     for address, _ in fleet.hosts.values():
         text = ""
-        while "corianderdoor_peers_heard 1.0" not in text:
+        while "corianderdoor_live_peers 1.0" not in text:
             await anyio.sleep(0.1)
             reply = await send_request((address, METRICS_PORT), "/metrics")
             text = reply.body.decode()
--- a/tests/test_entry_planner.py
+++ b/tests/test_entry_planner.py
@@ -86,7 +86,7 @@
 
 @pytest.mark.parametrize("path", ["/pay/x", "/once/x"])
 @pytest.mark.parametrize(
-    "ending", [Ending.BROKEN, Ending.SILENT, Ending.SPOILED]
+    "ending", [Ending.BROKEN, Ending.SILENT, Ending.INVALID_ANSWER]
 )
 def test_non_retryable_request_is_sent_once(path, ending):
     planner = build_planner()
--- a/tests/test_entry_restore_fleet.py
+++ b/tests/test_entry_restore_fleet.py
@@ -30,7 +30,7 @@
         eras += [
             line.split()[-1]
             for line in reply.body.decode().splitlines()
-            if line.startswith("corianderdoor_belief_era")
+            if line.startswith("corianderdoor_replica_era")
         ]
     return eras
 
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -18,7 +18,7 @@
     DIRECT_HEAD_START_MS,
     RELAYED_MS,
     ServerPaths,
-    UNHEARD_MS,
+    SILENT_MS,
 )
 from corianderdoor.standins.platform_fleet import PEER_PORT, PORT
 from corianderdoor.standins.platform_links import CUT_MODES
@@ -178,10 +178,10 @@
     paths = ServerPaths()
     paths.record_relayed("s0", 1_000)
     assert not paths.is_cut(1_000)
-    paths.record_heard("s2", 1_500)
+    paths.record_received("s2", 1_500)
     paths.record_relayed("s1", 1_600)
     assert not paths.is_cut(1_600)
-    assert paths.is_cut(1_500 + UNHEARD_MS)
+    assert paths.is_cut(1_500 + SILENT_MS)
 
 
 def test_idle_connections_of_before_the_loss_are_not_trusted():
@@ -196,7 +196,7 @@
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from(["direct", "relayed", "heard"]),
+            st.sampled_from(["direct", "relayed", "received"]),
             st.sampled_from(["s0", "s1", "s2"]),
             st.integers(0, 2_000),
         ),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -84,7 +84,7 @@
 def test_restore_of_the_store_before_the_request_is_named(tmp_path, capsys):
     log = write_log(
         tmp_path / "h1.log",
-        {"event": "belief_restored", "era": 4, "revision": 90},
+        {"event": "replica_replaced", "era": 4, "revision": 90},
         {"event": "evacuation_kept", "data_centre": "b"},
         sent("r1", "s1"),
         {"event": "request_done", "request_id": "r1", "took_ms": 90},
