Split server selection, refusals, retries and silence out of the planner

Change: a move. ServerSelection says which servers may get a request and in which order, Refusals whether a request waits or is refused, Retries whether it runs once more, silence how long a server may be silent. The planner delegates to them.

--- /dev/null
+++ b/corianderdoor/core/entry/server_selection.py
@@ -0,0 +1,215 @@
+"""Which backend servers may get a request of one entry host, best first."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .cache_map import CacheMap
+from .cache_source import find_cache_source
+from .flights import Flight
+from .leaving_servers import LeavingServers
+from .loads import Loads
+from .placing import (
+    CACHED_CHAT_MAX_UNREAD,
+    FULL_BOUND,
+    NEW_CHAT_BOUND,
+    put_idle_first,
+    rank_by_load,
+    rank_by_prompt,
+    under_bound,
+)
+from .requests import CallerRequest
+from .routing import DesiredState, Service
+from .server_ejection import ServerEjections
+from .server_pauses import ServerPauses
+from .server_room import ServerRooms
+from .servers import BackendServer, Servers
+from .suspected_restarts import SuspectedRestarts
+
+
+class ServerSelection:
+    """What one entry host knows of the servers, and whom it may choose.
+
+    Attributes:
+        desired: The desired state in force; None until one is known.
+        hosts: Names of the entry hosts that share limits, this one
+            included.
+        is_connected: Returns whether a connection to a server was used
+            recently.
+        servers: The listed backend servers.
+        loads: In-flight requests at the servers.
+        ejections: Servers to avoid.
+        caches: Prompt parts that the servers have cached.
+        restarts: Servers that may have restarted unnoticed.
+        leaving: Servers that announced that they leave.
+        pauses: Servers that asked this host for no requests for a while.
+        rooms: Room of the brittle servers.
+    """
+
+    __slots__ = (
+        "desired",
+        "hosts",
+        "is_connected",
+        "servers",
+        "loads",
+        "ejections",
+        "caches",
+        "restarts",
+        "leaving",
+        "pauses",
+        "rooms",
+        "_name",
+        "_data_centre",
+    )
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        """Creates the selection of a host that knows no servers yet.
+
+        Args:
+            name: Name of this host.
+            data_centre: Data centre of this host.
+        """
+        self.desired: DesiredState | None = None
+        self.hosts: list[str] = [name]
+        self.is_connected: Callable[[str], bool] = lambda server_id: False
+        self.servers = Servers()
+        self.loads = Loads()
+        self.ejections = ServerEjections()
+        self.caches = CacheMap()
+        self.restarts = SuspectedRestarts()
+        self.leaving = LeavingServers()
+        self.pauses = ServerPauses()
+        self.rooms = ServerRooms(name, self.servers, self.loads)
+        self._name = name
+        self._data_centre = data_centre
+
+    def find_service(self, name: str) -> Service | None:
+        """Returns the service `name`; None if it is not known."""
+        if self.desired is None:
+            return None
+        return self.desired.services.get(name)
+
+    def may_send(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether `server` takes requests of this host."""
+        if self.pauses.left_ms(server, now_ms):
+            return False
+        return not self.leaving.includes(server)
+
+    def list_staying(self, flight: Flight) -> list[BackendServer]:
+        """Returns the servers that may get the request, paused or not."""
+        listed = [
+            server
+            for server in self.servers.usable(flight.service)
+            if not self.leaving.includes(server)
+        ]
+        if flight.returning:
+            return [s for s in listed if s.id == flight.left_server]
+        return [s for s in listed if s.id not in flight.excluded]
+
+    def list_usable(self, flight: Flight, now_ms: int) -> list[BackendServer]:
+        """Returns the servers that may get the request now."""
+        return [
+            server
+            for server in self.list_staying(flight)
+            if not self.pauses.left_ms(server, now_ms)
+        ]
+
+    def has_free_connection(self, server: BackendServer) -> bool:
+        """Returns whether this host may open one more connection there.
+
+        The hosts share the number of connections that a server accepts.
+        """
+        service = self.find_service(server.service)
+        if service is None:
+            return True
+        share = max(1, service.connection_limit // max(1, len(self.hosts)))
+        return self.loads.own.get(server.id, 0) < share
+
+    def may_be_cold(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether a server is, or may be, in its slow start."""
+        if self.servers.is_cold(server.id, now_ms):
+            return True
+        service = self.find_service(server.service)
+        return service is not None and self.restarts.includes(
+            server.id, service.cold_ms, now_ms
+        )
+
+    def rank(
+        self, flight: Flight, servers: list[BackendServer], now_ms: int
+    ) -> list[BackendServer]:
+        """Returns the servers for a request, best first."""
+
+        def load_of(server_id: str) -> int:
+            return self.loads.of(server_id, now_ms)
+
+        def unread_of(server_id: str) -> int:
+            return self.loads.unread_of(server_id, now_ms)
+
+        if not flight.req.parts:
+            # Without a prompt, no server has an advantage by its cache.
+            return rank_by_load(
+                servers,
+                load_of,
+                self.is_connected,
+                self._name,
+                self._data_centre,
+            )
+        holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
+        listed = self.servers.listed(flight.service)
+        open_servers = under_bound(servers, listed, load_of, FULL_BOUND)
+        cached = [
+            server
+            for server in open_servers
+            if server.id in holders
+            and unread_of(server.id) <= CACHED_CHAT_MAX_UNREAD
+        ]
+        if cached:
+            cached.sort(key=lambda server: holders[server.id], reverse=True)
+            return cached
+        ranked = rank_by_prompt(flight.req, servers)
+        for bound in (NEW_CHAT_BOUND, FULL_BOUND):
+            found = under_bound(servers, listed, load_of, bound)
+            free = {server.id for server in found}
+            if free:
+                choice = [s for s in ranked if s.id in free]
+                return put_idle_first(choice, unread_of)
+        return sorted(ranked, key=lambda server: load_of(server.id))
+
+    def find_cache_source(
+        self, flight: Flight, server: BackendServer, now_ms: int
+    ) -> BackendServer | None:
+        """Returns the server from which `server` copies cached parts."""
+
+        def find_source(server_id: str) -> BackendServer | None:
+            source = self.servers.get(server_id)
+            if (
+                source is None
+                or self.ejections.is_ejected(server_id, now_ms)
+                or self.pauses.left_ms(source, now_ms)
+            ):
+                return None
+            return source
+
+        return find_cache_source(
+            flight.req,
+            server,
+            self.caches,
+            find_source,
+            self.leaving.includes,
+            now_ms,
+        )
+
+    def count_unread(
+        self, req: CallerRequest, server: BackendServer, now_ms: int
+    ) -> int:
+        """Returns the prompt tokens that `server` has to prefill.
+
+        Parts that it copies from another server count too: a copy waits in
+        the same queue as a prefill.
+        """
+        cached_tokens = sum(
+            part.tokens
+            for part in req.shared_parts()
+            if server.id in self.caches.holders(part, now_ms)
+        )
+        return sum(part.tokens for part in req.parts) - cached_tokens
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -143,7 +143,7 @@
         )
         self._links.list_helpers = self._list_helpers
         self._pool = ConnectionPool(clock, self._links)
-        self._planner.is_connected = self._pool.is_connected
+        self._planner.selection.is_connected = self._pool.is_connected
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock
         )
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -18,12 +18,9 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.events import EventSplitter, MAX_EVENT_BYTES, read_event_id
 from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
-from ..core.entry.planner import (
-    MIN_STREAM_SILENCE_MS,
-    Planner,
-    RETRYABLE_STATUSES,
-)
+from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
+from ..core.entry.silence import MIN_STREAM_SILENCE_MS
 from ..platform.headers import (
     AnswerHead,
     build_refusal_headers,
@@ -231,7 +228,7 @@
         protocol = opened or await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
-        if not self._planner.may_send(server, self._clock.now_ms()):
+        if not self._planner.selection.may_send(server, self._clock.now_ms()):
             protocol.abort()
             return Ending.WITHDRAWN
         self._planner.record_sent(flight, server, self._clock.now_ms())
@@ -394,7 +391,9 @@
         if (
             protocol.ended
             or protocol.bytes_received != received_bytes
-            or not self._planner.may_send(send.server, self._clock.now_ms())
+            or not self._planner.selection.may_send(
+                send.server, self._clock.now_ms()
+            )
         ):
             self._planner.cancel_move(flight)
             opened.abort()
--- a/tests/test_entry_backlog.py
+++ b/tests/test_entry_backlog.py
@@ -16,8 +16,8 @@
     CACHED_CHAT_MAX_UNREAD,
     NEW_CHAT_MAX_UNREAD,
 )
-from corianderdoor.core.entry.planner import (
-    Planner,
+from corianderdoor.core.entry.planner import Planner
+from corianderdoor.core.entry.silence import (
     PREFILL_TOKENS_PER_MS,
     SILENCE_FACTOR,
 )
--- a/tests/test_entry_leaving_servers.py
+++ b/tests/test_entry_leaving_servers.py
@@ -80,9 +80,9 @@
     flight = admit(planner, build_request())
     step = planner.choose(flight, 0)
     assert isinstance(step, Send)
-    assert planner.may_send(step.server, 1)
+    assert planner.selection.may_send(step.server, 1)
     planner.leaving.record(step.server, 1)
-    assert not planner.may_send(step.server, 1)
+    assert not planner.selection.may_send(step.server, 1)
     after = planner.handle_failure(flight, step.server, Ending.WITHDRAWN, 1)
     assert isinstance(after, Again)
     again = send(planner, flight, 1)
@@ -137,10 +137,13 @@
     planner.leaving.record(step.server, 0)
     third = build_server("s9")
     assert (
-        planner._find_cache_source(admit(planner, req, 20), third, 20) == first
+        planner.selection.find_cache_source(admit(planner, req, 20), third, 20)
+        == first
     )
     planner.leaving._drop(digest_incarnation(step.server))
-    found = planner._find_cache_source(admit(planner, req, 20), third, 20)
+    found = planner.selection.find_cache_source(
+        admit(planner, req, 20), third, 20
+    )
     assert found is not None and found.id == step.server.id
 
 
--- a/tests/test_entry_plain_burst.py
+++ b/tests/test_entry_plain_burst.py
@@ -31,7 +31,7 @@
 
 def test_server_with_a_recently_used_connection_is_preferred():
     planner = build_planner(plain=4)
-    planner.is_connected = lambda server_id: server_id == "p2"
+    planner.selection.is_connected = lambda server_id: server_id == "p2"
     assert pay(planner, 0)[1] == "p2"
 
 
--- a/tests/test_entry_planner.py
+++ b/tests/test_entry_planner.py
@@ -44,7 +44,7 @@
 
 def test_host_without_desired_state_refuses_with_503():
     planner = build_planner()
-    planner.desired = None
+    planner.selection.desired = None
     refusal = planner.admit(build_request(), 0)
     assert isinstance(refusal, Refuse)
     assert refusal.status == 503
@@ -121,7 +121,7 @@
 
 def test_unreachable_server_costs_no_retry():
     planner = build_planner()
-    planner._retry_budget._slack = 0
+    planner._retries._budget._slack = 0
     flight = admit(planner, build_request("/pay/x", parts=()))
     step = planner.choose(flight, 0)
     assert isinstance(step, Send)
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -13,7 +13,7 @@
 
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.flights import Again, Ending, Hold, Refuse, Send
-from corianderdoor.core.entry.planner import (
+from corianderdoor.core.entry.refusals import (
     MAX_RESUME_HOLD_MS,
     MAX_RETRY_SHARE,
 )
@@ -102,7 +102,7 @@
     step = planner.choose(flight, 0)
     assert isinstance(step, Send)
     planner.pauses.record(step.server, 1_000, 0)
-    assert not planner.may_send(step.server, 1)
+    assert not planner.selection.may_send(step.server, 1)
     after = planner.handle_failure(flight, step.server, Ending.WITHDRAWN, 1)
     assert isinstance(after, Again)
     assert send(planner, flight, 1).server.id != step.server.id
--- a/tests/test_entry_silent_servers.py
+++ b/tests/test_entry_silent_servers.py
@@ -86,8 +86,8 @@
 def build_planner_with_retries(count):
     """Returns a planner whose budget holds `count` retries."""
     planner = build_planner()
-    planner._retry_budget._slack = count / SAFE_SHARE
-    planner._retry_budget._ratio = 0
+    planner._retries._budget._slack = count / SAFE_SHARE
+    planner._retries._budget._ratio = 0
     return planner
 
 
@@ -104,7 +104,7 @@
 # was cut instead of waited for.
 def test_request_stays_at_its_silent_server_without_a_retry_left():
     planner = build_planner()
-    planner._retry_budget._slack = 0
+    planner._retries._budget._slack = 0
     flight, _ = start_stream(planner)
     assert planner.find_move(flight, 1_500) is None
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -15,7 +15,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 PAGE = ROOT / "docs" / "OPERATIONS.md"
-SOURCES = ("core/entry/planner.py", "entry/relay.py")
+SOURCES = ("core/entry/planner.py", "core/entry/refusals.py", "entry/relay.py")
 
 
 def write_log(path: pathlib.Path, *events: dict[str, object]) -> str:
@@ -156,7 +156,7 @@
     for name in SOURCES:
         source = (ROOT / "corianderdoor" / name).read_text("utf-8")
         found = re.findall(
-            r'(?:_refuse|Refuse|_hold)\([^)]*?"([a-z-]+)"', source
+            r'(?:refuse|Refuse|hold|diagnose)\([^)]*?"([a-z-]+)"', source
         )
         reasons |= set(found)
     assert "no-server" in reasons
