Read a server's load that has more than three figures

Cause: a load header with a fourth figure (how long work takes on that machine at present) was dropped whole, so the load of such servers was unknown and a warning logged for nearly every answer.

Change: running, waiting and slots are read, the fourth figure is kept as AnswerHead.work_percent, further ones are ignored.

Result: the new test fails before (work_percent, ignored mark) and passes now.

--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -89,6 +89,8 @@
             server's original output.
         load: Requests running and queued at the server; None if unknown.
         running: Requests running at the server; None if unknown.
+        work_percent: How long work takes on the server's machine at present,
+            100 as usual; None if the server does not say so.
         rejections_per_s: Requests that the server can turn away in a second
             without falling over; None if it does not say that it is brittle.
         keep_alive_s: How long the server keeps an idle connection; None if
@@ -114,6 +116,7 @@
         "encoded",
         "load",
         "running",
+        "work_percent",
         "rejections_per_s",
         "keep_alive_s",
         "closes",
@@ -134,9 +137,12 @@
         encoding = by_name.get(b"content-encoding", b"identity").lower()
         self.encoded = encoding != b"identity"
         self.ignored_marks: list[str] = []
-        counts = self._decode(INSTANCE_LOAD, "load", headers, _parse_load)
-        self.load = None if counts is None else sum(counts)
-        self.running = None if counts is None else counts[0]
+        load = self._decode(INSTANCE_LOAD, "load", headers, _parse_load)
+        self.load = None if load is None else load[0] + load[1]
+        self.running = None if load is None else load[0]
+        self.work_percent = (
+            load[3] if load is not None and len(load) > 3 else None
+        )
         self.rejections_per_s = self._decode(
             SERVER_BRITTLE, "brittle", headers, _parse_count
         )
@@ -192,11 +198,18 @@
     return int(text)
 
 
-def _parse_load(value: bytes) -> tuple[int, int] | None:
-    counts = [_parse_count(part) for part in value.split(b",")]
-    if len(counts) != 3 or counts[0] is None or counts[1] is None:
-        return None
-    return None if counts[2] is None else (counts[0], counts[1])
+def _parse_load(value: bytes) -> list[int] | None:
+    """Returns running, waiting, slots and what follows; None if invalid.
+
+    Figures after the fourth are ignored, so that servers may add some.
+    """
+    numbers: list[int] = []
+    for part in value.split(b",")[:4]:
+        number = _parse_count(part)
+        if number is None:
+            return None
+        numbers.append(number)
+    return numbers if len(numbers) >= 3 else None
 
 
 def _get_values(headers: Headers, name: bytes) -> list[bytes]:
--- a/tests/test_entry_ignored_marks.py
+++ b/tests/test_entry_ignored_marks.py
@@ -60,6 +60,25 @@
     assert head.ignored_marks == ["pause"]
 
 
+# Guards against servers whose load counts as unknown: a header with a figure
+# more than three was dropped whole.
+@pytest.mark.parametrize(
+    ("value", "percent"),
+    [(b"3,2,8", None), (b"3,2,8,130", 130), (b"3,2,8,130,x", 130)],
+)
+def test_load_with_further_figures_is_read(value, percent):
+    head = AnswerHead(200, [(b"instance-load", value)])
+    assert (head.load, head.running, head.work_percent) == (5, 3, percent)
+    assert head.ignored_marks == []
+
+
+@pytest.mark.parametrize("value", [b"", b"3", b"3,2", b"3,2,x", b"3,2,8,-1"])
+def test_load_that_is_no_load_is_ignored(value):
+    head = AnswerHead(200, [(b"instance-load", value)])
+    assert (head.load, head.running, head.work_percent) == (None, None, None)
+    assert head.ignored_marks == ["load"]
+
+
 def test_absent_and_good_marks_are_not_counted_as_bad():
     assert AnswerHead(200, []).ignored_marks == []
     assert AnswerHead(404, [(b"retry-after", b"soon")]).ignored_marks == []
