--- a/corianderdoor/core/entry/heartbeat.py
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..records import Record
+from .rollout_records import RolloutReport
 from .server_room import RoomReport
 
 # Heartbeat interval between active hosts. It grows with the number of active
@@ -41,6 +42,7 @@
         leaving_servers: Digests of the incarnations of servers whose
             answers to the host announced that they leave.
         rooms: Room of the brittle servers.
+        rollouts: Rollouts in progress.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "era",
         "leaving_servers",
         "rooms",
+        "rollouts",
     )
 
     def __init__(
@@ -82,7 +85,9 @@
         era: int = 0,
         leaving_servers: tuple[int, ...] = (),
         rooms: tuple[RoomReport, ...] = (),
+        rollouts: tuple[RolloutReport, ...] = (),
     ) -> None:
+        self.rollouts = rollouts
         self.rooms = rooms
         self.era = era
         self.links_cut = links_cut
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -23,6 +23,7 @@
         slots: Number of requests that it processes concurrently.
         cold_ms: How long it stays cold after the entry was written.
         started_ms: Unix time of its start in ms; 0 if unknown.
+        version: Version of its software; empty if unknown.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "slots",
         "cold_ms",
         "started_ms",
+        "version",
     )
 
     def __init__(
@@ -48,7 +50,9 @@
         slots: int,
         cold_ms: float,
         started_ms: int,
+        version: str = "",
     ) -> None:
+        self.version = version
         self.id = id
         self.service = service
         self.host = host
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -41,6 +41,7 @@
     state: Literal["available", "draining"]
     cold_remaining_ms: float = 0.0
     born: int = 0
+    version: str = ""
 
 
 class _Split(msgspec.Struct):
@@ -128,6 +129,7 @@
         max(1, raw.slots),
         max(0.0, raw.cold_remaining_ms),
         raw.born,
+        raw.version,
     )
 
 
