Split the reading of answers and the sending of requests out of the relay

Change: a move. AnswerReader reads one answer and watches for a server that falls silent, server_request writes a request to a connection. The relay keeps the attempts and what the caller gets.

--- /dev/null
+++ b/corianderdoor/entry/answer_reader.py
@@ -0,0 +1,232 @@
+"""Reads the answer of one backend server to one request."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+import h11
+
+from ..adapters.http1 import (
+    ConnectionBrokenError,
+    deliver_pending,
+    H11Protocol,
+)
+from ..adapters.logs import log_event
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.flights import Flight, Send
+from ..core.entry.planner import Planner
+from ..platform.headers import AnswerHead
+from .backends import ConnectionPool
+from .server_marks import ServerMarks
+
+# Answers to other requests that are skipped on one connection.
+MAX_STRAY_ANSWERS: Final = 3
+# Interval at which a request whose server is silent looks for another one.
+MOVE_POLL_MS: Final = 200
+MAX_ANSWER_BYTES: Final = 16_777_216
+
+
+class Move:
+    """A server to move a request to, with an open connection to it."""
+
+    __slots__ = ("send", "protocol")
+
+    def __init__(self, send: Send, protocol: H11Protocol) -> None:
+        self.send = send
+        self.protocol = protocol
+
+
+class MovedError(Exception):
+    """The request leaves its silent server.
+
+    Attributes:
+        move: Where it goes on.
+    """
+
+    def __init__(self, move: Move) -> None:
+        super().__init__(f"moved to {move.send.server.id}")
+        self.move = move
+
+
+class AnswerReader:
+    """Reads one answer and watches for a server that falls silent.
+
+    Attributes:
+        received_ms: When the server last sent a byte, on the monotonic
+            clock.
+    """
+
+    __slots__ = (
+        "received_ms",
+        "_planner",
+        "_pool",
+        "_clock",
+        "_flight",
+        "_protocol",
+        "_silence_recorded",
+    )
+
+    def __init__(
+        self,
+        planner: Planner,
+        pool: ConnectionPool,
+        clock: Clock,
+        flight: Flight,
+        protocol: H11Protocol,
+    ) -> None:
+        """Creates a reader for a request that is sent over `protocol`."""
+        self.received_ms = clock.now_ms()
+        self._planner = planner
+        self._pool = pool
+        self._clock = clock
+        self._flight = flight
+        self._protocol = protocol
+        self._silence_recorded = False
+
+    async def next_event(
+        self, silence_ms: float | None
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event from the server.
+
+        While the server is silent, looks for another one that takes the
+        request; without one the request stays where it is, as a silent
+        server may go on.
+
+        Args:
+            silence_ms: Silence after which to look for another server; None
+                to wait without a limit.
+
+        Raises:
+            MovedError: The request goes on at another server.
+            ConnectionBrokenError: The connection broke.
+        """
+        if silence_ms is None:
+            event = await self._protocol.next_event()
+            self._record_received()
+            return event
+        wait_ms = silence_ms
+        while True:
+            received_bytes = self._protocol.bytes_received
+            with anyio.move_on_after(wait_ms / MS_PER_SECOND):
+                event = await self._protocol.next_event()
+                self._record_received()
+                return event
+            await self._look_for_other_server(received_bytes)
+            wait_ms = MOVE_POLL_MS
+
+    def _record_received(self) -> None:
+        self.received_ms = self._clock.now_ms()
+        if self._flight.server is not None:
+            self._pool.record_received(self._flight.server.id, self._protocol)
+
+    async def _look_for_other_server(self, received_bytes: int) -> None:
+        """Moves the request from its silent server if another takes it.
+
+        Args:
+            received_bytes: Bytes that the connection had received before the
+                silence.
+
+        Raises:
+            MovedError: The request goes on at another server.
+        """
+        flight, protocol = self._flight, self._protocol
+        assert flight.server is not None
+        # The time may be over because this process was busy.
+        await deliver_pending()
+        if protocol.ended or protocol.bytes_received != received_bytes:
+            return
+        now_ms = self._clock.now_ms()
+        if not self._silence_recorded:
+            self._silence_recorded = True
+            self._planner.record_silence(flight.server, now_ms)
+        send = self._planner.find_move(flight, now_ms)
+        if send is None:
+            return
+        # Only a new connection shows that the other server is there.
+        opened = await self._pool.open(send.server)
+        if opened is None:
+            self._planner.cancel_move(flight)
+            self._planner.record_unreached(
+                flight, send.server, self._clock.now_ms()
+            )
+            return
+        may_send = self._planner.selection.may_send(
+            send.server, self._clock.now_ms()
+        )
+        if (
+            protocol.ended
+            or protocol.bytes_received != received_bytes
+            or not may_send
+        ):
+            self._planner.cancel_move(flight)
+            opened.abort()
+            return
+        raise MovedError(Move(send, opened))
+
+    async def read_head(
+        self, send: Send, sent: h11.Request, marks: ServerMarks
+    ) -> AnswerHead | None:
+        """Returns the head of the answer to this request.
+
+        Skips answers to other requests that arrive before it; what they say
+        of the server counts all the same.
+
+        Args:
+            send: How the request was sent.
+            sent: The request as written to the connection.
+            marks: Takes what each answer says of its server.
+
+        Returns:
+            The head, or None if no valid one was found.
+
+        Raises:
+            MovedError: The request goes on at another server.
+            ConnectionBrokenError: The connection broke.
+        """
+        req = self._flight.req
+        own_id = req.id.encode("latin-1")
+        for _ in range(MAX_STRAY_ANSWERS):
+            event = await self.next_event(send.silence_ms)
+            while isinstance(event, h11.InformationalResponse):
+                event = await self.next_event(send.silence_ms)
+            if not isinstance(event, h11.Response):
+                return None
+            pairs = [(name, value) for name, value in event.headers]
+            head = AnswerHead(event.status_code, pairs)
+            marks.observe(send.server, head)
+            if head.request_id == own_id:
+                return head
+            refused = head.not_run or head.wrong_server
+            if head.request_id is None and refused:
+                return head
+            log_event("stray_answer", request_id=req.id)
+            await self.read_body(send.silence_ms)
+            self._protocol.restart_reading(sent, req.body)
+        return None
+
+    async def read_body(self, silence_ms: float | None) -> bytes:
+        """Returns the body of the answer whose head has been read.
+
+        Raises:
+            MovedError: The request goes on at another server.
+            ConnectionBrokenError: The body is truncated or larger than
+                `MAX_ANSWER_BYTES`.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self.next_event(silence_ms)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_ANSWER_BYTES:
+                    raise ConnectionBrokenError(
+                        "answer is larger than 16 MiB", True
+                    )
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise ConnectionBrokenError(
+                    "connection closed before the end of the answer"
+                )
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -7,12 +7,7 @@
 import anyio
 import h11
 
-from ..adapters.http1 import (
-    ConnectionBrokenError,
-    deliver_pending,
-    H11Protocol,
-    Headers,
-)
+from ..adapters.http1 import ConnectionBrokenError, H11Protocol, Headers
 from ..adapters.http1_server import ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
@@ -21,20 +16,13 @@
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
 from ..core.entry.silence import MIN_STREAM_SILENCE_MS
-from ..platform.headers import (
-    AnswerHead,
-    build_refusal_headers,
-    build_server_headers,
-)
+from ..platform.headers import AnswerHead, build_refusal_headers
+from .answer_reader import AnswerReader, Move, MovedError
 from .answer_signs import record_answer_signs
 from .backends import ConnectionPool
 from .server_marks import ServerMarks
+from .server_request import send_request
 
-# Answers to other requests that are skipped on one connection.
-MAX_STRAY_ANSWERS: Final = 3
-# Interval at which a request whose server is silent looks for another one.
-MOVE_POLL_MS: Final = 200
-MAX_ANSWER_BYTES: Final = 16_777_216
 # Failures that suggest that the request did not run. Without the server's
 # signature they don't prove it and are not passed on to the caller.
 UNPROVEN_STATUSES: Final = frozenset({408, 421, 429, 503})
@@ -53,20 +41,6 @@
         self.body = body
 
 
-class _MovedError(Exception):
-    """The request leaves its silent server for the one in `Relay._move`."""
-
-
-class _Move:
-    """A server to move a request to, with an open connection to it."""
-
-    __slots__ = ("send", "protocol")
-
-    def __init__(self, send: Send, protocol: H11Protocol) -> None:
-        self.send = send
-        self.protocol = protocol
-
-
 class Relay:
     """Serves one request of a caller."""
 
@@ -79,11 +53,9 @@
         "_req",
         "_flight",
         "_last_answer",
-        "_sent",
         "_head",
         "_received_ms",
         "_failure_detail",
-        "_silence_recorded",
         "_move",
     )
 
@@ -104,13 +76,11 @@
         self._req = req
         self._flight: Flight | None = None
         self._last_answer: ServerAnswer | None = None
-        self._sent: h11.Request | None = None
         self._head: AnswerHead | None = None
         # When the server last sent a byte, and why its connection failed.
         self._received_ms = 0
         self._failure_detail = ""
-        self._silence_recorded = False
-        self._move: _Move | None = None
+        self._move: Move | None = None
 
     async def run(self) -> None:
         """Serves the request until it is answered, refused or timed out."""
@@ -224,7 +194,6 @@
         fresh = not flight.route.may_retry()
         self._received_ms = self._clock.now_ms()
         self._failure_detail = ""
-        self._silence_recorded = False
         protocol = opened or await self._pool.acquire(server, fresh)
         if protocol is None:
             return Ending.UNREACHED
@@ -234,9 +203,18 @@
         self._planner.record_sent(flight, server, self._clock.now_ms())
         self._head = None
         released = False
+        reader = AnswerReader(
+            self._planner, self._pool, self._clock, flight, protocol
+        )
         try:
-            self._send(protocol, flight, send)
-            ending = await self._relay_answer(protocol, flight, send)
+            sent = send_request(
+                protocol,
+                flight,
+                send,
+                self._planner.loads,
+                self._clock.now_ms(),
+            )
+            ending = await self._relay_answer(reader, protocol, sent, send)
             head = self._head
             if head is not None and not (
                 head.closes or self._planner.leaving.includes(server)
@@ -245,7 +223,8 @@
                     self._pool.release(server, protocol, head.keep_alive_s)
                     released = True
             return ending
-        except _MovedError:
+        except MovedError as moved:
+            self._move = moved.move
             return Ending.SILENT
         except ConnectionBrokenError as exc:
             self._failure_detail = str(exc)
@@ -253,6 +232,7 @@
                 Ending.INVALID_ANSWER if exc.protocol_error else Ending.BROKEN
             )
         finally:
+            self._received_ms = reader.received_ms
             if self._head is None:
                 self._planner.rooms.record_no_answer(
                     server.id, self._clock.now_ms()
@@ -260,51 +240,21 @@
             if not released:
                 protocol.abort()
 
-    def _send(self, protocol: H11Protocol, flight: Flight, send: Send) -> None:
-        workspace = flight.workspace
-        source = send.fetch_from
-        headers = build_server_headers(
-            self._req,
-            send.server.id,
-            workspace.name if workspace is not None else None,
-            send.urgency,
-            flight.deadline_ms - self._clock.now_ms(),
-            flight.last_event_id,
-            (source.host, source.port) if source is not None else None,
-        )
-        self._sent = h11.Request(
-            method=self._req.method, target=self._req.target, headers=headers
-        )
-        protocol.write(self._sent)
-        if self._req.body:
-            protocol.write(h11.Data(data=self._req.body))
-        protocol.write(h11.EndOfMessage())
-        log_event(
-            "request_sent",
-            request_id=self._req.id,
-            route=flight.route.name,
-            server=send.server.id,
-            left_ms=send.left_ms,
-            attempt=flight.sends,
-            after_event=flight.last_event_id,
-            load=self._planner.loads.of(send.server.id, self._clock.now_ms()),
-            unread=flight.unread,
-            backlog=self._planner.loads.unread_of(
-                send.server.id, self._clock.now_ms()
-            ),
-            parts=",".join(f"{p.id}:{p.tokens}" for p in self._req.parts),
-            fetch_from=source.id if source is not None else "",
-        )
-
     async def _relay_answer(
-        self, protocol: H11Protocol, flight: Flight, send: Send
+        self,
+        reader: AnswerReader,
+        protocol: H11Protocol,
+        sent: h11.Request,
+        send: Send,
     ) -> Ending | None:
-        head = await self._read_head(protocol, send)
+        flight = self._flight
+        assert flight is not None
+        head = await reader.read_head(send, sent, self._marks)
         if head is None:
             return Ending.INVALID_ANSWER
         self._head = head
         record_answer_signs(
-            self._planner, send.server.id, head, self._received_ms
+            self._planner, send.server.id, head, reader.received_ms
         )
         if protocol.via_peer and not head.framed:
             # A reset at the server would look like the end of the answer.
@@ -312,134 +262,13 @@
         if head.status in SUCCESS_STATUSES and flight.route.is_stream:
             if not head.signed or head.encoded:
                 return Ending.INVALID_ANSWER
-            return await self._relay_events(protocol, head, flight, send)
-        return await self._relay_complete_answer(
-            protocol, head, send.silence_ms
-        )
-
-    async def _next_event(
-        self, protocol: H11Protocol, silence_ms: float | None
-    ) -> h11.Event | type[h11.PAUSED]:
-        """Returns the next event from the server.
-
-        While the server is silent, looks for another one that takes the
-        request; without one the request stays where it is, as a silent
-        server may go on.
-
-        Args:
-            protocol: Connection to the server.
-            silence_ms: Silence after which to look for another server; None
-                to wait without a limit.
-
-        Raises:
-            _MovedError: The request goes on at another server.
-            ConnectionBrokenError: The connection broke.
-        """
-        if silence_ms is None:
-            event = await protocol.next_event()
-            self._record_received(protocol)
-            return event
-        wait_ms = silence_ms
-        while True:
-            received_bytes = protocol.bytes_received
-            with anyio.move_on_after(wait_ms / MS_PER_SECOND):
-                event = await protocol.next_event()
-                self._record_received(protocol)
-                return event
-            await self._look_for_other_server(protocol, received_bytes)
-            wait_ms = MOVE_POLL_MS
-
-    def _record_received(self, protocol: H11Protocol) -> None:
-        self._received_ms = self._clock.now_ms()
-        flight = self._flight
-        if flight is not None and flight.server is not None:
-            self._pool.record_received(flight.server.id, protocol)
-
-    async def _look_for_other_server(
-        self, protocol: H11Protocol, received_bytes: int
-    ) -> None:
-        """Moves the request from its silent server if another takes it.
-
-        Args:
-            protocol: Connection to the silent server.
-            received_bytes: Bytes that it had received before the silence.
-
-        Raises:
-            _MovedError: `_move` has the other server.
-        """
-        flight = self._flight
-        assert flight is not None and flight.server is not None
-        # The time may be over because this process was busy.
-        await deliver_pending()
-        if protocol.ended or protocol.bytes_received != received_bytes:
-            return
-        now_ms = self._clock.now_ms()
-        if not self._silence_recorded:
-            self._silence_recorded = True
-            self._planner.record_silence(flight.server, now_ms)
-        send = self._planner.find_move(flight, now_ms)
-        if send is None:
-            return
-        # Only a new connection shows that the other server is there.
-        opened = await self._pool.open(send.server)
-        if opened is None:
-            self._planner.cancel_move(flight)
-            self._planner.record_unreached(
-                flight, send.server, self._clock.now_ms()
-            )
-            return
-        if (
-            protocol.ended
-            or protocol.bytes_received != received_bytes
-            or not self._planner.selection.may_send(
-                send.server, self._clock.now_ms()
-            )
-        ):
-            self._planner.cancel_move(flight)
-            opened.abort()
-            return
-        self._move = _Move(send, opened)
-        raise _MovedError
-
-    async def _read_head(
-        self, protocol: H11Protocol, send: Send
-    ) -> AnswerHead | None:
-        """Returns the head of the answer to this request.
-
-        Skips answers to other requests that arrive before it; what they say
-        of the server counts all the same.
-
-        Returns:
-            The head, or None if no valid one was found.
-        """
-        for _ in range(MAX_STRAY_ANSWERS):
-            event = await self._next_event(protocol, send.silence_ms)
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event(protocol, send.silence_ms)
-            if not isinstance(event, h11.Response):
-                return None
-            pairs = [(name, value) for name, value in event.headers]
-            head = AnswerHead(event.status_code, pairs)
-            self._marks.observe(send.server, head)
-            own_id = self._req.id.encode("latin-1")
-            if head.request_id == own_id:
-                return head
-            refused = head.not_run or head.wrong_server
-            if head.request_id is None and refused:
-                return head
-            log_event("stray_answer", request_id=self._req.id)
-            await self._read_body(protocol, send.silence_ms)
-            assert self._sent is not None
-            protocol.restart_reading(self._sent, self._req.body)
-        return None
+            return await self._relay_events(reader, head, flight, send)
+        return await self._relay_complete_answer(reader, head, send)
 
     async def _relay_complete_answer(
-        self,
-        protocol: H11Protocol,
-        head: AnswerHead,
-        silence_ms: float | None,
+        self, reader: AnswerReader, head: AnswerHead, send: Send
     ) -> Ending | None:
-        body = await self._read_body(protocol, silence_ms)
+        body = await reader.read_body(send.silence_ms)
         if head.wrong_server:
             return Ending.WRONG_SERVER
         if head.not_run:
@@ -456,34 +285,6 @@
         await self._deliver(self._last_answer)
         return None
 
-    async def _read_body(
-        self, protocol: H11Protocol, silence_ms: float | None
-    ) -> bytes:
-        """Returns the body of the answer whose head has been read.
-
-        Raises:
-            _MovedError: The request goes on at another server.
-            ConnectionBrokenError: The body is truncated or larger than
-                `MAX_ANSWER_BYTES`.
-        """
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._next_event(protocol, silence_ms)
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > MAX_ANSWER_BYTES:
-                    raise ConnectionBrokenError(
-                        "answer is larger than 16 MiB", True
-                    )
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            else:
-                raise ConnectionBrokenError(
-                    "connection closed before the end of the answer"
-                )
-
     async def _deliver_failure(self) -> None:
         failure = self._last_answer
         if failure is None or (self._flight and self._flight.answer_started):
@@ -503,7 +304,7 @@
 
     async def _relay_events(
         self,
-        protocol: H11Protocol,
+        reader: AnswerReader,
         head: AnswerHead,
         flight: Flight,
         send: Send,
@@ -513,7 +314,7 @@
         if send.silence_ms is not None:
             silence_ms = MIN_STREAM_SILENCE_MS
         while True:
-            event = await self._next_event(protocol, silence_ms)
+            event = await reader.next_event(silence_ms)
             if not isinstance(event, h11.Data):
                 break
             await self._forward_events(splitter, bytes(event.data), head)
