Make fewer calls to the store when all hosts start

A host that the store turns away tried to renew its lease every 0.3 s, each a call that is charged.

Change: a choice that was made without any peer does not count once a peer is listed. Attempts to register are 0.3 to 1.2 s apart.

--- a/corianderdoor/core/entry/active_hosts.py
+++ b/corianderdoor/core/entry/active_hosts.py
@@ -108,6 +108,10 @@
         self.names = names
         return changed
 
+    def reset(self) -> None:
+        """Forgets the choice; all hosts count as active until the next."""
+        self.names = frozenset()
+
     def includes(self, name: str) -> bool:
         """Returns whether `name` is active; all are until the first choice."""
         return not self.names or name in self.names
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -101,6 +101,10 @@
         peer = self._peers.setdefault(name, Peer(name))
         if not peer.listed:
             peer.listed_ms = now_ms
+            if self.active.names == {self._own}:
+                # The choice was made before any peer was known, and would
+                # make every host of a starting fleet a watcher.
+                self.active.reset()
         peer.callers = callers
         peer.address = address
         peer.data_centre = data_centre
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -48,7 +48,10 @@
 # If all hosts stop at once, what they learnt since the last save is lost.
 SAVE_INTERVAL_MS: Final = 3_000
 NO_LEASE: Final = 0
-LEASE_RETRY_MS: Final = 300
+# Delays between attempts to register while the store turns this host away.
+# Each attempt is a call, and the lease leaves time for two.
+FIRST_LEASE_RETRY_MS: Final = 300
+MAX_LEASE_RETRY_MS: Final = 1_200
 
 
 class StoreRestoredError(Exception):
@@ -427,10 +430,12 @@
 
     async def run(self, is_serving: Callable[[], bool]) -> None:
         """Keeps the record until `is_serving` returns False."""
+        retry_ms = FIRST_LEASE_RETRY_MS
         while is_serving():
             try:
                 await self._renew()
                 self.reached = True
+                retry_ms = FIRST_LEASE_RETRY_MS
                 await self._wait_for_renewal()
             except StoreError as exc:
                 if self.reached:
@@ -441,7 +446,8 @@
                         reason=exc.reason,
                     )
                 self.reached = False
-                await anyio.sleep(LEASE_RETRY_MS / MS_PER_SECOND)
+                await anyio.sleep(retry_ms / MS_PER_SECOND)
+                retry_ms = min(MAX_LEASE_RETRY_MS, 2 * retry_ms)
 
     async def _wait_for_renewal(self) -> None:
         with anyio.move_on_after(self._lease_ms * RENEW_SHARE / MS_PER_SECOND):
--- a/tests/test_entry_fleet_start.py
+++ b/tests/test_entry_fleet_start.py
@@ -101,6 +101,21 @@
     assert 2 <= len(watching) <= MAX_WATCHERS
 
 
+# Guards against a watch of each host: the active hosts were chosen before any
+# peer was known, so each host came first in its own order.
+def test_hosts_that_chose_before_the_listing_do_not_all_watch():
+    watching = 0
+    for own in range(101):
+        peers = Peers(f"h{own:03}", 100.0, "a")
+        peers.choose_active(0, True, False)
+        for number in range(101):
+            if number != own:
+                at = ("10.0.0.1", 9_000 + number)
+                peers.add_listed(f"h{number:03}", at, at, "a", 50, 100.0)
+        watching += peers.should_watch(60)
+    assert watching == MAX_WATCHERS
+
+
 def test_watchers_that_have_not_read_the_store_yet_are_waited_for():
     watching = []
     for own in range(HOSTS):
