Count failures of servers until the store shows whether they restarted

Cause: engines that restarted cold while the store answered nobody got 7 to 13 requests in a second (6.5 are allowed). Broken connections counted only once the loss of contact to the store was noticed, 1.4 s after the last contact or later, because the age stated in a peer's heartbeat was taken as its present age. Until then the servers counted as warm.

Change: a failure counts until the store has been in contact a second after it. Before the loss of contact is noticed, one broken connection alone does not count; two within a second do, or one and the report of a peer, if the server answered nothing in between. The age in a peer's heartbeat grows until the next heartbeat.

test_store_in_contact_clears_the_suspicion asserted that one broken connection and the report of a peer do not count while the store seems to be in contact. That was the fault, so the test is replaced by tests of each sign alone, of two signs, and of the contact that clears the suspicion. They fail without the change.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -8,10 +8,7 @@
 from .active_hosts import ActiveHosts, Candidate, rank_host, SLOW_LINK_MBPS
 from .addresses import Address
 from .heartbeat import Heartbeat, HEARTBEAT_MS, HEARTBEAT_MS_PER_ACTIVE
-from .peer import (
-    MISSED_HEARTBEATS,
-    Peer,
-)
+from .peer import MISSED_HEARTBEATS, NOT_WATCHING_MS, Peer
 from .replica import is_ahead
 
 # Interval per host of the fleet at which a reserve host sends heartbeats, so
@@ -363,15 +360,23 @@
         count = max(MIN_WATCHERS, len(order) // HOSTS_PER_WATCHER)
         return order[: min(MAX_WATCHERS, count)]
 
-    def has_contact(self, now_ms: int) -> bool:
-        """Returns whether a live peer has contact to the store."""
+    def latest_contact_ms(self, now_ms: int) -> int:
+        """Returns when a live peer last had contact to the store.
+
+        The age that a heartbeat states grows until the next one.
+        """
+        contacts = [now_ms - NOT_WATCHING_MS]
         # The watchers come first, as one of them is enough.
-        names = [*self._watchers(now_ms), *self._peers]
-        return any(
-            peer.last_heartbeat is not None and self._has_contact(peer, now_ms)
-            for peer in map(self._peers.get, names)
-            if peer is not None
-        )
+        for name in (*self._watchers(now_ms), *self._peers):
+            peer = self._peers.get(name)
+            if peer is None or peer.last_heartbeat_ms is None:
+                continue
+            if peer.last_heartbeat is not None:
+                age_ms = peer.last_heartbeat.contact_age_ms
+                contacts.append(peer.last_heartbeat_ms - age_ms)
+                if now_ms - contacts[-1] < MAX_CONTACT_AGE_MS:
+                    break
+        return max(contacts)
 
     def _has_contact(self, peer: Peer, now_ms: int) -> bool:
         if peer.is_starting(now_ms):
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -9,9 +9,17 @@
 
 from typing import Final
 
+from .peers import MAX_CONTACT_AGE_MS
+
 # Time after which the record of a server that restarted has arrived here if
 # the store is in contact with the hosts.
 RECORD_DELAY_MS: Final = 1_000
+# Two signs of a restart within this time, without an answer in between, are
+# enough while the store seems to be in contact. Healthy servers break single
+# connections.
+CONFIRM_MS: Final = 1_000
+# Time before the first contact to the store.
+NEVER_MS: Final = -(2**31)
 # How long a server that this host could not reach is reported to peers;
 # longer than the time between two heartbeats to a host in reserve.
 REPORT_MS: Final = 1_600
@@ -23,10 +31,11 @@
 class SuspectedRestarts:
     """Servers that could not be reached lately, by this host or by peers.
 
-    A broken connection and the report of a peer count only without contact
-    to the store: servers that run well break some connections, and a peer
-    may have lost its own links. Holds at most one time of each kind for each
-    listed server.
+    A failure counts until the store has been in contact for
+    `RECORD_DELAY_MS` after it. Until the loss of contact is noticed, a single
+    broken connection or report of a peer does not count: servers that run
+    well break some connections, and a peer may have lost its own links. Holds
+    at most one time of each kind for each listed server.
 
     Attributes:
         in_contact: Whether this host, or a peer that it hears, has contact
@@ -35,19 +44,31 @@
 
     __slots__ = (
         "in_contact",
+        "_contact_ms",
         "_unreached",
         "_broken",
         "_reported",
+        "_confirmed",
         "_answered",
+        "_newest_answer",
     )
 
     def __init__(self) -> None:
         self.in_contact = True
+        self._contact_ms = NEVER_MS
         self._unreached: dict[str, int] = {}
         self._broken: dict[str, int] = {}
         self._reported: dict[str, int] = {}
+        # Last sign that another one preceded, without an answer in between.
+        self._confirmed: dict[str, int] = {}
         # First answer after the last failure, which shows the return.
         self._answered: dict[str, int] = {}
+        self._newest_answer: dict[str, int] = {}
+
+    def update_contact(self, contact_ms: int, now_ms: int) -> None:
+        """Sets when this host or a peer last had contact to the store."""
+        self.in_contact = now_ms - contact_ms < MAX_CONTACT_AGE_MS
+        self._contact_ms = max(self._contact_ms, contact_ms)
 
     def record_unreachable(self, server_id: str, now_ms: int) -> None:
         """Records that this host could not reach a server."""
@@ -55,14 +76,30 @@
 
     def record_broken(self, server_id: str, now_ms: int) -> None:
         """Records that a server broke a connection before its answer."""
+        if self._follows(self._broken, server_id, now_ms) or self._follows(
+            self._reported, server_id, now_ms
+        ):
+            self._confirmed[server_id] = now_ms
         self._broken[server_id] = now_ms
 
     def add_report(self, server_id: str, now_ms: int) -> None:
         """Records that a peer could not reach a server."""
+        if self._follows(self._broken, server_id, now_ms):
+            self._confirmed[server_id] = now_ms
         self._reported[server_id] = now_ms
 
+    def _follows(
+        self, times: dict[str, int], server_id: str, now_ms: int
+    ) -> bool:
+        """Returns whether a sign came shortly before, and no answer since."""
+        at_ms = times.get(server_id)
+        if at_ms is None or now_ms - at_ms >= CONFIRM_MS:
+            return False
+        return self._newest_answer.get(server_id, -1) <= at_ms
+
     def record_answer(self, server_id: str, now_ms: int) -> None:
-        """Records that a server answered a request completely."""
+        """Records that a server has begun to answer a request."""
+        self._newest_answer[server_id] = now_ms
         failed_ms = max(
             times.get(server_id, -1)
             for times in (self._unreached, self._broken, self._reported)
@@ -86,16 +123,14 @@
             cold_ms: How long a server is cold after its start, in ms.
             now_ms: Monotonic time in ms.
         """
+        signs = [self._unreached, self._broken, self._reported]
         if self.in_contact:
-            failed_ms = self._unreached.get(server_id)
-            span_ms = min(cold_ms, RECORD_DELAY_MS)
-            return failed_ms is not None and now_ms - failed_ms < span_ms
-        failed_ms = max(
-            times.get(server_id, -1)
-            for times in (self._unreached, self._broken, self._reported)
-        )
+            signs = [self._unreached, self._confirmed]
+        failed_ms = max(times.get(server_id, -1) for times in signs)
         if failed_ms < 0 or cold_ms <= 0:
             return False
+        if self._contact_ms - failed_ms >= RECORD_DELAY_MS:
+            return False
         # The server may have come back at any time since it failed; its
         # first answer is the latest time of its return.
         answered_ms = self._answered.get(server_id, -1)
@@ -109,7 +144,9 @@
             self._unreached,
             self._broken,
             self._reported,
+            self._confirmed,
             self._answered,
+            self._newest_answer,
         ):
             for name in times.keys() - ids:
                 del times[name]
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -17,7 +17,7 @@
 from ..adapters.metrics_text import MetricsText
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
-from ..core.entry.peers import MAX_CONTACT_AGE_MS, Peers
+from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
 from ..platform.records import encode_host
@@ -307,10 +307,11 @@
                 self._sync.cancel_call()
             last_ms = now_ms
             ticks += 1
-            self._planner.restarts.in_contact = (
-                self._sync.contact_age_ms() < MAX_CONTACT_AGE_MS
-                or self._peers.has_contact(now_ms)
+            contact_ms = max(
+                now_ms - self._sync.contact_age_ms(),
+                self._peers.latest_contact_ms(now_ms),
             )
+            self._planner.restarts.update_contact(contact_ms, now_ms)
             for server_id in self._planner.tick(now_ms):
                 log_event("server_expired", server=server_id)
             self._applier.tick(now_ms)
--- a/tests/test_entry_cold_unnoticed.py
+++ b/tests/test_entry_cold_unnoticed.py
@@ -17,8 +17,11 @@
 import pytest
 
 from corianderdoor.core.entry.flights import Ending, Hold, Send
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.core.entry.suspected_restarts import (
+    CONFIRM_MS,
     RECORD_DELAY_MS,
     REPORT_MS,
     SuspectedRestarts,
@@ -128,14 +131,52 @@
     assert chosen == {"warm": 20}
 
 
-def test_store_in_contact_clears_the_suspicion():
+# Guards against cold servers that got 13 requests in a second: hosts noticed
+# only after 1.4 s that the store was gone, and counted no failure until then.
+@pytest.mark.parametrize("reported", [False, True])
+def test_two_signs_count_before_the_loss_of_contact_is_noticed(reported):
+    restarts = SuspectedRestarts()
+    restarts.update_contact(900, 1_000)
+    restarts.record_broken("s", 1_000)
+    assert not restarts.includes("s", COLD_MS, 1_001)
+    if reported:
+        restarts.add_report("s", 1_200)
+    else:
+        restarts.record_broken("s", 1_200)
+    assert restarts.includes("s", COLD_MS, 1_201)
+
+
+# Guards against slow starts of healthy servers.
+def test_single_signs_and_answers_in_between_do_not_count_in_contact():
     restarts = SuspectedRestarts()
     restarts.add_report("s", 0)
-    restarts.record_broken("s", 0)
-    assert not restarts.includes("s", COLD_MS, 1)
-    restarts.record_unreachable("s", 0)
-    assert restarts.includes("s", COLD_MS, RECORD_DELAY_MS - 1)
-    assert not restarts.includes("s", COLD_MS, RECORD_DELAY_MS)
+    restarts.record_broken("t", 0)
+    restarts.record_broken("u", 0)
+    restarts.record_answer("u", 1)
+    restarts.record_broken("u", 2)
+    restarts.record_broken("t", CONFIRM_MS)
+    for server_id in ("s", "t", "u"):
+        assert not restarts.includes(server_id, COLD_MS, CONFIRM_MS)
+
+
+# Guards against a suspicion that ends before a record of the restart can be
+# here, or goes on though the record would be here.
+def test_failures_count_until_a_contact_that_shows_the_restart():
+    restarts = SuspectedRestarts()
+    restarts.record_unreachable("s", 1_000)
+    restarts.update_contact(1_999, 2_100)
+    assert restarts.includes("s", COLD_MS, 2_100)
+    restarts.update_contact(1_000 + RECORD_DELAY_MS, 2_200)
+    assert not restarts.includes("s", COLD_MS, 2_200)
+
+
+# Guards against a contact counted as fresh as the heartbeat that stated it.
+def test_contact_of_a_peer_ages_after_its_heartbeat():
+    peers = Peers("h1")
+    address = ("10.0.0.2", 80)
+    peers.add_listed("h2", address, address, "a", 0)
+    peers.record_heartbeat(Heartbeat("h2", 1, 1, 300, False, ()), 1_000)
+    assert peers.latest_contact_ms(1_400) == 700
 
 
 def test_services_without_a_slow_start_are_not_limited():
