Answer every accepted request of a stopping host, and bound its stop

Cause: 0.7 s after the signal a host closed all connections without a byte of a request, also those just accepted, so their first request got no answer. A connection closed after an answer whose head had not announced it. What waited in the accept queue was dropped with the listener. At the end of the grace period, requests that had not begun to get an answer were cut off. Tunnels of peers were cut in the middle of a request. The delays and the calls to the store were not bounded by the grace period, so with a short one the host was still there at its end. A record that was being written at the time of the stop stayed after the withdrawal, until its lease expired.

Change: connections are closed after 0.5 s without a request, or after an answer that said so. The queue is accepted before the listener closes. What is left after 93% of the grace period gets 503 if it had not arrived completely, or 504 (event request_ended). The stop waits for tunnels, and peers choose hosts that stop last. One scope bounds all waits; the process ends without the interpreter's clean-up. Registration makes one call at a time.

--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -72,12 +72,14 @@
         busy: Whether a request is arriving or in progress.
     """
 
-    __slots__ = ("protocol", "closing", "busy")
+    __slots__ = ("protocol", "closing", "busy", "_announced")
 
     def __init__(self, protocol: H11Protocol) -> None:
         self.protocol = protocol
         self.closing = False
         self.busy = False
+        # Whether the head of the current answer announces the close.
+        self._announced = False
 
     async def read_request(
         self,
@@ -212,6 +214,7 @@
 
     def start(self, status: int, headers: Headers) -> None:
         """Sends the status line and the headers of an answer."""
+        self._announced = self.closing
         if self.closing:
             headers = [*headers, (b"Connection", b"close")]
         self.protocol.write(h11.Response(status_code=status, headers=headers))
@@ -219,11 +222,15 @@
     async def finish(self) -> bool:
         """Ends a request cycle.
 
+        The connection stays open for one more request if `closing` was set
+        after the head of the answer was sent: the caller may have sent that
+        request already, and the close would lose it.
+
         Returns:
             Whether another request may follow; if not, the connection is
             closed.
         """
-        if not self.closing and self.protocol.reset_cycle():
+        if not self._announced and self.protocol.reset_cycle():
             return True
         await self.close_with_linger()
         return False
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -217,9 +217,9 @@
         """Returns the peers to ask for a connection to a server, best first.
 
         Peers that reach servers themselves come first, the data centres in
-        turn, in an order of this host and the server. Peers that are listed
-        and have sent no heartbeat yet come last: this host may just have
-        started.
+        turn, in an order of this host and the server. Peers that shut down
+        come later, as they end their tunnels. Peers that are listed and have
+        sent no heartbeat yet come last: this host may just have started.
         """
         live = [
             peer
@@ -240,6 +240,7 @@
         live.sort(
             key=lambda p: (
                 p.last_heartbeat is None,
+                p.leaving,
                 p.links_cut,
                 turns[p.name],
             )
--- a/corianderdoor/entry/__main__.py
+++ b/corianderdoor/entry/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import sys
 
 
@@ -22,4 +23,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    status = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Skips the interpreter's clean-up, which takes longer the more this
+    # process holds and would run in the rest of the grace period.
+    os._exit(status)
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -16,7 +16,11 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.planner import Planner
 from ..core.entry.routing import CallerLimits, DEFAULT_LIMITS
-from ..platform.headers import HeaderError, read_caller_request
+from ..platform.headers import (
+    build_refusal_headers,
+    HeaderError,
+    read_caller_request,
+)
 from .backends import ConnectionPool
 from .relay import Relay
 from .server_marks import ServerMarks
@@ -26,6 +30,11 @@
 # refused at once.
 DESIRED_STATE_WAIT_MS: Final = 300
 DESIRED_STATE_POLL_MS: Final = 10
+# A stopping host leaves a connection open for this long after it was opened,
+# or after its last answer: the next request may be on its way. Closing new
+# connections at once left requests without an answer.
+MIN_IDLE_MS: Final = 500
+SHUTDOWN_RETRY_MS: Final = 100
 
 
 class CallerService:
@@ -43,6 +52,8 @@
         "_clock",
         "_conns",
         "_unsent",
+        "_scopes",
+        "_ending",
     )
 
     def __init__(
@@ -57,9 +68,13 @@
         self._pool = pool
         self._marks = marks
         self._clock = clock
-        self._conns: set[ServerConnection] = set()
+        # When each connection was opened, or its last answer ended.
+        self._conns: dict[ServerConnection, int] = {}
         # Connections that have ended here with a part of an answer unsent.
         self._unsent: set[ServerConnection] = set()
+        # What to cancel when the grace period ends.
+        self._scopes: dict[ServerConnection, anyio.CancelScope] = {}
+        self._ending = False
 
     def count_busy(self) -> int:
         """Returns how many connections have a request or answer in progress.
@@ -74,6 +89,11 @@
             for conn in self._conns
         )
 
+    def count_open(self) -> int:
+        """Returns how many connections are open or have unsent bytes."""
+        self.count_busy()  # drops those whose bytes are sent by now
+        return len(self._unsent) + len(self._conns)
+
     def drain(self) -> None:
         """Makes each connection close after the answer in progress."""
         self.draining = True
@@ -81,20 +101,30 @@
             conn.closing = True
 
     async def close_idle(self) -> None:
-        """Closes connections on which no part of a request has arrived."""
+        """Closes connections that are idle for at least `MIN_IDLE_MS`."""
         await deliver_pending()
-        for conn in list(self._conns):
-            if not conn.busy and not conn.protocol.bytes_received:
+        now_ms = self._clock.now_ms()
+        for conn, since_ms in list(self._conns.items()):
+            if conn.busy or conn.protocol.bytes_received:
+                continue
+            if now_ms - since_ms >= MIN_IDLE_MS:
                 conn.protocol.close()
 
+    def end_requests(self) -> None:
+        """Ends what is in progress, with an answer where none has begun."""
+        self._ending = True
+        for scope in list(self._scopes.values()):
+            scope.cancel()
+
     async def serve(self, conn: ServerConnection) -> None:
         """Serves the requests of one connection until it closes."""
-        self._conns.add(conn)
+        self._conns[conn] = self._clock.now_ms()
         try:
             while await self._serve_request(conn):
-                pass
+                self._conns[conn] = self._clock.now_ms()
         finally:
-            self._conns.discard(conn)
+            del self._conns[conn]
+            self._scopes.pop(conn, None)
             if conn.protocol.unsent_bytes():
                 self._unsent.add(conn)
 
@@ -103,10 +133,16 @@
         return DEFAULT_LIMITS if desired is None else desired.limits
 
     async def _serve_request(self, conn: ServerConnection) -> bool:
-        received = await conn.read_request(
-            self._limits(), lambda: self._limits().idle_ms
-        )
+        received = None
+        with anyio.CancelScope() as reading:
+            self._scopes[conn] = reading
+            received = await conn.read_request(
+                self._limits(), lambda: self._limits().idle_ms
+            )
         conn.closing = self.draining
+        if reading.cancelled_caught and conn.busy:
+            await self._end_request(conn, 503, None, SHUTDOWN_RETRY_MS)
+            return False
         if received is None:
             return False
         if isinstance(received, UnreadableRequest):
@@ -117,10 +153,18 @@
             return False
         with anyio.CancelScope() as scope:
             protocol.on_peer_closed = scope.cancel
+            self._scopes[conn] = scope
+            if self._ending:
+                scope.cancel()
             await self._answer(conn, received)
         protocol.on_peer_closed = None
         if scope.cancelled_caught:
-            protocol.abort()
+            if not self._ending or conn.response_started or protocol.ended:
+                protocol.abort()
+                return False
+            # The request may have run.
+            id = dict(received.headers).get(b"attempt-id", b"")
+            await self._end_request(conn, 504, id.decode("latin-1"), None)
             return False
         conn.closing = conn.closing or self.draining
         more = await conn.finish()
@@ -154,6 +198,20 @@
                 return
             await anyio.sleep(DESIRED_STATE_POLL_MS / MS_PER_SECOND)
 
+    async def _end_request(
+        self,
+        conn: ServerConnection,
+        status: int,
+        request_id: str | None,
+        retry_after_ms: int | None,
+    ) -> None:
+        """Answers a request that the end of the grace period cuts off."""
+        log_event("request_ended", "WARNING", id=request_id, status=status)
+        conn.closing = True
+        headers = build_refusal_headers(request_id or None, retry_after_ms)
+        await conn.respond(status, headers)
+        await conn.close_with_linger()
+
     async def _reject(
         self, conn: ServerConnection, unreadable: UnreadableRequest
     ) -> None:
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -11,7 +11,7 @@
 import anyio
 import anyio.abc
 
-from ..adapters.http1 import Connect, connect
+from ..adapters.http1 import Connect, connect, deliver_pending
 from ..adapters.http1_server import listen
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
@@ -55,6 +55,8 @@
 IDLE_CLOSE_DELAY_MS: Final = 700
 # Share of the grace period after which answers in progress are cut off.
 GRACE_PERIOD_SHARE: Final = 0.93
+# Time in which the requests that are cut off get their answers.
+LAST_ANSWERS_MS: Final = 60
 STOP_POLL_MS: Final = 20
 
 
@@ -94,6 +96,7 @@
         "_sync",
         "_registration",
         "_cache_saver",
+        "_tunnels",
         "_peering",
         "_marks",
         "_callers",
@@ -177,6 +180,9 @@
             self._era,
             lambda: self._peers.rewrite_delay_ms(clock.now_ms()),
         )
+        self._tunnels = TunnelService(
+            self._planner.servers, self._planner.counters, connect_server
+        )
         self._peering = Peering(
             settings.name,
             clock.wall_ms(),
@@ -186,9 +192,7 @@
             clock,
             self._sync.contact_age_ms,
             self._sync.wake,
-            TunnelService(
-                self._planner.servers, self._planner.counters, connect_server
-            ),
+            self._tunnels,
         )
         self._sync.attach(self._peering)
         self._marks = ServerMarks(
@@ -354,22 +358,37 @@
 
     async def _stop(self, listener: asyncio.Server) -> None:
         """Takes the host out of service and waits for answers in progress."""
-        started_ms = self._clock.now_ms()
-        end_ms = started_ms + int(self._settings.grace_ms * GRACE_PERIOD_SHARE)
+        span_ms = int(self._settings.grace_ms * GRACE_PERIOD_SHARE)
         log_event("stopping", in_progress=self._callers.count_busy())
         self._peering.leaving = True
         self._directory.leaving = True
         self._callers.drain()
         self._peering.send_heartbeats()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._registration.withdraw)
-            await anyio.sleep(IDLE_CLOSE_DELAY_MS / MS_PER_SECOND)
-            await self._callers.close_idle()
-            await anyio.sleep(
-                (ACCEPT_AFTER_STOP_MS - IDLE_CLOSE_DELAY_MS) / MS_PER_SECOND
-            )
+        # Bounds all of the stop: the store may not answer, and a grace period
+        # may be shorter than the delays below.
+        with anyio.move_on_after(span_ms / MS_PER_SECOND):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._registration.withdraw)
+                await self._drain_connections(listener, span_ms)
         listener.close()
-        while self._callers.count_busy() and self._clock.now_ms() < end_ms:
-            await self._callers.close_idle()
-            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
         log_event("shutdown_done", in_progress=self._callers.count_busy())
+        if self._callers.count_open():
+            self._callers.end_requests()
+            await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
+
+    async def _drain_connections(
+        self, listener: asyncio.Server, span_ms: int
+    ) -> None:
+        """Waits until callers and peers have no connection here."""
+        accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
+        idle_ms = min(IDLE_CLOSE_DELAY_MS, accept_ms)
+        await anyio.sleep(idle_ms / MS_PER_SECOND)
+        await self._callers.close_idle()
+        await anyio.sleep((accept_ms - idle_ms) / MS_PER_SECOND)
+        # Accepts what waits in the queue, which the close would drop.
+        await deliver_pending()
+        listener.close()
+        await self._callers.close_idle()
+        while self._callers.count_open() or self._tunnels.open:
+            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
+            await self._callers.close_idle()
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -392,6 +392,7 @@
         "_lease_ms",
         "_era",
         "_rewrite_delay_ms",
+        "_calls",
     )
 
     def __init__(
@@ -424,12 +425,18 @@
         self._value = value
         self._lease: int | None = None
         self._lease_era = NO_ERA
+        # One call at a time: a record written after its withdrawal would
+        # name a host that has left.
+        self._calls = anyio.Lock()
 
     async def run(self, is_serving: Callable[[], bool]) -> None:
         """Keeps the record until `is_serving` returns False."""
         while is_serving():
             try:
-                await self._renew()
+                async with self._calls:
+                    if not is_serving():
+                        return
+                    await self._renew()
                 self.reached = True
                 await self._wait_for_renewal()
             except StoreError as exc:
@@ -476,9 +483,10 @@
         try:
             # Renews it first: after a restore that is not known here yet the
             # id may be the one of another host's lease.
-            if not await self._renew_lease() or self._lease is None:
-                return
-            await self._store.end_lease(self._lease)
+            async with self._calls:
+                if not await self._renew_lease() or self._lease is None:
+                    return
+                await self._store.end_lease(self._lease)
             log_event("registration_ended", lease=self._lease)
         except StoreError as exc:
             # The lease expires by itself.
--- a/corianderdoor/entry/tunnels.py
+++ b/corianderdoor/entry/tunnels.py
@@ -23,13 +23,17 @@
     """Passes a peer's connections on to listed servers, and to no others.
 
     The peer decides about each request; this host sees bytes alone.
+
+    Attributes:
+        open: Number of tunnels in use.
     """
 
-    __slots__ = ("_servers", "_counters", "_connect")
+    __slots__ = ("open", "_servers", "_counters", "_connect")
 
     def __init__(
         self, servers: Servers, counters: Counters, connect_server: Connect
     ) -> None:
+        self.open = 0
         self._servers = servers
         self._counters = counters
         self._connect = connect_server
@@ -52,7 +56,11 @@
             await self._refuse(conn, BAD_GATEWAY, server.id)
             return
         self._counters.add("tunnels", outcome="open")
-        await pass_on(conn, target)
+        self.open += 1
+        try:
+            await pass_on(conn, target)
+        finally:
+            self.open -= 1
 
     async def _refuse(
         self, conn: ServerConnection, status: int, server: str
