Keep repeated answers away from the next request on a connection

Cause: a server may repeat a whole answer late, on a connection that is in use again. Answers with another id were skipped, but a repeated refusal without an id (Not-Executed or 421) counted as the refusal of the next request, which then ran a second time elsewhere. A caller that used an id again could get the answer to its first request. At most two other answers were skipped, and their bodies were kept in memory.

Change: a connection is not used again after an answer without an id, after a skipped answer, or after HEAD, whose answers have other lengths. Such a refusal is not believed after a skipped answer. An id that was answered in the last 6 s gets a new connection. Up to 16 answers are skipped, 16 MiB in total, without keeping them. Trailers or heads with a second id are invalid. A peer's tunnel is not used if the server sent bytes before a request. Success answers without an id are skipped as before: they are neither delivered nor proof that the request did not run.

FakePool in test_entry_server_pauses.py takes the new argument of acquire; what it checks is unchanged.

The rule on HEAD has no test of its own.

--- a/corianderdoor/adapters/tunnel.py
+++ b/corianderdoor/adapters/tunnel.py
@@ -39,7 +39,10 @@
         )
         protocol.write(h11.EndOfMessage())
         event = await protocol.next_event()
-        if isinstance(event, h11.Response) and event.status_code == OK:
+        # Bytes of the server before a request are no answer to it.
+        early = protocol.h11.trailing_data[0]
+        opened = isinstance(event, h11.Response) and event.status_code == OK
+        if opened and not early:
             protocol.restart_as_tunnel()
             passed_on = True
     except ConnectionBrokenError:
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -16,15 +16,20 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.flights import Flight, Send
 from ..core.entry.planner import Planner
-from ..platform.headers import AnswerHead
+from ..platform.headers import AnswerHead, ATTEMPT_ID
 from .backends import ConnectionPool
 from .server_marks import ServerMarks
 
-# Answers to other requests that are skipped on one connection.
-MAX_STRAY_ANSWERS: Final = 3
+# Answers to other requests that are skipped before the own one. A server may
+# repeat the answers of the last seconds one after the other.
+MAX_STRAY_ANSWERS: Final = 16
+# Bytes of such answers, and of informational heads, in one attempt.
+MAX_SKIPPED_BYTES: Final = 16_777_216
 # Interval at which a request whose server is silent looks for another one.
 MOVE_POLL_MS: Final = 200
 MAX_ANSWER_BYTES: Final = 16_777_216
+HEAD: Final = "HEAD"
+TRUNCATED: Final = "connection closed before the end of the answer"
 
 
 class Move:
@@ -65,6 +70,8 @@
         "_flight",
         "_protocol",
         "_silence_recorded",
+        "_own_id",
+        "_skipped_bytes",
     )
 
     def __init__(
@@ -83,6 +90,9 @@
         self._flight = flight
         self._protocol = protocol
         self._silence_recorded = False
+        # Id that the trailers may repeat; None before the own answer.
+        self._own_id: bytes | None = None
+        self._skipped_bytes = 0
 
     async def next_event(
         self, silence_ms: float | None
@@ -102,23 +112,33 @@
             ConnectionBrokenError: The connection broke.
         """
         if silence_ms is None:
-            event = await self._protocol.next_event()
-            self._record_received()
-            return event
+            return self._accept(await self._protocol.next_event())
         wait_ms = silence_ms
         while True:
             received_bytes = self._protocol.bytes_received
             with anyio.move_on_after(wait_ms / MS_PER_SECOND):
-                event = await self._protocol.next_event()
-                self._record_received()
-                return event
+                return self._accept(await self._protocol.next_event())
             await self._look_for_other_server(received_bytes)
             wait_ms = MOVE_POLL_MS
 
-    def _record_received(self) -> None:
+    def _accept(
+        self, event: h11.Event | type[h11.PAUSED]
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Records that `event` arrived and returns it.
+
+        Raises:
+            ConnectionBrokenError: The trailers belong to another answer.
+        """
+        if isinstance(event, h11.EndOfMessage) and self._own_id is not None:
+            for name, value in event.headers:
+                if name == ATTEMPT_ID and value != self._own_id:
+                    raise ConnectionBrokenError(
+                        "trailers of another answer", True
+                    )
         self.received_ms = self._clock.now_ms()
         if self._flight.server is not None:
             self._pool.record_received(self._flight.server.id, self._protocol)
+        return event
 
     async def _look_for_other_server(self, received_bytes: int) -> None:
         """Moves the request from its silent server if another takes it.
@@ -186,7 +206,7 @@
         """
         req = self._flight.req
         own_id = req.id.encode("latin-1")
-        for _ in range(MAX_STRAY_ANSWERS):
+        for strays in range(MAX_STRAY_ANSWERS + 1):
             event = await self.next_event(send.silence_ms)
             while isinstance(event, h11.InformationalResponse):
                 event = await self.next_event(send.silence_ms)
@@ -195,16 +215,46 @@
             pairs = [(name, value) for name, value in event.headers]
             head = AnswerHead(event.status_code, pairs)
             marks.observe(send.server, head)
+            # A repeated answer would not be recognised on a connection where
+            # answers have no id, or where the lengths of bodies depend on
+            # the request that they answer.
+            if strays or head.request_id is None or req.method == HEAD:
+                head.closes = True
             if head.request_id == own_id:
+                self._own_id = own_id
+                self._pool.answered.record(req.id, self._clock.now_ms())
                 return head
             refused = head.not_run or head.wrong_server
-            if head.request_id is None and refused:
+            if head.request_id is None and refused and not strays:
                 return head
+            if head.request_id is None and refused or req.method == HEAD:
+                return None
             log_event("stray_answer", request_id=req.id)
-            await self.read_body(send.silence_ms)
+            self._planner.counters.add("stray_answers")
+            await self._skip_body(send.silence_ms)
             self._protocol.restart_reading(sent, req.body)
         return None
 
+    async def _skip_body(self, silence_ms: float | None) -> None:
+        """Reads past the body of an answer to another request.
+
+        Raises:
+            MovedError: The request goes on at another server.
+            ConnectionBrokenError: The body is truncated, or more than
+                `MAX_SKIPPED_BYTES` were skipped.
+        """
+        while True:
+            event = await self.next_event(silence_ms)
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise ConnectionBrokenError(TRUNCATED)
+            self._skipped_bytes += len(event.data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ConnectionBrokenError(
+                    "answers to other requests are larger than 16 MiB", True
+                )
+
     async def read_body(self, silence_ms: float | None) -> bytes:
         """Returns the body of the answer whose head has been read.
 
@@ -227,6 +277,4 @@
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             else:
-                raise ConnectionBrokenError(
-                    "connection closed before the end of the answer"
-                )
+                raise ConnectionBrokenError(TRUNCATED)
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -6,6 +6,7 @@
 
 from ..adapters.http1 import H11Protocol
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.answered_ids import AnsweredIds
 from ..core.entry.servers import BackendServer
 from .server_links import ServerLinks
 
@@ -31,24 +32,33 @@
 
 
 class ConnectionPool:
-    """Idle connections by server id."""
+    """Idle connections by server id.
 
-    __slots__ = ("_links", "_clock", "_idle")
+    Attributes:
+        answered: Ids of requests that were answered recently.
+    """
+
+    __slots__ = ("answered", "_links", "_clock", "_idle")
 
     def __init__(self, clock: Clock, links: ServerLinks) -> None:
+        self.answered = AnsweredIds()
         self._links = links
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
 
     async def acquire(
-        self, server: BackendServer, fresh: bool
+        self, server: BackendServer, fresh: bool, request_id: str = ""
     ) -> H11Protocol | None:
         """Returns an open connection, or None if the server is unreachable.
 
         Args:
             server: Server to connect to.
             fresh: Whether to reuse only connections used recently.
+            request_id: Id of the request; one that was answered recently
+                gets a new connection.
         """
+        if self.answered.is_recent(request_id, self._clock.now_ms()):
+            return await self.open(server)
         return self._pop_idle(server, fresh) or await self.open(server)
 
     async def open(self, server: BackendServer) -> H11Protocol | None:
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -191,16 +191,18 @@
             How the attempt failed, or None once the caller has its answer.
         """
         server = send.server
-        fresh = not flight.route.may_retry()
         self._received_ms = self._clock.now_ms()
         self._failure_detail = ""
-        protocol = opened or await self._pool.acquire(server, fresh)
+        protocol = opened or await self._pool.acquire(
+            server, not flight.route.may_retry(), self._req.id
+        )
         if protocol is None:
             return Ending.UNREACHED
         if not self._planner.selection.may_send(server, self._clock.now_ms()):
             protocol.abort()
             return Ending.WITHDRAWN
-        self._planner.record_sent(flight, server, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._planner.record_sent(flight, server, now_ms)
         self._head = None
         released = False
         reader = AnswerReader(
@@ -208,11 +210,7 @@
         )
         try:
             sent = send_request(
-                protocol,
-                flight,
-                send,
-                self._planner.loads,
-                self._clock.now_ms(),
+                protocol, flight, send, self._planner.loads, now_ms
             )
             ending = await self._relay_answer(reader, protocol, sent, send)
             head = self._head
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -95,7 +95,7 @@
             without falling over; None if it does not say that it is brittle.
         keep_alive_s: How long the server keeps an idle connection; None if
             unknown.
-        closes: Whether the server closes the connection after this answer.
+        closes: Whether the connection ends with this answer.
         framed: Whether the end of the body shows in the answer itself, and
             not only by the end of the connection.
         leaving: Whether the server announces that it leaves.
@@ -133,7 +133,9 @@
         self.wrong_server = status == MISDIRECTED_REQUEST
         self.not_run = NOT_EXECUTED in by_name and status >= 400
         self.signed = RESPONSE_SIGNATURE in by_name
-        self.request_id = by_name.get(ATTEMPT_ID)
+        # Several different ids match no request.
+        ids = dict.fromkeys(_get_values(headers, ATTEMPT_ID))
+        self.request_id = b", ".join(ids) if ids else None
         encoding = by_name.get(b"content-encoding", b"identity").lower()
         self.encoded = encoding != b"identity"
         self.ignored_marks: list[str] = []
@@ -147,7 +149,10 @@
             SERVER_BRITTLE, "brittle", headers, _parse_count
         )
         self.keep_alive_s = _parse_keep_alive(by_name.get(b"keep-alive"))
-        self.closes = b"close" in by_name.get(b"connection", b"").lower()
+        self.closes = any(
+            b"close" in value.lower()
+            for value in _get_values(headers, b"connection")
+        )
         self.framed = (
             b"content-length" in by_name or b"transfer-encoding" in by_name
         )
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 import os
@@ -209,6 +210,17 @@
         self.register_worker(id, address)
         return worker
 
+    def close_at_end(self, listener: asyncio.Server) -> None:
+        """Closes a listening socket when the deployment ends."""
+
+        async def close() -> None:
+            try:
+                await anyio.sleep_forever()
+            finally:
+                listener.close()
+
+        self._tasks.start_soon(close)
+
     def register_worker(
         self, id: str, address: str, state: str = "available", **changes: Any
     ) -> None:
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -233,7 +233,9 @@
         self.opened: list[str] = []
         self._on_open = on_open
 
-    async def acquire(self, server, fresh: bool) -> FakeProtocol | None:
+    async def acquire(
+        self, server, fresh: bool, request_id: str
+    ) -> FakeProtocol | None:
         self.opened.append(server.id)
         if len(self.opened) > 1:
             return None
