Learn the servers' prefill rate, and state backlog bounds as times

Cause: how fast servers prefill differs by deployment (32.4 to 56.9 tokens per ms) and nothing states it. The bounds on backlogs were token counts for the slowest one. A route's target_gap_ms was not read.

Change: a host learns the rate of each service from the first events of its own long prompts (prefill_rates.py). Servers get no new chats above 0.5 x the shortest target gap of the service's streams, and no cached ones above 1.25 x, rounded to 500 tokens: 6,500 and 16,000 at 400 ms and 32.4 tokens per ms, as before, also while nothing is learnt. Once learnt, a rate is kept without new samples. The counting of prompt tokens moves out of the planner.

The tests of backlogs name the same figures as literals.

--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -127,6 +127,10 @@
         reserved: Id of the server that the request is about to be sent to;
             None if there is none.
         unread: Prompt tokens that the server has not prefilled yet.
+        queued: Prompt tokens known at the server when the request was sent
+            there, its own included.
+        sent_ms: When the request was sent there.
+        copies: Whether the server copies a part of the prompt.
         excluded: Ids of the servers to which the request was sent or that were
             unreachable.
         runs: Number of servers that may have run the request.
@@ -153,6 +157,9 @@
         "server",
         "reserved",
         "unread",
+        "queued",
+        "sent_ms",
+        "copies",
         "excluded",
         "runs",
         "sends",
@@ -182,6 +189,9 @@
         self.server: BackendServer | None = None
         self.reserved: str | None = None
         self.unread = 0
+        self.queued = 0
+        self.sent_ms = 0
+        self.copies = False
         self.excluded: set[str] = set()
         self.runs = 0
         self.sends = 0
--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -22,12 +22,28 @@
 # the platform's bound, as the known loads are out of date.
 NEW_CHAT_BOUND: Final = (1.4, 1.5)
 FULL_BOUND: Final = (1.8, 2.5)
-# Prompt tokens to prefill above which a server gets no new chats: 0.2 s at
-# the platform's rate of 32 tokens per millisecond.
-NEW_CHAT_MAX_UNREAD: Final = 6_500
-# The same for a chat that the server has cached: 0.5 s, about the time to
-# prefill the longest of those prompts at another server.
-CACHED_CHAT_MAX_UNREAD: Final = 16_000
+# Time to prefill a server's backlog above which it gets no new chats, as a
+# multiple of the longest pause that its streams may make: prefill delays the
+# events of all streams of a server.
+NEW_CHAT_MAX_GAPS: Final = 0.5
+# The same for a chat that the server has cached: with a gap of 400 ms, about
+# the time to prefill the longest of those prompts at another server.
+CACHED_CHAT_MAX_GAPS: Final = 1.25
+# Bounds on backlogs are rounded to this number of tokens. A learnt rate
+# varies by some percent, and bounds that follow it would move chats.
+BACKLOG_STEP: Final = 500
+
+
+def max_backlog(gaps: float, gap_ms: float, rate: float) -> int:
+    """Returns a bound on the prompt tokens to prefill at a server.
+
+    Args:
+        gaps: The bound as a multiple of `gap_ms`.
+        gap_ms: Longest pause between two events of a stream.
+        rate: Prefill rate in tokens per ms.
+    """
+    steps = round(gaps * gap_ms * rate / BACKLOG_STEP)
+    return max(1, steps) * BACKLOG_STEP
 
 
 def _score(key: str, server: BackendServer) -> int:
@@ -111,23 +127,24 @@
 
 
 def put_idle_first(
-    servers: Sequence[BackendServer], unread_of: Callable[[str], int]
+    servers: Sequence[BackendServer],
+    unread_of: Callable[[str], int],
+    most: int,
 ) -> list[BackendServer]:
     """Returns `servers` with those first that have few tokens to prefill.
 
-    Servers up to `NEW_CHAT_MAX_UNREAD` keep their order; the others follow
-    by the number of tokens.
+    Servers up to `most` tokens keep their order; the others follow by the
+    number of tokens.
 
     Args:
         servers: Servers to sort.
         unread_of: Returns the prompt tokens to prefill at a server.
+        most: Number of tokens above which a server gets no new chats.
     """
     unread = {server.id: unread_of(server.id) for server in servers}
     return sorted(
         servers,
         key=lambda server: (
-            0
-            if unread[server.id] <= NEW_CHAT_MAX_UNREAD
-            else unread[server.id]
+            0 if unread[server.id] <= most else unread[server.id]
         ),
     )
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -21,6 +21,7 @@
     Refuse,
     Send,
 )
+from .prompt_counts import count_prompt
 from .refusals import Refusals
 from .requests import CallerRequest
 from .retries import MIN_LEFT_MS, Retries
@@ -227,6 +228,7 @@
                 flight, self.selection, server, now_ms
             )
         source = self.selection.find_cache_source(flight, server, now_ms)
+        flight.copies = source is not None
         return Send(server, flight.urgency(), left_ms, silence_ms, source)
 
     def record_sent(
@@ -234,7 +236,9 @@
     ) -> None:
         """Records that the request is sent to `server`."""
         if flight.req.parts:
-            self._count_prompt(flight.req, server, now_ms)
+            count_prompt(
+                self.counters, self.caches, flight.req, server, now_ms
+            )
             flight.unread = self.selection.count_unread(
                 flight.req, server, now_ms
             )
@@ -247,6 +251,7 @@
         flight.sends += 1
         flight.runs += 1
         self.loads.start(server.id, flight.unread)
+        self.selection.forecasts.record_sent(flight, server, now_ms)
         self.rooms.release(flight)
         self.rooms.record_sent(server.id)
 
@@ -256,20 +261,13 @@
             self.loads.end_prefill(flight.server.id, flight.unread)
         flight.unread = 0
 
-    def _count_prompt(
-        self, req: CallerRequest, server: BackendServer, now_ms: int
-    ) -> None:
-        for part in req.shared_parts():
-            holders = self.caches.holders(part, now_ms)
-            place = "nowhere"
-            if holders:
-                place = "here" if server.id in holders else "elsewhere"
-            self.counters.add("prompt_tokens", part.tokens, cached=place)
-
     def record_answer_begun(self, flight: Flight, now_ms: int) -> None:
         """Records that the server has begun to answer."""
         if flight.server is not None:
             self.restarts.record_answer(flight.server.id, now_ms)
+        self.selection.forecasts.record_first_event(
+            flight, self.counters, now_ms
+        )
         self.record_prefill_done(flight)
         self._retries.give_back_spare(flight)
 
--- a/corianderdoor/core/entry/routing.py
+++ b/corianderdoor/core/entry/routing.py
@@ -4,11 +4,15 @@
 
 from collections.abc import Iterable
 import enum
+from typing import Final
 
 import xxhash
 
 from ..records import Record
 
+# Target gap of a service whose routes state none.
+DEFAULT_GAP_MS: Final = 400.0
+
 
 class RouteKind(enum.Enum):
     """Kind of the requests of a route, which decides about retries."""
@@ -35,6 +39,8 @@
             that declined it does not count.
         public: Whether requests need no API key.
         resumable: Whether another server can resume a broken stream.
+        target_gap_ms: Longest pause between two events of a stream; 0 if
+            none is stated.
     """
 
     __slots__ = (
@@ -49,6 +55,7 @@
         "max_attempts",
         "public",
         "resumable",
+        "target_gap_ms",
     )
 
     def __init__(
@@ -64,7 +71,9 @@
         max_attempts: int,
         public: bool,
         resumable: bool,
+        target_gap_ms: float = 0.0,
     ) -> None:
+        self.target_gap_ms = target_gap_ms
         self.name = name
         self.host = host
         self.path_prefix = path_prefix
@@ -201,6 +210,7 @@
         "requires_key",
         "_routes",
         "_keys",
+        "_gaps_ms",
     )
 
     def __init__(
@@ -218,8 +228,17 @@
         self.requires_key = requires_key
         self._keys = keys
         self._routes: dict[str, dict[str, Route]] = {}
+        self._gaps_ms: dict[str, float] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.path_prefix] = route
+            if route.is_stream and route.target_gap_ms > 0:
+                for name, _ in route.split:
+                    known = self._gaps_ms.get(name, route.target_gap_ms)
+                    self._gaps_ms[name] = min(known, route.target_gap_ms)
+
+    def gap_ms(self, service: str) -> float:
+        """Returns the shortest target gap of the streams of a service."""
+        return self._gaps_ms.get(service, DEFAULT_GAP_MS)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix.
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -6,20 +6,24 @@
 
 from .cache_map import CacheMap
 from .cache_source import find_cache_source
+from .first_event_forecast import FirstEventForecasts
 from .flights import Flight
 from .leaving_servers import LeavingServers
 from .loads import Loads
 from .placing import (
-    CACHED_CHAT_MAX_UNREAD,
+    CACHED_CHAT_MAX_GAPS,
     FULL_BOUND,
+    max_backlog,
     NEW_CHAT_BOUND,
+    NEW_CHAT_MAX_GAPS,
     put_idle_first,
     rank_by_load,
     rank_by_prompt,
     under_bound,
 )
+from .prefill_rates import PrefillRates, REFERENCE_RATE
 from .requests import CallerRequest
-from .routing import DesiredState, Service
+from .routing import DEFAULT_GAP_MS, DesiredState, Service
 from .server_ejection import ServerEjections
 from .server_pauses import ServerPauses
 from .server_room import ServerRooms
@@ -44,6 +48,8 @@
         leaving: Servers that announced that they leave.
         pauses: Servers that asked this host for no requests for a while.
         rooms: Room of the brittle servers.
+        rates: Prefill rates of the services.
+        forecasts: Forecasts of the time to the first event.
     """
 
     __slots__ = (
@@ -58,6 +64,8 @@
         "leaving",
         "pauses",
         "rooms",
+        "rates",
+        "forecasts",
         "_name",
         "_data_centre",
     )
@@ -80,6 +88,10 @@
         self.leaving = LeavingServers()
         self.pauses = ServerPauses()
         self.rooms = ServerRooms(name, self.servers, self.loads)
+        self.rates = PrefillRates()
+        self.forecasts = FirstEventForecasts(
+            self.servers, self.loads, self.rates
+        )
         self._name = name
         self._data_centre = data_centre
 
@@ -89,6 +101,21 @@
             return None
         return self.desired.services.get(name)
 
+    def max_backlog(self, service: str, gaps: float, now_ms: int) -> int:
+        """Returns a bound on the tokens to prefill at a server.
+
+        Args:
+            service: Name of the service.
+            gaps: The bound as a multiple of the service's target gap.
+            now_ms: Monotonic time in ms.
+        """
+        desired = self.desired
+        return max_backlog(
+            gaps,
+            DEFAULT_GAP_MS if desired is None else desired.gap_ms(service),
+            self.rates.learnt(service, now_ms) or REFERENCE_RATE,
+        )
+
     def may_send(self, server: BackendServer, now_ms: int) -> bool:
         """Returns whether `server` takes requests of this host."""
         if self.pauses.left_ms(server, now_ms):
@@ -156,23 +183,24 @@
             )
         holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
         listed = self.servers.listed(flight.service)
+        most = self.max_backlog(flight.service, CACHED_CHAT_MAX_GAPS, now_ms)
         open_servers = under_bound(servers, listed, load_of, FULL_BOUND)
         cached = [
             server
             for server in open_servers
-            if server.id in holders
-            and unread_of(server.id) <= CACHED_CHAT_MAX_UNREAD
+            if server.id in holders and unread_of(server.id) <= most
         ]
         if cached:
             cached.sort(key=lambda server: holders[server.id], reverse=True)
             return cached
         ranked = rank_by_prompt(flight.req, servers)
+        most = self.max_backlog(flight.service, NEW_CHAT_MAX_GAPS, now_ms)
         for bound in (NEW_CHAT_BOUND, FULL_BOUND):
             found = under_bound(servers, listed, load_of, bound)
             free = {server.id for server in found}
             if free:
                 choice = [s for s in ranked if s.id in free]
-                return put_idle_first(choice, unread_of)
+                return put_idle_first(choice, unread_of, most)
         return sorted(ranked, key=lambda server: load_of(server.id))
 
     def find_cache_source(
--- a/corianderdoor/core/entry/silence.py
+++ b/corianderdoor/core/entry/silence.py
@@ -16,9 +16,6 @@
 # well may be silent for a second or so, and would go on with a stream that
 # runs elsewhere by then.
 MIN_STREAM_SILENCE_MS: Final = 1_500
-# Prefill rate of a server, a little below the platform's 32 tokens per
-# millisecond.
-PREFILL_TOKENS_PER_MS: Final = 30.0
 
 
 def get_silence_timeout_ms(
@@ -40,4 +37,5 @@
     unread = selection.loads.unread_of(server.id, now_ms)
     if flight.req.parts:
         unread += selection.count_unread(flight.req, server, now_ms)
-    return usual_ms + int(unread / PREFILL_TOKENS_PER_MS)
+    rate = selection.rates.get(flight.service, now_ms)
+    return usual_ms + int(unread / rate)
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -62,6 +62,7 @@
     max_attempts: int = 1
     public: bool = False
     stream_resumption: bool = False
+    target_gap_ms: float | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -195,6 +196,7 @@
         raw.max_attempts,
         raw.public,
         raw.stream_resumption,
+        raw.target_gap_ms or 0.0,
     )
 
 
--- a/tests/test_entry_backlog.py
+++ b/tests/test_entry_backlog.py
@@ -12,17 +12,14 @@
 
 from corianderdoor.core.entry.flights import Flight, Send
 from corianderdoor.core.entry.loads import PeerLoads
-from corianderdoor.core.entry.placing import (
-    CACHED_CHAT_MAX_UNREAD,
-    NEW_CHAT_MAX_UNREAD,
-)
 from corianderdoor.core.entry.planner import Planner
-from corianderdoor.core.entry.silence import (
-    PREFILL_TOKENS_PER_MS,
-    SILENCE_FACTOR,
-)
+from corianderdoor.core.entry.silence import SILENCE_FACTOR
 
 LONG = 6_000
+# Bounds and rate of a host that has learnt no rate.
+NEW_CHAT_MAX_UNREAD = 6_500
+CACHED_CHAT_MAX_UNREAD = 16_000
+PREFILL_TOKENS_PER_MS = 30.0
 
 
 def chat(number: int, id="r"):
--- a/tests/test_entry_new_chats_burst.py
+++ b/tests/test_entry_new_chats_burst.py
@@ -15,12 +15,10 @@
 
 from corianderdoor.core.entry.flights import Send
 from corianderdoor.core.entry.loads import PeerLoads
-from corianderdoor.core.entry.placing import (
-    NEW_CHAT_MAX_UNREAD,
-    rank_by_prompt,
-    SPREAD,
-)
+from corianderdoor.core.entry.placing import rank_by_prompt, SPREAD
 
+# Bound of a host that has learnt no rate.
+NEW_CHAT_MAX_UNREAD = 6_500
 SERVERS = 59
 HOSTS = 48
 # The platform's bound of the load of a server: a multiple of the mean, and a
