Refuse requests at once that no server can answer before their deadline

Cause: with long queues at all servers, a request waited for its deadline and took a slot and prefill time in vain.

It is not cut to the caller's patience: the same request could not be served after that either. Nothing is refused while under half of the service's slots are taken and no server states that requests wait, within the first second without a peer's heartbeat, after a hold, after a send, or for a stream that is resumed.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -25,6 +25,7 @@
     "server_pauses": "Pauses that servers asked this host for.",
     "ignored_marks": "Unusable marks in servers' answers, by kind.",
     "brittle_rejections": "Requests that brittle servers turned away.",
+    "first_event_forecasts": "First events by the error of their forecast.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- /dev/null
+++ b/corianderdoor/core/entry/admission.py
@@ -0,0 +1,119 @@
+"""Admission of requests to services that have more work than they can do."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from .flights import Flight, Forecast, Refuse
+from .placing import CACHED_CHAT_MAX_GAPS
+from .server_selection import ServerSelection
+from .servers import BackendServer
+
+# A wrong refusal is worse than none, so a forecast has to be past the
+# deadline by this factor.
+CLEARLY_LATE: Final = 1.3
+# Rate for refusals until one is learnt; above the highest known one (56.9),
+# as the forecast must be right there too.
+UNLEARNT_RATE: Final = 60.0
+# Requests are checked when they arrive, and not again once they were held.
+ARRIVAL_MS: Final = 10
+# How long a host that has heard no peer refuses nothing after its start.
+START_MS: Final = 1_000
+# Share of a service's slots that has to be taken before a refusal.
+MIN_TAKEN_SHARE: Final = 0.5
+# Spread of the returns of refused requests, as a share of their wait.
+SPREAD_SHARE: Final = 0.25
+
+
+class Admission:
+    """Refuses requests on arrival that the servers can't serve in time."""
+
+    __slots__ = ("_selection", "_rng", "_started_ms")
+
+    def __init__(self, selection: ServerSelection, rng: random.Random) -> None:
+        """Creates the admission of a host that starts with the first call."""
+        self._selection = selection
+        self._rng = rng
+        self._started_ms: int | None = None
+
+    def check(
+        self, flight: Flight, servers: list[BackendServer], now_ms: int
+    ) -> Refuse | None:
+        """Returns the refusal of a request that has just arrived.
+
+        Args:
+            flight: The request.
+            servers: Servers that may get it, at least one.
+            now_ms: Monotonic time in ms.
+
+        Returns:
+            The refusal; None if the request may be sent.
+        """
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        if not _has_arrived_now(flight, now_ms):
+            return None
+        selection = self._selection
+        learnt = selection.rates.learnt(flight.service, now_ms)
+        rate = learnt or UNLEARNT_RATE
+        left_ms = flight.deadline_ms - now_ms
+        most = left_ms * CLEARLY_LATE * rate
+        prompt = sum(part.tokens for part in flight.req.parts)
+        bound = min(
+            most - prompt,
+            selection.max_backlog(
+                flight.service, CACHED_CHAT_MAX_GAPS, now_ms
+            ),
+        )
+        for server in servers:
+            if selection.loads.unread_of(server.id, now_ms) <= bound:
+                return None
+        if not self._may_refuse(flight.service, now_ms):
+            return None
+        forecast = selection.forecasts.find_shortest(
+            servers,
+            lambda s: selection.count_unread(flight.req, s, now_ms),
+            rate,
+            now_ms,
+        )
+        if forecast.first_event_ms > left_ms * CLEARLY_LATE:
+            return self._refuse("no-time", forecast)
+        return None
+
+    def _may_refuse(self, service: str, now_ms: int) -> bool:
+        """Returns whether the service is busy, as far as this host knows."""
+        selection = self._selection
+        assert self._started_ms is not None
+        if (
+            selection.loads.newest_report_ms is None
+            and now_ms - self._started_ms < START_MS
+        ):
+            return False
+        servers = selection.servers.usable(service)
+        if selection.waiting.any_at(servers, now_ms):
+            return True
+        taken = sum(
+            min(server.slots, selection.loads.of(server.id, now_ms))
+            for server in servers
+        )
+        slots = sum(server.slots for server in servers)
+        return taken >= MIN_TAKEN_SHARE * slots
+
+    def _refuse(self, reason: str, forecast: Forecast) -> Refuse:
+        delay_ms = forecast.wait_ms * (1 + SPREAD_SHARE * self._rng.random())
+        return Refuse(503, reason, int(delay_ms), forecast)
+
+
+def _has_arrived_now(flight: Flight, now_ms: int) -> bool:
+    """Returns whether a request with a prompt arrives and has never run.
+
+    A stream that its caller resumes has run.
+    """
+    return (
+        bool(flight.req.parts)
+        and not flight.sends
+        and not flight.excluded
+        and flight.req.last_event_id is None
+        and now_ms - flight.arrived_ms <= ARRIVAL_MS
+    )
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -81,6 +81,40 @@
         self.delay_ms = delay_ms
 
 
+class Forecast(Record):
+    """Forecast of the time to the first event of a request.
+
+    Attributes:
+        first_event_ms: Time to the first event at the best server.
+        wait_ms: Time until the least loaded server has worked off its queue.
+        queued: Prompt tokens in that queue.
+        rate: Prefill rate in tokens per ms.
+        report_age_ms: Age of the newest report of a peer; None without one.
+    """
+
+    __slots__ = (
+        "first_event_ms",
+        "wait_ms",
+        "queued",
+        "rate",
+        "report_age_ms",
+    )
+
+    def __init__(
+        self,
+        first_event_ms: int,
+        wait_ms: int,
+        queued: int,
+        rate: float,
+        report_age_ms: int | None,
+    ) -> None:
+        self.first_event_ms = first_event_ms
+        self.wait_ms = wait_ms
+        self.queued = queued
+        self.rate = rate
+        self.report_age_ms = report_age_ms
+
+
 class Refuse(Record):
     """Decision to answer the caller with an error of this host.
 
@@ -88,13 +122,19 @@
         status: HTTP status.
         reason: Reason as a stable word for logs and metrics.
         retry_after_ms: When the caller may retry; None if a retry is no use.
+        forecast: The forecast behind the refusal; None if there is none.
     """
 
-    __slots__ = ("status", "reason", "retry_after_ms")
+    __slots__ = ("status", "reason", "retry_after_ms", "forecast")
 
     def __init__(
-        self, status: int, reason: str, retry_after_ms: int | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_after_ms: int | None = None,
+        forecast: Forecast | None = None,
     ) -> None:
+        self.forecast = forecast
         self.status = status
         self.reason = reason
         self.retry_after_ms = retry_after_ms
--- a/corianderdoor/core/entry/loads.py
+++ b/corianderdoor/core/entry/loads.py
@@ -34,11 +34,14 @@
     Attributes:
         own: Number of this host's in-flight requests by server id.
         own_unread: Their prompt tokens not prefilled yet, by server id.
+        newest_report_ms: When the newest report of a peer arrived; None
+            before the first.
     """
 
     __slots__ = (
         "own",
         "own_unread",
+        "newest_report_ms",
         "_peers",
         "_peer_requests",
         "_peer_unread",
@@ -48,6 +51,7 @@
     def __init__(self) -> None:
         self.own: Counter[str] = Counter()
         self.own_unread: Counter[str] = Counter()
+        self.newest_report_ms: int | None = None
         self._peers: dict[str, PeerLoads] = {}
         self._peer_requests: Counter[str] = Counter()
         self._peer_unread: Counter[str] = Counter()
@@ -73,8 +77,18 @@
         """Removes a request that ended at `server_id`."""
         _subtract(self.own, server_id, 1)
 
-    def update_peer(self, peer: str, loads: PeerLoads) -> None:
-        """Replaces the reported in-flight requests of a peer."""
+    def update_peer(
+        self, peer: str, loads: PeerLoads, now_ms: int | None = None
+    ) -> None:
+        """Replaces the reported in-flight requests of a peer.
+
+        Args:
+            peer: Name of the peer.
+            loads: Its report.
+            now_ms: When the report arrived; None if unknown.
+        """
+        if now_ms is not None:
+            self.newest_report_ms = now_ms
         self.remove(peer)
         if not loads.requests:
             return
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -183,6 +183,9 @@
             s for s in usable if not self.ejections.is_ejected(s.id, now_ms)
         ]
         usable = healthy or usable
+        refusal = self._refusals.admission.check(flight, usable, now_ms)
+        if refusal is not None:
+            return refusal
         roomy = self.rooms.filter(usable, self.hosts, now_ms)
         if not roomy:
             return self._refusals.wait_for_room(flight, usable, now_ms)
--- a/corianderdoor/core/entry/refusals.py
+++ b/corianderdoor/core/entry/refusals.py
@@ -5,6 +5,7 @@
 import random
 from typing import Final
 
+from .admission import Admission
 from .flights import Flight, Hold, Refuse
 from .server_selection import ServerSelection
 from .servers import BackendServer
@@ -23,11 +24,16 @@
 
 
 class Refusals:
-    """Decides whether a request without a server waits or is refused."""
+    """Decides whether a request without a server waits or is refused.
 
-    __slots__ = ("_selection", "_rng")
+    Attributes:
+        admission: Refuses requests that arrive when the servers are busy.
+    """
+
+    __slots__ = ("admission", "_selection", "_rng")
 
     def __init__(self, selection: ServerSelection, rng: random.Random) -> None:
+        self.admission = Admission(selection, rng)
         self._selection = selection
         self._rng = rng
 
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -29,6 +29,7 @@
 from .server_room import ServerRooms
 from .servers import BackendServer, Servers
 from .suspected_restarts import SuspectedRestarts
+from .waiting_requests import WaitingRequests
 
 
 class ServerSelection:
@@ -50,6 +51,7 @@
         rooms: Room of the brittle servers.
         rates: Prefill rates of the services.
         forecasts: Forecasts of the time to the first event.
+        waiting: Servers that state that requests wait there.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "rooms",
         "rates",
         "forecasts",
+        "waiting",
         "_name",
         "_data_centre",
     )
@@ -89,6 +92,7 @@
         self.pauses = ServerPauses()
         self.rooms = ServerRooms(name, self.servers, self.loads)
         self.rates = PrefillRates()
+        self.waiting = WaitingRequests()
         self.forecasts = FirstEventForecasts(
             self.servers, self.loads, self.rates
         )
--- a/corianderdoor/entry/answer_signs.py
+++ b/corianderdoor/entry/answer_signs.py
@@ -22,6 +22,10 @@
         now_ms,
         head.running,
     )
+    if head.load is not None and head.running is not None:
+        planner.selection.waiting.record(
+            server_id, head.load - head.running, now_ms
+        )
     if rejected and head.rejections_per_s is not None:
         planner.counters.add("brittle_rejections")
     if change is not None:
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -134,7 +134,7 @@
             if server_id is not None:
                 loads.requests[server_id] = count
                 loads.unread[server_id] = unread
-        self._planner.loads.update_peer(heartbeat.sender, loads)
+        self._planner.loads.update_peer(heartbeat.sender, loads, now_ms)
         ejected = frozenset(
             server_id
             for server_id in map(find_server, heartbeat.ejected)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -15,7 +15,12 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 PAGE = ROOT / "docs" / "OPERATIONS.md"
-SOURCES = ("core/entry/planner.py", "core/entry/refusals.py", "entry/relay.py")
+SOURCES = (
+    "core/entry/planner.py",
+    "core/entry/refusals.py",
+    "core/entry/admission.py",
+    "entry/relay.py",
+)
 
 
 def write_log(path: pathlib.Path, *events: dict[str, object]) -> str:
