Read orders of rollouts and write their outcomes

Entry hosts had no way to learn of an order or to store an outcome. Orders and records are decoded with the store's other keys, outcomes are written by one host in a transaction on condition of the revisions of order, record and status, and heartbeats carry at most 4 rollouts with 12 routes and 32 servers each. A host that was suspended writes nothing until a second after it resumed. The decisions are not connected yet. The stand-ins have versions, kinds of bad versions and an order during a load run.

--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -248,6 +248,10 @@
             self.restored_revision,
         )
 
+    def get(self, key: str) -> Change | None:
+        """Returns the item `key`; None if it does not exist."""
+        return self._items.get(key)
+
     def items(self) -> Iterable[Change]:
         """Returns the existing items."""
         return self._items.values()
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -24,6 +24,7 @@
   era @14 :UInt64;  # era of the store that the revision belongs to
   leavingServers @15 :List(UInt64);  # digests of servers' incarnations
   rooms @16 :List(Room);
+  rollouts @17 :List(Rollout);
 }
 
 # A request, identified by a digest, during which a backend server crashed.
@@ -46,6 +47,33 @@
   room @3 :UInt16;  # requests in progress
 }
 
+# What the sender has counted since the order of a rollout. The counts only
+# grow within one boot of the sender.
+struct Rollout {
+  service @0 :UInt64;  # digest of the service's name
+  orderRevision @1 :UInt64;  # revision of the order in the store
+  sharePermille @2 :UInt16;  # share of requests sent to the new version
+  isBad @3 :Bool;  # the sender has found the version bad
+  routes @4 :List(RouteCounts);
+  servers @5 :List(NewServer);
+}
+
+# Answers of one route by version.
+struct RouteCounts {
+  route @0 :UInt64;  # digest of the route's name
+  oldAnswers @1 :UInt32;
+  oldBad @2 :UInt32;
+  newAnswers @3 :UInt32;
+  newBad @4 :UInt32;
+}
+
+# Answers of one server of the new version.
+struct NewServer {
+  server @0 :UInt64;  # digest of the server's id
+  answers @1 :UInt32;
+  bad @2 :UInt32;
+}
+
 # Requests that the sender has in progress at one backend server.
 struct Load {
   server @0 :UInt64;  # digest of the server's id
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -21,14 +21,22 @@
 from ..core.entry.planner import Planner
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
 from ..platform.records import encode_host
-from ..platform.settings import EntrySettings, read_settings, SettingsError
+from ..platform.settings import (
+    EntrySettings,
+    read_settings,
+    ROLLOUT_CONTRACT,
+    SettingsError,
+)
 from ..platform.store import StoreClient
 from ..platform.store_era import StoreEra
 from .backends import ConnectionPool
 from .callers import CallerService
+from .cpu_meter import CpuMeter
 from .directory import DirectoryService
 from .metrics import MetricsService
 from .peering import Peering
+from .rollout_feed import RolloutDecisions, RolloutFeed
+from .rollout_writer import RolloutWriter
 from .server_links import ServerLinks
 from .server_marks import ServerMarks
 from .state_applier import StateApplier
@@ -38,11 +46,10 @@
     Registration,
     StateSync,
 )
+from .tick_monitor import TickMonitor
 from .tunnels import TunnelService
 
 TICK_MS: Final = 100
-# A longer time between two ticks shows that the process was suspended.
-PAUSE_THRESHOLD_MS: Final = 1_200
 EVICTION_TICKS: Final = 10
 # CPU use is measured over five seconds, longer than a burst of changes takes
 # to read.
@@ -58,26 +65,6 @@
 STOP_POLL_MS: Final = 20
 
 
-class CpuMeter:
-    """Measures how much of its CPU allowance this process uses."""
-
-    __slots__ = ("_clock", "_share", "_at_ms", "_used_ms")
-
-    def __init__(self, clock: Clock, share: float) -> None:
-        self._clock = clock
-        self._share = share
-        self._at_ms = clock.now_ms()
-        self._used_ms = clock.processor_ms()
-
-    def measure(self, now_ms: int) -> int:
-        """Returns the share used since the last call, in percent."""
-        used_ms = self._clock.processor_ms()
-        span_ms = (now_ms - self._at_ms) * self._share
-        spent_ms = used_ms - self._used_ms
-        self._at_ms, self._used_ms = now_ms, used_ms
-        return min(100, int(100 * spent_ms / span_ms)) if span_ms > 0 else 0
-
-
 class EntryHost:
     """One entry host and its tasks."""
 
@@ -95,6 +82,9 @@
         "_registration",
         "_cache_saver",
         "_peering",
+        "_ticks",
+        "_rollouts",
+        "_rollout_writer",
         "_marks",
         "_callers",
         "_directory",
@@ -109,6 +99,7 @@
         rng: random.Random,
         metrics_port: int | None = None,
         connect_server: Connect = connect,
+        rollouts: RolloutDecisions | None = None,
     ) -> None:
         """Initializes the host and its parts.
 
@@ -119,6 +110,7 @@
             rng: Source of jitter.
             metrics_port: Port that serves metrics; None disables them.
             connect_server: Opens connections to servers.
+            rollouts: Decisions about rollouts.
         """
         self._metrics_port = metrics_port
         self._settings = settings
@@ -144,8 +136,16 @@
         self._links.list_helpers = self._list_helpers
         self._pool = ConnectionPool(clock, self._links)
         self._planner.selection.is_connected = self._pool.is_connected
+        self._rollouts: RolloutFeed | None = None
+        if rollouts is not None and ROLLOUT_CONTRACT in settings.contracts:
+            self._rollouts = RolloutFeed(
+                rollouts,
+                self._peers,
+                clock,
+                self._planner.counters,
+            )
         self._applier = StateApplier(
-            self._planner, self._peers, self._pool, clock
+            self._planner, self._peers, self._pool, clock, self._rollouts
         )
         self._era = StoreEra(self._planner.counters)
         self._sync = StateSync(
@@ -189,8 +189,21 @@
             TunnelService(
                 self._planner.servers, self._planner.counters, connect_server
             ),
+            self._rollouts.decisions if self._rollouts else None,
         )
         self._sync.attach(self._peering)
+        self._ticks = TickMonitor(clock.now_ms())
+        self._rollout_writer: RolloutWriter | None = None
+        if self._rollouts is not None:
+            self._rollout_writer = RolloutWriter(
+                self._connect_store(),
+                self._rollouts.decisions,
+                self._peers,
+                self._applier,
+                self._ticks,
+                clock,
+                self._planner.counters,
+            )
         self._marks = ServerMarks(
             self._planner, self._pool, clock, self._peering.send_soon
         )
@@ -242,6 +255,8 @@
                 self._list_waiting,
             )
             tasks.start_soon(self._run_ticks)
+            if self._rollout_writer is not None:
+                tasks.start_soon(self._rollout_writer.run)
             # What the start allocated is kept; later collections skip it.
             gc.freeze()
             gc.enable()
@@ -296,16 +311,16 @@
         log_event("reloaded", name=settings.name)
 
     async def _run_ticks(self) -> None:
-        last_ms = self._clock.now_ms()
+        self._ticks.start(self._clock.now_ms())
         meter = CpuMeter(self._clock, self._settings.processor_share)
         ticks = 0
         while True:
             await anyio.sleep(TICK_MS / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
-            if now_ms - last_ms > PAUSE_THRESHOLD_MS:
-                log_event("paused", gap_ms=now_ms - last_ms)
+            gap_ms = self._ticks.record(now_ms)
+            if gap_ms:
+                log_event("paused", gap_ms=gap_ms)
                 self._sync.cancel_call()
-            last_ms = now_ms
             ticks += 1
             self._planner.restarts.in_contact = (
                 self._sync.contact_age_ms() < MAX_CONTACT_AGE_MS
@@ -322,6 +337,8 @@
             self._links.paths.retain(self._planner.servers.ids())
             self._update_links_cut(now_ms)
             self._choose_active(now_ms)
+            if self._rollouts is not None and self._rollouts.tick(now_ms):
+                self._peering.send_soon()
             if ticks % EVICTION_TICKS == 0:
                 self._pool.evict_expired()
             if ticks % CPU_TICKS == 0:
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import pathlib
 from typing import Any, Final
 import zlib
@@ -10,6 +11,7 @@
 
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.replica import Change, Page
+from ..core.entry.rollout_records import RolloutReport, RouteCounts
 from ..core.entry.server_room import RoomReport
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
@@ -20,6 +22,11 @@
 # The fastest level; the records are text, which compresses well at any level.
 COMPRESSION_LEVEL: Final = 1
 MAX_PERCENT: Final = 100
+# Bounds of what a heartbeat says about rollouts, about 800 bytes for each.
+MAX_ROLLOUTS: Final = 4
+MAX_ROLLOUT_ROUTES: Final = 12
+MAX_ROLLOUT_SERVERS: Final = 32
+MAX_ANSWERS: Final = 2**32 - 1
 MAX_TOKENS: Final = 2**32 - 1
 MAX_PAGE_BYTES: Final = 33_554_432
 # Traversal limit in words; stops messages with pointers to themselves.
@@ -71,10 +78,75 @@
             }
             for report in heartbeat.rooms
         ],
+        rollouts=_encode_rollouts(heartbeat.rollouts),
     )
     return bytes(message.to_bytes_packed())
 
 
+def _encode_rollouts(
+    reports: tuple[RolloutReport, ...],
+) -> list[dict[str, Any]]:
+    # Verdicts come first, as the bounds must not leave one out.
+    ordered = sorted(reports, key=lambda report: not report.is_bad)
+    return [
+        {
+            "service": report.service,
+            "orderRevision": report.order_revision,
+            "sharePermille": min(MAX_COUNT, report.share_permille),
+            "isBad": report.is_bad,
+            "routes": [
+                {
+                    "route": counts.route,
+                    "oldAnswers": min(MAX_ANSWERS, counts.old_answers),
+                    "oldBad": min(MAX_ANSWERS, counts.old_bad),
+                    "newAnswers": min(MAX_ANSWERS, counts.new_answers),
+                    "newBad": min(MAX_ANSWERS, counts.new_bad),
+                }
+                for counts in report.routes[:MAX_ROLLOUT_ROUTES]
+            ],
+            "servers": [
+                {
+                    "server": server,
+                    "answers": min(MAX_ANSWERS, answers),
+                    "bad": min(MAX_ANSWERS, bad),
+                }
+                for server, answers, bad in report.servers[
+                    :MAX_ROLLOUT_SERVERS
+                ]
+            ],
+        }
+        for report in ordered[:MAX_ROLLOUTS]
+    ]
+
+
+def _decode_rollouts(rollouts: Any) -> tuple[RolloutReport, ...]:
+    return tuple(
+        RolloutReport(
+            raw.service,
+            raw.orderRevision,
+            raw.sharePermille,
+            raw.isBad,
+            tuple(
+                RouteCounts(
+                    counts.route,
+                    counts.oldAnswers,
+                    counts.oldBad,
+                    counts.newAnswers,
+                    counts.newBad,
+                )
+                for counts in itertools.islice(raw.routes, MAX_ROLLOUT_ROUTES)
+            ),
+            tuple(
+                (server.server, server.answers, server.bad)
+                for server in itertools.islice(
+                    raw.servers, MAX_ROLLOUT_SERVERS
+                )
+            ),
+        )
+        for raw in itertools.islice(rollouts, MAX_ROLLOUTS)
+    )
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Returns the heartbeat in a datagram.
 
@@ -106,6 +178,7 @@
                 RoomReport(room.server, room.limit, room.rejected, room.room)
                 for room in raw.rooms
             ),
+            _decode_rollouts(raw.rollouts),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -34,6 +34,7 @@
     encode_page,
     MessageError,
 )
+from .rollout_feed import RolloutDecisions
 from .tunnels import TunnelService
 
 PULL_TIMEOUT_MS: Final = 500
@@ -62,6 +63,7 @@
         contact_age_ms: Callable[[], int],
         on_newer_revision: Callable[[], None],
         tunnels: TunnelService,
+        rollouts: RolloutDecisions | None = None,
     ) -> None:
         """Initializes the protocol.
 
@@ -77,6 +79,8 @@
             on_newer_revision: Called when a peer has a newer revision of
                 the store's items than this host.
             tunnels: Opens connections to servers for peers.
+            rollouts: Source and target of the reports about rollouts; None
+                if this deployment has none.
         """
         self.leaving = False
         self._name = name
@@ -88,6 +92,7 @@
         self._contact_age_ms = contact_age_ms
         self._on_newer_revision = on_newer_revision
         self._tunnels = tunnels
+        self._rollouts = rollouts
         self._transport: asyncio.DatagramTransport | None = None
         self._send_now = asyncio.Event()
 
@@ -154,6 +159,11 @@
             if server_id is not None:
                 self._planner.caches.add_holder(part, server_id, now_ms)
         self._merge_leaving(heartbeat, now_ms)
+        if self._rollouts is not None:
+            # Merged even without reports: it shows that the peer is heard.
+            self._rollouts.merge(
+                heartbeat.sender, heartbeat.boot, heartbeat.rollouts, now_ms
+            )
 
     def _merge_leaving(self, heartbeat: Heartbeat, now_ms: int) -> None:
         leaving = self._planner.leaving
@@ -246,6 +256,7 @@
             self._replica.era,
             planner.leaving.reports(),
             tuple(planner.rooms.take_reports(now_ms)),
+            self._rollouts.reports(now_ms) if self._rollouts else (),
         )
 
     def send_soon(self) -> None:
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -19,12 +19,15 @@
     Evacuation,
     HostListed,
     HostRemoved,
+    RolloutOrderChange,
+    RolloutRecordChange,
     ServerListed,
     ServerRemoved,
     UnusableRecord,
 )
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
+from .rollout_feed import RolloutFeed
 
 # Servers of a data centre that takes requests again may be cold, which their
 # entries show only after their next heartbeat; until then they count as cold.
@@ -51,6 +54,7 @@
         "_peers",
         "_pool",
         "_clock",
+        "_rollouts",
         "_kept_evacuations",
     )
 
@@ -60,12 +64,14 @@
         peers: Peers,
         pool: ConnectionPool,
         clock: Clock,
+        rollouts: RolloutFeed | None = None,
     ) -> None:
         self.replica = Replica()
         self._planner = planner
         self._peers = peers
         self._pool = pool
         self._clock = clock
+        self._rollouts = rollouts
         self._kept_evacuations: dict[str, int] = {}
 
     def apply(self, page: Page, source: str, grace_ms: int) -> int:
@@ -241,6 +247,16 @@
         self._planner.caches.restore(pairs, self._clock.now_ms())
         log_event("caches_restored", parts=len(pairs))
 
+    @_apply_decoded.register
+    def _(self, decoded: RolloutOrderChange, from_copy: bool) -> None:
+        if self._rollouts is not None:
+            self._rollouts.apply_order(decoded, from_copy)
+
+    @_apply_decoded.register
+    def _(self, decoded: RolloutRecordChange, from_copy: bool) -> None:
+        if self._rollouts is not None:
+            self._rollouts.apply_record(decoded)
+
     @_apply_decoded.register
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         log_event(
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -6,6 +6,7 @@
 
 from ..core.entry.addresses import Address
 from ..core.entry.replica import Change
+from ..core.entry.rollout_records import RolloutOrder, RolloutRecord
 from ..core.entry.routing import DesiredState
 from ..core.entry.servers import BackendServer
 from ..core.records import Record
@@ -20,6 +21,12 @@
     RecordError,
     SERVER_PREFIX,
 )
+from .rollouts import (
+    decode_order,
+    decode_record,
+    ORDER_PREFIX,
+    ROLLOUT_PREFIX,
+)
 
 
 class ServerListed(Record):
@@ -104,6 +111,36 @@
         self.value = value
 
 
+class RolloutOrderChange(Record):
+    """The operators' order of a rollout was written or removed.
+
+    Attributes:
+        service: Name of the service.
+        order: The order; None if it was removed.
+    """
+
+    __slots__ = ("service", "order")
+
+    def __init__(self, service: str, order: RolloutOrder | None) -> None:
+        self.service = service
+        self.order = order
+
+
+class RolloutRecordChange(Record):
+    """The hosts' record of a rollout was written or removed.
+
+    Attributes:
+        service: Name of the service.
+        record: The record; None if it was removed.
+    """
+
+    __slots__ = ("service", "record")
+
+    def __init__(self, service: str, record: RolloutRecord | None) -> None:
+        self.service = service
+        self.record = record
+
+
 class UnusableRecord(Record):
     """A value in the store that can't be decoded."""
 
@@ -122,6 +159,8 @@
     | HostListed
     | HostRemoved
     | CacheSnapshot
+    | RolloutOrderChange
+    | RolloutRecordChange
     | UnusableRecord
 )
 
@@ -137,6 +176,10 @@
             return Evacuation(data_centre, change.value is not None)
         if key.startswith(HOST_PREFIX):
             return _decode_host_change(change, key[len(HOST_PREFIX) :])
+        if key.startswith(ORDER_PREFIX):
+            return _decode_order_change(change, key[len(ORDER_PREFIX) :])
+        if key.startswith(ROLLOUT_PREFIX):
+            return _decode_rollout_change(change, key[len(ROLLOUT_PREFIX) :])
         if key == DESIRED_KEY and change.value is not None:
             return DesiredStateChange(decode_desired(change.value))
         if key == CACHES_KEY and change.value is not None:
@@ -156,3 +199,19 @@
     if change.value is None:
         return HostRemoved(name)
     return HostListed(name, *decode_host(name, change.value))
+
+
+def _decode_order_change(change: Change, service: str) -> DecodedChange:
+    if change.value is None:
+        return RolloutOrderChange(service, None)
+    return RolloutOrderChange(
+        service, decode_order(service, change.value, change.revision)
+    )
+
+
+def _decode_rollout_change(change: Change, service: str) -> DecodedChange:
+    if change.value is None:
+        return RolloutRecordChange(service, None)
+    return RolloutRecordChange(
+        service, decode_record(service, change.value, change.revision)
+    )
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -12,6 +12,8 @@
 from ..core.entry.addresses import Address
 from ..core.records import Record
 
+# Contract under which the hosts carry out rollouts of versions.
+ROLLOUT_CONTRACT: Final = "rollout"
 PATH_VARIABLE: Final = "CORIANDERDOOR_BOOT"
 DEFAULT_PATH: Final = "/etc/corianderdoor/boot.json"
 
@@ -48,6 +50,12 @@
         lost_after_ms: Time after which a host without connections is no
             longer held to the bounds of reaction times.
         first_start: Whether all hosts start for the first time, together.
+        contracts: Names of the duties that the platform asks the hosts for.
+        exposure_share: Share of a service's requests that a bad version may
+            get.
+        exposure_slack: Requests that a bad version may get on top of that.
+        rollback_ms: Time from the 50th bad answer of a version to the last
+            request that it may get, in ms.
     """
 
     __slots__ = (
@@ -71,6 +79,10 @@
         "processor_share",
         "lost_after_ms",
         "first_start",
+        "contracts",
+        "exposure_share",
+        "exposure_slack",
+        "rollback_ms",
     )
 
     def __init__(self, raw: _File) -> None:
@@ -96,6 +108,12 @@
         self.processor_share = min(1.0, limits.cpu_share * limits.cpu_cores)
         self.lost_after_ms = int(bounds.connectivity_ms)
         self.first_start = raw.initial_start
+        self.contracts = frozenset(
+            name for name in raw.contracts or () if isinstance(name, str)
+        )
+        self.exposure_share = bounds.exposure_share
+        self.exposure_slack = bounds.exposure_slack
+        self.rollback_ms = int(bounds.rollback_ms)
 
 
 class _Listen(msgspec.Struct):
@@ -113,6 +131,9 @@
     budget_window_s: float = 10.0
     ttl_max_s: float = 5.0
     connectivity_ms: float = 3_000
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_ms: float = 5_000
 
 
 class _Store(msgspec.Struct):
@@ -135,6 +156,7 @@
     platform: _Store
     heartbeat_interval_ms: float = 1_200
     initial_start: bool = False
+    contracts: list[Any] | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable, Mapping
 from typing import Final, TypeVar
 from urllib.parse import urlencode
 
@@ -16,6 +17,13 @@
 from ..core.entry.counters import Counters
 from ..core.records import Record
 from .store_era import ERA_HEADER, StoreEra
+from .store_messages import (
+    encode_commit,
+    RawDone,
+    RawItem,
+    RawLease,
+    RawPage,
+)
 
 PATH: Final = "/corianderdoor"
 CONNECT_TIMEOUT_MS: Final = 600
@@ -38,7 +46,8 @@
         reason: "unreached" (no connection), "silent" (timeout), "cut"
             (connection lost), "unreadable" (invalid answer), "too many
             pages", "old era" (answer from before a restore of the store),
-            "new era" (restore while pages were read), or the HTTP status.
+            "new era" (restore while pages were read), "withheld" (the caller
+            may no longer make the call), or the HTTP status.
         not_applied: Whether the call certainly changed nothing.
     """
 
@@ -70,28 +79,6 @@
         self.revision = revision
 
 
-class _Item(msgspec.Struct):
-    key: str
-    revision: int = 0
-    value: str = ""
-    deleted: bool = False
-
-
-class _Page(msgspec.Struct):
-    at: int
-    entries: list[_Item] = []
-    events: list[_Item] = []
-    has_more: bool = False
-
-
-class _Lease(msgspec.Struct):
-    lease_id: int = 0
-
-
-class _Done(msgspec.Struct):
-    revision: int = 0
-
-
 class StoreClient:
     """Makes calls to the platform's store, one at a time on one connection.
 
@@ -176,12 +163,12 @@
 
     async def _page(
         self, call: str, query: dict[str, str], timeout_ms: int
-    ) -> _Page:
+    ) -> RawPage:
         target = f"{PATH}/{call}?{urlencode(query)}"
         status, body = await self._call(call, "GET", target, b"", timeout_ms)
         if status == 410:
             raise HistoryGoneError
-        return _decode(call, status, body, _Page)
+        return _decode(call, status, body, RawPage)
 
     async def grant(self, ttl_ms: int) -> int:
         """Returns the id of a new lease.
@@ -193,7 +180,7 @@
         status, answer = await self._call(
             "kv-lease", "POST", f"{PATH}/kv-lease", body, CALL_TIMEOUT_MS
         )
-        return _decode("kv-lease", status, answer, _Lease).lease_id
+        return _decode("kv-lease", status, answer, RawLease).lease_id
 
     async def renew(self, lease_id: int) -> bool:
         """Renews a lease; returns False if it has expired or was ended.
@@ -207,7 +194,7 @@
         )
         if status == 404:
             return False
-        _decode("kv-keep", status, answer, _Lease)
+        _decode("kv-keep", status, answer, RawLease)
         return True
 
     async def end_lease(self, lease_id: int) -> None:
@@ -227,28 +214,57 @@
         Raises:
             StoreError: The call failed.
         """
-        change = {
-            "expected_revision": [],
-            "write": [
-                {
-                    "key": key,
-                    "value": base64.b64encode(value).decode(),
-                    "lease_id": lease_id,
-                }
-            ],
-            "remove": [],
-        }
-        status, answer = await self._call(
+        status, answer = await self._commit({}, {key: value}, lease_id)
+        if status == 404:
+            return False
+        _decode("kv-txn", status, answer, RawDone)
+        return True
+
+    async def compare_and_set(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes],
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> bool:
+        """Writes keys if others still have the expected revisions.
+
+        A call that gets no answer may have been executed, or may be executed
+        later: `StoreError.not_applied` is False then. The caller has to read
+        the keys again before it tries a second time.
+
+        Args:
+            expected: Revision of each key; 0 if it must not exist.
+            writes: New values by key.
+            may_send: Called right before the call is sent; if it returns
+                False, nothing is sent.
+
+        Returns:
+            False if a key has another revision, so that nothing was written.
+
+        Raises:
+            StoreError: The call failed.
+        """
+        status, answer = await self._commit(expected, writes, 0, may_send)
+        if status == 412:
+            return False
+        _decode("kv-txn", status, answer, RawDone)
+        return True
+
+    async def _commit(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes],
+        lease_id: int,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> tuple[int, bytes]:
+        return await self._call(
             "kv-txn",
             "POST",
             f"{PATH}/kv-txn",
-            msgspec.json.encode(change),
+            encode_commit(expected, writes, lease_id),
             CALL_TIMEOUT_MS,
+            may_send,
         )
-        if status == 404:
-            return False
-        _decode("kv-txn", status, answer, _Done)
-        return True
 
     async def _call(
         self,
@@ -257,12 +273,15 @@
         target: str,
         body: bytes,
         timeout_ms: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         self._counters.add("store_calls", call=step)
         sent = False
         try:
             with anyio.fail_after(timeout_ms / MS_PER_SECOND):
                 protocol = await self._open(step)
+                if not may_send():
+                    raise StoreError(step, "withheld", True)
                 sent = True
                 status, headers, content = await self._exchange(
                     protocol, method, target, body
@@ -341,7 +360,7 @@
             )
 
 
-def _decode_item(raw: _Item) -> Item:
+def _decode_item(raw: RawItem) -> Item:
     if raw.deleted:
         return Item(raw.key, None, raw.revision)
     try:
--- a/corianderdoor/standins/brittle_fleet.py
+++ b/corianderdoor/standins/brittle_fleet.py
@@ -29,7 +29,7 @@
 )
 from ..core.entry.servers import BackendServer
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
-from .platform_worker import Brittleness
+from .brittleness import Brittleness
 
 SERVICE: Final = "accounts"
 CONNECTION_LIMIT: Final = 200
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -25,7 +25,7 @@
 from .platform_caller import read_answer, write_request
 from .platform_links import ServerLinks
 from .platform_store import StoreServer, StoreState
-from .platform_worker import Worker
+from .platform_worker import FIRST_VERSION, Worker
 
 PORT: Final = 18_080
 READY_PORT: Final = 18_081
@@ -135,6 +135,7 @@
     store: tuple[str, int],
     data_centre: str = "a",
     retry_budget_slack: int = RETRY_BUDGET_SLACK,
+    contracts: tuple[str, ...] = (),
 ) -> bytes:
     """Returns the settings file of an entry host at `address`."""
     return msgspec.json.encode(
@@ -149,6 +150,7 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 5],
             "platform": {"address": f"{store[0]}:{store[1]}"},
+            "contracts": list(contracts),
             "bounds": {
                 "grace_period_s": GRACE_PERIOD_S,
                 "cold_factor": COLD_FACTOR,
@@ -170,9 +172,13 @@
         workers: Workers by id.
         hosts: Address for callers of each entry host, by name.
         links: Links of each entry host to the workers, by name.
+        contracts: Duties that the settings ask the entry hosts for.
     """
 
-    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+    def __init__(
+        self, tasks: anyio.abc.TaskGroup, contracts: tuple[str, ...] = ()
+    ) -> None:
+        self.contracts = contracts
         self.clock = SystemClock()
         self.store = StoreServer(StoreState(self.clock))
         self.workers: dict[str, Worker] = {}
@@ -201,14 +207,35 @@
         for number in range(hosts):
             await self.add_host(f"host-{number}")
 
-    async def add_worker(self, id: str, engine: bool) -> Worker:
-        """Starts a worker and registers it in the store."""
+    async def add_worker(
+        self,
+        id: str,
+        engine: bool,
+        version: str = FIRST_VERSION,
+        **changes: Any,
+    ) -> Worker:
+        """Starts a worker and registers it in the store.
+
+        Args:
+            id: Id of the worker.
+            engine: Whether it is a model engine.
+            version: Version of its software.
+            **changes: Override fields of its entry.
+        """
         worker = self.workers[id] = Worker(id, engine)
+        worker.version = version
         address = self.allocate_address()
         await listen((address, PORT), self._tasks, worker.serve)
-        self.register_worker(id, address)
+        self.register_worker(id, address, **changes)
         return worker
 
+    def drain_worker(self, id: str) -> None:
+        """Writes in a worker's entry that it drains."""
+        key = f"servers/{id}"
+        entry = msgspec.json.decode(self.store.state.read_value(key) or b"{}")
+        entry["state"] = "draining"
+        self.store.state.put(key, msgspec.json.encode(entry))
+
     def register_worker(
         self, id: str, address: str, state: str = "available", **changes: Any
     ) -> None:
@@ -222,6 +249,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "born": 1,
+            "version": self.workers[id].version,
             **changes,
         }
         value = msgspec.json.encode(entry)
@@ -230,7 +258,9 @@
     async def add_host(self, name: str) -> None:
         """Starts an entry host and waits until it is ready."""
         address = self.allocate_address()
-        settings = build_settings(name, address, self.store_address)
+        settings = build_settings(
+            name, address, self.store_address, contracts=self.contracts
+        )
         self.links[name] = ServerLinks()
         host = EntryHost(
             decode_settings(settings),
@@ -307,11 +337,14 @@
 
 @asynccontextmanager
 async def run_fleet(
-    engines: int = 3, plain: int = 2, hosts: int = 2
+    engines: int = 3,
+    plain: int = 2,
+    hosts: int = 2,
+    contracts: tuple[str, ...] = (),
 ) -> AsyncIterator[PlatformFleet]:
     """Runs a deployment for the duration of the `async with` block."""
     async with anyio.create_task_group() as tasks:
-        fleet = PlatformFleet(tasks)
+        fleet = PlatformFleet(tasks, contracts)
         try:
             await fleet.start(engines, plain, hosts)
             yield fleet
--- a/corianderdoor/standins/platform_load.py
+++ b/corianderdoor/standins/platform_load.py
@@ -18,7 +18,16 @@
 
 from ..adapters.logs import set_up_entry_logs
 from ..core.clock import SystemClock
-from .platform_fleet import PlatformFleet, Reply, run_fleet
+from ..platform.settings import ROLLOUT_CONTRACT
+from .bad_versions import KINDS
+from .platform_fleet import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    PlatformFleet,
+    Reply,
+    run_fleet,
+)
+from .platform_rollout import GOOD, Rollout
 
 FAULTS: Final = (
     "none",
@@ -29,6 +38,10 @@
     "store-down",
     "host-stop",
 )
+NO_ROLLOUT: Final = "none"
+# When a new version is ordered, as a share of the run, and its time budget.
+ORDER_AT: Final = 0.1
+BUDGET_SHARE: Final = 0.7
 # Start and end of the fault, as shares of the run.
 FAULT_WINDOW: Final = (0.3, 0.6)
 TEMPLATES: Final = 4
@@ -72,6 +85,7 @@
         "_stats",
         "_request_count",
         "_stopped_hosts",
+        "_rollout",
     )
 
     def __init__(self, fleet: PlatformFleet, args: argparse.Namespace) -> None:
@@ -81,17 +95,29 @@
         self._stats: defaultdict[str, RequestStats] = defaultdict(RequestStats)
         self._request_count = 0
         self._stopped_hosts: set[str] = set()
+        self._rollout: Rollout | None = None
+        if args.rollout != NO_ROLLOUT:
+            self._rollout = Rollout(
+                fleet, args.rollout_service, BUDGET_SHARE * args.seconds
+            )
 
     async def run(self) -> dict[str, Any]:
         """Sends the load and returns the report."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._inject_fault)
+            if self._rollout is not None:
+                tasks.start_soon(self._order, self._rollout)
             total = int(self._args.seconds * self._args.rate)
             for _ in range(total):
                 tasks.start_soon(self._send_request)
                 await anyio.sleep(self._rng.expovariate(self._args.rate))
         return self._report()
 
+    async def _order(self, rollout: Rollout) -> None:
+        await anyio.sleep(ORDER_AT * self._args.seconds)
+        await rollout.start(self._args.rollout)
+        await rollout.finish()
+
     async def _inject_fault(self) -> None:
         begin, end = (part * self._args.seconds for part in FAULT_WINDOW)
         await anyio.sleep(begin)
@@ -169,6 +195,7 @@
             "kinds": rows,
             "prompt_tokens_read": sum(w.prompt_tokens_read for w in workers),
             "store_calls": dict(self._fleet.store.calls),
+            "rollout": self._rollout.report() if self._rollout else None,
         }
 
 
@@ -188,10 +215,24 @@
     print(f"prompt tokens read: {report['prompt_tokens_read']}")
     calls = ", ".join(f"{k} {n}" for k, n in report["store_calls"].items())
     print(f"store calls: {calls}")
+    if report["rollout"] is not None:
+        rollout = report["rollout"]
+        versions = ", ".join(
+            f"{v} {n}" for v, n in rollout["requests"].items()
+        )
+        print(
+            f"rollout of {rollout['service']}: {rollout['state']} after "
+            f"{rollout['outcome_s']} s; requests: {versions}; "
+            f"{rollout['bad_answers']} bad answers, "
+            f"{rollout['cut_off']} requests cut off"
+        )
 
 
 async def _run(args: argparse.Namespace) -> dict[str, Any]:
-    async with run_fleet(args.engines, args.plain, args.hosts) as fleet:
+    contracts = () if args.rollout == NO_ROLLOUT else (ROLLOUT_CONTRACT,)
+    async with run_fleet(
+        args.engines, args.plain, args.hosts, contracts
+    ) as fleet:
         return await Experiment(fleet, args).run()
 
 
@@ -211,6 +252,17 @@
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--trouble", choices=FAULTS, default="none")
+    parser.add_argument(
+        "--rollout",
+        choices=(NO_ROLLOUT, GOOD, *KINDS),
+        default=NO_ROLLOUT,
+        help="order a new version during the load: a good or a bad one",
+    )
+    parser.add_argument(
+        "--rollout-service",
+        choices=(ENGINE_SERVICE, PLAIN_SERVICE),
+        default=PLAIN_SERVICE,
+    )
     parser.add_argument("--json", default="", help="also write JSON here")
     parser.add_argument("--logs", action="store_true", help="show log lines")
     args = parser.parse_args(argv)
--- a/corianderdoor/standins/platform_store.py
+++ b/corianderdoor/standins/platform_store.py
@@ -165,6 +165,11 @@
         """Returns an item; None if it does not exist."""
         return self._items.get(key)
 
+    def read_value(self, key: str) -> bytes | None:
+        """Returns the value of an item; None if it does not exist."""
+        item = self._items.get(key)
+        return base64.b64decode(item["value"]) if item else None
+
     def read_page(self, prefix: str, after: str) -> Answer:
         """Returns the first page of items under `prefix` after a key."""
         keys = sorted(
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -12,88 +12,17 @@
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
 from ..core.clock import MS_PER_SECOND, SystemClock
 from ..core.entry.routing import DEFAULT_LIMITS
+from .bad_versions import BadVersion, SLOW
+from .brittleness import Brittleness
 
 EVENT_COUNT: Final = 6
 LARGE_BODY_BYTES: Final = 8_000_000
 EVENT_GAP_MS: Final = 4
+FIRST_VERSION: Final = "v1"
 # Speed at which an engine processes prompt tokens that are not cached.
 PREFILL_TOKENS_PER_MS: Final = 200.0
 
 
-class Brittleness:
-    """A time in which a worker falls over if it turns away too much.
-
-    Attributes:
-        limit: Requests that it can turn away in a second.
-        slots: Requests that it processes at a time.
-        waiting: Requests that may wait at first.
-        reduced_waiting: Requests that may wait from `notice_ms` on.
-        notice_ms: Time from the announcement to the reduction, in ms.
-        down_ms: How long the worker is away after a fall, in ms.
-        falls: When it fell over, in ms since the announcement.
-        rejections: When it turned away a request, likewise.
-        down_until_ms: When it is back after the last fall, likewise.
-    """
-
-    __slots__ = (
-        "limit",
-        "slots",
-        "waiting",
-        "reduced_waiting",
-        "notice_ms",
-        "down_ms",
-        "falls",
-        "rejections",
-        "down_until_ms",
-    )
-
-    def __init__(
-        self,
-        limit: int,
-        slots: int,
-        waiting: int,
-        reduced_waiting: int,
-        notice_ms: float = 3_000.0,
-        down_ms: float = 4_000.0,
-    ) -> None:
-        self.limit = limit
-        self.slots = slots
-        self.waiting = waiting
-        self.reduced_waiting = reduced_waiting
-        self.notice_ms = notice_ms
-        self.down_ms = down_ms
-        self.falls: list[float] = []
-        self.rejections: list[float] = []
-        self.down_until_ms = 0.0
-
-    def is_down(self, at_ms: float) -> bool:
-        """Returns whether the worker is away after a fall."""
-        return at_ms < self.down_until_ms
-
-    def room(self, at_ms: float) -> int:
-        """Returns how many requests may run and wait together."""
-        reduced = at_ms >= self.notice_ms
-        return self.slots + (self.reduced_waiting if reduced else self.waiting)
-
-    def reject(self, at_ms: float) -> bool:
-        """Counts a request that is turned away.
-
-        Returns:
-            Whether the worker falls over.
-        """
-        self.rejections.append(at_ms)
-        if at_ms < self.notice_ms:
-            return False
-        first = at_ms - MS_PER_SECOND
-        recent = sum(first < time <= at_ms for time in self.rejections)
-        if recent <= self.limit:
-            return False
-        self.rejections.clear()
-        self.falls.append(at_ms)
-        self.down_until_ms = at_ms + self.down_ms
-        return True
-
-
 class Worker:
     """A worker with injectable faults.
 
@@ -122,6 +51,10 @@
             requests; None to leave it out.
         leaving: Whether all answers announce that the worker leaves.
         brittle: Brittleness; None while the worker is sound.
+        version: Version of its software.
+        bad_version: How that version is bad; None if it is good.
+        stopped: Whether it was stopped without draining.
+        cut_off: Number of requests that were in progress when it stopped.
         on_request: Called with the worker, the request, and whether the
             worker runs it.
     """
@@ -142,6 +75,10 @@
         "retry_after_s",
         "leaving",
         "brittle",
+        "version",
+        "bad_version",
+        "stopped",
+        "cut_off",
         "on_request",
         "_silent_until_ms",
         "_clock",
@@ -168,6 +105,10 @@
         self.retry_after_s: float | None = None
         self.leaving = False
         self.brittle: Brittleness | None = None
+        self.version = FIRST_VERSION
+        self.bad_version: BadVersion | None = None
+        self.stopped = False
+        self.cut_off = 0
         self.on_request: Callable[[Worker, ReceivedRequest, bool], None] = (
             _do_nothing
         )
@@ -186,6 +127,13 @@
         self.brittle = None
         self._slots = None
 
+    def stop(self) -> None:
+        """Stops at once; requests in progress are cut off."""
+        self.stopped = True
+        self.cut_off = len(self._scopes)
+        for scope in self._scopes:
+            scope.cancel()
+
     def _brittle_ms(self) -> float:
         return (anyio.current_time() - self._brittle_since_s) * MS_PER_SECOND
 
@@ -202,7 +150,9 @@
             received = await conn.read_request(DEFAULT_LIMITS)
             if not isinstance(received, ReceivedRequest):
                 return
-            if self.brittle and self.brittle.is_down(self._brittle_ms()):
+            if self.stopped or (
+                self.brittle and self.brittle.is_down(self._brittle_ms())
+            ):
                 conn.protocol.abort()
                 return
             self.active += 1
@@ -260,6 +210,12 @@
             return
         if self.mode == "silent":
             await anyio.sleep_forever()
+        is_bad = self.bad_version is not None and self.bad_version.affects(
+            req.target.decode("latin-1"), self.active
+        )
+        pace = 1.0
+        if is_bad and self.bad_version and self.bad_version.kind == SLOW:
+            pace = self.bad_version.slow_factor
         await self._read_prompt(headers)
         signed_headers = [
             (b"Attempt-Id", request_id),
@@ -270,15 +226,15 @@
             signed_headers.append(
                 (b"Response-Signature", b"sig." + request_id)
             )
-        if self.mode == "error":
+        if self.mode == "error" or (is_bad and pace == 1.0):
             await conn.respond(500, signed_headers, b"failed")
             return
         if self.mode == "stray":
             await self._send_stray(conn)
         if self.engine:
-            await self._stream(conn, headers, signed_headers)
+            await self._stream(conn, headers, signed_headers, pace)
             return
-        await anyio.sleep(self.work_ms / MS_PER_SECOND)
+        await anyio.sleep(pace * self.work_ms / MS_PER_SECOND)
         body = b"done " + req.body
         if self.mode == "large":
             body = b"x" * LARGE_BODY_BYTES
@@ -372,7 +328,9 @@
         conn: ServerConnection,
         headers: dict[bytes, bytes],
         signed_headers: list[tuple[bytes, bytes]],
+        pace: float,
     ) -> None:
+        gap_s = pace * EVENT_GAP_MS / MS_PER_SECOND
         kind = (b"Content-Type", b"text/event-stream")
         conn.start(
             200, [*signed_headers, kind, (b"Transfer-Encoding", b"chunked")]
@@ -390,7 +348,7 @@
                 await self._pause()
             conn.protocol.write(h11.Data(data=event))
             await conn.protocol.flush()
-            await anyio.sleep(EVENT_GAP_MS / MS_PER_SECOND)
+            await anyio.sleep(gap_s)
         conn.protocol.write(h11.EndOfMessage())
 
 
--- a/corianderdoor/tools/platform.py
+++ b/corianderdoor/tools/platform.py
@@ -12,6 +12,7 @@
 import sys
 from typing import Any
 
+from ..core.clock import SystemClock
 from ..core.entry.addresses import Address
 from ..core.entry.counters import Counters
 from ..core.entry.replica import Change
@@ -32,6 +33,7 @@
 )
 from ..platform.store import StoreClient, StoreError
 from .config_commands import EXIT_DONE, EXIT_REFUSED, EXIT_UNKNOWN
+from .platform_rollouts import print_rollout, summarize_rollouts
 
 
 def add_platform_parser(commands: Any) -> None:
@@ -76,7 +78,7 @@
         print(f"corianderdoorctl: {exc}", file=sys.stderr)
         return EXIT_UNKNOWN
     changes = [Change(x.key, x.value, x.revision) for x in items]
-    summary = summarize(changes, revision)
+    summary = summarize(changes, revision, SystemClock().wall_ms())
     if args.json:
         print(json.dumps(summary, indent=2))
     else:
@@ -84,8 +86,16 @@
     return EXIT_DONE
 
 
-def summarize(changes: list[Change], revision: int) -> dict[str, Any]:
-    """Summarizes the deployment that the items of a store describe."""
+def summarize(
+    changes: list[Change], revision: int, wall_ms: int = 0
+) -> dict[str, Any]:
+    """Summarizes the deployment that the items of a store describe.
+
+    Args:
+        changes: The items.
+        revision: Revision of the store.
+        wall_ms: Time since the Unix epoch in ms.
+    """
     servers: dict[str, Counter[str]] = {}
     hosts = []
     summary: dict[str, Any] = {
@@ -126,6 +136,7 @@
     summary["servers"] = {
         name: dict(servers[name]) for name in sorted(servers)
     }
+    summary["rollouts"] = summarize_rollouts(changes, wall_ms)
     summary["hosts"] = sorted(hosts, key=lambda host: str(host["name"]))
     return summary
 
@@ -150,6 +161,8 @@
     for service, states in summary["servers"].items():
         counts = ", ".join(f"{n} {state}" for state, n in states.items())
         print(f"servers of {service}: {counts}")
+    for service, rollout in summary["rollouts"].items():
+        print_rollout(service, rollout)
     print(f"entry hosts: {len(summary['hosts'])}")
     for host in summary["hosts"]:
         print(
--- a/tests/test_entry_active_hosts.py
+++ b/tests/test_entry_active_hosts.py
@@ -29,7 +29,7 @@
     MISSED_HEARTBEATS,
 )
 from corianderdoor.core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
-from corianderdoor.entry.host import CpuMeter
+from corianderdoor.entry.cpu_meter import CpuMeter
 from corianderdoor.platform.directory import MAX_ADDRESSES
 
 SLOW, FAST = 10.0, 200.0
--- a/tests/test_entry_brittle_answers.py
+++ b/tests/test_entry_brittle_answers.py
@@ -11,7 +11,7 @@
     run_fleet,
     send_request,
 )
-from corianderdoor.standins.platform_worker import Brittleness
+from corianderdoor.standins.brittleness import Brittleness
 
 LIMIT = 2
 # As the deployment lists them.
