Decide rollouts of new versions without any network

Operators order the rollout of a new version of a service, and the hosts had no means to shift the traffic. Add the evidence, the comparison of latencies, the shares and the count that bounds them, the plan of the record, and Rollouts, which the planner asks at each choice, send and answer. Without an order the hooks return at once. The choice among cold and warm servers moves out of the planner into server_choice.py.

--- a/corianderdoor/core/entry/cache_map.py
+++ b/corianderdoor/core/entry/cache_map.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from .counters import Counters
 from .requests import CallerRequest, PromptPart
 
 # A part takes about 300 bytes.
@@ -95,6 +96,21 @@
             if now_ms - used_ms < HOLDER_TTL_MS
         }
 
+    def count_prompt(
+        self,
+        req: CallerRequest,
+        server_id: str,
+        counters: Counters,
+        now_ms: int,
+    ) -> None:
+        """Counts the tokens of a prompt by where they are cached."""
+        for part in req.shared_parts():
+            holders = self.holders(part, now_ms)
+            place = "nowhere"
+            if holders:
+                place = "here" if server_id in holders else "elsewhere"
+            counters.add("prompt_tokens", part.tokens, cached=place)
+
     def snapshot(self, now_ms: int) -> list[tuple[int, str]]:
         """Returns the parts and servers that are saved over a restart."""
         return [
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -127,6 +127,7 @@
         reserved: Id of the server that the request is about to be sent to;
             None if there is none.
         unread: Prompt tokens that the server has not prefilled yet.
+        prefill_tokens: The same when the request was sent.
         excluded: Ids of the servers to which the request was sent or that were
             unreachable.
         runs: Number of servers that may have run the request.
@@ -153,6 +154,7 @@
         "server",
         "reserved",
         "unread",
+        "prefill_tokens",
         "excluded",
         "runs",
         "sends",
@@ -182,6 +184,7 @@
         self.server: BackendServer | None = None
         self.reserved: str | None = None
         self.unread = 0
+        self.prefill_tokens = 0
         self.excluded: set[str] = set()
         self.runs = 0
         self.sends = 0
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -25,6 +25,7 @@
 from .requests import CallerRequest
 from .retries import MIN_LEFT_MS, Retries
 from .routing import DesiredState
+from .server_choice import ServerChoice
 from .server_selection import ServerSelection
 from .servers import BackendServer
 from .silence import get_silence_timeout_ms
@@ -50,6 +51,7 @@
         leaving: Servers that announced that they leave.
         pauses: Servers that asked this host for no requests for a while.
         rooms: Room of the brittle servers.
+        rollouts: Rollouts of new versions.
         counters: Counters of decisions and results.
         crashing_requests: Requests that crash the servers that run them.
     """
@@ -64,9 +66,10 @@
         "leaving",
         "pauses",
         "rooms",
+        "rollouts",
         "counters",
         "crashing_requests",
-        "_name",
+        "_choice",
         "_cold_limiter",
         "_refusals",
         "_retries",
@@ -79,8 +82,12 @@
         cold_limiter: ColdRateLimiter,
         retry_budget: RetryBudget,
         rng: random.Random,
+        exposure_share: float = 0.1,
+        exposure_slack: int = 50,
+        rollback_ms: int = 5_000,
     ) -> None:
-        selection = ServerSelection(name, data_centre)
+        bounds = (exposure_share, exposure_slack, rollback_ms)
+        selection = ServerSelection(name, data_centre, bounds)
         self.selection = selection
         self.servers = selection.servers
         self.loads = selection.loads
@@ -90,11 +97,14 @@
         self.leaving = selection.leaving
         self.pauses = selection.pauses
         self.rooms = selection.rooms
+        self.rollouts = selection.rollouts
         self.counters = Counters()
         self.crashing_requests = CrashingRequests()
-        self._name = name
         self._cold_limiter = cold_limiter
         self._refusals = Refusals(selection, rng)
+        self._choice = ServerChoice(
+            name, selection, cold_limiter, self._refusals
+        )
         self._retries = Retries(selection, self._refusals, retry_budget)
 
     @property
@@ -110,6 +120,7 @@
     @hosts.setter
     def hosts(self, names: list[str]) -> None:
         self.selection.hosts = names
+        self.rollouts.hosts = names
 
     def set_desired(self, desired: DesiredState) -> bool:
         """Applies `desired`; returns False if it is not newer."""
@@ -185,36 +196,10 @@
         roomy = self.rooms.filter(usable, self.hosts, now_ms)
         if not roomy:
             return self._refusals.wait_for_room(flight, usable, now_ms)
-        warm = [s for s in roomy if not self.selection.may_be_cold(s, now_ms)]
-        if warm:
-            return self._send(
-                flight, self.selection.rank(flight, warm, now_ms)[0], now_ms
-            )
-        return self._choose_cold(flight, roomy, now_ms)
-
-    def _choose_cold(
-        self, flight: Flight, servers: list[BackendServer], now_ms: int
-    ) -> Send | Hold | Refuse:
-        service = self.selection.find_service(flight.service)
-        cold_per_s = service.cold_per_s if service is not None else 0.0
-        if cold_per_s <= 0:
-            return self._send(
-                flight, self.selection.rank(flight, servers, now_ms)[0], now_ms
-            )
-        shortest_ms: int | None = None
-        for server in self.selection.rank(flight, servers, now_ms):
-            share = self._cold_limiter.share(
-                server.id, cold_per_s, self._name, self.hosts
-            )
-            wait_ms = self._cold_limiter.wait_ms(server.id, share, now_ms)
-            if wait_ms == 0:
-                self._cold_limiter.record(server.id, now_ms)
-                return self._send(flight, server, now_ms)
-            if wait_ms is not None:
-                shortest_ms = min(wait_ms, shortest_ms or wait_ms)
-        if shortest_ms is None:
-            return self._refusals.refuse(flight, "cold-servers", now_ms)
-        return self._refusals.hold(flight, shortest_ms, "cold-servers", now_ms)
+        found = self._choice.choose(flight, roomy, now_ms)
+        if isinstance(found, BackendServer):
+            return self._send(flight, found, now_ms)
+        return found
 
     def _send(
         self, flight: Flight, server: BackendServer, now_ms: int
@@ -234,11 +219,16 @@
     ) -> None:
         """Records that the request is sent to `server`."""
         if flight.req.parts:
-            self._count_prompt(flight.req, server, now_ms)
+            self.caches.count_prompt(
+                flight.req, server.id, self.counters, now_ms
+            )
             flight.unread = self.selection.count_unread(
                 flight.req, server, now_ms
             )
             self.caches.record(flight.req, server.id, now_ms)
+        if not self.rollouts.is_idle:
+            flight.prefill_tokens = flight.unread
+            self.rollouts.record_sent(flight, server, now_ms)
         if flight.sends:
             self.counters.add("repeats")
         flight.server = server
@@ -256,15 +246,23 @@
             self.loads.end_prefill(flight.server.id, flight.unread)
         flight.unread = 0
 
-    def _count_prompt(
-        self, req: CallerRequest, server: BackendServer, now_ms: int
+    def record_rollout_answer(
+        self,
+        flight: Flight,
+        server: BackendServer,
+        bad: bool,
+        first_ms: int | None,
+        per_event_ms: float | None,
+        now_ms: int,
     ) -> None:
-        for part in req.shared_parts():
-            holders = self.caches.holders(part, now_ms)
-            place = "nowhere"
-            if holders:
-                place = "here" if server.id in holders else "elsewhere"
-            self.counters.add("prompt_tokens", part.tokens, cached=place)
+        """Records a finished answer; see `Rollouts.record_answer`.
+
+        Answers that state that the request has not run are not recorded.
+        """
+        if not self.rollouts.is_idle:
+            self.rollouts.record_answer(
+                flight, server, bad, first_ms, per_event_ms, now_ms
+            )
 
     def record_answer_begun(self, flight: Flight, now_ms: int) -> None:
         """Records that the server has begun to answer."""
@@ -310,7 +308,7 @@
             self.record_unreached(flight, server, now_ms)
             return Again()
         self.counters.add("sends", ending=ending.value)
-        self._update_ejections(server, ending, now_ms)
+        self.ejections.record_ending(server.id, ending, now_ms)
         if ending is Ending.BROKEN:
             self.restarts.record_broken(server.id, now_ms)
             self.crashing_requests.record_broken_connection(
@@ -335,7 +333,7 @@
     ) -> None:
         """Records that no connection to a server could be opened."""
         self.counters.add("sends", ending=Ending.UNREACHED.value)
-        self._update_ejections(server, Ending.UNREACHED, now_ms)
+        self.ejections.record_ending(server.id, Ending.UNREACHED, now_ms)
         self.crashing_requests.confirm_crash(server.id, now_ms)
         self.restarts.record_unreachable(server.id, now_ms)
         flight.excluded.add(server.id)
@@ -363,6 +361,7 @@
             and not self.selection.may_be_cold(server, now_ms)
         ]
         servers = self.rooms.filter(servers, self.hosts, now_ms)
+        servers = self.rollouts.filter(flight, servers, now_ms)
         if not servers or not self._retries.take_move(flight, now_ms):
             return None
         return self._send(
@@ -377,16 +376,3 @@
     def record_silence(self, server: BackendServer, now_ms: int) -> None:
         """Records that a server has been silent for too long."""
         self.ejections.record_failure(server.id, now_ms)
-
-    def _update_ejections(
-        self, server: BackendServer, ending: Ending, now_ms: int
-    ) -> None:
-        if ending in (Ending.UNREACHED, Ending.WRONG_SERVER):
-            # If another server has the address, this one is gone.
-            self.ejections.record_unreachable(server.id, now_ms)
-        elif ending in (
-            Ending.BROKEN,
-            Ending.INVALID_ANSWER,
-            Ending.SERVER_ERROR,
-        ):
-            self.ejections.record_failure(server.id, now_ms)
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -19,6 +19,7 @@
     under_bound,
 )
 from .requests import CallerRequest
+from .rollouts import Rollouts
 from .routing import DesiredState, Service
 from .server_ejection import ServerEjections
 from .server_pauses import ServerPauses
@@ -26,6 +27,9 @@
 from .servers import BackendServer, Servers
 from .suspected_restarts import SuspectedRestarts
 
+# `exposure_share`, `exposure_slack` and `rollback_ms` of `Rollouts`.
+RolloutBounds = tuple[float, int, int]
+
 
 class ServerSelection:
     """What one entry host knows of the servers, and whom it may choose.
@@ -44,6 +48,7 @@
         leaving: Servers that announced that they leave.
         pauses: Servers that asked this host for no requests for a while.
         rooms: Room of the brittle servers.
+        rollouts: Rollouts of new versions.
     """
 
     __slots__ = (
@@ -58,16 +63,20 @@
         "leaving",
         "pauses",
         "rooms",
+        "rollouts",
         "_name",
         "_data_centre",
     )
 
-    def __init__(self, name: str, data_centre: str) -> None:
+    def __init__(
+        self, name: str, data_centre: str, bounds: RolloutBounds
+    ) -> None:
         """Creates the selection of a host that knows no servers yet.
 
         Args:
             name: Name of this host.
             data_centre: Data centre of this host.
+            bounds: Bounds on what a bad version may get.
         """
         self.desired: DesiredState | None = None
         self.hosts: list[str] = [name]
@@ -80,6 +89,9 @@
         self.leaving = LeavingServers()
         self.pauses = ServerPauses()
         self.rooms = ServerRooms(name, self.servers, self.loads)
+        self.rollouts = Rollouts(
+            name, self.servers, self.loads, self.may_be_cold, *bounds
+        )
         self._name = name
         self._data_centre = data_centre
 
@@ -93,6 +105,9 @@
         """Returns whether `server` takes requests of this host."""
         if self.pauses.left_ms(server, now_ms):
             return False
+        if not self.rollouts.is_idle:
+            if not self.rollouts.may_send(server, now_ms):
+                return False
         return not self.leaving.includes(server)
 
     def list_staying(self, flight: Flight) -> list[BackendServer]:
@@ -102,6 +117,8 @@
             for server in self.servers.usable(flight.service)
             if not self.leaving.includes(server)
         ]
+        if not self.rollouts.is_idle:
+            listed = self.rollouts.allowed(flight.service, listed)
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
