Connect the decisions about rollouts to the hosts

The decisions had no input and no output. Hosts whose settings name the contract "rollout" apply orders and records, exchange reports in heartbeats, log changes and write outcomes.

A truncated heartbeat of several segments ended the process: the library reads the later segments late and fails while it frees the message. Such messages are refused before they are read, and the words that a heartbeat may name are bounded; a damaged one took 0.46 s to read.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -35,7 +35,7 @@
 from .directory import DirectoryService
 from .metrics import MetricsService
 from .peering import Peering
-from .rollout_feed import RolloutDecisions, RolloutFeed
+from .rollout_feed import RolloutFeed
 from .rollout_writer import RolloutWriter
 from .server_links import ServerLinks
 from .server_marks import ServerMarks
@@ -99,7 +99,6 @@
         rng: random.Random,
         metrics_port: int | None = None,
         connect_server: Connect = connect,
-        rollouts: RolloutDecisions | None = None,
     ) -> None:
         """Initializes the host and its parts.
 
@@ -110,7 +109,6 @@
             rng: Source of jitter.
             metrics_port: Port that serves metrics; None disables them.
             connect_server: Opens connections to servers.
-            rollouts: Decisions about rollouts.
         """
         self._metrics_port = metrics_port
         self._settings = settings
@@ -126,6 +124,9 @@
                 settings.repeat_window_ms,
             ),
             rng,
+            settings.exposure_share,
+            int(settings.exposure_slack),
+            settings.rollback_ms,
         )
         self._peers = Peers(
             settings.name, settings.link_mbps, settings.data_centre
@@ -137,9 +138,9 @@
         self._pool = ConnectionPool(clock, self._links)
         self._planner.selection.is_connected = self._pool.is_connected
         self._rollouts: RolloutFeed | None = None
-        if rollouts is not None and ROLLOUT_CONTRACT in settings.contracts:
+        if ROLLOUT_CONTRACT in settings.contracts:
             self._rollouts = RolloutFeed(
-                rollouts,
+                self._planner.rollouts,
                 self._peers,
                 clock,
                 self._planner.counters,
@@ -189,7 +190,7 @@
             TunnelService(
                 self._planner.servers, self._planner.counters, connect_server
             ),
-            self._rollouts.decisions if self._rollouts else None,
+            self._rollouts.rollouts if self._rollouts else None,
         )
         self._sync.attach(self._peering)
         self._ticks = TickMonitor(clock.now_ms())
@@ -197,7 +198,7 @@
         if self._rollouts is not None:
             self._rollout_writer = RolloutWriter(
                 self._connect_store(),
-                self._rollouts.decisions,
+                self._rollouts.rollouts,
                 self._peers,
                 self._applier,
                 self._ticks,
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -11,8 +11,10 @@
 
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.replica import Change, Page
+from ..core.entry.rollout_evidence import MAX_ROUTES, MAX_SERVERS
 from ..core.entry.rollout_records import RolloutReport, RouteCounts
 from ..core.entry.server_room import RoomReport
+from .packed_messages import is_whole
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
 # Highest values that the fields of a heartbeat can hold; higher ones are sent
@@ -22,15 +24,16 @@
 # The fastest level; the records are text, which compresses well at any level.
 COMPRESSION_LEVEL: Final = 1
 MAX_PERCENT: Final = 100
-# Bounds of what a heartbeat says about rollouts, about 800 bytes for each.
+# Rollouts in one heartbeat, each of about 650 bytes at most.
 MAX_ROLLOUTS: Final = 4
-MAX_ROLLOUT_ROUTES: Final = 12
-MAX_ROLLOUT_SERVERS: Final = 32
 MAX_ANSWERS: Final = 2**32 - 1
 MAX_TOKENS: Final = 2**32 - 1
 MAX_PAGE_BYTES: Final = 33_554_432
 # Traversal limit in words; stops messages with pointers to themselves.
 MAX_WORDS: Final = 4_194_304
+# The same for a heartbeat. The largest datagram has 13,000 words of loads; a
+# damaged one that names far more took half a second to read.
+MAX_HEARTBEAT_WORDS: Final = 65_536
 
 
 class MessageError(Exception):
@@ -102,7 +105,7 @@
                     "newAnswers": min(MAX_ANSWERS, counts.new_answers),
                     "newBad": min(MAX_ANSWERS, counts.new_bad),
                 }
-                for counts in report.routes[:MAX_ROLLOUT_ROUTES]
+                for counts in report.routes[:MAX_ROUTES]
             ],
             "servers": [
                 {
@@ -110,9 +113,7 @@
                     "answers": min(MAX_ANSWERS, answers),
                     "bad": min(MAX_ANSWERS, bad),
                 }
-                for server, answers, bad in report.servers[
-                    :MAX_ROLLOUT_SERVERS
-                ]
+                for server, answers, bad in report.servers[:MAX_SERVERS]
             ],
         }
         for report in ordered[:MAX_ROLLOUTS]
@@ -134,13 +135,11 @@
                     counts.newAnswers,
                     counts.newBad,
                 )
-                for counts in itertools.islice(raw.routes, MAX_ROLLOUT_ROUTES)
+                for counts in itertools.islice(raw.routes, MAX_ROUTES)
             ),
             tuple(
                 (server.server, server.answers, server.bad)
-                for server in itertools.islice(
-                    raw.servers, MAX_ROLLOUT_SERVERS
-                )
+                for server in itertools.islice(raw.servers, MAX_SERVERS)
             ),
         )
         for raw in itertools.islice(rollouts, MAX_ROLLOUTS)
@@ -154,7 +153,11 @@
         MessageError: `data` is not a valid heartbeat.
     """
     try:
-        raw = _SCHEMA.Heartbeat.from_bytes_packed(data)
+        if not is_whole(data):
+            raise ValueError("message ends before its last segment")
+        raw = _SCHEMA.Heartbeat.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_HEARTBEAT_WORDS
+        )
         return Heartbeat(
             raw.sender,
             raw.boot,
@@ -275,6 +278,8 @@
         MessageError: `data` is not a valid value.
     """
     try:
+        if not is_whole(data):
+            raise ValueError("message ends before its last segment")
         raw = _SCHEMA.Caches.from_bytes_packed(
             data, traversal_limit_in_words=MAX_WORDS
         )
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -23,6 +23,7 @@
 from ..core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
 from ..core.entry.planner import Planner
 from ..core.entry.replica import is_ahead, Page, Replica
+from ..core.entry.rollouts import Rollouts
 from ..core.entry.routing import DEFAULT_LIMITS
 from ..core.entry.servers import digest_id
 from ..platform.store import read_full_answer
@@ -34,7 +35,6 @@
     encode_page,
     MessageError,
 )
-from .rollout_feed import RolloutDecisions
 from .tunnels import TunnelService
 
 PULL_TIMEOUT_MS: Final = 500
@@ -63,7 +63,7 @@
         contact_age_ms: Callable[[], int],
         on_newer_revision: Callable[[], None],
         tunnels: TunnelService,
-        rollouts: RolloutDecisions | None = None,
+        rollouts: Rollouts | None = None,
     ) -> None:
         """Initializes the protocol.
 
--- a/corianderdoor/entry/rollout_writer.py
+++ b/corianderdoor/entry/rollout_writer.py
@@ -12,6 +12,7 @@
 from ..core.entry.peers import Peers
 from ..core.entry.replica import Change, Page
 from ..core.entry.rollout_records import RolloutOutcome
+from ..core.entry.rollouts import Rollouts
 from ..platform.changes import (
     decode_change,
     RolloutOrderChange,
@@ -25,7 +26,6 @@
     STATUS_PREFIX,
 )
 from ..platform.store import StoreClient, StoreError
-from .rollout_feed import RolloutDecisions
 from .state_applier import StateApplier
 from .tick_monitor import TickMonitor
 
@@ -60,7 +60,7 @@
     def __init__(
         self,
         store: StoreClient,
-        rollouts: RolloutDecisions,
+        rollouts: Rollouts,
         peers: Peers,
         applier: StateApplier,
         ticks: TickMonitor,
@@ -183,7 +183,7 @@
             result = "not-applied" if exc.not_applied else "unanswered"
         self._counters.add("rollout_writes", result=result)
         log_event(
-            "rollout_outcome",
+            "rollout_written",
             "INFO" if written else "WARNING",
             service=service,
             to=record.to,
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -25,6 +25,7 @@
     ServerRemoved,
     UnusableRecord,
 )
+from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
 from .rollout_feed import RolloutFeed
@@ -93,6 +94,8 @@
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
         changes = self.replica.apply(page, grace_ms)
+        if restored:
+            changes += self._list_rollouts_kept(changes)
         for change in changes:
             from_copy = restored and (
                 change.value is None
@@ -101,6 +104,20 @@
             self._apply_change(change, source, from_copy)
         return len(changes)
 
+    def _list_rollouts_kept(self, changes: list[Change]) -> list[Change]:
+        """Returns the items about rollouts that are not in `changes`.
+
+        In a new era they may have other revisions with the same values, and
+        an order with another revision is another order.
+        """
+        changed = {change.key for change in changes}
+        return [
+            item
+            for item in self.replica.items()
+            if item.key.startswith((ORDER_PREFIX, ROLLOUT_PREFIX))
+            and item.key not in changed
+        ]
+
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -167,25 +167,32 @@
 
 def decode_change(change: Change) -> DecodedChange | None:
     """Returns the decoded `change`; None if it is not relevant here."""
-    key = change.key
     try:
-        if key.startswith(SERVER_PREFIX):
-            return _decode_server_change(change, key[len(SERVER_PREFIX) :])
-        if key.startswith(EVACUATION_PREFIX):
-            data_centre = key[len(EVACUATION_PREFIX) :]
-            return Evacuation(data_centre, change.value is not None)
-        if key.startswith(HOST_PREFIX):
-            return _decode_host_change(change, key[len(HOST_PREFIX) :])
-        if key.startswith(ORDER_PREFIX):
-            return _decode_order_change(change, key[len(ORDER_PREFIX) :])
-        if key.startswith(ROLLOUT_PREFIX):
-            return _decode_rollout_change(change, key[len(ROLLOUT_PREFIX) :])
-        if key == DESIRED_KEY and change.value is not None:
-            return DesiredStateChange(decode_desired(change.value))
-        if key == CACHES_KEY and change.value is not None:
-            return CacheSnapshot(change.value)
+        return _decode(change)
     except RecordError as exc:
-        return UnusableRecord(key, str(exc))
+        return UnusableRecord(change.key, str(exc))
+    except RecursionError:
+        # The decoder raises it for values that are nested too deep.
+        return UnusableRecord(change.key, "nested too deep")
+
+
+def _decode(change: Change) -> DecodedChange | None:
+    key = change.key
+    if key.startswith(SERVER_PREFIX):
+        return _decode_server_change(change, key[len(SERVER_PREFIX) :])
+    if key.startswith(EVACUATION_PREFIX):
+        data_centre = key[len(EVACUATION_PREFIX) :]
+        return Evacuation(data_centre, change.value is not None)
+    if key.startswith(HOST_PREFIX):
+        return _decode_host_change(change, key[len(HOST_PREFIX) :])
+    if key.startswith(ORDER_PREFIX):
+        return _decode_order_change(change, key[len(ORDER_PREFIX) :])
+    if key.startswith(ROLLOUT_PREFIX):
+        return _decode_rollout_change(change, key[len(ROLLOUT_PREFIX) :])
+    if key == DESIRED_KEY and change.value is not None:
+        return DesiredStateChange(decode_desired(change.value))
+    if key == CACHES_KEY and change.value is not None:
+        return CacheSnapshot(change.value)
     return None
 
 
--- a/corianderdoor/platform/rollouts.py
+++ b/corianderdoor/platform/rollouts.py
@@ -138,6 +138,6 @@
     """
     try:
         raw = msgspec.json.decode(value, type=_Status)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
         raise RecordError(f"status of service {service}: {exc}") from exc
     return raw.state, raw.to
--- a/corianderdoor/standins/platform_rollout.py
+++ b/corianderdoor/standins/platform_rollout.py
@@ -56,11 +56,15 @@
         self._fleet = fleet
 
     async def start(self, kind: str = GOOD) -> None:
-        """Starts the new workers and orders the rollout.
+        """Orders the rollout and starts the new workers.
 
         Args:
             kind: `GOOD`, or a kind of `BadVersion`.
         """
+        self._fleet.store.state.put(
+            ORDER_PREFIX + self.service,
+            encode_order(self.service, NEW_VERSION, self.duration_s),
+        )
         for number in range(len(self.old)):
             worker = await self._fleet.add_worker(
                 f"{self.service}-{NEW_VERSION}-{number}",
@@ -71,10 +75,6 @@
             if kind != GOOD:
                 worker.bad_version = BadVersion(kind)
             self.new.append(worker)
-        self._fleet.store.state.put(
-            ORDER_PREFIX + self.service,
-            encode_order(self.service, NEW_VERSION, self.duration_s),
-        )
 
     def withdraw(self) -> None:
         """Removes the order."""
--- a/corianderdoor/tools/platform_rollouts.py
+++ b/corianderdoor/tools/platform_rollouts.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from typing import Any, Final
+from typing import Any
 
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.replica import Change
 from ..core.entry.rollout_records import RolloutState
+from ..core.entry.rollout_stages import find_share, find_stage
 from ..platform.changes import (
     decode_change,
     RolloutOrderChange,
@@ -17,11 +18,6 @@
 from ..platform.records import RecordError
 from ..platform.rollouts import decode_status, STATUS_PREFIX
 
-# Shares of the time budget from which the stages begin; see
-# docs/design/versions_and_hard_load.md.
-EXPAND_FROM: Final = 0.55
-FULL_FROM: Final = 0.7
-
 
 def summarize_rollouts(
     changes: list[Change], wall_ms: int
@@ -84,15 +80,10 @@
         return "changing"
     elapsed_ms = wall_ms - record["started_ms"]
     part = elapsed_ms / (MS_PER_SECOND * order["duration_s"])
-    return f"{_name_stage(part)}, {part:.0%} of the time budget"
-
-
-def _name_stage(part: float) -> str:
     if part < 0:
-        return "unknown"
-    if part < EXPAND_FROM:
-        return "canary"
-    return "expand" if part < FULL_FROM else "full"
+        return "unknown, as the order is from the future"
+    stage = find_stage(find_share(part), False)
+    return f"{stage.value}, {part:.0%} of the time budget"
 
 
 def print_rollout(service: str, rollout: dict[str, Any]) -> None:
