--- a/corianderdoor/core/entry/rollout_choice.py
+++ b/corianderdoor/core/entry/rollout_choice.py
@@ -13,6 +13,7 @@
     CHAT_PART,
     choose_canaries,
     find_point,
+    Stage,
 )
 from .servers import BackendServer, Servers
 
@@ -61,8 +62,11 @@
             new = [s for s in new if s.id in canaries]
         if not new or not old:
             return new or old
-        if self._has_failed(flight, progress.to):
-            return old
+        # In stage full the old servers have to run out of requests, as those
+        # in progress there are cut off at the end.
+        if progress.stage is not Stage.FULL:
+            if self._has_failed(flight, progress.to):
+                return old
         if not self._wants_new(flight, progress):
             return old
         return self._under_bound(flight.service, new, now_ms) or old
--- a/corianderdoor/core/entry/rollout_evidence.py
+++ b/corianderdoor/core/entry/rollout_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 import math
 from typing import Final
 
@@ -21,8 +22,16 @@
 # version: the time to roll back counts from the 50th.
 MANY_BAD: Final = 40
 MANY_BAD_FACTOR: Final = 2
+# The old version's rate starts from this number of answers at this rate, so
+# that the first ones do not make the new version look bad.
+PRIOR_ANSWERS: Final = 20
+PRIOR_RATE: Final = 0.1
 # Old answers from which a route's own rate is used.
 MIN_OLD_ANSWERS: Final = 20
+# Number of evaluations over which the latest rate of the old version is
+# taken, about a second. A burst of failures that hits all servers shows in
+# it before it shows in the rate since the order.
+RECENT: Final = 10
 # What is needed to leave the canary.
 MIN_ANSWERS: Final = 40
 MIN_ROUTE_ANSWERS: Final = 8
@@ -89,6 +98,7 @@
         "_routes",
         "_servers",
         "_tests",
+        "_recent",
         "_is_changed",
     )
 
@@ -101,6 +111,7 @@
         self._routes: dict[int, Counts] = {}
         self._servers: ServerCounts = {}
         self._tests: dict[int | None, _Test] = {}
+        self._recent: deque[Counts] = deque(maxlen=RECENT)
         self._is_changed = False
 
     def record(self, route: int, server: int, is_new: bool, bad: bool) -> None:
@@ -221,13 +232,17 @@
         since = tuple(a - b for a, b in zip(counts, test.counts))
         if _has_many_bad(counts) or _has_many_bad(since):
             return "many-bad"
+        first = self._recent[0] if self._recent else NO_ROUTE
+        self._recent.append(counts)
         old_rate = _rate(counts)
+        recent_rate = _rate(tuple(a - b for a, b in zip(counts, first)))
+        old_rate = max(old_rate, recent_rate)
         if self._run(test, counts, old_rate, snapshot):
             return "all-routes"
         for route, route_counts in self._routes.items():
             test = self._tests.setdefault(route, _Test())
             if route_counts[0] >= MIN_OLD_ANSWERS:
-                rate = _rate(route_counts)
+                rate = max(_rate(route_counts), recent_rate)
             else:
                 rate = old_rate
             if self._run(test, route_counts, rate, snapshot):
@@ -284,7 +299,9 @@
 
 
 def _rate(counts: Counts) -> float:
-    return counts[1] / counts[0] if counts[0] else 0.0
+    """Returns the rate of bad answers of the old version."""
+    bad = counts[1] + PRIOR_ANSWERS * PRIOR_RATE
+    return bad / (counts[0] + PRIOR_ANSWERS)
 
 
 def _has_many_bad(counts: Counts) -> bool:
--- a/corianderdoor/core/entry/rollouts.py
+++ b/corianderdoor/core/entry/rollouts.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
+from typing import Final
 
 from .flights import Flight
 from .loads import Loads
@@ -26,6 +27,9 @@
 from .rollout_stages import find_slack, Stage
 from .servers import BackendServer, digest_id, Servers
 
+# Heartbeats without delay after a change.
+URGENT_HEARTBEATS: Final = 3
+
 
 class Rollouts:
     """Rollouts of all services, as one host sees them.
@@ -48,7 +52,7 @@
         "_live",
         "_changes",
         "_choice",
-        "_is_urgent",
+        "_urgent",
     )
 
     def __init__(
@@ -86,7 +90,7 @@
         self._live: Collection[str] = ()
         self._changes: list[RolloutChange] = []
         self._choice = RolloutChoice(servers, loads, exposure_share)
-        self._is_urgent = False
+        self._urgent = 0
 
     @property
     def is_idle(self) -> bool:
@@ -338,7 +342,8 @@
                 is_silent,
                 progress.to in self._versions(progress.service),
             )
-            self._is_urgent = self._is_urgent or bool(changes)
+            if changes:
+                self._urgent = URGENT_HEARTBEATS + 1
             self._changes += changes
             self._watch_full(progress, now_ms)
         changes, self._changes = self._changes, []
@@ -356,11 +361,12 @@
     def take_urgent(self) -> bool:
         """Returns whether peers should get a heartbeat without delay.
 
-        This is so once after each change of stage and each verdict: hosts
-        in reserve send heartbeats several seconds apart.
+        This is so some times after each change of stage and each verdict:
+        hosts in reserve send heartbeats several seconds apart, and one may
+        be lost.
         """
-        is_urgent, self._is_urgent = self._is_urgent, False
-        return is_urgent
+        self._urgent -= self._urgent > 0
+        return self._urgent > 0
 
     def totals(self) -> list[tuple[str, str, RouteCounts]]:
         """Returns service, new version and answers of each rollout."""
