--- a/corianderdoor/standins/rollout_fleet.py
+++ b/corianderdoor/standins/rollout_fleet.py
@@ -34,6 +34,8 @@
 WALL_MS: Final = 1_800_000_000_000
 TICK_MS: Final = 100
 STORE_MS: Final = 40
+# When the servers of the new version are listed.
+SERVERS_MS: Final = 250
 # Routes with their shares of the requests.
 ROUTES: Final = (("chat", 0.5), ("once", 0.3), ("read", 0.15), ("tags", 0.05))
 # The answers that start the time to roll back.
@@ -119,6 +121,7 @@
         self._make = make_rollouts
         self._in_flight: Counter[str] = Counter()
         self.servers = self._build_servers(servers)
+        self.at(SERVERS_MS, functools.partial(self._start_servers, servers))
         self._typical = per_s * ANSWER_MS / 1_000 / servers
         self._routes = [
             Route(
@@ -144,23 +147,14 @@
 
     def _build_servers(self, count: int) -> Servers:
         servers = Servers()
-        for version in (OLD, NEW):
-            for n in range(count):
-                server = BackendServer(
-                    f"{version}-{n}",
-                    SERVICE,
-                    "10.0.0.1",
-                    8_000 + n,
-                    "a",
-                    True,
-                    16,
-                    0.0,
-                    1,
-                    version,
-                )
-                servers.put(server, 0)
+        for n in range(count):
+            servers.put(_build_server(OLD, n), 0)
         return servers
 
+    def _start_servers(self, count: int) -> None:
+        for n in range(count):
+            self.servers.put(_build_server(NEW, n), self.now_ms)
+
     def at(self, at_ms: float, act: Callable[[], None]) -> None:
         """Calls `act` at a time."""
         self._number += 1
@@ -470,3 +464,18 @@
         if len(self.bad_ms) < COUNTED_BAD:
             return None
         return max(0, self.last_new_ms - self.bad_ms[COUNTED_BAD - 1])
+
+
+def _build_server(version: str, number: int) -> BackendServer:
+    return BackendServer(
+        f"{version}-{number}",
+        SERVICE,
+        "10.0.0.1",
+        8_000 + number,
+        "a",
+        True,
+        16,
+        0.0,
+        1,
+        version,
+    )
