--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -171,6 +171,7 @@
             there, its own included.
         sent_ms: When the request was sent there.
         copies: Whether the server copies a part of the prompt.
+        prefill_tokens: The same when the request was sent.
         excluded: Ids of the servers to which the request was sent or that were
             unreachable.
         runs: Number of servers that may have run the request.
@@ -200,6 +201,7 @@
         "queued",
         "sent_ms",
         "copies",
+        "prefill_tokens",
         "excluded",
         "runs",
         "sends",
@@ -232,6 +234,7 @@
         self.queued = 0
         self.sent_ms = 0
         self.copies = False
+        self.prefill_tokens = 0
         self.excluded: set[str] = set()
         self.runs = 0
         self.sends = 0
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -23,6 +23,7 @@
 )
 from .prefill_rates import PrefillRates, REFERENCE_RATE
 from .requests import CallerRequest
+from .rollouts import Rollouts
 from .routing import DEFAULT_GAP_MS, DesiredState, Service
 from .server_ejection import ServerEjections
 from .server_pauses import ServerPauses
@@ -31,6 +32,9 @@
 from .suspected_restarts import SuspectedRestarts
 from .waiting_requests import WaitingRequests
 
+# `exposure_share`, `exposure_slack` and `rollback_ms` of `Rollouts`.
+RolloutBounds = tuple[float, int, int]
+
 
 class ServerSelection:
     """What one entry host knows of the servers, and whom it may choose.
@@ -52,6 +56,7 @@
         rates: Prefill rates of the services.
         forecasts: Forecasts of the time to the first event.
         waiting: Servers that state that requests wait there.
+        rollouts: Rollouts of new versions.
     """
 
     __slots__ = (
@@ -69,16 +74,20 @@
         "rates",
         "forecasts",
         "waiting",
+        "rollouts",
         "_name",
         "_data_centre",
     )
 
-    def __init__(self, name: str, data_centre: str) -> None:
+    def __init__(
+        self, name: str, data_centre: str, bounds: RolloutBounds
+    ) -> None:
         """Creates the selection of a host that knows no servers yet.
 
         Args:
             name: Name of this host.
             data_centre: Data centre of this host.
+            bounds: Bounds on what a bad version may get.
         """
         self.desired: DesiredState | None = None
         self.hosts: list[str] = [name]
@@ -96,6 +105,9 @@
         self.forecasts = FirstEventForecasts(
             self.servers, self.loads, self.rates
         )
+        self.rollouts = Rollouts(
+            name, self.servers, self.loads, self.may_be_cold, *bounds
+        )
         self._name = name
         self._data_centre = data_centre
 
@@ -124,6 +136,9 @@
         """Returns whether `server` takes requests of this host."""
         if self.pauses.left_ms(server, now_ms):
             return False
+        if not self.rollouts.is_idle:
+            if not self.rollouts.may_send(server, now_ms):
+                return False
         return not self.leaving.includes(server)
 
     def list_staying(self, flight: Flight) -> list[BackendServer]:
@@ -133,6 +148,8 @@
             for server in self.servers.usable(flight.service)
             if not self.leaving.includes(server)
         ]
+        if not self.rollouts.is_idle:
+            listed = self.rollouts.allowed(flight.service, listed)
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import pathlib
 from typing import Any, Final
 import zlib
@@ -10,7 +11,10 @@
 
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.replica import Change, Page
+from ..core.entry.rollout_evidence import MAX_ROUTES, MAX_SERVERS
+from ..core.entry.rollout_records import RolloutReport, RouteCounts
 from ..core.entry.server_room import RoomReport
+from .packed_messages import is_whole
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
 # Highest values that the fields of a heartbeat can hold; higher ones are sent
@@ -20,10 +24,16 @@
 # The fastest level; the records are text, which compresses well at any level.
 COMPRESSION_LEVEL: Final = 1
 MAX_PERCENT: Final = 100
+# Rollouts in one heartbeat, each of about 650 bytes at most.
+MAX_ROLLOUTS: Final = 4
+MAX_ANSWERS: Final = 2**32 - 1
 MAX_TOKENS: Final = 2**32 - 1
 MAX_PAGE_BYTES: Final = 33_554_432
 # Traversal limit in words; stops messages with pointers to themselves.
 MAX_WORDS: Final = 4_194_304
+# The same for a heartbeat. The largest datagram has 13,000 words of loads; a
+# damaged one that names far more took half a second to read.
+MAX_HEARTBEAT_WORDS: Final = 65_536
 
 
 class MessageError(Exception):
@@ -71,10 +81,71 @@
             }
             for report in heartbeat.rooms
         ],
+        rollouts=_encode_rollouts(heartbeat.rollouts),
     )
     return bytes(message.to_bytes_packed())
 
 
+def _encode_rollouts(
+    reports: tuple[RolloutReport, ...],
+) -> list[dict[str, Any]]:
+    # Verdicts come first, as the bounds must not leave one out.
+    ordered = sorted(reports, key=lambda report: not report.is_bad)
+    return [
+        {
+            "service": report.service,
+            "orderRevision": report.order_revision,
+            "sharePermille": min(MAX_COUNT, report.share_permille),
+            "isBad": report.is_bad,
+            "routes": [
+                {
+                    "route": counts.route,
+                    "oldAnswers": min(MAX_ANSWERS, counts.old_answers),
+                    "oldBad": min(MAX_ANSWERS, counts.old_bad),
+                    "newAnswers": min(MAX_ANSWERS, counts.new_answers),
+                    "newBad": min(MAX_ANSWERS, counts.new_bad),
+                }
+                for counts in report.routes[:MAX_ROUTES]
+            ],
+            "servers": [
+                {
+                    "server": server,
+                    "answers": min(MAX_ANSWERS, answers),
+                    "bad": min(MAX_ANSWERS, bad),
+                }
+                for server, answers, bad in report.servers[:MAX_SERVERS]
+            ],
+        }
+        for report in ordered[:MAX_ROLLOUTS]
+    ]
+
+
+def _decode_rollouts(rollouts: Any) -> tuple[RolloutReport, ...]:
+    return tuple(
+        RolloutReport(
+            raw.service,
+            raw.orderRevision,
+            raw.sharePermille,
+            raw.isBad,
+            tuple(
+                RouteCounts(
+                    counts.route,
+                    counts.oldAnswers,
+                    counts.oldBad,
+                    counts.newAnswers,
+                    counts.newBad,
+                )
+                for counts in itertools.islice(raw.routes, MAX_ROUTES)
+            ),
+            tuple(
+                (server.server, server.answers, server.bad)
+                for server in itertools.islice(raw.servers, MAX_SERVERS)
+            ),
+        )
+        for raw in itertools.islice(rollouts, MAX_ROLLOUTS)
+    )
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Returns the heartbeat in a datagram.
 
@@ -82,7 +153,11 @@
         MessageError: `data` is not a valid heartbeat.
     """
     try:
-        raw = _SCHEMA.Heartbeat.from_bytes_packed(data)
+        if not is_whole(data):
+            raise ValueError("message ends before its last segment")
+        raw = _SCHEMA.Heartbeat.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_HEARTBEAT_WORDS
+        )
         return Heartbeat(
             raw.sender,
             raw.boot,
@@ -106,6 +181,7 @@
                 RoomReport(room.server, room.limit, room.rejected, room.room)
                 for room in raw.rooms
             ),
+            _decode_rollouts(raw.rollouts),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
@@ -202,6 +278,8 @@
         MessageError: `data` is not a valid value.
     """
     try:
+        if not is_whole(data):
+            raise ValueError("message ends before its last segment")
         raw = _SCHEMA.Caches.from_bytes_packed(
             data, traversal_limit_in_words=MAX_WORDS
         )
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -19,12 +19,16 @@
     Evacuation,
     HostListed,
     HostRemoved,
+    RolloutOrderChange,
+    RolloutRecordChange,
     ServerListed,
     ServerRemoved,
     UnusableRecord,
 )
+from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
+from .rollout_feed import RolloutFeed
 
 # Servers of a data centre that takes requests again may be cold, which their
 # entries show only after their next heartbeat; until then they count as cold.
@@ -51,6 +55,7 @@
         "_peers",
         "_pool",
         "_clock",
+        "_rollouts",
         "_kept_evacuations",
     )
 
@@ -60,12 +65,14 @@
         peers: Peers,
         pool: ConnectionPool,
         clock: Clock,
+        rollouts: RolloutFeed | None = None,
     ) -> None:
         self.replica = Replica()
         self._planner = planner
         self._peers = peers
         self._pool = pool
         self._clock = clock
+        self._rollouts = rollouts
         self._kept_evacuations: dict[str, int] = {}
 
     def apply(self, page: Page, source: str, grace_ms: int) -> int:
@@ -87,6 +94,8 @@
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
         changes = self.replica.apply(page, grace_ms)
+        if restored:
+            changes += self._list_rollouts_kept(changes)
         for change in changes:
             from_copy = restored and (
                 change.value is None
@@ -95,6 +104,20 @@
             self._apply_change(change, source, from_copy)
         return len(changes)
 
+    def _list_rollouts_kept(self, changes: list[Change]) -> list[Change]:
+        """Returns the items about rollouts that are not in `changes`.
+
+        In a new era they may have other revisions with the same values, and
+        an order with another revision is another order.
+        """
+        changed = {change.key for change in changes}
+        return [
+            item
+            for item in self.replica.items()
+            if item.key.startswith((ORDER_PREFIX, ROLLOUT_PREFIX))
+            and item.key not in changed
+        ]
+
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
@@ -241,6 +264,16 @@
         self._planner.caches.restore(pairs, self._clock.now_ms())
         log_event("caches_restored", parts=len(pairs))
 
+    @_apply_decoded.register
+    def _(self, decoded: RolloutOrderChange, from_copy: bool) -> None:
+        if self._rollouts is not None:
+            self._rollouts.apply_order(decoded, from_copy)
+
+    @_apply_decoded.register
+    def _(self, decoded: RolloutRecordChange, from_copy: bool) -> None:
+        if self._rollouts is not None:
+            self._rollouts.apply_record(decoded)
+
     @_apply_decoded.register
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         log_event(
