--- a/corianderdoor/core/entry/rollout_evidence.py
+++ b/corianderdoor/core/entry/rollout_evidence.py
@@ -63,6 +63,11 @@
     )
 
 
+def merge_counts(known: Counts, reported: Counts) -> Counts:
+    """Returns the counts of one boot of a host after one more report."""
+    return tuple(map(max, known, reported))
+
+
 class _Test:
     """One sequential test, over all routes or for one route.
 
@@ -184,7 +189,7 @@
         counts: Counts,
     ) -> None:
         known = merged.get(key, (0,) * len(counts))
-        highest = tuple(map(max, known, counts))
+        highest = merge_counts(known, counts)
         if highest == known:
             return
         merged[key] = highest
--- a/corianderdoor/standins/rollout_fleet.py
+++ b/corianderdoor/standins/rollout_fleet.py
@@ -177,8 +177,16 @@
         host.rollouts.set_order(SERVICE, self.order, now_ms, wall_ms)
         host.rollouts.set_record(SERVICE, self.record, now_ms, wall_ms)
 
-    def run(self, until_ms: int | None = None) -> RolloutFleet:
-        """Runs the rollout and some seconds more; returns this fleet."""
+    def run(
+        self, until_ms: int | None = None, stop_after_ms: int = 20_000
+    ) -> RolloutFleet:
+        """Runs the rollout and some seconds more; returns this fleet.
+
+        Args:
+            until_ms: Virtual time of the end; None for two seconds after
+                the time budget.
+            stop_after_ms: Time after the final state at which to stop.
+        """
         end_ms = until_ms or self.duration_ms + 2_000
         for host in self.hosts:
             self.at(
@@ -190,6 +198,11 @@
             )
         self.at(0, self._arrive)
         while self._events and self._events[0][0] <= end_ms:
+            if (
+                self.finished_ms is not None
+                and self.now_ms - self.finished_ms > stop_after_ms
+            ):
+                break
             at_ms, _, act = heapq.heappop(self._events)
             self.now_ms = int(at_ms)
             act()
