Record attempts as evidence about the version of their server

Cause: the decisions about rollouts need each finished answer with its times.

Change: the relay keeps the times of an answer's events and reports each attempt that a server may have run. ServerAnswer moves beside the reader.

--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -11,6 +11,7 @@
     ConnectionBrokenError,
     deliver_pending,
     H11Protocol,
+    Headers,
 )
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
@@ -32,6 +33,17 @@
 TRUNCATED: Final = "connection closed before the end of the answer"
 
 
+class ServerAnswer:
+    """A complete answer of a server."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
 class Move:
     """A server to move a request to, with an open connection to it."""
 
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -7,7 +7,7 @@
 import anyio
 import h11
 
-from ..adapters.http1 import ConnectionBrokenError, H11Protocol, Headers
+from ..adapters.http1 import ConnectionBrokenError, H11Protocol
 from ..adapters.http1_server import ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
@@ -15,10 +15,12 @@
 from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
+from ..core.entry.servers import BackendServer
 from ..core.entry.silence import MIN_STREAM_SILENCE_MS
 from ..platform.headers import AnswerHead, build_refusal_headers
-from .answer_reader import AnswerReader, Move, MovedError
+from .answer_reader import AnswerReader, Move, MovedError, ServerAnswer
 from .answer_signs import record_answer_signs
+from .answer_timing import AnswerTiming, record_rollout_answer
 from .backends import ConnectionPool
 from .server_marks import ServerMarks
 from .server_request import send_request
@@ -30,17 +32,6 @@
 MIN_SERVER_ERROR_STATUS: Final = 500
 
 
-class ServerAnswer:
-    """A complete answer of a server."""
-
-    __slots__ = ("status", "headers", "body")
-
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class Relay:
     """Serves one request of a caller."""
 
@@ -56,6 +47,7 @@
         "_head",
         "_received_ms",
         "_failure_detail",
+        "_timing",
         "_move",
     )
 
@@ -80,6 +72,7 @@
         # When the server last sent a byte, and why its connection failed.
         self._received_ms = 0
         self._failure_detail = ""
+        self._timing = AnswerTiming(0)
         self._move: Move | None = None
 
     async def run(self) -> None:
@@ -97,7 +90,10 @@
             with anyio.move_on_after(left_ms / MS_PER_SECOND) as scope:
                 refusal = await self._run_attempts(flight)
             if scope.cancelled_caught:
-                refusal = self._build_timeout_refusal(flight)
+                status = 504 if flight.runs else 503
+                refusal = Refuse(status, Ending.TIMEOUT.value)
+                if flight.server is not None:
+                    self._record_ending(flight, flight.server, Ending.TIMEOUT)
             finished = True
         finally:
             self._planner.record_end(flight)
@@ -126,18 +122,19 @@
         kind = flight.route.kind.value if flight else "none"
         self._planner.counters.add("requests", kind=kind, outcome=outcome)
 
-    def _record_first_byte(self) -> None:
+    def _record_first_byte(self, flight: Flight) -> None:
         """Records how long the caller waited for the first byte."""
-        flight = self._flight
-        assert flight is not None
-        self._planner.counters.record_latency(
-            flight.route.kind.value,
-            self._clock.now_ms() - flight.arrived_ms,
-        )
+        waited_ms = self._clock.now_ms() - flight.arrived_ms
+        kind = flight.route.kind.value
+        self._planner.counters.record_latency(kind, waited_ms)
 
-    def _build_timeout_refusal(self, flight: Flight) -> Refuse:
-        status = 504 if flight.runs else 503
-        return Refuse(status, Ending.TIMEOUT.value)
+    def _record_ending(
+        self, flight: Flight, server: BackendServer, ending: Ending | None
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        record_rollout_answer(
+            self._planner, flight, server, ending, self._timing, now_ms
+        )
 
     async def _run_attempts(self, flight: Flight) -> Refuse | None:
         while True:
@@ -155,6 +152,7 @@
             ending = await self._attempt(
                 flight, step, move.protocol if move is not None else None
             )
+            self._record_ending(flight, step.server, ending)
             if ending is None:
                 return None
             next_step = self._planner.handle_failure(
@@ -204,6 +202,7 @@
         now_ms = self._clock.now_ms()
         self._planner.record_sent(flight, server, now_ms)
         self._head = None
+        self._timing = AnswerTiming(now_ms)
         released = False
         reader = AnswerReader(
             self._planner, self._pool, self._clock, flight, protocol
@@ -267,6 +266,7 @@
         self, reader: AnswerReader, head: AnswerHead, send: Send
     ) -> Ending | None:
         body = await reader.read_body(send.silence_ms)
+        self._timing.record(1, reader.received_ms)
         if head.wrong_server:
             return Ending.WRONG_SERVER
         if head.not_run:
@@ -291,13 +291,12 @@
         await self._deliver(failure)
 
     async def _deliver(self, answer: ServerAnswer) -> None:
-        assert self._flight is not None
+        flight = self._flight
+        assert flight is not None
         if answer.status < MIN_SERVER_ERROR_STATUS:
-            self._planner.record_answer_begun(
-                self._flight, self._clock.now_ms()
-            )
-            self._planner.record_complete_answer(self._flight)
-        self._record_first_byte()
+            self._planner.record_answer_begun(flight, self._clock.now_ms())
+            self._planner.record_complete_answer(flight)
+        self._record_first_byte(flight)
         await self._conn.respond(answer.status, answer.headers, answer.body)
 
     async def _relay_events(
@@ -315,7 +314,9 @@
             event = await reader.next_event(silence_ms)
             if not isinstance(event, h11.Data):
                 break
-            await self._forward_events(splitter, bytes(event.data), head)
+            events = splitter.feed(bytes(event.data))
+            self._timing.record(len(events), reader.received_ms)
+            await self._forward_events(events, head)
             if len(splitter.rest) > MAX_EVENT_BYTES:
                 return Ending.INVALID_ANSWER
         if not isinstance(event, h11.EndOfMessage) or splitter.rest:
@@ -327,12 +328,12 @@
         return None
 
     async def _forward_events(
-        self, splitter: EventSplitter, data: bytes, head: AnswerHead
+        self, events: list[bytes], head: AnswerHead
     ) -> None:
         flight = self._flight
         assert flight is not None
         new_events: list[bytes] = []
-        for event in splitter.feed(data):
+        for event in events:
             event_id = read_event_id(event)
             last = flight.last_event_id
             if event_id is not None:
@@ -356,7 +357,7 @@
         if flight.answer_started:
             return
         flight.answer_started = True
-        self._record_first_byte()
+        self._record_first_byte(flight)
         chunked = (b"Transfer-Encoding", b"chunked")
         self._conn.start(head.status, [*head.headers, chunked])
 
