Check expired permissions at the moment of use after a pause of the process

Cause: after a pause of 1 to 20 s a host took servers for warm that may have restarted meanwhile, dropped brittle servers from its records or raised their room for the time in which it heard nothing, took the rejections that peers had reported for expired, and chose active hosts and answered directory questions from what it knew before. A request planned for a cold server before the pause and sent after it no longer counted in the second of its sending. The pause was noticed by the next tick, after decisions already made.

After a pause, servers count as cold until the store, which is asked at once, or a peer with contact was heard, at most for their slow start. Records of brittle servers keep their age, and for 400 ms only this host's part of the room is used. The choice of active hosts and directory answers wait 400 ms for the peers. A send to a cold server counts when it takes place.

--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -126,6 +126,8 @@
         server: Server that works on the request; None between attempts.
         reserved: Id of the server that the request is about to be sent to;
             None if there is none.
+        cold_ms: When it was last counted as sent to a cold server; None if
+            it was not.
         unread: Prompt tokens that the server has not prefilled yet.
         excluded: Ids of the servers to which the request was sent or that were
             unreachable.
@@ -152,6 +154,7 @@
         "deadline_ms",
         "server",
         "reserved",
+        "cold_ms",
         "unread",
         "excluded",
         "runs",
@@ -181,6 +184,7 @@
         self.deadline_ms = deadline_ms
         self.server: BackendServer | None = None
         self.reserved: str | None = None
+        self.cold_ms: int | None = None
         self.unread = 0
         self.excluded: set[str] = set()
         self.runs = 0
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -163,6 +163,7 @@
 
     def choose(self, flight: Flight, now_ms: int) -> Send | Hold | Refuse:
         """Chooses a server for the request, or holds or refuses it."""
+        self.selection.check_pause(now_ms)
         left_ms = flight.deadline_ms - now_ms
         if left_ms < MIN_LEFT_MS:
             return self._refusals.refuse(flight, "out-of-time", now_ms)
@@ -209,6 +210,7 @@
             wait_ms = self._cold_limiter.wait_ms(server.id, share, now_ms)
             if wait_ms == 0:
                 self._cold_limiter.record(server.id, now_ms)
+                flight.cold_ms = now_ms
                 return self._send(flight, server, now_ms)
             if wait_ms is not None:
                 shortest_ms = min(wait_ms, shortest_ms or wait_ms)
@@ -239,6 +241,8 @@
                 flight.req, server, now_ms
             )
             self.caches.record(flight.req, server.id, now_ms)
+        if self.selection.may_be_cold(server, now_ms):
+            self._cold_limiter.record_late(server.id, flight.cold_ms, now_ms)
         if flight.sends:
             self.counters.add("repeats")
         flight.server = server
@@ -350,6 +354,7 @@
             The other server, warm and well; None if the request has to stay,
             as giving it up would end an answer that may still come.
         """
+        self.selection.check_pause(now_ms)
         left_ms = flight.deadline_ms - now_ms
         if left_ms < MIN_LEFT_MS or not self._retries.may_retry(flight, 0):
             return None
--- /dev/null
+++ b/corianderdoor/core/entry/process_pauses.py
@@ -0,0 +1,44 @@
+"""Notices that this process was suspended or delayed for some seconds."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# A longer time between two ticks shows that the process was suspended. Ticks
+# are 100 ms apart.
+PAUSE_THRESHOLD_MS: Final = 1_200
+# Time after a pause until two heartbeats of each active peer have arrived.
+SETTLE_MS: Final = 400
+
+
+class ProcessPauses:
+    """The last pause of this process.
+
+    A request that arrives after a pause may be handled before the next tick,
+    so decisions check for themselves whether there was one.
+    """
+
+    __slots__ = ("_ticked_ms", "_settled_ms")
+
+    def __init__(self) -> None:
+        self._ticked_ms: int | None = None
+        self._settled_ms = 0
+
+    def check(self, now_ms: int) -> int:
+        """Returns the length of a pause not yet noticed, in ms; 0 if none."""
+        if self._ticked_ms is None:
+            return 0
+        gap_ms = now_ms - self._ticked_ms
+        if gap_ms <= PAUSE_THRESHOLD_MS:
+            return 0
+        self._ticked_ms = now_ms
+        self._settled_ms = now_ms + SETTLE_MS
+        return gap_ms
+
+    def record_tick(self, now_ms: int) -> None:
+        """Records that the process runs; call `check` before."""
+        self._ticked_ms = now_ms
+
+    def is_settling(self, now_ms: int) -> bool:
+        """Returns whether what is known of peers may date from before."""
+        return now_ms < self._settled_ms
--- a/corianderdoor/core/entry/server_room.py
+++ b/corianderdoor/core/entry/server_room.py
@@ -17,6 +17,7 @@
 from ..records import Record
 from .flights import Flight
 from .loads import Loads
+from .process_pauses import SETTLE_MS
 from .servers import BackendServer, digest_id, Servers
 from .windows import COLD_WINDOW_MARGIN_MS, SAFE_SHARE, SlidingCount
 
@@ -220,6 +221,7 @@
         "_rooms",
         "_unanswered",
         "_reserved",
+        "_settled_ms",
     )
 
     def __init__(self, name: str, servers: Servers, loads: Loads) -> None:
@@ -236,6 +238,21 @@
         self._rooms: dict[str, _Room] = {}
         self._unanswered: Counter[str] = Counter()
         self._reserved: Counter[str] = Counter()
+        self._settled_ms = 0
+
+    def record_pause(self, gap_ms: int, now_ms: int) -> None:
+        """Records that this process was suspended for `gap_ms` until now.
+
+        The time in which nothing could be heard shows neither that a server
+        is sound again, nor that it has more room, nor that peers cause no
+        rejections.
+        """
+        self._settled_ms = now_ms + SETTLE_MS
+        for room in self._rooms.values():
+            room.sign_ms += gap_ms
+            room.grown_ms = now_ms
+            for peer, (at_ms, count) in room.peers.items():
+                room.peers[peer] = (at_ms + gap_ms, count)
 
     def filter(
         self, servers: list[BackendServer], hosts: list[str], now_ms: int
@@ -288,8 +305,8 @@
         rejected = room.rejections.count(now_ms)
         if rejected >= max(1, share):
             return False
-        if own < places:
-            return True
+        if own < places or now_ms < self._settled_ms:
+            return own < places
         known = rejected + room.peer_rejections(now_ms)
         if known > RISK_SHARE * room.limit:
             return False
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -18,6 +18,7 @@
     rank_by_prompt,
     under_bound,
 )
+from .process_pauses import ProcessPauses
 from .requests import CallerRequest
 from .routing import DesiredState, Service
 from .server_ejection import ServerEjections
@@ -44,6 +45,8 @@
         leaving: Servers that announced that they leave.
         pauses: Servers that asked this host for no requests for a while.
         rooms: Room of the brittle servers.
+        process_pauses: The last pause of this process.
+        on_pause: Called with the length of a pause in ms when it is noticed.
     """
 
     __slots__ = (
@@ -58,6 +61,8 @@
         "leaving",
         "pauses",
         "rooms",
+        "process_pauses",
+        "on_pause",
         "_name",
         "_data_centre",
     )
@@ -80,9 +85,23 @@
         self.leaving = LeavingServers()
         self.pauses = ServerPauses()
         self.rooms = ServerRooms(name, self.servers, self.loads)
+        self.process_pauses = ProcessPauses()
+        self.on_pause: Callable[[int], None] = lambda gap_ms: None
         self._name = name
         self._data_centre = data_centre
 
+    def check_pause(self, now_ms: int) -> None:
+        """Withdraws what a pause of this process made uncertain.
+
+        Called before each decision: what allowed a request may have expired
+        during the pause.
+        """
+        gap_ms = self.process_pauses.check(now_ms)
+        if gap_ms:
+            self.restarts.record_pause(now_ms)
+            self.rooms.record_pause(gap_ms, now_ms)
+            self.on_pause(gap_ms)
+
     def find_service(self, name: str) -> Service | None:
         """Returns the service `name`; None if it is not known."""
         if self.desired is None:
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -18,6 +18,9 @@
 # enough while the store seems to be in contact. Healthy servers break single
 # connections.
 CONFIRM_MS: Final = 1_000
+# A contact this long after a pause of this process shows what happened in it;
+# an earlier one may have waited here unread.
+CONFIRM_PAUSE_MS: Final = 50
 # Time before the first contact to the store.
 NEVER_MS: Final = -(2**31)
 # How long a server that this host could not reach is reported to peers;
@@ -45,6 +48,7 @@
     __slots__ = (
         "in_contact",
         "_contact_ms",
+        "_resumed_ms",
         "_unreached",
         "_broken",
         "_reported",
@@ -56,6 +60,7 @@
     def __init__(self) -> None:
         self.in_contact = True
         self._contact_ms = NEVER_MS
+        self._resumed_ms = NEVER_MS
         self._unreached: dict[str, int] = {}
         self._broken: dict[str, int] = {}
         self._reported: dict[str, int] = {}
@@ -70,6 +75,14 @@
         self.in_contact = now_ms - contact_ms < MAX_CONTACT_AGE_MS
         self._contact_ms = max(self._contact_ms, contact_ms)
 
+    def record_pause(self, now_ms: int) -> None:
+        """Records that this process was suspended until now.
+
+        All servers may have restarted in that time. They count until the
+        store or a peer with contact to it was heard again.
+        """
+        self._resumed_ms = now_ms
+
     def record_unreachable(self, server_id: str, now_ms: int) -> None:
         """Records that this host could not reach a server."""
         self._unreached[server_id] = now_ms
@@ -123,6 +136,9 @@
             cold_ms: How long a server is cold after its start, in ms.
             now_ms: Monotonic time in ms.
         """
+        if self._contact_ms < self._resumed_ms + CONFIRM_PAUSE_MS:
+            if now_ms - self._resumed_ms < cold_ms:
+                return True
         signs = [self._unreached, self._broken, self._reported]
         if self.in_contact:
             signs = [self._unreached, self._confirmed]
--- a/corianderdoor/core/entry/windows.py
+++ b/corianderdoor/core/entry/windows.py
@@ -94,6 +94,23 @@
             return 0
         return sent.next_free_ms(now_ms)
 
+    def record_late(
+        self, server_id: str, planned_ms: int | None, now_ms: int
+    ) -> None:
+        """Records a request that is sent later than planned.
+
+        The process may have been suspended in between, so that the record
+        of the plan has left the window.
+
+        Args:
+            server_id: Id of the cold server.
+            planned_ms: When the request was recorded; None if the server
+                counted as warm then.
+            now_ms: Monotonic time in ms.
+        """
+        if planned_ms is None or now_ms - planned_ms > COLD_WINDOW_MARGIN_MS:
+            self.record(server_id, now_ms)
+
     def record(self, server_id: str, now_ms: int) -> None:
         """Records a request that is sent to a cold server."""
         sent = self._sent.get(server_id)
--- a/corianderdoor/entry/directory.py
+++ b/corianderdoor/entry/directory.py
@@ -5,13 +5,15 @@
 from collections.abc import Callable
 from typing import Final
 
+import anyio
+
 from ..adapters.http1_server import (
     ReceivedRequest,
     ServerConnection,
     UnreadableRequest,
 )
 from ..adapters.logs import log_event
-from ..core.clock import Clock
+from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
 from ..core.entry.routing import DEFAULT_LIMITS
@@ -25,6 +27,9 @@
 # Callers find out within this time that a host is gone. If all hosts are
 # unreachable at once, callers keep the last answer for at least this long.
 ANSWER_TTL_S: Final = 2.0
+# Interval at which an answer waits, after a pause of this process, for what
+# the peers say: a host may have left meanwhile.
+SETTLE_POLL_MS: Final = 20
 JSON_TYPE: Final = (b"Content-Type", b"application/json")
 
 
@@ -99,6 +104,10 @@
             await conn.respond(404, [])
 
     async def _answer_hosts(self, conn: ServerConnection) -> None:
+        selection = self._planner.selection
+        selection.check_pause(self._clock.now_ms())
+        while selection.process_pauses.is_settling(self._clock.now_ms()):
+            await anyio.sleep(SETTLE_POLL_MS / MS_PER_SECOND)
         peers = self._peers.in_service(
             self._clock.now_ms(), self._store_reached()
         )
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -41,8 +41,6 @@
 from .tunnels import TunnelService
 
 TICK_MS: Final = 100
-# A longer time between two ticks shows that the process was suspended.
-PAUSE_THRESHOLD_MS: Final = 1_200
 EVICTION_TICKS: Final = 10
 # CPU use is measured over five seconds, longer than a burst of changes takes
 # to read.
@@ -159,6 +157,7 @@
             FIRST_START_DELAY_MS if settings.first_start else 0,
             self._era,
         )
+        self._planner.selection.on_pause = self._handle_pause
         peer_address = (settings.address, settings.peer_ports[0])
         self._cache_saver = CacheMapSaver(
             self._connect_store(),
@@ -299,17 +298,19 @@
         self._directory.set_max_ttl(settings.directory_ttl_s)
         log_event("reloaded", name=settings.name)
 
+    def _handle_pause(self, gap_ms: int) -> None:
+        log_event("paused", gap_ms=gap_ms)
+        self._sync.confirm_contact()
+
     async def _run_ticks(self) -> None:
-        last_ms = self._clock.now_ms()
+        selection = self._planner.selection
         meter = CpuMeter(self._clock, self._settings.processor_share)
         ticks = 0
         while True:
             await anyio.sleep(TICK_MS / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
-            if now_ms - last_ms > PAUSE_THRESHOLD_MS:
-                log_event("paused", gap_ms=now_ms - last_ms)
-                self._sync.cancel_call()
-            last_ms = now_ms
+            selection.check_pause(now_ms)
+            selection.process_pauses.record_tick(now_ms)
             ticks += 1
             contact_ms = max(
                 now_ms - self._sync.contact_age_ms(),
@@ -326,7 +327,8 @@
             self._planner.hosts = self._peers.hosts_sharing_limits(now_ms)
             self._links.paths.retain(self._planner.servers.ids())
             self._update_links_cut(now_ms)
-            self._choose_active(now_ms)
+            if not selection.process_pauses.is_settling(now_ms):
+                self._choose_active(now_ms)
             if ticks % EVICTION_TICKS == 0:
                 self._pool.evict_expired()
             if ticks % CPU_TICKS == 0:
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -24,6 +24,9 @@
 # The store answers a watch without changes after this time, which shows that
 # the connection is alive.
 WATCH_WAIT_MS: Final = 1_000
+# The same after a pause of this process, when the answer is needed soon. An
+# answer within `CONFIRM_PAUSE_MS` would not count.
+CONFIRM_WAIT_MS: Final = 100
 # Shortest time between two watches: each change ends a watch, and changes
 # come in bursts, such as when all servers start.
 WATCH_INTERVAL_MS: Final = 250
@@ -73,6 +76,7 @@
         "_store_reached",
         "_wake",
         "_scope",
+        "_confirming",
         "_start_delay_ms",
         "_next_watch_ms",
     )
@@ -109,6 +113,7 @@
         self._store_reached = True
         self._wake = anyio.Event()
         self._scope: anyio.CancelScope | None = None
+        self._confirming = False
 
     def attach(self, peering: Peering) -> None:
         """Sets the connection to the peers."""
@@ -128,8 +133,12 @@
         """Makes a host that follows peers check them at once."""
         self._wake.set()
 
-    def cancel_call(self) -> None:
-        """Cancels the call in progress, as its connection may be dead."""
+    def confirm_contact(self) -> None:
+        """Asks the store at once, after a pause of this process.
+
+        Also cancels the call in progress, as its connection may be dead.
+        """
+        self._confirming = True
         if self._scope is not None:
             self._scope.cancel()
         self._wake.set()
@@ -141,7 +150,8 @@
         relist = True
         while True:
             now_ms = self._clock.now_ms()
-            if not relist and not self._peers.should_watch(now_ms):
+            follows = not relist and not self._confirming
+            if follows and not self._peers.should_watch(now_ms):
                 if await self._follow_peers():
                     continue
             try:
@@ -156,6 +166,7 @@
             except StoreRestoredError:
                 relist = await self._needs_listing()
             except StoreError as exc:
+                self._confirming = False
                 self._record_failure(exc)
                 await self._pull_from_peer()
                 await anyio.sleep(retry_ms / MS_PER_SECOND)
@@ -217,13 +228,12 @@
         if relist:
             items, at, era = await self._read_all()
         else:
+            watch_ms = CONFIRM_WAIT_MS if self._confirming else WATCH_WAIT_MS
             wait_ms = self._next_watch_ms - self._clock.now_ms()
             await anyio.sleep(max(0, wait_ms) / MS_PER_SECOND)
             self._next_watch_ms = self._clock.now_ms() + WATCH_INTERVAL_MS
             asked_era = replica.era
-            items, at = await self._store.watch(
-                "", replica.revision, WATCH_WAIT_MS
-            )
+            items, at = await self._store.watch("", replica.revision, watch_ms)
             era = self._era.known
             # The revision asked for belongs to the era of that moment, even
             # if the replica has a newer one by now.
@@ -231,6 +241,7 @@
                 self._record_contact(WATCH_WAIT_MS)
                 raise StoreRestoredError
         self._record_contact(WATCH_WAIT_MS)
+        self._confirming = False
         if era < replica.era:
             # A peer has learnt of a restore in the meantime.
             raise StoreError("listing", "old era", True)
