Keep servers that left out of use after restarts, and list what remains

Cause: only the host that had seen a server announce that it leaves reported it to peers, so after its restart it used the server again. A full or late page of a peer older than the own state could list a server whose tombstone was dropped.

Change: hosts pass reports of leaving servers on while these are listed. Pages of peers that are older than the own state are ignored.

The saved map of caches and an older copy that a peer gives before the store answers could bring nothing back; they get tests.

--- a/corianderdoor/core/entry/leaving_servers.py
+++ b/corianderdoor/core/entry/leaving_servers.py
@@ -35,7 +35,7 @@
     Holds at most `MAX_RECORDS` of each.
     """
 
-    __slots__ = ("_kept_until", "_own")
+    __slots__ = ("_kept_until", "_own", "_listed")
 
     def __init__(self) -> None:
         # Digests of incarnations, with the time until which each is kept
@@ -43,6 +43,8 @@
         self._kept_until: dict[int, int] = {}
         # Those whose own answers said so, the newest last.
         self._own: dict[int, None] = {}
+        # Those that are listed.
+        self._listed: tuple[int, ...] = ()
 
     def record(self, server: BackendServer, now_ms: int) -> bool:
         """Records that an answer of `server` announced that it leaves.
@@ -80,16 +82,26 @@
         )
 
     def reports(self) -> tuple[int, ...]:
-        """Returns the digests of the incarnations to report to peers."""
-        return tuple(self._own)[-MAX_REPORTED:]
+        """Returns the digests of the incarnations to report to peers.
+
+        Reports of peers are passed on while the server is listed: the host
+        that saw the announcement may have restarted, and forgot it.
+        """
+        others = dict.fromkeys((*self._listed, *self._own))
+        return tuple(others)[-MAX_REPORTED:]
 
     def retain(self, listed: Iterable[BackendServer], now_ms: int) -> None:
         """Drops the incarnations that have been unlisted for long."""
+        self._listed = ()
         if not self._kept_until:
             return
-        for digest in map(digest_incarnation, listed):
-            if digest in self._kept_until:
-                self._kept_until[digest] = now_ms + KEEP_UNLISTED_MS
+        self._listed = tuple(
+            digest
+            for digest in map(digest_incarnation, listed)
+            if digest in self._kept_until
+        )
+        for digest in self._listed:
+            self._kept_until[digest] = now_ms + KEEP_UNLISTED_MS
         for digest, until_ms in list(self._kept_until.items()):
             if until_ms <= now_ms:
                 self._drop(digest)
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -71,7 +71,9 @@
     def apply(self, page: Page, source: str, grace_ms: int) -> int:
         """Applies the changes of `page` that are not yet known.
 
-        Does nothing if the page is from before a restore of the store.
+        Does nothing if the page is from before a restore of the store, or an
+        older copy of a peer: an item may have been removed since, and its
+        tombstone dropped.
 
         Args:
             page: Changes, or all items of the store.
@@ -82,6 +84,10 @@
         Returns:
             The number of changes applied.
         """
+        known = self.replica
+        if source != "store" and page.era == known.era:
+            if page.revision < known.revision:
+                return 0
         restored = 0 < self.replica.revision and self.replica.era < page.era
         if restored and page.full:
             grace_ms = OUTAGE_GRACE_MS
--- /dev/null
+++ b/tests/test_entry_restarts.py
@@ -0,0 +1,104 @@
+"""Servers that left and withdrawn keys after restarts of hosts."""
+
+from __future__ import annotations
+
+from entry_builders import build_planner, build_request, build_server
+import pytest
+from test_entry_store_restore import encode_config, encode_entry, Host
+
+from corianderdoor.core.entry.cache_map import digest_part
+from corianderdoor.core.entry.flights import Send
+from corianderdoor.core.entry.leaving_servers import (
+    digest_incarnation,
+    KEEP_UNLISTED_MS,
+    LeavingServers,
+)
+from corianderdoor.core.entry.replica import Change, Page
+
+SERVER = build_server("s0")
+
+
+# Guards against a leaving server in use again after the restart of the only
+# host that had seen the announcement.
+def test_restarted_host_hears_of_leaving_servers_from_those_that_heard():
+    peer, restarted = LeavingServers(), LeavingServers()
+    peer.add_report(digest_incarnation(SERVER), 0)
+    peer.retain([SERVER], 0)
+    for digest in peer.reports():
+        restarted.add_report(digest, 100)
+    assert restarted.includes(SERVER)
+
+
+# Guards against hosts that tell each other of a gone server for ever.
+def test_reports_of_peers_are_not_passed_on_once_the_server_is_gone():
+    hosts = [LeavingServers(), LeavingServers()]
+    hosts[0].add_report(digest_incarnation(SERVER), 0)
+    for now_ms in range(0, KEEP_UNLISTED_MS + 1, 1_000):
+        for host, other in (hosts, hosts[::-1]):
+            host.retain([], now_ms)
+            for digest in host.reports():
+                other.add_report(digest, now_ms)
+    assert not any(host.includes(SERVER) for host in hosts)
+
+
+# Guards against a server that left before this host started and whose
+# tombstone nobody has any longer, listed by a peer's older copy.
+@pytest.mark.parametrize("full", [False, True])
+def test_older_copy_of_a_peer_lists_no_server_that_left(full):
+    host = Host()
+    host.list(9, 1)
+    change = Change("servers/s1", encode_entry(), 5)
+    host.applier.apply(Page((change,), 5, full, 1), "h1", 0)
+    assert host.usable() == []
+
+
+# Guards against a withdrawn key that an older copy brings back when all hosts
+# restart: the copy of a peer came before the answer of the store.
+def test_store_replaces_the_older_copy_of_a_peer():
+    host = Host()
+    config = Change("op/config", encode_config(20), 4)
+    entry = Change("servers/s1", encode_entry(), 5)
+    host.applier.apply(Page((config, entry), 5, True, 1), "h1", 0)
+    host.list(9, 1, op_config=(encode_config(30), 8))
+    assert host.planner.desired.version == 30
+    assert host.usable() == []
+
+
+# Guards against requests to servers that the saved map of caches names.
+def test_saved_map_of_caches_brings_no_server_back():
+    planner = build_planner(servers=1)
+    flight = planner.admit(build_request(), 0)
+    parts = flight.req.shared_parts()
+    planner.caches.restore([(digest_part(p), "gone") for p in parts], 0)
+    step = planner.choose(flight, 0)
+    assert isinstance(step, Send)
+    assert step.server.id == "s0" and step.fetch_from is None
+
+
+def restart_after_restore(**listed) -> Host:
+    """Returns a host that starts beside one that knows of a restore."""
+    running, restarted = Host(), Host()
+    running.list(
+        7, 1, servers_s1=(encode_entry(), 5), op_config=(encode_config(20), 4)
+    )
+    running.write("servers/s1", None, 9, 1)
+    running.write("op/config", encode_config(30), 10, 1)
+    running.list(7, 2, **listed)
+    page = running.applier.replica.changes_since(0)
+    restarted.applier.apply(page, "h1", 0)
+    restarted.list(7, 2, **listed)
+    return restarted
+
+
+# Shows a fault: a restarted host does not know which servers left before the
+# restore of the store.
+def test_restart_after_a_restore_brings_no_server_back():
+    host = restart_after_restore(servers_s1=(encode_entry(), 5))
+    assert host.usable() == []
+
+
+# Shows a fault: a restarted host takes the older state of the restored store,
+# in which a key may not be withdrawn yet, over the one in force.
+def test_restart_after_a_restore_brings_no_key_back():
+    host = restart_after_restore(op_config=(encode_config(20), 4))
+    assert host.planner.desired.version == 30
