--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -166,6 +166,8 @@
         server: Server that works on the request; None between attempts.
         reserved: Id of the server that the request is about to be sent to;
             None if there is none.
+        cold_ms: When it was last counted as sent to a cold server; None if
+            it was not.
         unread: Prompt tokens that the server has not prefilled yet.
         queued: Prompt tokens known at the server when the request was sent
             there, its own included.
@@ -197,6 +199,7 @@
         "deadline_ms",
         "server",
         "reserved",
+        "cold_ms",
         "unread",
         "queued",
         "sent_ms",
@@ -230,6 +233,7 @@
         self.deadline_ms = deadline_ms
         self.server: BackendServer | None = None
         self.reserved: str | None = None
+        self.cold_ms: int | None = None
         self.unread = 0
         self.queued = 0
         self.sent_ms = 0
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -175,6 +175,7 @@
 
     def choose(self, flight: Flight, now_ms: int) -> Send | Hold | Refuse:
         """Chooses a server for the request, or holds or refuses it."""
+        self.selection.check_pause(now_ms)
         left_ms = flight.deadline_ms - now_ms
         if left_ms < MIN_LEFT_MS:
             return self._refusals.refuse(flight, "out-of-time", now_ms)
@@ -234,6 +235,8 @@
         if not self.rollouts.is_idle:
             flight.prefill_tokens = flight.unread
             self.rollouts.record_sent(flight, server, now_ms)
+        if self.selection.may_be_cold(server, now_ms):
+            self._cold_limiter.record_late(server.id, flight.cold_ms, now_ms)
         if flight.sends:
             self.counters.add("repeats")
         flight.server = server
@@ -357,6 +360,7 @@
             The other server, warm and well; None if the request has to stay,
             as giving it up would end an answer that may still come.
         """
+        self.selection.check_pause(now_ms)
         left_ms = flight.deadline_ms - now_ms
         if left_ms < MIN_LEFT_MS or not self._retries.may_retry(flight, 0):
             return None
--- a/corianderdoor/core/entry/server_choice.py
+++ b/corianderdoor/core/entry/server_choice.py
@@ -77,6 +77,7 @@
             wait_ms = self._cold_limiter.wait_ms(server.id, share, now_ms)
             if wait_ms == 0:
                 self._cold_limiter.record(server.id, now_ms)
+                flight.cold_ms = now_ms
                 return server
             if wait_ms is not None:
                 shortest_ms = min(wait_ms, shortest_ms or wait_ms)
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -22,6 +22,7 @@
     under_bound,
 )
 from .prefill_rates import PrefillRates, REFERENCE_RATE
+from .process_pauses import ProcessPauses
 from .requests import CallerRequest
 from .rollouts import Rollouts
 from .routing import DEFAULT_GAP_MS, DesiredState, Service
@@ -57,6 +58,8 @@
         forecasts: Forecasts of the time to the first event.
         waiting: Servers that state that requests wait there.
         rollouts: Rollouts of new versions.
+        process_pauses: The last pause of this process.
+        on_pause: Called with the length of a pause in ms when it is noticed.
     """
 
     __slots__ = (
@@ -75,6 +78,8 @@
         "forecasts",
         "waiting",
         "rollouts",
+        "process_pauses",
+        "on_pause",
         "_name",
         "_data_centre",
     )
@@ -108,9 +113,23 @@
         self.rollouts = Rollouts(
             name, self.servers, self.loads, self.may_be_cold, *bounds
         )
+        self.process_pauses = ProcessPauses()
+        self.on_pause: Callable[[int], None] = lambda gap_ms: None
         self._name = name
         self._data_centre = data_centre
 
+    def check_pause(self, now_ms: int) -> None:
+        """Withdraws what a pause of this process made uncertain.
+
+        Called before each decision: what allowed a request may have expired
+        during the pause.
+        """
+        gap_ms = self.process_pauses.check(now_ms)
+        if gap_ms:
+            self.restarts.record_pause(now_ms)
+            self.rooms.record_pause(gap_ms, now_ms)
+            self.on_pause(gap_ms)
+
     def find_service(self, name: str) -> Service | None:
         """Returns the service `name`; None if it is not known."""
         if self.desired is None:
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -46,7 +46,6 @@
     Registration,
     StateSync,
 )
-from .tick_monitor import TickMonitor
 from .tunnels import TunnelService
 
 TICK_MS: Final = 100
@@ -85,7 +84,6 @@
         "_cache_saver",
         "_tunnels",
         "_peering",
-        "_ticks",
         "_rollouts",
         "_rollout_writer",
         "_marks",
@@ -160,6 +158,7 @@
             FIRST_START_DELAY_MS if settings.first_start else 0,
             self._era,
         )
+        self._planner.selection.on_pause = self._handle_pause
         peer_address = (settings.address, settings.peer_ports[0])
         self._cache_saver = CacheMapSaver(
             self._connect_store(),
@@ -197,7 +196,6 @@
             self._rollouts.rollouts if self._rollouts else None,
         )
         self._sync.attach(self._peering)
-        self._ticks = TickMonitor(clock.now_ms())
         self._rollout_writer: RolloutWriter | None = None
         if self._rollouts is not None:
             self._rollout_writer = RolloutWriter(
@@ -205,7 +203,7 @@
                 self._rollouts.rollouts,
                 self._peers,
                 self._applier,
-                self._ticks,
+                self._planner.selection.process_pauses,
                 clock,
                 self._planner.counters,
             )
@@ -315,17 +313,19 @@
         self._directory.set_max_ttl(settings.directory_ttl_s)
         log_event("reloaded", name=settings.name)
 
+    def _handle_pause(self, gap_ms: int) -> None:
+        log_event("paused", gap_ms=gap_ms)
+        self._sync.confirm_contact()
+
     async def _run_ticks(self) -> None:
-        self._ticks.start(self._clock.now_ms())
+        selection = self._planner.selection
         meter = CpuMeter(self._clock, self._settings.processor_share)
         ticks = 0
         while True:
             await anyio.sleep(TICK_MS / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
-            gap_ms = self._ticks.record(now_ms)
-            if gap_ms:
-                log_event("paused", gap_ms=gap_ms)
-                self._sync.cancel_call()
+            selection.check_pause(now_ms)
+            selection.process_pauses.record_tick(now_ms)
             ticks += 1
             contact_ms = max(
                 now_ms - self._sync.contact_age_ms(),
@@ -342,7 +342,8 @@
             self._planner.hosts = self._peers.hosts_sharing_limits(now_ms)
             self._links.paths.retain(self._planner.servers.ids())
             self._update_links_cut(now_ms)
-            self._choose_active(now_ms)
+            if not selection.process_pauses.is_settling(now_ms):
+                self._choose_active(now_ms)
             if self._rollouts is not None and self._rollouts.tick(now_ms):
                 self._peering.send_soon()
             if ticks % EVICTION_TICKS == 0:
--- a/corianderdoor/entry/rollout_writer.py
+++ b/corianderdoor/entry/rollout_writer.py
@@ -10,6 +10,7 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.counters import Counters
 from ..core.entry.peers import Peers
+from ..core.entry.process_pauses import ProcessPauses
 from ..core.entry.replica import Change, Page
 from ..core.entry.rollout_records import RolloutOutcome
 from ..core.entry.rollouts import Rollouts
@@ -27,7 +28,6 @@
 )
 from ..platform.store import StoreClient, StoreError
 from .state_applier import StateApplier
-from .tick_monitor import TickMonitor
 
 # Interval at which the host looks for something to write. A verdict has to
 # reach the store within seconds, and looking costs nothing.
@@ -50,7 +50,7 @@
         "_rollouts",
         "_peers",
         "_applier",
-        "_ticks",
+        "_pauses",
         "_clock",
         "_counters",
         "_unread",
@@ -63,7 +63,7 @@
         rollouts: Rollouts,
         peers: Peers,
         applier: StateApplier,
-        ticks: TickMonitor,
+        pauses: ProcessPauses,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -74,7 +74,7 @@
             rollouts: Decides what has to be written.
             peers: Tell whether this host is the one that writes.
             applier: Has the replica with the keys' revisions.
-            ticks: Tell whether this process was suspended.
+            pauses: Tell whether this process was suspended.
             clock: The clock.
             counters: Counters of this host.
         """
@@ -82,7 +82,7 @@
         self._rollouts = rollouts
         self._peers = peers
         self._applier = applier
-        self._ticks = ticks
+        self._pauses = pauses
         self._clock = clock
         self._counters = counters
         # Service whose keys have to be read again before the next call.
@@ -124,7 +124,7 @@
         return self._rollouts.outcomes(now_ms)
 
     def _may_write(self, now_ms: int) -> bool:
-        return self._ticks.is_current(now_ms) and self._peers.is_first(now_ms)
+        return self._pauses.is_current(now_ms) and self._peers.is_first(now_ms)
 
     def _is_due(self, outcome: RolloutOutcome) -> bool:
         """Returns whether this host still has to write an outcome."""
--- a/tests/test_rollout_writer.py
+++ b/tests/test_rollout_writer.py
@@ -14,12 +14,15 @@
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.counters import Counters
 from corianderdoor.core.entry.peers import Peers
+from corianderdoor.core.entry.process_pauses import (
+    CATCH_UP_MS,
+    ProcessPauses,
+)
 from corianderdoor.core.entry.replica import Change, Page
 from corianderdoor.core.entry.rollout_records import RolloutState
 from corianderdoor.entry.rollout_feed import ORDER_GRACE_MS, RolloutFeed
 from corianderdoor.entry.rollout_writer import RolloutWriter
 from corianderdoor.entry.state_applier import StateApplier
-from corianderdoor.entry.tick_monitor import CATCH_UP_MS, TickMonitor
 from corianderdoor.platform.rollouts import (
     decode_record,
     decode_status,
@@ -53,14 +56,15 @@
         self.applier = StateApplier(
             self.planner, self.peers, pool, clock, self.feed
         )
-        self.ticks = TickMonitor(clock.now_ms())
+        self.pauses = ProcessPauses()
+        self.pauses.record_tick(clock.now_ms())
         self.store = StoreClient(ADDRESS, counters)
         self.writer = RolloutWriter(
             self.store,
             self.planner.rollouts,
             self.peers,
             self.applier,
-            self.ticks,
+            self.pauses,
             clock,
             counters,
         )
@@ -71,7 +75,8 @@
     def tick(self) -> None:
         """Lets one tick pass."""
         self.clock.advance(TICK_MS)
-        self.ticks.record(self.clock.now_ms())
+        self.pauses.check(self.clock.now_ms())
+        self.pauses.record_tick(self.clock.now_ms())
         self.feed.tick(self.clock.now_ms())
 
     async def read_store(self) -> None:
