Bound what bytes without an end cost a host

Cause: heads, chunk headers and trailers were bounded (64 KiB by h11), but informational heads, chunk extensions and tiny chunks were not. A body was kept as a list of its pieces, 40 bytes of memory for each byte. An event that arrived byte by byte was copied and searched anew for each byte, and all of it blocked the event loop. Answers of the store and of peers had no limit. Bytes after an answer did not count against their server.

Change: AnswerMeter bounds one exchange at 32 informational heads, heads of 64 KiB, 640 KiB of framing plus 3 bytes for each byte of a body, and 8,192 pieces plus one for each 32 bytes of a body; other tasks run after each 64 events. The store's and peers' answers have at most 16 MiB. Bytes after an answer or on an idle connection are logged, counted, and count as a failure of the server.

--- /dev/null
+++ b/corianderdoor/adapters/answer_meter.py
@@ -0,0 +1,93 @@
+"""Bounds what one answer may cost before it is complete."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import h11
+
+from .http1 import (
+    ConnectionBrokenError,
+    H11Protocol,
+    MAX_HEAD_BYTES,
+    READ_HIGH_WATER_BYTES,
+)
+
+# Informational heads before the final one.
+MAX_INFORMATIONAL: Final = 32
+# Bytes of heads, chunk headers, chunk extensions and trailers. Includes bytes
+# that have arrived but are not parsed yet: the high-water mark and one read.
+MAX_FRAMING_BYTES: Final = 2 * READ_HIGH_WATER_BYTES + 2 * MAX_HEAD_BYTES
+# Further such bytes for each byte of a body. A chunk of one byte has five.
+FRAMING_PER_BYTE: Final = 3
+# Pieces in which a body arrives. Each one takes about 10 us, so that pieces
+# of a few bytes take far more time than the body is worth.
+MAX_PIECES: Final = 8_192
+BYTES_PER_PIECE: Final = 32
+# Events that are read before other tasks get their turn, about 1 ms.
+EVENTS_PER_TURN: Final = 64
+
+
+class AnswerMeter:
+    """Counts what arrives on one connection during one exchange."""
+
+    __slots__ = (
+        "_protocol",
+        "_informational",
+        "_pieces",
+        "_body_bytes",
+        "_events",
+    )
+
+    def __init__(self, protocol: H11Protocol) -> None:
+        self._protocol = protocol
+        self._informational = 0
+        self._pieces = 0
+        self._body_bytes = 0
+        self._events = 0
+
+    async def next_event(
+        self, is_stream: bool = False
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event from the peer.
+
+        Args:
+            is_stream: Whether the body is a stream, of which short pieces
+                are usual.
+
+        Raises:
+            ConnectionBrokenError: The connection broke, or what arrives
+                exceeds a bound.
+        """
+        self._events += 1
+        if self._events % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+        event = await self._protocol.next_event()
+        if isinstance(event, h11.Data):
+            self._pieces += 1
+            self._body_bytes += len(event.data)
+        elif isinstance(event, h11.InformationalResponse):
+            self._informational += 1
+        detail = self._find_excess(event, is_stream)
+        if detail:
+            raise ConnectionBrokenError(detail, True)
+        return event
+
+    def _find_excess(
+        self, event: h11.Event | type[h11.PAUSED], is_stream: bool
+    ) -> str:
+        if self._informational > MAX_INFORMATIONAL:
+            return "too many informational heads"
+        if isinstance(event, h11.Response):
+            size = sum(len(name) + len(value) for name, value in event.headers)
+            if size > MAX_HEAD_BYTES:
+                return "head is larger than 64 KiB"
+        body_bytes = self._body_bytes
+        framing = self._protocol.bytes_received - body_bytes
+        if framing > MAX_FRAMING_BYTES + FRAMING_PER_BYTE * body_bytes:
+            return "more framing than body"
+        if not is_stream:
+            if self._pieces > MAX_PIECES + body_bytes // BYTES_PER_PIECE:
+                return "body in too many pieces"
+        return ""
--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -26,6 +26,7 @@
     "ignored_marks": "Unusable marks in servers' answers, by kind.",
     "brittle_rejections": "Requests that brittle servers turned away.",
     "stray_answers": "Answers to other requests that were skipped.",
+    "unexpected_bytes": "Connections on which a server sent bytes unasked.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -7,6 +7,7 @@
 import anyio
 import h11
 
+from ..adapters.answer_meter import AnswerMeter
 from ..adapters.http1 import (
     ConnectionBrokenError,
     deliver_pending,
@@ -72,6 +73,7 @@
         "_silence_recorded",
         "_own_id",
         "_skipped_bytes",
+        "_meter",
     )
 
     def __init__(
@@ -93,6 +95,7 @@
         # Id that the trailers may repeat; None before the own answer.
         self._own_id: bytes | None = None
         self._skipped_bytes = 0
+        self._meter = AnswerMeter(protocol)
 
     async def next_event(
         self, silence_ms: float | None
@@ -111,13 +114,15 @@
             MovedError: The request goes on at another server.
             ConnectionBrokenError: The connection broke.
         """
+        # A stream's own body; what is skipped before it is none.
+        is_stream = self._own_id is not None and self._flight.route.is_stream
         if silence_ms is None:
-            return self._accept(await self._protocol.next_event())
+            return self._accept(await self._meter.next_event(is_stream))
         wait_ms = silence_ms
         while True:
             received_bytes = self._protocol.bytes_received
             with anyio.move_on_after(wait_ms / MS_PER_SECOND):
-                return self._accept(await self._protocol.next_event())
+                return self._accept(await self._meter.next_event(is_stream))
             await self._look_for_other_server(received_bytes)
             wait_ms = MOVE_POLL_MS
 
@@ -263,18 +268,16 @@
             ConnectionBrokenError: The body is truncated or larger than
                 `MAX_ANSWER_BYTES`.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             event = await self.next_event(silence_ms)
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > MAX_ANSWER_BYTES:
+                body += event.data
+                if len(body) > MAX_ANSWER_BYTES:
                     raise ConnectionBrokenError(
                         "answer is larger than 16 MiB", True
                     )
-                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             else:
                 raise ConnectionBrokenError(TRUNCATED)
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 from ..adapters.http1 import H11Protocol
@@ -36,12 +37,21 @@
 
     Attributes:
         answered: Ids of requests that were answered recently.
+        on_unexpected_bytes: Called with the id of a server that sent bytes
+            after an answer, before another request.
     """
 
-    __slots__ = ("answered", "_links", "_clock", "_idle")
+    __slots__ = (
+        "answered",
+        "on_unexpected_bytes",
+        "_links",
+        "_clock",
+        "_idle",
+    )
 
     def __init__(self, clock: Clock, links: ServerLinks) -> None:
         self.answered = AnsweredIds()
+        self.on_unexpected_bytes: Callable[[str], None] = lambda id: None
         self._links = links
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
@@ -92,9 +102,15 @@
             idle.pop()
             if self._is_usable(server.id, last, now_ms):
                 return last.protocol
-            last.protocol.abort()
+            self._drop(server.id, last.protocol)
         return None
 
+    def _drop(self, server_id: str, protocol: H11Protocol) -> None:
+        """Aborts an idle connection."""
+        if protocol.bytes_received and not protocol.ended:
+            self.on_unexpected_bytes(server_id)
+        protocol.abort()
+
     def _is_usable(
         self, server_id: str, idle: _IdleConnection, now_ms: int
     ) -> bool:
@@ -128,6 +144,8 @@
             or protocol.unsent_bytes()
             or not protocol.reset_cycle()
         ):
+            if protocol.h11.trailing_data[0]:
+                self.on_unexpected_bytes(server.id)
             protocol.abort()
             return
         idle = self._idle.setdefault(server.id, [])
@@ -147,7 +165,7 @@
                 if idle.protocol.reusable and now_ms < idle.expires_ms:
                     open_connections.append(idle)
                 else:
-                    idle.protocol.abort()
+                    self._drop(server_id, idle.protocol)
             if open_connections:
                 self._idle[server_id] = open_connections
             else:
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -144,6 +144,7 @@
         self._links.list_helpers = self._list_helpers
         self._pool = ConnectionPool(clock, self._links)
         self._planner.selection.is_connected = self._pool.is_connected
+        self._pool.on_unexpected_bytes = self._record_unexpected_bytes
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock
         )
@@ -204,6 +205,11 @@
     def _list_helpers(self, server_id: str) -> list[Address]:
         return self._peers.list_helpers(server_id, self._clock.now_ms())
 
+    def _record_unexpected_bytes(self, server_id: str) -> None:
+        log_event("unexpected_bytes", "WARNING", server=server_id)
+        self._planner.counters.add("unexpected_bytes")
+        self._planner.ejections.record_failure(server_id, self._clock.now_ms())
+
     def _list_waiting(self) -> list[str]:
         return list(self._planner.loads.own)
 
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -11,7 +11,7 @@
 from ..adapters.http1_server import ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.entry.events import EventSplitter, MAX_EVENT_BYTES, read_event_id
+from ..core.entry.events import EventSplitter, read_event_id
 from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
@@ -316,7 +316,7 @@
             if not isinstance(event, h11.Data):
                 break
             await self._forward_events(splitter, bytes(event.data), head)
-            if len(splitter.rest) > MAX_EVENT_BYTES:
+            if splitter.is_excessive:
                 return Ending.INVALID_ANSWER
         if not isinstance(event, h11.EndOfMessage) or splitter.rest:
             return Ending.BROKEN
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -10,6 +10,7 @@
 import h11
 import msgspec
 
+from ..adapters.answer_meter import AnswerMeter
 from ..adapters.http1 import connect, ConnectionBrokenError, H11Protocol
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
@@ -25,6 +26,8 @@
 WATCH_MARGIN_MS: Final = 1_500
 UNACKED_TIMEOUT_MS: Final = 1_500
 MAX_PAGES: Final = 200
+# Entries of 3,900 servers take about 1 MB.
+MAX_ANSWER_BYTES: Final = 16_777_216
 
 AnswerT = TypeVar("AnswerT")
 Headers = list[tuple[bytes, bytes]]
@@ -316,7 +319,8 @@
     """Returns the status and the complete body of the next answer.
 
     Raises:
-        ConnectionBrokenError: The connection ended before the answer did.
+        ConnectionBrokenError: The connection ended before the answer did, or
+            the answer is larger than `MAX_ANSWER_BYTES`.
     """
     status, _, body = await _read_answer(protocol)
     return status, body
@@ -325,16 +329,19 @@
 async def _read_answer(protocol: H11Protocol) -> tuple[int, Headers, bytes]:
     status = 0
     headers: Headers = []
-    parts: list[bytes] = []
+    body = bytearray()
+    meter = AnswerMeter(protocol)
     while True:
-        event = await protocol.next_event()
+        event = await meter.next_event()
         if isinstance(event, h11.Response):
             status = event.status_code
             headers = list(event.headers)
         elif isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
+            body += event.data
+            if len(body) > MAX_ANSWER_BYTES:
+                raise ConnectionBrokenError("answer is larger than 16 MiB")
         elif isinstance(event, h11.EndOfMessage):
-            return status, headers, b"".join(parts)
+            return status, headers, bytes(body)
         elif isinstance(event, h11.ConnectionClosed):
             raise ConnectionBrokenError(
                 "closed before the answer was complete"
