--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -30,6 +30,7 @@
     "rollout_answers": "Answers during a rollout, by service and version.",
     "rollout_bad_answers": "Failures and slow answers among them.",
     "rollout_writes": "Writes of rollouts' outcomes by result.",
+    "unexpected_bytes": "Connections on which a server sent bytes unasked.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -11,7 +11,7 @@
 from ..adapters.http1_server import ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.entry.events import EventSplitter, MAX_EVENT_BYTES, read_event_id
+from ..core.entry.events import EventSplitter, read_event_id
 from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
@@ -317,7 +317,7 @@
             events = splitter.feed(bytes(event.data))
             self._timing.record(len(events), reader.received_ms)
             await self._forward_events(events, head)
-            if len(splitter.rest) > MAX_EVENT_BYTES:
+            if splitter.is_excessive:
                 return Ending.INVALID_ANSWER
         if not isinstance(event, h11.EndOfMessage) or splitter.rest:
             return Ending.BROKEN
