--- a/corianderdoor/core/entry/routing.py
+++ b/corianderdoor/core/entry/routing.py
@@ -211,6 +211,8 @@
         "_routes",
         "_keys",
         "_gaps_ms",
+        "_by_service",
+        "_workspace_priorities",
     )
 
     def __init__(
@@ -229,8 +231,16 @@
         self._keys = keys
         self._routes: dict[str, dict[str, Route]] = {}
         self._gaps_ms: dict[str, float] = {}
+        self._by_service: dict[str, list[Route]] = {}
+        self._workspace_priorities = {
+            workspace.priority
+            for workspace in keys.values()
+            if workspace.priority is not None
+        }
         for route in routes:
             self._routes.setdefault(route.host, {})[route.path_prefix] = route
+            for name, _ in route.split:
+                self._by_service.setdefault(name, []).append(route)
             if route.is_stream and route.target_gap_ms > 0:
                 for name, _ in route.split:
                     known = self._gaps_ms.get(name, route.target_gap_ms)
@@ -240,6 +250,15 @@
         """Returns the shortest target gap of the streams of a service."""
         return self._gaps_ms.get(service, DEFAULT_GAP_MS)
 
+    def routes_of(self, service: str) -> list[Route]:
+        """Returns the routes that lead to a service."""
+        return self._by_service.get(service, [])
+
+    def priorities_of(self, service: str) -> set[int]:
+        """Returns the priorities that requests of a service may have."""
+        routes = self.routes_of(service)
+        return {r.priority for r in routes} | self._workspace_priorities
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix.
 
--- a/corianderdoor/tools/explain.py
+++ b/corianderdoor/tools/explain.py
@@ -42,6 +42,7 @@
     "servers-paused": "every server of the service had asked for a pause",
     "cold-servers": "all servers that could be used were in slow start",
     "no-time": "no server could have answered before the deadline",
+    "overloaded": "the service had more work than it could do in time",
     "servers-full": "this host's share of connections was in use",
     "breaks-servers": "three servers went down while they ran this request",
     "out-of-time": "the time of the request had run out",
--- a/tests/test_entry_overload_no_time.py
+++ b/tests/test_entry_overload_no_time.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from entry_builders import build_planner, build_request, build_server
+from entry_builders import (
+    build_desired,
+    build_planner,
+    build_request,
+    build_route,
+    build_server,
+)
 
 from corianderdoor.core.entry.flights import Again, Ending, Refuse, Send
 from corianderdoor.core.entry.loads import PeerLoads
@@ -21,6 +27,9 @@
 def busy(queue=LONG_QUEUE, taken=100, ids=("s0", "s1", "s2")):
     """Returns a planner before servers that a peer has just reported."""
     planner = build_planner(SERVERS)
+    # With such long targets, only the deadline of the caller counts.
+    route = build_route(timeout_ms=6e9, target_latency_ms=6e9)
+    planner.set_desired(build_desired(2, (route,)))
     unread = dict.fromkeys(ids, queue)
     report = PeerLoads(AGE_MS + 2_500, dict.fromkeys(ids, taken), unread)
     planner.loads.update_peer("h2", report, AGE_MS)
