Spread the returns of refused requests at the rate of the servers

Cause: all requests that were refused in a moment got nearly the same Retry-After, so they returned together and were refused again.

Change: a request refused as overloaded returns when the least loaded server's queue has fallen to its priority's part, and each further one of the same host later by the time in which the servers do its work (return_times.py). Beyond 0.3 of the time left they spread over the second half of it. The guard against starving compares with the plain share of all requests: with one assumed request more, the first refusals of a quiet host looked like starving.

--- a/corianderdoor/core/entry/admission.py
+++ b/corianderdoor/core/entry/admission.py
@@ -8,6 +8,7 @@
 from .flights import Flight, Forecast, Refuse
 from .placing import CACHED_CHAT_MAX_GAPS
 from .queue_limits import Band, compute_band
+from .return_times import ReturnTimes
 from .served_shares import ServedShares
 from .server_selection import ServerSelection
 from .servers import BackendServer
@@ -35,14 +36,17 @@
 MIN_COMPARED: Final = 20
 # Multiple of its fair share up to which a workspace is treated like others.
 FAIR_FACTOR: Final = 1.25
-# Spread of the returns of refused requests, as a share of their wait.
+# Callers wait at most a third of their time before a retry, so the retry
+# delay sent to them is at most this share of the time left.
+MAX_RETRY_SHARE: Final = 0.3
+# Spread of the returns of requests without time, as a share of their wait.
 SPREAD_SHARE: Final = 0.25
 
 
 class Admission:
     """Refuses requests on arrival that the servers can't serve in time."""
 
-    __slots__ = ("_selection", "_rng", "_started_ms", "_shares")
+    __slots__ = ("_selection", "_rng", "_started_ms", "_shares", "_returns")
 
     def __init__(self, selection: ServerSelection, rng: random.Random) -> None:
         """Creates the admission of a host that starts with the first call."""
@@ -50,6 +54,7 @@
         self._rng = rng
         self._started_ms: int | None = None
         self._shares: dict[str, ServedShares] = {}
+        self._returns = ReturnTimes(rng)
 
     def check(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
@@ -106,20 +111,27 @@
             now_ms,
         )
         if forecast.first_event_ms > left_ms * CLEARLY_LATE:
-            return self._refuse("no-time", forecast)
+            return self._refuse_late(forecast)
         if forecast.queued <= bound or self._is_starving(flight, shares):
             return None
         band = self._find_band(flight, shares, bound / rate)
-        if self._rng.random() < band.refused_share(forecast.wait_ms):
-            return self._refuse("overloaded", forecast)
-        if self._would_overtake(flight, shares):
-            return self._refuse("overloaded", forecast)
-        return None
+        refused_share = band.refused_share(forecast.wait_ms)
+        if self._rng.random() >= refused_share:
+            if not self._would_overtake(flight, shares):
+                return None
+        wait_ms = max(0.0, forecast.wait_ms - band.none_ms)
+        work_ms = prompt / rate / len(servers) * len(selection.hosts)
+        latest_ms = left_ms * MAX_RETRY_SHARE
+        retry_ms = self._returns.take(
+            flight.service, wait_ms, latest_ms, work_ms, now_ms
+        )
+        return Refuse(503, "overloaded", retry_ms, forecast)
 
     def _is_starving(self, flight: Flight, shares: ServedShares) -> bool:
         """Returns whether requests like this one are admitted too rarely."""
         priority = flight.urgency()
-        usual = shares.total().ratio()
+        total = shares.total()
+        usual = total.admitted / max(1, total.offered)
         return STARVING_SHARE * usual > min(
             shares.of_priority(priority).ratio(usual),
             shares.of_workspace(priority, _name_workspace(flight)).ratio(
@@ -185,9 +197,9 @@
         slots = sum(server.slots for server in servers)
         return taken >= MIN_TAKEN_SHARE * slots
 
-    def _refuse(self, reason: str, forecast: Forecast) -> Refuse:
+    def _refuse_late(self, forecast: Forecast) -> Refuse:
         delay_ms = forecast.wait_ms * (1 + SPREAD_SHARE * self._rng.random())
-        return Refuse(503, reason, int(delay_ms), forecast)
+        return Refuse(503, "no-time", int(delay_ms), forecast)
 
 
 def _name_workspace(flight: Flight) -> str:
--- a/corianderdoor/core/entry/refusals.py
+++ b/corianderdoor/core/entry/refusals.py
@@ -5,15 +5,12 @@
 import random
 from typing import Final
 
-from .admission import Admission
+from .admission import Admission, MAX_RETRY_SHARE
 from .flights import Flight, Hold, Refuse
 from .server_selection import ServerSelection
 from .servers import BackendServer
 
 NO_SERVER_RETRY_MS: Final = 800
-# Callers wait at most a third of their time before a retry, so the retry
-# delay sent to them is at most this share of the time left.
-MAX_RETRY_SHARE: Final = 0.3
 # Share of the target latency for which a request may wait for a cold server
 # or a connection.
 MAX_HOLD_SHARE: Final = 0.5
