--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -5,10 +5,7 @@
 import random
 
 import anyio
-import pytest
 
-from corianderdoor.core.entry.flights import Ending
-from corianderdoor.core.entry.planner import Planner
 from corianderdoor.standins.bad_versions import FAILS
 from corianderdoor.standins.platform_fleet import PLAIN_SERVICE, run_fleet
 from corianderdoor.standins.platform_rollout import GOOD, Rollout
@@ -18,32 +15,6 @@
 BUDGET_S = 20.0
 RATE_PER_S = 90.0
 PATHS = ("/read/x", "/pay/x")
-BAD_ENDINGS = (Ending.SERVER_ERROR, Ending.BROKEN, Ending.INVALID_ANSWER)
-
-
-@pytest.fixture(autouse=True)
-def answers(monkeypatch):
-    """Passes answers on to the rollouts, without their times.
-
-    Stands for the relay's call of `record_rollout_answer` until it is there.
-    """
-    complete, fail = Planner.record_complete_answer, Planner.handle_failure
-
-    def record_complete_answer(self, flight):
-        server = flight.server
-        if server is not None:
-            self.record_rollout_answer(flight, server, False, 5, None, 0)
-        complete(self, flight)
-
-    def handle_failure(self, flight, server, ending, now_ms):
-        if ending in BAD_ENDINGS:
-            self.record_rollout_answer(flight, server, True, 5, None, now_ms)
-        return fail(self, flight, server, ending, now_ms)
-
-    monkeypatch.setattr(
-        Planner, "record_complete_answer", record_complete_answer
-    )
-    monkeypatch.setattr(Planner, "handle_failure", handle_failure)
 
 
 async def run_rollout(kind: str) -> tuple[dict, int, set[int]]:
