Limit suspected servers without avoiding them, and move a platform word

Change: while the store seems to be in contact, a suspected server keeps its place and only its rate is limited. A suspicion ends at the latest when a contact that is not too old would have shown the restart. The header is read in platform/headers.py. ColdRateLimiter drops old counts on each record. How an attempt counts for the ejection moves to ServerEjections, a move.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -186,31 +186,39 @@
         roomy = self.rooms.filter(usable, self.hosts, now_ms)
         if not roomy:
             return self._refusals.wait_for_room(flight, usable, now_ms)
-        warm = [s for s in roomy if not self.selection.may_be_cold(s, now_ms)]
+        warm = [s for s in roomy if self._is_free(s, now_ms)]
         if warm:
             return self._send(
                 flight, self.selection.rank(flight, warm, now_ms)[0], now_ms
             )
         return self._choose_cold(flight, roomy, now_ms)
 
+    def _is_free(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether no slow start keeps a request from a server."""
+        if not self.selection.may_be_cold(server, now_ms):
+            return True
+        return (
+            self.selection.is_only_suspected(server, now_ms)
+            and self._cold_wait_ms(server, now_ms) == 0
+        )
+
+    def _cold_wait_ms(self, server: BackendServer, now_ms: int) -> int | None:
+        """Returns when a cold server takes a request; None if never."""
+        service = self.selection.find_service(server.service)
+        if service is None or service.cold_per_s <= 0:
+            return 0
+        share = self._cold_limiter.share(
+            server.id, service.cold_per_s, self._name, self.hosts
+        )
+        return self._cold_limiter.wait_ms(server.id, share, now_ms)
+
     def _choose_cold(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
     ) -> Send | Hold | Refuse:
-        service = self.selection.find_service(flight.service)
-        cold_per_s = service.cold_per_s if service is not None else 0.0
-        if cold_per_s <= 0:
-            return self._send(
-                flight, self.selection.rank(flight, servers, now_ms)[0], now_ms
-            )
         shortest_ms: int | None = None
         for server in self.selection.rank(flight, servers, now_ms):
-            share = self._cold_limiter.share(
-                server.id, cold_per_s, self._name, self.hosts
-            )
-            wait_ms = self._cold_limiter.wait_ms(server.id, share, now_ms)
+            wait_ms = self._cold_wait_ms(server, now_ms)
             if wait_ms == 0:
-                self._cold_limiter.record(server.id, now_ms)
-                flight.cold_ms = now_ms
                 return self._send(flight, server, now_ms)
             if wait_ms is not None:
                 shortest_ms = min(wait_ms, shortest_ms or wait_ms)
@@ -221,6 +229,9 @@
     def _send(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> Send:
+        if self.selection.may_be_cold(server, now_ms):
+            self._cold_limiter.record(server.id, now_ms)
+            flight.cold_ms = now_ms
         self.rooms.reserve(flight, server.id)
         left_ms = flight.deadline_ms - now_ms
         silence_ms: int | None = None
@@ -314,7 +325,7 @@
             self.record_unreached(flight, server, now_ms)
             return Again()
         self.counters.add("sends", ending=ending.value)
-        self._update_ejections(server, ending, now_ms)
+        self.ejections.record_ending(server.id, ending, now_ms)
         if ending is Ending.BROKEN:
             self.restarts.record_broken(server.id, now_ms)
             self.crashing_requests.record_broken_connection(
@@ -339,7 +350,7 @@
     ) -> None:
         """Records that no connection to a server could be opened."""
         self.counters.add("sends", ending=Ending.UNREACHED.value)
-        self._update_ejections(server, Ending.UNREACHED, now_ms)
+        self.ejections.record_ending(server.id, Ending.UNREACHED, now_ms)
         self.crashing_requests.confirm_crash(server.id, now_ms)
         self.restarts.record_unreachable(server.id, now_ms)
         flight.excluded.add(server.id)
@@ -382,16 +393,3 @@
     def record_silence(self, server: BackendServer, now_ms: int) -> None:
         """Records that a server has been silent for too long."""
         self.ejections.record_failure(server.id, now_ms)
-
-    def _update_ejections(
-        self, server: BackendServer, ending: Ending, now_ms: int
-    ) -> None:
-        if ending in (Ending.UNREACHED, Ending.WRONG_SERVER):
-            # If another server has the address, this one is gone.
-            self.ejections.record_unreachable(server.id, now_ms)
-        elif ending in (
-            Ending.BROKEN,
-            Ending.INVALID_ANSWER,
-            Ending.SERVER_ERROR,
-        ):
-            self.ejections.record_failure(server.id, now_ms)
--- a/corianderdoor/core/entry/server_ejection.py
+++ b/corianderdoor/core/entry/server_ejection.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from .flights import Ending
+
 # One failure in three recent requests, far above the rate of healthy
 # servers.
 EJECTION_FAILURE_RATE: Final = 0.34
@@ -61,6 +63,20 @@
             return False
         return self._eject(record, now_ms)
 
+    def record_ending(
+        self, server_id: str, ending: Ending, now_ms: int
+    ) -> None:
+        """Records how an attempt at a server failed."""
+        if ending in (Ending.UNREACHED, Ending.WRONG_SERVER):
+            # If another server has the address, this one is gone.
+            self.record_unreachable(server_id, now_ms)
+        elif ending in (
+            Ending.BROKEN,
+            Ending.INVALID_ANSWER,
+            Ending.SERVER_ERROR,
+        ):
+            self.record_failure(server_id, now_ms)
+
     def record_unreachable(self, server_id: str, now_ms: int) -> bool:
         """Records that the server can't be reached, and ejects it.
 
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -153,6 +153,15 @@
             server.id, service.cold_ms, now_ms
         )
 
+    def is_only_suspected(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether a server that may be cold is likely to be warm.
+
+        It is not avoided then, only its rate is limited: it may be one that
+        fails, and hosts that avoid it would not eject it.
+        """
+        cold = self.servers.is_cold(server.id, now_ms)
+        return self.restarts.in_contact and not cold
+
     def rank(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
     ) -> list[BackendServer]:
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -147,6 +147,10 @@
             return False
         if self._contact_ms - failed_ms >= RECORD_DELAY_MS:
             return False
+        # A contact that is not too old has then shown what became of it.
+        shown_ms = failed_ms + RECORD_DELAY_MS + MAX_CONTACT_AGE_MS
+        if self.in_contact and now_ms >= shown_ms:
+            return False
         # The server may have come back at any time since it failed; its
         # first answer is the latest time of its return.
         answered_ms = self._answered.get(server_id, -1)
--- a/corianderdoor/core/entry/windows.py
+++ b/corianderdoor/core/entry/windows.py
@@ -117,6 +117,7 @@
         if sent is None:
             window_ms = COLD_WINDOW_MS + COLD_WINDOW_MARGIN_MS
             sent = self._sent[server_id] = SlidingCount(window_ms)
+        sent.count(now_ms)  # drops what has left the window
         sent.add(now_ms)
 
     def retain(self, ids: frozenset[str]) -> None:
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -18,6 +18,7 @@
 from ..core.entry.routing import CallerLimits, DEFAULT_LIMITS
 from ..platform.headers import (
     build_refusal_headers,
+    find_request_id,
     HeaderError,
     read_caller_request,
 )
@@ -163,8 +164,8 @@
                 protocol.abort()
                 return False
             # The request may have run.
-            id = dict(received.headers).get(b"attempt-id", b"")
-            await self._end_request(conn, 504, id.decode("latin-1"), None)
+            id = find_request_id(received.headers)
+            await self._end_request(conn, 504, id, None)
             return False
         conn.closing = conn.closing or self.draining
         more = await conn.finish()
@@ -208,7 +209,7 @@
         """Answers a request that the end of the grace period cuts off."""
         log_event("request_ended", "WARNING", id=request_id, status=status)
         conn.closing = True
-        headers = build_refusal_headers(request_id or None, retry_after_ms)
+        headers = build_refusal_headers(request_id, retry_after_ms)
         await conn.respond(status, headers)
         await conn.close_with_linger()
 
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -369,6 +369,12 @@
     return headers
 
 
+def find_request_id(headers: Headers) -> str | None:
+    """Returns the caller's id of a request; None if it has none."""
+    id = dict(headers).get(ATTEMPT_ID)
+    return id.decode("latin-1") if id else None
+
+
 def build_refusal_headers(
     request_id: str | None, retry_after_ms: int | None
 ) -> Headers:
