--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -209,6 +209,9 @@
     def _send(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> Send:
+        if self.selection.may_be_cold(server, now_ms):
+            self._cold_limiter.record(server.id, now_ms)
+            flight.cold_ms = now_ms
         self.rooms.reserve(flight, server.id)
         left_ms = flight.deadline_ms - now_ms
         silence_ms: int | None = None
--- a/corianderdoor/core/entry/server_choice.py
+++ b/corianderdoor/core/entry/server_choice.py
@@ -53,31 +53,37 @@
     def _choose_among(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
     ) -> BackendServer | Hold | Refuse:
-        warm = [
-            s for s in servers if not self._selection.may_be_cold(s, now_ms)
-        ]
+        warm = [s for s in servers if self._is_free(s, now_ms)]
         if warm:
             return self._selection.rank(flight, warm, now_ms)[0]
         return self._choose_cold(flight, servers, now_ms)
 
+    def _is_free(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether no slow start keeps a request from a server."""
+        if not self._selection.may_be_cold(server, now_ms):
+            return True
+        return (
+            self._selection.is_only_suspected(server, now_ms)
+            and self._cold_wait_ms(server, now_ms) == 0
+        )
+
+    def _cold_wait_ms(self, server: BackendServer, now_ms: int) -> int | None:
+        """Returns when a cold server takes a request; None if never."""
+        service = self._selection.find_service(server.service)
+        if service is None or service.cold_per_s <= 0:
+            return 0
+        share = self._cold_limiter.share(
+            server.id, service.cold_per_s, self._name, self._selection.hosts
+        )
+        return self._cold_limiter.wait_ms(server.id, share, now_ms)
+
     def _choose_cold(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
     ) -> BackendServer | Hold | Refuse:
-        selection = self._selection
-        service = selection.find_service(flight.service)
-        cold_per_s = service.cold_per_s if service is not None else 0.0
-        ranked = selection.rank(flight, servers, now_ms)
-        if cold_per_s <= 0:
-            return ranked[0]
         shortest_ms: int | None = None
-        for server in ranked:
-            share = self._cold_limiter.share(
-                server.id, cold_per_s, self._name, selection.hosts
-            )
-            wait_ms = self._cold_limiter.wait_ms(server.id, share, now_ms)
+        for server in self._selection.rank(flight, servers, now_ms):
+            wait_ms = self._cold_wait_ms(server, now_ms)
             if wait_ms == 0:
-                self._cold_limiter.record(server.id, now_ms)
-                flight.cold_ms = now_ms
                 return server
             if wait_ms is not None:
                 shortest_ms = min(wait_ms, shortest_ms or wait_ms)
--- a/corianderdoor/core/entry/server_ejection.py
+++ b/corianderdoor/core/entry/server_ejection.py
@@ -63,6 +63,20 @@
             return False
         return self._eject(record, now_ms)
 
+    def record_ending(
+        self, server_id: str, ending: Ending, now_ms: int
+    ) -> None:
+        """Records how an attempt at a server failed."""
+        if ending in (Ending.UNREACHED, Ending.WRONG_SERVER):
+            # If another server has the address, this one is gone.
+            self.record_unreachable(server_id, now_ms)
+        elif ending in (
+            Ending.BROKEN,
+            Ending.INVALID_ANSWER,
+            Ending.SERVER_ERROR,
+        ):
+            self.record_failure(server_id, now_ms)
+
     def record_unreachable(self, server_id: str, now_ms: int) -> bool:
         """Records that the server can't be reached, and ejects it.
 
