--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -14,7 +14,7 @@
 
 COUNTER_DESCRIPTIONS: Final = {
     "requests": "Requests of callers by kind and outcome.",
-    "refusals": "Failures of our own by reason and status.",
+    "refusals": "Failures of our own by reason, status and kind of request.",
     "answers_aborted": "Answers cut off after they had begun, by reason.",
     "sends": "Sends to backend servers by how they ended.",
     "repeats": "Sends beyond the first of a request.",
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -28,6 +28,7 @@
 )
 from .answer_signs import record_answer_signs
 from .backends import ConnectionPool
+from .overload_log import log_forecast
 from .server_marks import ServerMarks
 
 # Answers to other requests that are skipped on one connection.
@@ -575,9 +576,13 @@
             held_ms=now_ms - flight.arrived_ms if flight else 0,
             retry_after_ms=refusal.retry_after_ms,
         )
+        log_forecast(flight, refusal)
         self._count_outcome("refused")
         self._planner.counters.add(
-            "refusals", reason=refusal.reason, status=str(refusal.status)
+            "refusals",
+            reason=refusal.reason,
+            status=str(refusal.status),
+            kind=flight.route.kind.value if flight else "none",
         )
         if self._conn.response_started:
             log_event(
--- a/tests/test_entry_overload_no_time.py
+++ b/tests/test_entry_overload_no_time.py
@@ -12,6 +12,7 @@
 
 from corianderdoor.core.entry.flights import Again, Ending, Refuse, Send
 from corianderdoor.core.entry.loads import PeerLoads
+from corianderdoor.entry import overload_log
 
 SERVERS = 3
 # Tokens that take 9 s at the rate that refusals assume until one is learnt.
@@ -145,3 +146,25 @@
     found = dict(planner.counters.read("first_event_forecasts"))
     names = ("early", "close", "late")
     assert found == {(("error", name),): 1 for name in names}
+
+
+def test_forecast_behind_a_refusal_is_logged(monkeypatch):
+    # Guards against refusals whose reason no operator sees.
+    lines = []
+    monkeypatch.setattr(
+        overload_log, "log_event", lambda name, **keys: lines.append(keys)
+    )
+    planner = busy()
+    flight = planner.admit(build_request(), AGE_MS)
+    overload_log.log_forecast(flight, planner.choose(flight, AGE_MS))
+    overload_log.log_forecast(flight, Refuse(503, "no-server"))
+    (keys,) = lines
+    wanted = {
+        "forecast_ms": 9_150,
+        "queued": LONG_QUEUE,
+        "rate": 60.0,
+        "report_age_ms": 0,
+        "workspace": "acme",
+        "priority": 1,
+    }
+    assert keys.items() >= wanted.items()
