Keep a range of queues for priorities where targets are short

Cause: with a target latency up to 1 s and a gap of 400 ms, half of the target is not above the bound at which refusals start.

Change: the range is at least half of the bound wide.

--- a/corianderdoor/core/entry/queue_limits.py
+++ b/corianderdoor/core/entry/queue_limits.py
@@ -13,6 +13,9 @@
 # queues that are longer than known.
 TARGET_SHARE: Final = 0.5
 TIMEOUT_SHARE: Final = 0.5
+# Least width of the range, as a share of the queue at which it starts; with a
+# short target there would be none, and priorities would not differ.
+MIN_RANGE: Final = 0.5
 
 
 class Band(Record):
@@ -74,6 +77,7 @@
         )
         for route in routes
     )
-    step_ms = max(0.0, top_ms - bound_ms) / len(priorities)
+    range_ms = max(MIN_RANGE * bound_ms, top_ms - bound_ms)
+    step_ms = range_ms / len(priorities)
     below = len(priorities) - 1 - priorities.index(priority)
     return Band(bound_ms + step_ms * below, bound_ms + step_ms * (below + 1))
--- a/tests/test_entry_overload_burst.py
+++ b/tests/test_entry_overload_burst.py
@@ -12,6 +12,7 @@
 
 from corianderdoor.core.entry.flights import Refuse
 from corianderdoor.core.entry.loads import PeerLoads
+from corianderdoor.core.entry.queue_limits import compute_band
 from corianderdoor.core.entry.served_shares import ServedShares
 
 
@@ -21,6 +22,17 @@
     assert min(shares["p0"], shares["p1"]) > shares["p2"] + 0.2
 
 
+def test_priorities_differ_with_targets_shorter_than_the_bound():
+    # Guards against one limit for all priorities where targets are short.
+    for target_ms in (200, 1_000, 4_000):
+        routes = [build_route(target_latency_ms=target_ms)]
+        urgent = compute_band(0, (0, 1), routes, 500)
+        lesser = compute_band(1, (0, 1), routes, 500)
+        assert lesser.none_ms == 500
+        assert lesser.all_ms == urgent.none_ms >= 625
+        assert urgent.all_ms == max(750, target_ms / 2)
+
+
 def test_less_urgent_requests_wait_while_urgent_ones_are_admitted_less():
     # Guards against a kind that overtakes a more urgent one.
     for urgent_admitted, overtakes in ((60, True), (90, False)):
