--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -22,6 +22,7 @@
 from .answer_signs import record_answer_signs
 from .answer_timing import AnswerTiming, record_rollout_answer
 from .backends import ConnectionPool
+from .overload_log import log_forecast
 from .server_marks import ServerMarks
 from .server_request import send_request
 
@@ -375,9 +376,13 @@
             held_ms=now_ms - flight.arrived_ms if flight else 0,
             retry_after_ms=refusal.retry_after_ms,
         )
+        log_forecast(flight, refusal)
         self._count_outcome("refused")
         self._planner.counters.add(
-            "refusals", reason=refusal.reason, status=str(refusal.status)
+            "refusals",
+            reason=refusal.reason,
+            status=str(refusal.status),
+            kind=flight.route.kind.value if flight else "none",
         )
         if self._conn.response_started:
             log_event(
