Name no word of the platform in the changes of rollouts

test_entry_code_uses_no_word_of_the_platform failed on the word in a doc comment. It passes now. The whole suite had one more failure, in test_entry_hosts_without_servers.py, at a load of 20 on the machine; that file passed twice alone afterwards.

--- a/corianderdoor/core/entry/rollout_changes.py
+++ b/corianderdoor/core/entry/rollout_changes.py
@@ -6,7 +6,7 @@
 
 
 class RolloutChange(Record):
-    """One change, which the edge logs.
+    """One change, for the log.
 
     Attributes:
         event: Name of the log event: `rollout_ordered`, `rollout_stage`,
