Survive malformed messages and unexpected errors of tasks

Cause: one datagram, or a saved cache map, whose Cap'n Proto segment table names a segment that is missing aborted the process (SIGABRT): the reader of packed messages raises in a destructor. Ports above 65535 raised OverflowError in connect and sendto, digit strings above 4,300 digits ValueError in int(), and times such as 1e308 OverflowError in the desired state. Each of these ended a task, and with it the host. Only the last of several Connection headers counted.

Change: packed messages are checked as a whole before they are read. Decoders refuse such ports, digits, times and deeply nested JSON by their own errors. An unexpected error in one datagram or item is logged and counted. All Connection headers count.

The guards around one datagram and one item have no test that fails without them.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import gc
 import pathlib
 import random
@@ -39,6 +40,7 @@
     StateSync,
 )
 from .tunnels import TunnelService
+from .upkeep import Job, keep_running
 
 TICK_MS: Final = 100
 # A longer time between two ticks shows that the process was suspended.
@@ -238,16 +240,10 @@
             )
             if self._metrics_port is not None:
                 await self._serve_metrics(tasks, self._metrics_port)
-            tasks.start_soon(self._sync.run)
-            tasks.start_soon(self._registration.run, self._is_serving)
-            tasks.start_soon(self._cache_saver.run)
-            tasks.start_soon(self._peering.run_heartbeats)
-            tasks.start_soon(
-                self._links.run_checks,
-                self._planner.servers.get,
-                self._list_waiting,
-            )
-            tasks.start_soon(self._run_ticks)
+            for name, job in self._list_jobs().items():
+                tasks.start_soon(
+                    keep_running, name, job, self._planner.counters
+                )
             # What the start allocated is kept; later collections skip it.
             gc.freeze()
             gc.enable()
@@ -257,6 +253,23 @@
             tasks.cancel_scope.cancel()
         log_event("stopped", name=settings.name)
 
+    def _list_jobs(self) -> dict[str, Job]:
+        """Returns the tasks that run for as long as the host serves."""
+        return {
+            "sync": self._sync.run,
+            "registration": functools.partial(
+                self._registration.run, self._is_serving
+            ),
+            "caches": self._cache_saver.run,
+            "heartbeats": self._peering.run_heartbeats,
+            "links": functools.partial(
+                self._links.run_checks,
+                self._planner.servers.get,
+                self._list_waiting,
+            ),
+            "ticks": self._run_ticks,
+        }
+
     async def _serve_metrics(
         self, tasks: anyio.abc.TaskGroup, port: int
     ) -> None:
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -11,6 +11,7 @@
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.replica import Change, Page
 from ..core.entry.server_room import RoomReport
+from .packing import check_packed
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
 # Highest values that the fields of a heartbeat can hold; higher ones are sent
@@ -22,6 +23,8 @@
 MAX_PERCENT: Final = 100
 MAX_TOKENS: Final = 2**32 - 1
 MAX_PAGE_BYTES: Final = 33_554_432
+# Far more than a datagram of a host holds.
+MAX_HEARTBEAT_BYTES: Final = 1_048_576
 # Traversal limit in words; stops messages with pointers to themselves.
 MAX_WORDS: Final = 4_194_304
 
@@ -82,6 +85,7 @@
         MessageError: `data` is not a valid heartbeat.
     """
     try:
+        check_packed(data, MAX_HEARTBEAT_BYTES)
         raw = _SCHEMA.Heartbeat.from_bytes_packed(data)
         return Heartbeat(
             raw.sender,
@@ -202,6 +206,7 @@
         MessageError: `data` is not a valid value.
     """
     try:
+        check_packed(data, MAX_PAGE_BYTES)
         raw = _SCHEMA.Caches.from_bytes_packed(
             data, traversal_limit_in_words=MAX_WORDS
         )
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -42,6 +42,14 @@
 # Shortest time between two heartbeats, if one is sent early.
 MIN_HEARTBEAT_GAP_MS: Final = 50
 STATE_PATH: Final = b"/state"
+MAX_REVISION_DIGITS: Final = 20
+
+
+def is_number(text: str) -> bool:
+    """Returns whether `text` is a plausible revision."""
+    return (
+        text.isascii() and text.isdigit() and len(text) <= MAX_REVISION_DIGITS
+    )
 
 
 class Peering(asyncio.DatagramProtocol):
@@ -102,10 +110,13 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Handles a heartbeat from a peer."""
         try:
-            heartbeat = decode_heartbeat(data)
-        except MessageError as exc:
-            log_event("heartbeat_invalid", "WARNING", detail=str(exc))
-            return
+            self._merge_heartbeat(decode_heartbeat(data), addr)
+        except Exception as exc:
+            # Whatever a datagram holds, the other peers' count.
+            log_event("heartbeat_invalid", "WARNING", detail=repr(exc))
+            self._planner.counters.add("invalid_messages", kind="heartbeat")
+
+    def _merge_heartbeat(self, heartbeat: Heartbeat, addr: Address) -> None:
         now_ms = self._clock.now_ms()
         peer = self._peers.record_heartbeat(heartbeat, now_ms)
         if peer is None:
@@ -267,9 +278,10 @@
                 )
                 with anyio.move_on_after(left_ms / MS_PER_SECOND):
                     await self._send_now.wait()
-        finally:
+        except asyncio.CancelledError:
             if self._transport is not None:
                 self._transport.close()
+            raise
 
     async def serve(self, conn: ServerConnection) -> None:
         """Answers a peer that requests the store's items or a tunnel."""
@@ -282,7 +294,7 @@
         path, _, query = received.target.partition(b"?")
         fields = parse_qs(query.decode("latin-1"))
         after = fields.get("after", [""])[0]
-        if path != STATE_PATH or not after.isdigit():
+        if path != STATE_PATH or not is_number(after):
             await conn.respond(404, [])
             return
         # Hosts of earlier releases name no era.
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -92,7 +92,17 @@
                 change.value is None
                 or change.revision <= self.replica.restored_revision
             )
-            self._apply_change(change, source, from_copy)
+            try:
+                self._apply_change(change, source, from_copy)
+            except Exception as exc:
+                # One unusable item must not stop those after it.
+                log_event(
+                    "record_invalid",
+                    "WARNING",
+                    key=change.key,
+                    detail=repr(exc),
+                )
+                self._planner.counters.add("invalid_messages", kind="record")
         return len(changes)
 
     def _begin_era(self, page: Page, source: str) -> None:
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -11,6 +11,7 @@
 from ..adapters.http1 import Headers
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
+from ..core.entry.events import MAX_ID_DIGITS
 from ..core.entry.requests import CallerRequest, PromptPart
 from ..core.records import Record
 
@@ -31,6 +32,8 @@
 SERVER_BRITTLE: Final = b"server-brittle"
 # Digits of a number in a server's header; longer ones are not plausible.
 MAX_DIGITS: Final = 6
+# Digits of the tokens of a part of a prompt.
+MAX_TOKEN_DIGITS: Final = 9
 # Headers that only the entry host may set or that are meant for it alone;
 # a caller's values are not forwarded.
 RESERVED_HEADERS: Final = frozenset(
@@ -277,7 +280,9 @@
         parts,
         sum(part.tokens for part in parts),
         _parse_event_id(values),
-        _filter_headers(headers, values.get(b"connection", b"")),
+        _filter_headers(
+            headers, b",".join(_get_values(headers, b"connection"))
+        ),
         body,
     )
 
@@ -306,7 +311,7 @@
 
 def _parse_event_id(values: dict[bytes, bytes]) -> int | None:
     value = values.get(LAST_EVENT_ID)
-    if value is None or not value.isdigit():
+    if value is None or not value.isdigit() or len(value) > MAX_ID_DIGITS:
         return None
     return int(value)
 
@@ -320,6 +325,8 @@
         name, _, tokens = item.strip().partition(":")
         if not (name and tokens.isascii() and tokens.isdigit()):
             return ()
+        if len(tokens) > MAX_TOKEN_DIGITS:
+            return ()
         parts.append(PromptPart(name, int(tokens)))
     return tuple(parts)
 
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -26,6 +26,8 @@
 HOST_PREFIX: Final = "corianderdoor/hosts/"
 # Entry hosts save here which servers cache which prompt parts.
 CACHES_KEY: Final = "corianderdoor/caches"
+# Deeply nested JSON raises RecursionError.
+UNDECODABLE: Final = (msgspec.MsgspecError, RecursionError)
 ROUTE_KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -117,7 +119,7 @@
     try:
         raw = msgspec.json.decode(value, type=_Server)
         host, port = parse_address(raw.address)
-    except (msgspec.MsgspecError, SettingsError) as exc:
+    except (*UNDECODABLE, SettingsError) as exc:
         raise RecordError(f"entry of server {server_id}: {exc}") from exc
     return BackendServer(
         server_id,
@@ -142,8 +144,12 @@
     try:
         raw = msgspec.json.decode(value, type=_Config)
         routes = [_decode_route(route) for route in raw.routes]
-    except (msgspec.MsgspecError, KeyError, ValueError) as exc:
+        return _build_desired(raw, routes)
+    except (*UNDECODABLE, KeyError, ValueError, OverflowError) as exc:
         raise RecordError(f"desired state: {exc}") from exc
+
+
+def _build_desired(raw: _Config, routes: list[Route]) -> DesiredState:
     limits = raw.limits
     return DesiredState(
         raw.version,
@@ -235,5 +241,5 @@
             raw.data_centre,
             raw.link_mbps,
         )
-    except (msgspec.MsgspecError, SettingsError) as exc:
+    except (*UNDECODABLE, SettingsError) as exc:
         raise RecordError(f"record of host {name}: {exc}") from exc
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -14,6 +14,8 @@
 
 PATH_VARIABLE: Final = "CORIANDERDOOR_BOOT"
 DEFAULT_PATH: Final = "/etc/corianderdoor/boot.json"
+# Operations on sockets raise OverflowError for higher ports.
+MAX_PORT: Final = 65_535
 
 
 class SettingsError(Exception):
@@ -148,6 +150,8 @@
     host, colon, port = text.rpartition(":")
     if not (host and colon and port.isascii() and port.isdigit()):
         raise SettingsError(f"{text!r} is not an address of the form IP:PORT")
+    if len(port) > len(str(MAX_PORT)) or not 0 < int(port) <= MAX_PORT:
+        raise SettingsError(f"{text[:80]!r} has no valid port")
     return host, int(port)
 
 
@@ -164,7 +168,7 @@
     """
     try:
         return EntrySettings(msgspec.json.decode(content, type=_File))
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, OverflowError, RecursionError) as exc:
         raise SettingsError(f"invalid settings: {exc}") from exc
 
 
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -366,5 +366,5 @@
         raise StoreError(step, str(status), status in (429, 503))
     try:
         return msgspec.json.decode(body, type=answer_type)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise StoreError(step, "unreadable", False) from exc
