--- a/tests/test_entry_malformed_messages.py
+++ b/tests/test_entry_malformed_messages.py
@@ -35,8 +35,9 @@
     read_caller_request,
 )
 from corianderdoor.platform.settings import decode_settings, SettingsError
-from corianderdoor.platform.store import _decode, _Page, StoreError
+from corianderdoor.platform.store import _decode, StoreError
 from corianderdoor.platform.store_era import StoreEra
+from corianderdoor.platform.store_messages import RawPage
 from corianderdoor.standins.platform_fleet import (
     build_config,
     build_settings,
@@ -84,7 +85,7 @@
     "server": (change("servers/a"), (), SERVER),
     "host": (change("corianderdoor/hosts/a"), (), HOST),
     "desired": (change("op/config"), (), build_config(1)),
-    "store": (lambda d: _decode("x", 200, d, _Page), StoreError, ENTRIES),
+    "store": (lambda d: _decode("x", 200, d, RawPage), StoreError, ENTRIES),
     "settings": (
         decode_settings,
         SettingsError,
