Move streams away from servers that send only single bytes

Cause: each byte of an event counted as progress, so a stalled stream that sent a byte now and then stayed at its server until its deadline and was cut.

Change: within an incomplete event the silence counts from the last whole one.

Result: the new test ends in a cut stream without the change and in a complete one with it.

--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -83,6 +83,8 @@
         "_flight",
         "_protocol",
         "_silence_recorded",
+        "_progress_ms",
+        "_is_incomplete",
         "_own_id",
         "_skipped_bytes",
         "_meter",
@@ -104,6 +106,10 @@
         self._flight = flight
         self._protocol = protocol
         self._silence_recorded = False
+        # When the last whole event of a stream arrived, and whether a part
+        # of the next one is there.
+        self._progress_ms = self.received_ms
+        self._is_incomplete = False
         # Id that the trailers may repeat; None before the own answer.
         self._own_id: bytes | None = None
         self._skipped_bytes = 0
@@ -131,13 +137,29 @@
         if silence_ms is None:
             return self._accept(await self._meter.next_event(is_stream))
         wait_ms = silence_ms
+        if self._is_incomplete:
+            # Single bytes of an event are no progress.
+            stalled_ms = self._clock.now_ms() - self._progress_ms
+            wait_ms = max(0, silence_ms - stalled_ms)
         while True:
-            received_bytes = self._protocol.bytes_received
+            received_bytes: int | None = None
+            if not self._is_incomplete:
+                received_bytes = self._protocol.bytes_received
             with anyio.move_on_after(wait_ms / MS_PER_SECOND):
                 return self._accept(await self._meter.next_event(is_stream))
             await self._look_for_other_server(received_bytes)
             wait_ms = MOVE_POLL_MS
 
+    def record_progress(self, is_complete: bool) -> None:
+        """Records bytes of a stream that were read.
+
+        Args:
+            is_complete: Whether they complete an event or end with one.
+        """
+        self._is_incomplete = not is_complete
+        if is_complete:
+            self._progress_ms = self.received_ms
+
     def _accept(
         self, event: h11.Event | type[h11.PAUSED]
     ) -> h11.Event | type[h11.PAUSED]:
@@ -157,21 +179,21 @@
             self._pool.record_received(self._flight.server.id, self._protocol)
         return event
 
-    async def _look_for_other_server(self, received_bytes: int) -> None:
+    async def _look_for_other_server(self, received_bytes: int | None) -> None:
         """Moves the request from its silent server if another takes it.
 
         Args:
             received_bytes: Bytes that the connection had received before the
-                silence.
+                silence; None if further bytes do not end it.
 
         Raises:
             MovedError: The request goes on at another server.
         """
-        flight, protocol = self._flight, self._protocol
+        flight = self._flight
         assert flight.server is not None
         # The time may be over because this process was busy.
         await deliver_pending()
-        if protocol.ended or protocol.bytes_received != received_bytes:
+        if self._goes_on(received_bytes):
             return
         now_ms = self._clock.now_ms()
         if not self._silence_recorded:
@@ -191,16 +213,18 @@
         may_send = self._planner.selection.may_send(
             send.server, self._clock.now_ms()
         )
-        if (
-            protocol.ended
-            or protocol.bytes_received != received_bytes
-            or not may_send
-        ):
+        if self._goes_on(received_bytes) or not may_send:
             self._planner.cancel_move(flight)
             opened.abort()
             return
         raise MovedError(Move(send, opened))
 
+    def _goes_on(self, received_bytes: int | None) -> bool:
+        """Returns whether the connection ended or its silence did."""
+        if self._protocol.ended or received_bytes is None:
+            return self._protocol.ended
+        return self._protocol.bytes_received != received_bytes
+
     async def read_head(
         self, send: Send, sent: h11.Request, marks: ServerMarks
     ) -> AnswerHead | None:
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -17,12 +17,12 @@
 from ..core.entry.requests import CallerRequest
 from ..core.entry.servers import BackendServer
 from ..core.entry.silence import MIN_STREAM_SILENCE_MS
-from ..platform.headers import AnswerHead, build_refusal_headers
+from ..platform.headers import AnswerHead
 from .answer_reader import AnswerReader, Move, MovedError, ServerAnswer
 from .answer_signs import record_answer_signs
 from .answer_timing import AnswerTiming, record_rollout_answer
 from .backends import ConnectionPool
-from .overload_log import log_forecast
+from .refusal_answer import send_refusal
 from .server_marks import ServerMarks
 from .server_request import send_request
 
@@ -317,6 +317,7 @@
                 break
             events = splitter.feed(bytes(event.data))
             self._timing.record(len(events), reader.received_ms)
+            reader.record_progress(bool(events) or not splitter.rest)
             await self._forward_events(events, head)
             if splitter.is_excessive:
                 return Ending.INVALID_ANSWER
@@ -363,42 +364,14 @@
         self._conn.start(head.status, [*head.headers, chunked])
 
     async def _refuse(self, refusal: Refuse) -> None:
-        flight = self._flight
-        now_ms = self._clock.now_ms()
-        log_event(
-            "refusal_sent",
-            request_id=self._req.id,
-            status=refusal.status,
-            reason=refusal.reason,
-            service=flight.service if flight else "",
-            runs=flight.runs if flight else 0,
-            begun=flight.answer_started if flight else False,
-            held_ms=now_ms - flight.arrived_ms if flight else 0,
-            retry_after_ms=refusal.retry_after_ms,
-        )
-        log_forecast(flight, refusal)
         self._count_outcome("refused")
-        self._planner.counters.add(
-            "refusals",
-            reason=refusal.reason,
-            status=str(refusal.status),
-            kind=flight.route.kind.value if flight else "none",
+        await send_refusal(
+            self._conn,
+            self._req,
+            self._flight,
+            refusal,
+            self._planner.counters,
+            self._clock.now_ms(),
+            self._received_ms,
+            self._failure_detail,
         )
-        if self._conn.response_started:
-            log_event(
-                "answer_aborted",
-                "WARNING",
-                request_id=self._req.id,
-                reason=refusal.reason,
-                after_event=flight.last_event_id if flight else None,
-                silent_ms=now_ms - self._received_ms,
-                detail=self._failure_detail,
-            )
-            self._planner.counters.add(
-                "answers_aborted", reason=refusal.reason
-            )
-            # Cutting the connection shows that the answer is incomplete.
-            self._conn.protocol.abort()
-            return
-        headers = build_refusal_headers(self._req.id, refusal.retry_after_ms)
-        await self._conn.respond(refusal.status, headers)
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -18,6 +18,7 @@
 EVENT_COUNT: Final = 6
 LARGE_BODY_BYTES: Final = 8_000_000
 EVENT_GAP_MS: Final = 4
+TRICKLE_GAP_MS: Final = 100
 FIRST_VERSION: Final = "v1"
 # Speed at which an engine processes prompt tokens that are not cached.
 PREFILL_TOKENS_PER_MS: Final = 200.0
@@ -35,7 +36,8 @@
             (no content length), "stray" (sends another request's answer
             first), "unsigned" (no signature), "stall" (sends the head but
             no body), "pause" (silent for `pause_ms` inside its next answer,
-            then goes on and serves normally), "large" (a body of 8 MB),
+            then goes on and serves normally), "trickle" (sends the second
+            event byte by byte, without an end), "large" (a body of 8 MB),
             "moved" (421, as if another worker had the address).
         runs: Number of runs of each request.
         last_headers: Headers of the last request.
@@ -344,6 +346,8 @@
                 await anyio.sleep(EVENT_GAP_MS / MS_PER_SECOND)
                 conn.protocol.abort()
                 return
+            if self.mode == "trickle" and number == first + 1:
+                await self._trickle(conn)
             if self.mode == "pause" and number == first + 2:
                 await self._pause()
             conn.protocol.write(h11.Data(data=event))
@@ -351,6 +355,13 @@
             await anyio.sleep(gap_s)
         conn.protocol.write(h11.EndOfMessage())
 
+    async def _trickle(self, conn: ServerConnection) -> None:
+        """Sends an event that does not end, byte by byte."""
+        while not conn.protocol.ended:
+            conn.protocol.write(h11.Data(data=b":"))
+            await conn.protocol.flush()
+            await anyio.sleep(TRICKLE_GAP_MS / MS_PER_SECOND)
+
 
 def _do_nothing(worker: Worker, req: ReceivedRequest, runs: bool) -> None:
     """Does nothing; the default of `Worker.on_request`."""
--- a/tests/test_entry_silent_servers.py
+++ b/tests/test_entry_silent_servers.py
@@ -58,6 +58,25 @@
     run(scenario, engines=3, plain=0, hosts=1)
 
 
+# Guards against a stalled stream that lasts until its deadline: each byte of
+# an event that never ended counted as progress.
+def test_stream_leaves_a_server_that_sends_single_bytes():
+    async def scenario(fleet):
+        def recover_others(worker, req, runs):
+            for other in fleet.workers.values():
+                if other is not worker:
+                    other.mode = ""
+
+        for worker in fleet.workers.values():
+            worker.mode = "trickle"
+            worker.on_request = recover_others
+        reply = await fleet.chat("host-0", "id-1", "/chat/x")
+        assert reply.complete
+        assert IDS.findall(reply.body) == ALL_IDS
+
+    run(scenario, engines=2, plain=0, hosts=1)
+
+
 # Guards against LOST: as above, when the answer has not begun.
 def test_read_gets_its_answer_after_its_only_server_was_silent():
     async def scenario(fleet):
