--- /dev/null
+++ b/corianderdoor/entry/gauges.py
@@ -0,0 +1,47 @@
+"""Gauges of an entry host, for its metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..core.clock import Clock
+from ..core.entry.peers import Peers
+from ..core.entry.planner import Planner
+from ..core.entry.replica import Replica
+
+
+def build_gauges(
+    planner: Planner,
+    peers: Peers,
+    replica: Replica,
+    count_busy: Callable[[], int],
+    clock: Clock,
+) -> dict[str, Callable[[], float]]:
+    """Returns the functions that read the gauges, by name.
+
+    Args:
+        planner: State of the servers and of the requests.
+        peers: The other hosts.
+        replica: This host's replica of the store.
+        count_busy: Returns the number of callers' requests in progress.
+        clock: The clock.
+    """
+
+    def read_highest_load_share() -> float:
+        """Returns the highest load of a server divided by the mean load."""
+        now_ms = clock.now_ms()
+        loads = [planner.loads.of(id, now_ms) for id in planner.servers.ids()]
+        return max(loads) * len(loads) / sum(loads) if any(loads) else 0.0
+
+    return {
+        "in_progress": lambda: float(count_busy()),
+        "live_peers": lambda: float(peers.count_live(clock.now_ms())),
+        "replica_revision": lambda: float(replica.revision),
+        "replica_era": lambda: float(replica.era),
+        "desired_version": lambda: float(
+            planner.desired.version if planner.desired else 0
+        ),
+        "highest_load_share": read_highest_load_share,
+        "brittle_servers": lambda: float(planner.rooms.count()),
+        "lowest_room": planner.rooms.lowest_room,
+    }
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -31,22 +31,20 @@
 from ..platform.store import StoreClient
 from ..platform.store_era import StoreEra
 from .backends import ConnectionPool
+from .cache_map_saver import CacheMapSaver
 from .callers import CallerService
 from .cpu_meter import CpuMeter
 from .directory import DirectoryService
+from .gauges import build_gauges
 from .metrics import MetricsService
 from .peering import Peering
+from .registration import Registration
 from .rollout_feed import RolloutFeed
 from .rollout_writer import RolloutWriter
 from .server_links import ServerLinks
 from .server_marks import ServerMarks
 from .state_applier import StateApplier
-from .state_sync import (
-    CacheMapSaver,
-    FIRST_START_DELAY_MS,
-    Registration,
-    StateSync,
-)
+from .state_sync import FIRST_START_DELAY_MS, StateSync
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
@@ -292,31 +290,17 @@
     async def _serve_metrics(
         self, tasks: anyio.abc.TaskGroup, port: int
     ) -> None:
-        gauges = {
-            "in_progress": lambda: float(self._callers.count_busy()),
-            "live_peers": lambda: float(
-                self._peers.count_live(self._clock.now_ms())
-            ),
-            "replica_revision": lambda: float(self._applier.replica.revision),
-            "replica_era": lambda: float(self._applier.replica.era),
-            "desired_version": lambda: float(
-                self._planner.desired.version if self._planner.desired else 0
-            ),
-            "highest_load_share": self._highest_load_share,
-            "brittle_servers": lambda: float(self._planner.rooms.count()),
-            "lowest_room": self._planner.rooms.lowest_room,
-        }
+        gauges = build_gauges(
+            self._planner,
+            self._peers,
+            self._applier.replica,
+            self._callers.count_busy,
+            self._clock,
+        )
         text = MetricsText(self._planner.counters, gauges)
         address = (self._settings.address, port)
         await listen(address, tasks, MetricsService(text).serve)
 
-    def _highest_load_share(self) -> float:
-        """Returns the highest load of a server divided by the mean load."""
-        now_ms = self._clock.now_ms()
-        ids = self._planner.servers.ids()
-        loads = [self._planner.loads.of(id, now_ms) for id in ids]
-        return max(loads) * len(loads) / sum(loads) if any(loads) else 0.0
-
     def _is_serving(self) -> bool:
         return not self._peering.leaving
 
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -1,23 +1,20 @@
-"""Keeps the replica of the store and this host's records in it up to date."""
+"""Keeps this host's replica of the store up to date."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Final
 
 import anyio
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.entry.cache_map import CacheMap
 from ..core.entry.counters import Counters
 from ..core.entry.peer import NOT_WATCHING_MS
 from ..core.entry.peers import Peers
-from ..core.entry.replica import Change, owns_lease, Page
-from ..platform.records import CACHES_KEY, HOST_PREFIX
+from ..core.entry.replica import Change, Page
+from ..platform.records import CACHES_KEY
 from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
-from ..platform.store_era import NO_ERA, StoreEra
-from .peer_codec import encode_caches
+from ..platform.store_era import StoreEra
 from .peering import Peering
 from .state_applier import OUTAGE_GRACE_MS, StateApplier
 
@@ -39,22 +36,6 @@
 FIRST_RETRY_MS: Final = 100
 MAX_RETRY_MS: Final = 800
 FOLLOW_POLL_MS: Final = 100
-# A host's record in the store expires at most this long after the time in
-# which the loss of a host has to be noticed. Missed heartbeats show a crash
-# sooner, but a host that receives no heartbeats names the hosts that the
-# store lists, and must not name a crashed host for three seconds more than
-# that time (platform's documentation).
-LEASE_MARGIN_MS: Final = 2_000
-# Share of the lease after which it is renewed. Leaves time for a second
-# attempt; not smaller, as each renewal is a call to the store.
-RENEW_SHARE: Final = 0.4
-# If all hosts stop at once, what they learnt since the last save is lost.
-SAVE_INTERVAL_MS: Final = 3_000
-NO_LEASE: Final = 0
-# Delays between attempts to register while the store turns this host away.
-# Each attempt is a call, and the lease leaves time for two.
-FIRST_LEASE_RETRY_MS: Final = 300
-MAX_LEASE_RETRY_MS: Final = 1_200
 
 
 class StoreRestoredError(Exception):
@@ -338,178 +319,3 @@
             self._applier.apply(page, ahead.name, self._removal_grace_ms())
             self._era.observe(page.era)
         return page is not None
-
-
-class CacheMapSaver:
-    """Saves which servers hold which prompt parts in their caches.
-
-    Without the saved map, hosts that all start at once would not know where
-    the prompts of chats are cached. One host of the fleet saves; if two do,
-    no harm results.
-    """
-
-    __slots__ = ("_store", "_caches", "_peers", "_clock", "_saved", "_era")
-
-    def __init__(
-        self,
-        store: StoreClient,
-        caches: CacheMap,
-        peers: Peers,
-        clock: Clock,
-        era: StoreEra | None = None,
-    ) -> None:
-        self._store = store
-        self._caches = caches
-        self._peers = peers
-        self._clock = clock
-        # The map as saved last, and the era in which it was saved.
-        self._saved = (b"", NO_ERA)
-        self._era = era or StoreEra(Counters())
-
-    async def run(self) -> None:
-        """Saves at intervals while this host is the one that saves.
-
-        A restore of the store may have lost the map, so it is saved again.
-        """
-        while True:
-            await anyio.sleep(SAVE_INTERVAL_MS / MS_PER_SECOND)
-            now_ms = self._clock.now_ms()
-            if not self._peers.is_first(now_ms):
-                continue
-            value = encode_caches(self._caches.snapshot(now_ms))
-            if self._saved == (value, self._era.known):
-                continue
-            try:
-                await self._store.write(CACHES_KEY, value, NO_LEASE)
-                self._saved = value, self._era.known
-            except StoreError as exc:
-                log_event("caches_not_saved", reason=exc.reason)
-
-
-class Registration:
-    """Keeps the record of this host in the store while it serves.
-
-    A lease is valid in one era of the store only: after a restore its id may
-    belong to another host.
-
-    Attributes:
-        reached: Whether the store answered the last call.
-    """
-
-    __slots__ = (
-        "reached",
-        "_store",
-        "_key",
-        "_value",
-        "_lease",
-        "_lease_era",
-        "_lease_ms",
-        "_era",
-        "_rewrite_delay_ms",
-        "_calls",
-    )
-
-    def __init__(
-        self,
-        store: StoreClient,
-        name: str,
-        value: bytes,
-        lost_after_ms: int,
-        era: StoreEra | None = None,
-        rewrite_delay_ms: Callable[[], int] = lambda: 0,
-    ) -> None:
-        """Creates the record, which is written by `run`.
-
-        Args:
-            store: Client of the store, for this task alone.
-            name: Name of this host.
-            value: The record.
-            lost_after_ms: Time in which the loss of a host has to be
-                noticed.
-            era: The store's era, as `store` reads it.
-            rewrite_delay_ms: Returns when to write the record again after a
-                restore of the store, so that not all hosts do so at once.
-        """
-        self._era = era or StoreEra(Counters())
-        self._rewrite_delay_ms = rewrite_delay_ms
-        self._lease_ms = lost_after_ms + LEASE_MARGIN_MS
-        self.reached = False
-        self._store = store
-        self._key = HOST_PREFIX + name
-        self._value = value
-        self._lease: int | None = None
-        self._lease_era = NO_ERA
-        # One call at a time: a record written after its withdrawal would
-        # name a host that has left.
-        self._calls = anyio.Lock()
-
-    async def run(self, is_serving: Callable[[], bool]) -> None:
-        """Keeps the record until `is_serving` returns False."""
-        retry_ms = FIRST_LEASE_RETRY_MS
-        while is_serving():
-            try:
-                async with self._calls:
-                    if not is_serving():
-                        return
-                    await self._renew()
-                self.reached = True
-                retry_ms = FIRST_LEASE_RETRY_MS
-                await self._wait_for_renewal()
-            except StoreError as exc:
-                if self.reached:
-                    log_event(
-                        "registration_lost",
-                        "WARNING",
-                        step=exc.step,
-                        reason=exc.reason,
-                    )
-                self.reached = False
-                await anyio.sleep(retry_ms / MS_PER_SECOND)
-                retry_ms = min(MAX_LEASE_RETRY_MS, 2 * retry_ms)
-
-    async def _wait_for_renewal(self) -> None:
-        with anyio.move_on_after(self._lease_ms * RENEW_SHARE / MS_PER_SECOND):
-            await self._era.wait_above(self._lease_era)
-            await anyio.sleep(self._rewrite_delay_ms() / MS_PER_SECOND)
-
-    async def _renew(self) -> None:
-        if await self._renew_lease():
-            return
-        self._lease = await self._store.grant(self._lease_ms)
-        self._lease_era = self._era.known
-        kept = await self._store.write(self._key, self._value, self._lease)
-        if not kept or not self._owns_lease():
-            self._lease = None
-            raise StoreError("registration", "lease gone", True)
-        log_event("registered", lease=self._lease)
-
-    async def _renew_lease(self) -> bool:
-        """Returns whether this host's lease exists; renews it if so."""
-        if not self._owns_lease() or self._lease is None:
-            self._lease = None
-            return False
-        renewed = await self._store.renew(self._lease)
-        # The answer shows the era in which the lease was renewed.
-        return renewed and self._owns_lease()
-
-    def _owns_lease(self) -> bool:
-        return owns_lease(self._lease_era, self._era.known)
-
-    async def withdraw(self) -> None:
-        """Ends the lease, which removes the record."""
-        try:
-            # Renews it first: after a restore that is not known here yet the
-            # id may be the one of another host's lease.
-            async with self._calls:
-                if not await self._renew_lease() or self._lease is None:
-                    return
-                await self._store.end_lease(self._lease)
-            log_event("registration_ended", lease=self._lease)
-        except StoreError as exc:
-            # The lease expires by itself.
-            log_event(
-                "registration_kept",
-                "WARNING",
-                step=exc.step,
-                reason=exc.reason,
-            )
--- a/tests/test_entry_fleet_start.py
+++ b/tests/test_entry_fleet_start.py
@@ -13,14 +13,13 @@
 from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peer import NOT_WATCHING_MS, WATCHER_GRACE_MS
 from corianderdoor.core.entry.peers import MAX_WATCHERS, Peers
-from corianderdoor.entry.state_applier import StateApplier
-from corianderdoor.entry.state_sync import (
+from corianderdoor.entry.registration import (
     LEASE_MARGIN_MS,
     Registration,
     RENEW_SHARE,
-    StateSync,
-    WATCH_INTERVAL_MS,
 )
+from corianderdoor.entry.state_applier import StateApplier
+from corianderdoor.entry.state_sync import StateSync, WATCH_INTERVAL_MS
 from corianderdoor.platform.store import Item
 
 RUN_MS = 350
--- a/tests/test_entry_restore_sync.py
+++ b/tests/test_entry_restore_sync.py
@@ -24,12 +24,10 @@
 )
 from corianderdoor.core.entry.replica import Page
 from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry.cache_map_saver import CacheMapSaver
+from corianderdoor.entry.registration import Registration
 from corianderdoor.entry.state_applier import StateApplier
-from corianderdoor.entry.state_sync import (
-    CacheMapSaver,
-    Registration,
-    StateSync,
-)
+from corianderdoor.entry.state_sync import StateSync
 from corianderdoor.platform.records import CACHES_KEY, HOST_PREFIX
 from corianderdoor.platform.store import StoreClient
 from corianderdoor.platform.store_era import StoreEra
