--- a/tests/test_entry_planned_stops.py
+++ b/tests/test_entry_planned_stops.py
@@ -15,7 +15,7 @@
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.entry import host as host_module
 from corianderdoor.entry.callers import CallerService, MIN_IDLE_MS
-from corianderdoor.entry.state_sync import Registration
+from corianderdoor.entry.registration import Registration
 from corianderdoor.platform.settings import decode_settings
 from corianderdoor.standins.platform_fleet import build_settings
 
--- a/tests/test_entry_restore_sync.py
+++ b/tests/test_entry_restore_sync.py
@@ -316,7 +316,9 @@
 
 # Guards against hosts that start with no map of caches after a restore.
 def test_map_of_caches_is_saved_again_after_a_restore(monkeypatch):
-    monkeypatch.setattr("corianderdoor.entry.state_sync.SAVE_INTERVAL_MS", 10)
+    monkeypatch.setattr(
+        "corianderdoor.entry.cache_map_saver.SAVE_INTERVAL_MS", 10
+    )
 
     async def scenario(bench, tasks):
         bench.planner.caches.add_holder(7, "s0", bench.clock.now_ms())
