Spend less on servers that have not failed in each decision

Cause: the checks of suspected restarts and of free connections looked up the service of each server and three tables of times.

Change: servers without a failure and without a request of this host are passed over at once.

--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -186,16 +186,22 @@
 
         The hosts share the number of connections that a server accepts.
         """
+        own = self.loads.own.get(server.id, 0)
+        if not own:
+            return True
         service = self.find_service(server.service)
         if service is None:
             return True
         share = max(1, service.connection_limit // max(1, len(self.hosts)))
-        return self.loads.own.get(server.id, 0) < share
+        return own < share
 
     def may_be_cold(self, server: BackendServer, now_ms: int) -> bool:
         """Returns whether a server is, or may be, in its slow start."""
         if self.servers.is_cold(server.id, now_ms):
             return True
+        # Most servers have not failed, which is cheap to find out.
+        if not self.restarts.may_include(server.id):
+            return False
         service = self.find_service(server.service)
         return service is not None and self.restarts.includes(
             server.id, service.cold_ms, now_ms
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -60,7 +60,7 @@
     def __init__(self) -> None:
         self.in_contact = True
         self._contact_ms = NEVER_MS
-        self._resumed_ms = NEVER_MS
+        self._resumed_ms = NEVER_MS - CONFIRM_PAUSE_MS
         self._unreached: dict[str, int] = {}
         self._broken: dict[str, int] = {}
         self._reported: dict[str, int] = {}
@@ -128,6 +128,15 @@
             if now_ms - at_ms < REPORT_MS
         ]
 
+    def may_include(self, server_id: str) -> bool:
+        """Returns whether anything is known that `includes` has to weigh."""
+        return (
+            server_id in self._unreached
+            or server_id in self._broken
+            or server_id in self._reported
+            or self._contact_ms < self._resumed_ms + CONFIRM_PAUSE_MS
+        )
+
     def includes(self, server_id: str, cold_ms: int, now_ms: int) -> bool:
         """Returns whether a server may have restarted and be cold.
 
@@ -139,10 +148,15 @@
         if self._contact_ms < self._resumed_ms + CONFIRM_PAUSE_MS:
             if now_ms - self._resumed_ms < cold_ms:
                 return True
-        signs = [self._unreached, self._broken, self._reported]
+        failed_ms = self._unreached.get(server_id, -1)
         if self.in_contact:
-            signs = [self._unreached, self._confirmed]
-        failed_ms = max(times.get(server_id, -1) for times in signs)
+            failed_ms = max(failed_ms, self._confirmed.get(server_id, -1))
+        else:
+            failed_ms = max(
+                failed_ms,
+                self._broken.get(server_id, -1),
+                self._reported.get(server_id, -1),
+            )
         if failed_ms < 0 or cold_ms <= 0:
             return False
         if self._contact_ms - failed_ms >= RECORD_DELAY_MS:
