--- a/corianderdoor/core/entry/heartbeat.py
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 from ..records import Record
+from .brittle_room import RoomReport
 from .rollout_records import RolloutReport
-from .server_room import RoomReport
 
 # Heartbeat interval between active hosts. It grows with the number of active
 # hosts, so that a host sends and receives at most 125 heartbeats per second.
--- a/corianderdoor/entry/answer_signs.py
+++ b/corianderdoor/entry/answer_signs.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from ..adapters.logs import log_event
+from ..core.entry.brittle_room import RoomChange
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.planner import Planner
-from ..core.entry.server_room import RoomChange
 from ..platform.headers import AnswerHead, SERVICE_UNAVAILABLE
 
 
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -13,7 +13,7 @@
 from ..core.entry.replica import Change, Page
 from ..core.entry.rollout_evidence import MAX_ROUTES, MAX_SERVERS
 from ..core.entry.rollout_records import RolloutReport, RouteCounts
-from ..core.entry.server_room import RoomReport
+from ..core.entry.brittle_room import RoomReport
 from .packed_messages import is_whole
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
--- a/tests/test_entry_process_pauses.py
+++ b/tests/test_entry_process_pauses.py
@@ -13,10 +13,10 @@
 from test_entry_brittle_servers import announce, reject, send_until_full
 
 from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.entry.brittle_room import RoomReport
 from corianderdoor.core.entry.flights import Hold, Refuse, Send
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.process_pauses import SETTLE_MS
-from corianderdoor.core.entry.server_room import RoomReport
 from corianderdoor.core.entry.servers import digest_id
 from corianderdoor.core.entry.suspected_restarts import CONFIRM_PAUSE_MS
 from corianderdoor.entry.directory import DirectoryService
