Find servers without a failure with one lookup

Cause: each decision asks for each server whether it may have restarted.

Change: the servers with any sign of a failure are kept as a set.

--- a/corianderdoor/core/entry/server_choice.py
+++ b/corianderdoor/core/entry/server_choice.py
@@ -53,15 +53,19 @@
     def _choose_among(
         self, flight: Flight, servers: list[BackendServer], now_ms: int
     ) -> BackendServer | Hold | Refuse:
-        warm = [s for s in servers if self._is_free(s, now_ms)]
+        may_be_cold = self._selection.may_be_cold
+        warm = [
+            server
+            for server in servers
+            if not may_be_cold(server, now_ms)
+            or self._is_likely_warm(server, now_ms)
+        ]
         if warm:
             return self._selection.rank(flight, warm, now_ms)[0]
         return self._choose_cold(flight, servers, now_ms)
 
-    def _is_free(self, server: BackendServer, now_ms: int) -> bool:
-        """Returns whether no slow start keeps a request from a server."""
-        if not self._selection.may_be_cold(server, now_ms):
-            return True
+    def _is_likely_warm(self, server: BackendServer, now_ms: int) -> bool:
+        """Returns whether a server that may be cold is used like others."""
         return (
             self._selection.is_only_suspected(server, now_ms)
             and self._cold_wait_ms(server, now_ms) == 0
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -49,6 +49,7 @@
         "in_contact",
         "_contact_ms",
         "_resumed_ms",
+        "_failed",
         "_unreached",
         "_broken",
         "_reported",
@@ -61,6 +62,8 @@
         self.in_contact = True
         self._contact_ms = NEVER_MS
         self._resumed_ms = NEVER_MS - CONFIRM_PAUSE_MS
+        # Servers with a sign of any kind.
+        self._failed: set[str] = set()
         self._unreached: dict[str, int] = {}
         self._broken: dict[str, int] = {}
         self._reported: dict[str, int] = {}
@@ -85,6 +88,7 @@
 
     def record_unreachable(self, server_id: str, now_ms: int) -> None:
         """Records that this host could not reach a server."""
+        self._failed.add(server_id)
         self._unreached[server_id] = now_ms
 
     def record_broken(self, server_id: str, now_ms: int) -> None:
@@ -93,12 +97,14 @@
             self._reported, server_id, now_ms
         ):
             self._confirmed[server_id] = now_ms
+        self._failed.add(server_id)
         self._broken[server_id] = now_ms
 
     def add_report(self, server_id: str, now_ms: int) -> None:
         """Records that a peer could not reach a server."""
         if self._follows(self._broken, server_id, now_ms):
             self._confirmed[server_id] = now_ms
+        self._failed.add(server_id)
         self._reported[server_id] = now_ms
 
     def _follows(
@@ -131,9 +137,7 @@
     def may_include(self, server_id: str) -> bool:
         """Returns whether anything is known that `includes` has to weigh."""
         return (
-            server_id in self._unreached
-            or server_id in self._broken
-            or server_id in self._reported
+            server_id in self._failed
             or self._contact_ms < self._resumed_ms + CONFIRM_PAUSE_MS
         )
 
@@ -174,6 +178,7 @@
 
     def retain(self, ids: frozenset[str]) -> None:
         """Drops the records of all servers but `ids`."""
+        self._failed &= ids
         for times in (
             self._unreached,
             self._broken,
