--- a/tests/test_entry_leaving_servers.py
+++ b/tests/test_entry_leaving_servers.py
@@ -7,7 +7,7 @@
 
 import anyio
 from entry_builders import build_planner, build_request, build_server
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 import pytest
 from test_entry_path import PARTS, run, wait_for
@@ -159,6 +159,7 @@
     assert leaving.reports() == (digest_incarnation(kept),)
 
 
+@settings(deadline=None)
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 2**64 - 1))))
 def test_records_and_reports_are_bounded(reports):
     leaving = LeavingServers()
