Say that messages arrive in the new modules, not that peers are heard

Cause: new names and comments used "heard" for received heartbeats.

Change: names and comments only.

Result: the tests of rollouts and of pauses pass.

--- a/corianderdoor/core/entry/admission.py
+++ b/corianderdoor/core/entry/admission.py
@@ -21,7 +21,7 @@
 UNLEARNT_RATE: Final = 60.0
 # Requests are checked when they arrive, and not again once they were held.
 ARRIVAL_MS: Final = 10
-# How long a host that has heard no peer refuses nothing after its start.
+# How long after its start a host without heartbeats of peers refuses nothing.
 START_MS: Final = 1_000
 # Share of a service's slots that has to be taken before a refusal.
 MIN_TAKEN_SHARE: Final = 0.5
--- a/corianderdoor/core/entry/rollout_contact.py
+++ b/corianderdoor/core/entry/rollout_contact.py
@@ -75,27 +75,27 @@
 
 
 class ContactWatch:
-    """When this host heard its peers, and whether it was paused."""
+    """When heartbeats of peers arrived, and whether it was paused."""
 
     __slots__ = (
         "_max_gap_ms",
         "_max_age_ms",
-        "_heard",
-        "_heard_from_ms",
+        "_received",
+        "_trusted_from_ms",
         "_last_tick_ms",
     )
 
     def __init__(self, rollback_ms: int) -> None:
         self._max_gap_ms = min(MAX_GAP_MS, int(GAP_PART * rollback_ms))
         self._max_age_ms = int(CONTACT_PART * rollback_ms)
-        self._heard: dict[str, int] = {}
-        self._heard_from_ms = 0
+        self._received: dict[str, int] = {}
+        self._trusted_from_ms = 0
         self._last_tick_ms: int | None = None
 
     def record(self, peer: str, now_ms: int) -> None:
         """Records a heartbeat, unless it may have waited during a pause."""
-        if now_ms >= self._heard_from_ms and not self.is_paused(now_ms):
-            self._heard[peer] = now_ms
+        if now_ms >= self._trusted_from_ms and not self.is_paused(now_ms):
+            self._received[peer] = now_ms
 
     def is_paused(self, now_ms: int) -> bool:
         """Returns whether the last tick is too long ago."""
@@ -107,15 +107,15 @@
     def tick(self, now_ms: int) -> None:
         """Records a tick; after a pause, only later heartbeats count."""
         if self.is_paused(now_ms):
-            self._heard.clear()
+            self._received.clear()
             if self._last_tick_ms is not None:
-                self._heard_from_ms = now_ms + BACKLOG_MS
+                self._trusted_from_ms = now_ms + BACKLOG_MS
         self._last_tick_ms = now_ms
 
-    def count_heard(
+    def count_recent(
         self, peers: Collection[str], max_age_ms: int, now_ms: int
     ) -> int:
-        """Returns how many of `peers` were heard lately."""
+        """Returns from how many of `peers` a heartbeat arrived lately."""
         oldest_ms = now_ms - min(max_age_ms, self._max_age_ms)
-        heard = self._heard
-        return sum(heard.get(p, oldest_ms - 1) >= oldest_ms for p in peers)
+        received = self._received
+        return sum(received.get(p, oldest_ms - 1) >= oldest_ms for p in peers)
--- a/corianderdoor/core/entry/rollout_progress.py
+++ b/corianderdoor/core/entry/rollout_progress.py
@@ -271,8 +271,8 @@
             name: Name of this host.
             hosts: Names of all hosts.
             slack: Slack of the bound on exposure.
-            in_contact: Whether this host hears enough of its peers.
-            is_silent: Whether it hears so few that it sends nothing.
+            in_contact: Whether heartbeats of enough peers arrive.
+            is_silent: Whether so few arrive that it sends nothing.
             has_servers: Whether servers of the new version are listed.
         """
         order, plan = self.order, self.plan
--- a/corianderdoor/core/entry/rollouts.py
+++ b/corianderdoor/core/entry/rollouts.py
@@ -326,9 +326,9 @@
         self._live = live_peers
         if not self._services:
             return []
-        heard = self._contact.count_heard(listed_peers, max_age_ms, now_ms)
-        in_contact = 2 * heard >= len(listed_peers)
-        is_silent = not heard and len(listed_peers) >= SEVERAL
+        live = self._contact.count_recent(listed_peers, max_age_ms, now_ms)
+        in_contact = 2 * live >= len(listed_peers)
+        is_silent = not live and len(listed_peers) >= SEVERAL
         for progress in self._services.values():
             progress.forget_allowed()
             if not progress.is_in_progress:
--- a/corianderdoor/core/entry/server_room.py
+++ b/corianderdoor/core/entry/server_room.py
@@ -78,7 +78,7 @@
     def record_pause(self, gap_ms: int, now_ms: int) -> None:
         """Records that this process was suspended for `gap_ms` until now.
 
-        The time in which nothing could be heard shows neither that a server
+        The time in which nothing could arrive shows neither that a server
         is sound again, nor that it has more room, nor that peers cause no
         rejections.
         """
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -82,7 +82,7 @@
         """Records that this process was suspended until now.
 
         All servers may have restarted in that time. They count until the
-        store or a peer with contact to it was heard again.
+        store, or a peer with contact to it, has answered again.
         """
         self._resumed_ms = now_ms
 
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -171,7 +171,7 @@
                 self._planner.caches.add_holder(part, server_id, now_ms)
         self._merge_leaving(heartbeat, now_ms)
         if self._rollouts is not None:
-            # Merged even without reports: it shows that the peer is heard.
+            # Merged even without reports: it shows that the peer is alive.
             self._rollouts.merge(
                 heartbeat.sender, heartbeat.boot, heartbeat.rollouts, now_ms
             )
