--- a/corianderdoor/standins/rollout_fleet.py
+++ b/corianderdoor/standins/rollout_fleet.py
@@ -50,7 +50,7 @@
         rollouts: Its decisions.
         loads: In-flight requests that it knows of.
         boot: Number of its start.
-        heard: When it last heard each peer, and that peer's interval.
+        received: When each peer's last heartbeat arrived, and its interval.
         paused_until_ms: Until when it does nothing.
         is_cut_off: Whether it exchanges no heartbeats.
         wall_ahead_ms: Error of its wall clock.
@@ -66,7 +66,7 @@
         self.next_heartbeat_ms = 0
         self.heartbeats = 0
         self.waiting: list[Callable[[], None]] = []
-        self.heard: dict[str, tuple[int, int]] = {}
+        self.received: dict[str, tuple[int, int]] = {}
         self.loads = Loads()
         self.rollouts: Rollouts
 
@@ -162,7 +162,7 @@
 
     def _start(self, host: Host) -> None:
         host.boot += 1
-        host.heard = {}
+        host.received = {}
         host.loads = Loads()
         host.rollouts = self._make(
             host.name, self.servers, host.loads, lambda server, now_ms: False
@@ -225,12 +225,13 @@
         now_ms = self.now_ms
         live = {
             name
-            for name, (at_ms, interval_ms) in host.heard.items()
+            for name, (at_ms, interval_ms) in host.received.items()
             if now_ms - at_ms <= max(2_500, 3 * interval_ms)
         }
         expected = self._active - {host.name}
         longest_ms = max(
-            (host.heard[n][1] for n in expected if n in host.heard), default=0
+            (host.received[n][1] for n in expected if n in host.received),
+            default=0,
         )
         changes = host.rollouts.tick(
             now_ms,
@@ -304,7 +305,7 @@
                 )
             )
             return
-        host.heard[sender] = (self.now_ms, interval_ms)
+        host.received[sender] = (self.now_ms, interval_ms)
         expires_ms = self.now_ms + 3 * interval_ms
         host.loads.update_peer(sender, PeerLoads(expires_ms, loads, {}))
         host.rollouts.merge(sender, boot, reports, self.now_ms)
