--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -18,7 +18,8 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.flights import Flight, Send
 from ..core.entry.planner import Planner
-from ..platform.headers import AnswerHead, ATTEMPT_ID
+from ..platform.answer_head import AnswerHead
+from ..platform.headers import ATTEMPT_ID
 from .backends import ConnectionPool
 from .server_marks import ServerMarks
 
--- a/corianderdoor/entry/answer_signs.py
+++ b/corianderdoor/entry/answer_signs.py
@@ -6,7 +6,7 @@
 from ..core.entry.brittle_room import RoomChange
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.planner import Planner
-from ..platform.headers import AnswerHead, SERVICE_UNAVAILABLE
+from ..platform.answer_head import AnswerHead, SERVICE_UNAVAILABLE
 
 
 def record_answer_signs(
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -17,7 +17,7 @@
 from ..core.entry.requests import CallerRequest
 from ..core.entry.servers import BackendServer
 from ..core.entry.silence import MIN_STREAM_SILENCE_MS
-from ..platform.headers import AnswerHead
+from ..platform.answer_head import AnswerHead
 from .answer_reader import AnswerReader, Move, MovedError, ServerAnswer
 from .answer_signs import record_answer_signs
 from .answer_timing import AnswerTiming, record_rollout_answer
--- a/corianderdoor/entry/server_marks.py
+++ b/corianderdoor/entry/server_marks.py
@@ -9,7 +9,7 @@
 from ..core.entry.ignored_marks import IgnoredMarks
 from ..core.entry.planner import Planner
 from ..core.entry.servers import BackendServer
-from ..platform.headers import AnswerHead
+from ..platform.answer_head import AnswerHead
 from .backends import ConnectionPool
 
 
--- a/tests/test_entry_active_hosts.py
+++ b/tests/test_entry_active_hosts.py
@@ -22,8 +22,8 @@
     MAX_CPU_PERCENT,
     MIN_ACTIVE_HOSTS,
 )
-from corianderdoor.core.entry.loads import Loads, PeerLoads
 from corianderdoor.core.entry.heartbeat import Heartbeat, HEARTBEAT_MS
+from corianderdoor.core.entry.loads import Loads, PeerLoads
 from corianderdoor.core.entry.peer import (
     DIRECTORY_TIMEOUT_MS,
     MISSED_HEARTBEATS,
--- a/tests/test_entry_brittle_answers.py
+++ b/tests/test_entry_brittle_answers.py
@@ -5,13 +5,13 @@
 import anyio
 import pytest
 
-from corianderdoor.platform.headers import AnswerHead
+from corianderdoor.platform.answer_head import AnswerHead
+from corianderdoor.standins.brittleness import Brittleness
 from corianderdoor.standins.platform_fleet import (
     METRICS_PORT,
     run_fleet,
     send_request,
 )
-from corianderdoor.standins.brittleness import Brittleness
 
 LIMIT = 2
 # As the deployment lists them.
--- a/tests/test_entry_ignored_marks.py
+++ b/tests/test_entry_ignored_marks.py
@@ -13,7 +13,7 @@
     IgnoredMarks,
     LINE_INTERVAL_MS,
 )
-from corianderdoor.platform.headers import AnswerHead, MAX_RETRY_AFTER_S
+from corianderdoor.platform.answer_head import AnswerHead, MAX_RETRY_AFTER_S
 from corianderdoor.standins.platform_fleet import METRICS_PORT, send_request
 
 BAD_LEAVING = (
--- a/tests/test_entry_leaving_servers.py
+++ b/tests/test_entry_leaving_servers.py
@@ -24,7 +24,7 @@
 )
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.entry.peer_codec import decode_heartbeat, encode_heartbeat
-from corianderdoor.platform.headers import AnswerHead
+from corianderdoor.platform.answer_head import AnswerHead
 from corianderdoor.standins.platform_fleet import PlatformFleet
 from corianderdoor.standins.platform_worker import Worker
 
--- a/tests/test_entry_malformed_messages.py
+++ b/tests/test_entry_malformed_messages.py
@@ -28,9 +28,9 @@
     MessageError,
 )
 from corianderdoor.entry.upkeep import keep_running
+from corianderdoor.platform.answer_head import AnswerHead
 from corianderdoor.platform.changes import decode_change
 from corianderdoor.platform.headers import (
-    AnswerHead,
     HeaderError,
     read_caller_request,
 )
--- a/tests/test_entry_platform.py
+++ b/tests/test_entry_platform.py
@@ -25,6 +25,7 @@
     encode_page,
     MessageError,
 )
+from corianderdoor.platform.answer_head import AnswerHead
 from corianderdoor.platform.changes import (
     decode_change,
     Evacuation,
@@ -33,7 +34,6 @@
     UnusableRecord,
 )
 from corianderdoor.platform.headers import (
-    AnswerHead,
     build_refusal_headers,
     build_server_headers,
     HeaderError,
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -19,7 +19,7 @@
 )
 from corianderdoor.core.entry.server_pauses import MAX_PAUSE_MS, ServerPauses
 from corianderdoor.entry.relay import Relay
-from corianderdoor.platform.headers import AnswerHead
+from corianderdoor.platform.answer_head import AnswerHead
 from corianderdoor.standins.platform_fleet import PlatformFleet
 from corianderdoor.standins.platform_worker import Worker
 
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -5,7 +5,8 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from hypothesis import given, strategies as st
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 from test_entry_path import IDS, run, wait_for
 
