Move the stop of an entry host to a module of its own

Change: the constants and the two methods of a stop become HostStop in entry/host_stop.py, with the parts that it ends. The test of the grace period names the new place. No other change.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -12,7 +12,7 @@
 import anyio
 import anyio.abc
 
-from ..adapters.http1 import Connect, connect, deliver_pending
+from ..adapters.http1 import Connect, connect
 from ..adapters.http1_server import listen
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
@@ -36,6 +36,7 @@
 from .cpu_meter import CpuMeter
 from .directory import DirectoryService
 from .gauges import build_gauges
+from .host_stop import HostStop
 from .metrics import MetricsService
 from .peering import Peering
 from .registration import Registration
@@ -53,17 +54,6 @@
 # CPU use is measured over five seconds, longer than a burst of changes takes
 # to read.
 CPU_TICKS: Final = 50
-# A stopping host accepts connections for this long, as callers may still hold
-# a directory answer that names it.
-ACCEPT_AFTER_STOP_MS: Final = 2_500
-# Idle connections of callers are closed after this delay, when peers no
-# longer name this host in directory answers.
-IDLE_CLOSE_DELAY_MS: Final = 700
-# Share of the grace period after which answers in progress are cut off.
-GRACE_PERIOD_SHARE: Final = 0.93
-# Time in which the requests that are cut off get their answers.
-LAST_ANSWERS_MS: Final = 60
-STOP_POLL_MS: Final = 20
 
 
 class EntryHost:
@@ -89,6 +79,7 @@
         "_marks",
         "_callers",
         "_directory",
+        "_stop",
         "_metrics_port",
     )
 
@@ -217,6 +208,14 @@
         self._directory = DirectoryService(
             settings, self._planner, self._peers, clock, self._store_reached
         )
+        self._stop = HostStop(
+            settings.grace_ms,
+            self._callers,
+            self._peering,
+            self._directory,
+            self._registration,
+            self._tunnels,
+        )
 
     def _list_helpers(self, server_id: str) -> list[Address]:
         return self._peers.list_helpers(server_id, self._clock.now_ms())
@@ -263,7 +262,7 @@
             gc.enable()
             log_event("started", name=settings.name)
             await stop.wait()
-            await self._stop(listener)
+            await self._stop.run(listener)
             tasks.cancel_scope.cancel()
         log_event("stopped", name=settings.name)
 
@@ -378,40 +377,3 @@
                 own=self._peers.is_active,
                 live_peers=self._peers.count_live(now_ms),
             )
-
-    async def _stop(self, listener: asyncio.Server) -> None:
-        """Takes the host out of service and waits for answers in progress."""
-        span_ms = int(self._settings.grace_ms * GRACE_PERIOD_SHARE)
-        log_event("stopping", in_progress=self._callers.count_busy())
-        self._peering.leaving = True
-        self._directory.leaving = True
-        self._callers.drain()
-        self._peering.send_heartbeats()
-        # Bounds all of the stop: the store may not answer, and a grace period
-        # may be shorter than the delays below.
-        with anyio.move_on_after(span_ms / MS_PER_SECOND):
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._registration.withdraw)
-                await self._drain_connections(listener, span_ms)
-        listener.close()
-        log_event("shutdown_done", in_progress=self._callers.count_busy())
-        if self._callers.count_open():
-            self._callers.end_requests()
-            await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
-
-    async def _drain_connections(
-        self, listener: asyncio.Server, span_ms: int
-    ) -> None:
-        """Waits until callers and peers have no connection here."""
-        accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
-        idle_ms = min(IDLE_CLOSE_DELAY_MS, accept_ms)
-        await anyio.sleep(idle_ms / MS_PER_SECOND)
-        await self._callers.close_idle()
-        await anyio.sleep((accept_ms - idle_ms) / MS_PER_SECOND)
-        # Accepts what waits in the queue, which the close would drop.
-        await deliver_pending()
-        listener.close()
-        await self._callers.close_idle()
-        while self._callers.count_open() or self._tunnels.open:
-            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
-            await self._callers.close_idle()
--- /dev/null
+++ b/corianderdoor/entry/host_stop.py
@@ -0,0 +1,105 @@
+"""Takes an entry host out of service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import anyio
+
+from ..adapters.http1 import deliver_pending
+from ..adapters.logs import log_event
+from ..core.clock import MS_PER_SECOND
+from .callers import CallerService
+from .directory import DirectoryService
+from .peering import Peering
+from .registration import Registration
+from .tunnels import TunnelService
+
+# A stopping host accepts connections for this long, as callers may still hold
+# a directory answer that names it.
+ACCEPT_AFTER_STOP_MS: Final = 2_500
+# Idle connections of callers are closed after this delay, when peers no
+# longer name this host in directory answers.
+IDLE_CLOSE_DELAY_MS: Final = 700
+# Share of the grace period after which answers in progress are cut off.
+GRACE_PERIOD_SHARE: Final = 0.93
+# Time in which the requests that are cut off get their answers.
+LAST_ANSWERS_MS: Final = 60
+STOP_POLL_MS: Final = 20
+
+
+class HostStop:
+    """Ends the work of an entry host without cutting off answers."""
+
+    __slots__ = (
+        "_grace_ms",
+        "_callers",
+        "_peering",
+        "_directory",
+        "_registration",
+        "_tunnels",
+    )
+
+    def __init__(
+        self,
+        grace_ms: float,
+        callers: CallerService,
+        peering: Peering,
+        directory: DirectoryService,
+        registration: Registration,
+        tunnels: TunnelService,
+    ) -> None:
+        """Initializes the object with the parts that a stop ends.
+
+        Args:
+            grace_ms: Time after the signal at which the process is killed.
+            callers: Connections of callers.
+            peering: Tells the peers.
+            directory: Names this host to callers no longer.
+            registration: Withdraws this host's record.
+            tunnels: Connections that peers use.
+        """
+        self._grace_ms = grace_ms
+        self._callers = callers
+        self._peering = peering
+        self._directory = directory
+        self._registration = registration
+        self._tunnels = tunnels
+
+    async def run(self, listener: asyncio.Server) -> None:
+        """Takes the host out of service and waits for answers in progress."""
+        span_ms = int(self._grace_ms * GRACE_PERIOD_SHARE)
+        log_event("stopping", in_progress=self._callers.count_busy())
+        self._peering.leaving = True
+        self._directory.leaving = True
+        self._callers.drain()
+        self._peering.send_heartbeats()
+        # Bounds all of the stop: the store may not answer, and a grace period
+        # may be shorter than the delays below.
+        with anyio.move_on_after(span_ms / MS_PER_SECOND):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._registration.withdraw)
+                await self._drain_connections(listener, span_ms)
+        listener.close()
+        log_event("shutdown_done", in_progress=self._callers.count_busy())
+        if self._callers.count_open():
+            self._callers.end_requests()
+            await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
+
+    async def _drain_connections(
+        self, listener: asyncio.Server, span_ms: int
+    ) -> None:
+        """Waits until callers and peers have no connection here."""
+        accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
+        idle_ms = min(IDLE_CLOSE_DELAY_MS, accept_ms)
+        await anyio.sleep(idle_ms / MS_PER_SECOND)
+        await self._callers.close_idle()
+        await anyio.sleep((accept_ms - idle_ms) / MS_PER_SECOND)
+        # Accepts what waits in the queue, which the close would drop.
+        await deliver_pending()
+        listener.close()
+        await self._callers.close_idle()
+        while self._callers.count_open() or self._tunnels.open:
+            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
+            await self._callers.close_idle()
--- a/tests/test_entry_planned_stops.py
+++ b/tests/test_entry_planned_stops.py
@@ -13,8 +13,9 @@
 from corianderdoor.core.clock import ManualClock, SystemClock
 from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peers import Peers
-from corianderdoor.entry import host as host_module
+from corianderdoor.entry import host_stop
 from corianderdoor.entry.callers import CallerService, MIN_IDLE_MS
+from corianderdoor.entry.host import EntryHost
 from corianderdoor.entry.registration import Registration
 from corianderdoor.platform.settings import decode_settings
 from corianderdoor.standins.platform_fleet import build_settings
@@ -128,12 +129,12 @@
         settings = build_settings("h", "127.0.0.1", ("127.0.0.1", 1))
         settings = decode_settings(settings)
         settings.grace_ms = 400
-        host = host_module.EntryHost(
+        host = EntryHost(
             settings, pathlib.Path(), clock, random.Random(1)
         )
-        monkeypatch.setattr(host_module, "ACCEPT_AFTER_STOP_MS", 0)
+        monkeypatch.setattr(host_stop, "ACCEPT_AFTER_STOP_MS", 0)
         if part == "accept":  # longer than the grace period
-            monkeypatch.setattr(host_module, "ACCEPT_AFTER_STOP_MS", 60_000)
+            monkeypatch.setattr(host_stop, "ACCEPT_AFTER_STOP_MS", 60_000)
         if part == "store":
             monkeypatch.setattr(
                 Registration, "withdraw", lambda self: anyio.sleep_forever()
@@ -143,7 +144,7 @@
             listener = await listen(("127.0.0.1", 0), tasks, None)
             began_ms = clock.now_ms()
             with anyio.fail_after(20):
-                await host._stop(listener)
+                await host._stop.run(listener)
             # Nothing else than its own bound ended the wait.
             assert clock.now_ms() - began_ms >= settings.grace_ms // 3
             tasks.cancel_scope.cancel()
