Log and count the crashes of servers under requests

Cause: the logs could not tell the hypotheses about deadly prompt parts apart: no line said that a crash was counted, for which request, or how it was found.

Decisions stay as they are.

--- a/corianderdoor/core/entry/crashing_requests.py
+++ b/corianderdoor/core/entry/crashing_requests.py
@@ -11,10 +11,13 @@
 from __future__ import annotations
 
 from collections import deque, OrderedDict
+from collections.abc import Callable
+import enum
 from typing import Final
 
 import xxhash
 
+from ..records import Record
 from .requests import CallerRequest
 from .servers import digest_id
 
@@ -35,6 +38,38 @@
 MAX_UPDATES: Final = 64
 
 
+class CrashCause(enum.Enum):
+    """How a host found out that a server has crashed.
+
+    UNREACHABLE: No connection to the server could be opened.
+    RESTARTED: The store lists a later incarnation of the server.
+    REMOVED: The store lists the server no longer.
+    """
+
+    UNREACHABLE = "unreachable"
+    RESTARTED = "restarted"
+    REMOVED = "removed"
+
+
+class ServerCrash(Record):
+    """A crash of a server, with what this host had in progress there.
+
+    Attributes:
+        server_id: Id of the server.
+        cause: How the crash was found out.
+        fingerprints: Fingerprints of the requests that it interrupted.
+    """
+
+    __slots__ = ("server_id", "cause", "fingerprints")
+
+    def __init__(
+        self, server_id: str, cause: CrashCause, fingerprints: tuple[int, ...]
+    ) -> None:
+        self.server_id = server_id
+        self.cause = cause
+        self.fingerprints = fingerprints
+
+
 def compute_fingerprint(req: CallerRequest) -> int:
     """Returns the number that identifies a request over retries and hosts."""
     digest = xxhash.xxh3_64()
@@ -46,11 +81,17 @@
 
 
 class CrashingRequests:
-    """Crashes by request and server, for the last `MAX_REQUESTS` requests."""
+    """Crashes by request and server, for the last `MAX_REQUESTS` requests.
+
+    Attributes:
+        on_crash: Called with each crash that interrupted a request of this
+            host.
+    """
 
-    __slots__ = ("_crashes", "_broken", "_updates")
+    __slots__ = ("on_crash", "_crashes", "_broken", "_updates")
 
     def __init__(self) -> None:
+        self.on_crash: Callable[[ServerCrash], None] = lambda crash: None
         self._crashes: OrderedDict[int, dict[int, int]] = OrderedDict()
         self._broken: dict[str, deque[tuple[int, int]]] = {}
         self._updates: deque[tuple[int, int]] = deque(maxlen=MAX_UPDATES)
@@ -62,17 +103,26 @@
         broken = self._broken.setdefault(server_id, deque(maxlen=MAX_UPDATES))
         broken.append((now_ms, compute_fingerprint(req)))
 
-    def confirm_crash(self, server_id: str, now_ms: int) -> None:
+    def confirm_crash(
+        self,
+        server_id: str,
+        now_ms: int,
+        cause: CrashCause = CrashCause.UNREACHABLE,
+    ) -> None:
         """Counts recent broken connections to `server_id` as crashes.
 
         To be called when the server is unreachable, gone from the list or
         restarted.
         """
         digest = digest_id(server_id)
+        fingerprints = []
         for at_ms, fingerprint in self._broken.pop(server_id, ()):
             if now_ms - at_ms < CONFIRM_MS:
                 self.add_crash(fingerprint, digest, now_ms)
                 self._updates.append((fingerprint, digest))
+                fingerprints.append(fingerprint)
+        if fingerprints:
+            self.on_crash(ServerCrash(server_id, cause, tuple(fingerprints)))
 
     def add_crash(self, fingerprint: int, server: int, now_ms: int) -> None:
         """Records a crash, seen here or reported by a peer.
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -33,6 +33,7 @@
 from .backends import ConnectionPool
 from .cache_map_saver import CacheMapSaver
 from .callers import CallerService
+from .crash_log import attach_crash_log
 from .cpu_meter import CpuMeter
 from .directory import DirectoryService
 from .gauges import build_gauges
@@ -138,6 +139,7 @@
                 self._planner.counters,
             )
         self._pool.on_unexpected_bytes = self._record_unexpected_bytes
+        attach_crash_log(self._planner)
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock, self._rollouts
         )
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -166,6 +166,7 @@
                 ending=ending.value,
                 follow=type(next_step).__name__.lower(),
                 runs=flight.runs,
+                head=self._head is not None,
                 begun=flight.answer_started,
                 silent_ms=self._clock.now_ms() - self._received_ms,
                 detail=self._failure_detail,
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -7,6 +7,7 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
+from ..core.entry.crashing_requests import CrashCause
 from ..core.entry.peer import WATCHER_GRACE_MS
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -198,7 +199,9 @@
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
             self._planner.ejections.remove(server.id)
-            self._planner.crashing_requests.confirm_crash(server.id, now_ms)
+            self._planner.crashing_requests.confirm_crash(
+                server.id, now_ms, CrashCause.RESTARTED
+            )
             self._planner.caches.remove(server.id)
 
     @_apply_decoded.register
@@ -208,7 +211,7 @@
         )
         if not decoded.grace_ms:
             self._planner.crashing_requests.confirm_crash(
-                decoded.id, self._clock.now_ms()
+                decoded.id, self._clock.now_ms(), CrashCause.REMOVED
             )
             self._pool.close_idle(decoded.id)
             self._planner.caches.remove(decoded.id)
