--- /dev/null
+++ b/corianderdoor/standins/entry_fleet.py
@@ -0,0 +1,415 @@
+"""A simulated fleet of entry hosts before backend servers of one service.
+
+Hosts, servers and heartbeats run on a virtual clock. Requests with a deadly
+part of the prompt crash the server that begins to answer them. Heartbeats may
+be lost, and hosts may restart, be cut off or get no heartbeats of some peers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections import Counter
+import functools
+import heapq
+import random
+from typing import cast, Final
+
+from ..core.clock import ManualClock, MS_PER_SECOND
+from ..core.entry.flights import (
+    Again,
+    Ending,
+    Flight,
+    Hold,
+    Refuse,
+    Send,
+)
+from ..core.entry.heartbeat import Heartbeat
+from ..core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
+from ..core.entry.planner import Planner
+from ..core.entry.replica import Replica
+from ..core.entry.requests import CallerRequest, PromptPart
+from ..core.entry.routing import (
+    DEFAULT_LIMITS,
+    DesiredState,
+    Route,
+    RouteKind,
+    Service,
+    Workspace,
+)
+from ..core.entry.servers import BackendServer
+from ..core.entry.windows import ColdRateLimiter, RetryBudget
+from ..entry.peer_codec import decode_heartbeat
+from ..entry.peering import Peering
+from ..entry.tunnels import TunnelService
+
+SERVICE: Final = "llm"
+KEY: Final = "key"
+TICK_MS: Final = 100
+LINK_MS: Final = 2
+# Time until the first event, and from there to the end of the answer.
+PREFILL_MS: Final = (60, 250)
+ANSWER_MS: Final = (300, 1_500)
+# How long a crashed server is away, and when hosts learn of its return.
+DOWN_MS: Final = 3_000
+LISTED_AFTER_MS: Final = 300
+# Time in which a failed connection is noticed.
+CONNECT_MS: Final = 3
+SESSIONS_PER_HOST: Final = 6
+DEADLY_PART: Final = "deadly"
+
+
+class Host:
+    """One entry host.
+
+    Attributes:
+        name: Name of the host.
+        planner: Its decisions.
+        peers: Its peers.
+        peering: Its heartbeats.
+        is_cut_off: Whether it exchanges no heartbeats.
+        boot: Number of its start.
+    """
+
+    def __init__(self, fleet: EntryFleet, name: str, boot: int) -> None:
+        self.name = name
+        self.boot = boot
+        self.is_cut_off = False
+        self.turn = 0
+        self._fleet = fleet
+        self.planner = Planner(
+            name,
+            "a",
+            ColdRateLimiter(1.5, 5),
+            RetryBudget(0.2, 60, 10_000),
+            random.Random(f"{name} {boot}"),
+        )
+        self.planner.set_desired(fleet.desired)
+        self.peers = Peers(name)
+        self.peering = Peering(
+            name,
+            boot,
+            self.planner,
+            self.peers,
+            Replica(),
+            fleet.clock,
+            lambda: 0,
+            lambda: None,
+            cast(TunnelService, None),
+        )
+        self.peering.connection_made(self)  # type: ignore[arg-type]
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram."""
+        self._fleet.pass_on(self, data, address[0])
+
+    def tick(self) -> None:
+        """Does what the host's tasks do at each tick."""
+        now_ms = self._fleet.clock.now_ms()
+        self.planner.tick(now_ms)
+        self.planner.restarts.update_contact(now_ms, now_ms)
+        self.planner.hosts = self.peers.hosts_sharing_limits(now_ms)
+        self.peers.choose_active(now_ms, True, False)
+
+
+class Server:
+    """One backend server, or an incarnation of it.
+
+    Attributes:
+        entry: Its record.
+        is_up: Whether it runs.
+        running: Requests in progress, by flight.
+        arrivals: When each request arrived, and from which host.
+    """
+
+    def __init__(self, entry: BackendServer) -> None:
+        self.entry = entry
+        self.is_up = True
+        self.running: dict[Flight, Host] = {}
+        self.arrivals: list[tuple[int, Host]] = []
+
+
+class EntryFleet:
+    """The fleet, its callers and its servers.
+
+    Attributes:
+        clock: The virtual clock.
+        crashes: When servers crashed under deadly requests.
+        deadly_sends: When deadly requests reached servers.
+        first_tries: Time of each sound request, and whether its answer began
+            at the first server that it was sent to.
+        refused: Reasons of refusals of sound requests, with their times.
+    """
+
+    def __init__(
+        self,
+        hosts: int = 8,
+        servers: int = 5,
+        per_s: float = 20.0,
+        deadly_share: float = 0.05,
+        deadly_from_ms: int = 4_000,
+        loss: float = 0.0,
+        seed: int = 1,
+    ) -> None:
+        self.clock = ManualClock(wall_ms=1_800_000_000_000)
+        self.rng = random.Random(seed)
+        self.desired = build_desired()
+        self.crashes: list[int] = []
+        self.deadly_sends: list[int] = []
+        self.first_tries: list[tuple[int, bool]] = []
+        self.refused: list[tuple[int, str]] = []
+        self.counts: Counter[str] = Counter()
+        self.deaf: set[tuple[str, str]] = set()
+        self._per_s = per_s
+        self._deadly_share = deadly_share
+        self._deadly_from_ms = deadly_from_ms
+        self._loss = loss
+        self._decoded: tuple[bytes, Heartbeat] | None = None
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self.servers: dict[str, Server] = {}
+        for number in range(servers):
+            self._add_server(f"s{number}", 0)
+        self.hosts: dict[str, Host] = {}
+        for number in range(hosts):
+            self.hosts[f"h{number}"] = Host(self, f"h{number}", 1)
+        for host in self.hosts.values():
+            self._introduce(host)
+            self.at(self.rng.randrange(TICK_MS), self._tick, host)
+            self.at(self.rng.randrange(200), self._send_heartbeats, host)
+        self.at(0, self._arrive)
+
+    def at(
+        self, time_ms: int, job: Callable[..., None], *args: object
+    ) -> None:
+        """Runs `job` at a time of the virtual clock."""
+        self._sequence += 1
+        call: Callable[[], None] = functools.partial(job, *args)
+        heapq.heappush(self._events, (time_ms, self._sequence, call))
+
+    def after(
+        self, delay_ms: int, job: Callable[..., None], *args: object
+    ) -> None:
+        """Runs `job` after a delay."""
+        self.at(self.clock.now_ms() + delay_ms, job, *args)
+
+    def run(self, until_ms: int) -> EntryFleet:
+        """Plays until `until_ms`; returns the fleet."""
+        while self._events and self._events[0][0] <= until_ms:
+            time_ms, _, job = heapq.heappop(self._events)
+            self.clock.advance(time_ms - self.clock.now_ms())
+            job()
+        return self
+
+    def restart(self, name: str) -> None:
+        """Replaces a host by one that knows nothing but the store's items."""
+        host = Host(self, name, self.hosts[name].boot + 1)
+        self.hosts[name] = host
+        self._introduce(host)
+
+    def _introduce(self, host: Host) -> None:
+        for name in self.hosts:
+            host.peers.add_listed(name, (name, 1), (name, 2), "a", 0)
+        now_ms = self.clock.now_ms()
+        for server in self.servers.values():
+            host.planner.servers.put(server.entry, now_ms)
+        host.tick()
+
+    def _tick(self, host: Host) -> None:
+        self.hosts[host.name].tick()
+        self.after(TICK_MS, self._tick, host)
+
+    def _send_heartbeats(self, host: Host) -> None:
+        current = self.hosts[host.name]
+        current.turn = (current.turn + 1) % RESERVE_HEARTBEAT_EVERY
+        current.peering.send_heartbeats(to_reserve=current.turn == 0)
+        interval_ms = current.peers.heartbeat_interval_ms()
+        self.after(interval_ms, self._send_heartbeats, host)
+
+    def pass_on(self, sender: Host, data: bytes, name: str) -> None:
+        """Passes a datagram on, unless it is lost."""
+        target = self.hosts.get(name)
+        if target is None or target.name == sender.name:
+            return
+        if sender.is_cut_off or target.is_cut_off:
+            return
+        if (sender.name, name) in self.deaf or self.rng.random() < self._loss:
+            return
+        self.counts["datagrams"] += 1
+        self.counts["bytes"] += len(data)
+        self.after(LINK_MS, self._deliver, name, data)
+
+    def _deliver(self, name: str, data: bytes) -> None:
+        if self._decoded is None or self._decoded[0] is not data:
+            self._decoded = (data, decode_heartbeat(data))
+        self.hosts[name].peering._merge_heartbeat(
+            self._decoded[1], (self._decoded[1].sender, 2)
+        )
+
+    def _arrive(self) -> None:
+        gap_ms = self.rng.expovariate(self._per_s / MS_PER_SECOND)
+        self.after(max(1, round(gap_ms)), self._arrive)
+        now_ms = self.clock.now_ms()
+        self._sequence += 1
+        id = f"r{self._sequence}"
+        session = self.rng.randrange(SESSIONS_PER_HOST * len(self.hosts))
+        part = f"s{session}"
+        if now_ms >= self._deadly_from_ms:
+            if self.rng.random() < self._deadly_share:
+                part = DEADLY_PART
+        parts = (("t", 2_000), (part, 3_000), (id, 400))
+        req = CallerRequest(
+            id,
+            "POST",
+            "/chat/x",
+            "example.test",
+            KEY,
+            6_000.0,
+            tuple(PromptPart(name, tokens) for name, tokens in parts),
+            sum(tokens for _, tokens in parts),
+            None,
+            [],
+            id.encode(),
+        )
+        active = [h for h in self.hosts.values() if h.peers.is_active]
+        host = self.rng.choice(active or list(self.hosts.values()))
+        flight = host.planner.admit(req, now_ms)
+        assert isinstance(flight, Flight)
+        self._choose(host, flight)
+
+    def _choose(self, host: Host, flight: Flight) -> None:
+        now_ms = self.clock.now_ms()
+        step = host.planner.choose(flight, now_ms)
+        if isinstance(step, Hold):
+            self.after(step.delay_ms, self._choose, host, flight)
+        elif isinstance(step, Refuse):
+            if not is_deadly(flight):
+                self.refused.append((flight.arrived_ms, step.reason))
+                if not flight.sends:
+                    self.first_tries.append((flight.arrived_ms, False))
+            host.planner.record_end(flight)
+        else:
+            self._send(host, flight, step)
+
+    def _send(self, host: Host, flight: Flight, step: Send) -> None:
+        now_ms = self.clock.now_ms()
+        server = self.servers[step.server.id]
+        if not server.is_up:
+            self.after(
+                CONNECT_MS, self._fail, host, flight, server, Ending.UNREACHED
+            )
+            return
+        host.planner.record_sent(flight, step.server, now_ms)
+        server.running[flight] = host
+        server.arrivals.append((now_ms, host))
+        if is_deadly(flight):
+            self.deadly_sends.append(now_ms)
+        delay_ms = self.rng.randint(*PREFILL_MS)
+        self.after(delay_ms, self._begin, host, flight, server)
+
+    def _begin(self, host: Host, flight: Flight, server: Server) -> None:
+        if flight not in server.running:
+            return
+        now_ms = self.clock.now_ms()
+        if is_deadly(flight):
+            self.crash(server)
+            return
+        host.planner.record_answer_begun(flight, now_ms)
+        if flight.sends == 1:
+            self.first_tries.append((flight.arrived_ms, True))
+        flight.answer_started = True
+        delay_ms = self.rng.randint(*ANSWER_MS)
+        self.after(delay_ms, self._finish, host, flight, server)
+
+    def _finish(self, host: Host, flight: Flight, server: Server) -> None:
+        if server.running.pop(flight, None) is not None:
+            host.planner.record_complete_answer(flight)
+            self.counts["served"] += 1
+
+    def crash(self, server: Server) -> None:
+        """Ends a server; another one takes its place after a while."""
+        server.is_up = False
+        self.crashes.append(self.clock.now_ms())
+        for flight, host in server.running.items():
+            if flight.sends == 1 and not flight.answer_started:
+                if not is_deadly(flight):
+                    self.first_tries.append((flight.arrived_ms, False))
+            self.after(
+                CONNECT_MS, self._fail, host, flight, server, Ending.BROKEN
+            )
+        server.running.clear()
+        self.after(DOWN_MS, self._replace, server)
+
+    def _fail(
+        self, host: Host, flight: Flight, server: Server, ending: Ending
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        planner = host.planner
+        step = planner.handle_failure(flight, server.entry, ending, now_ms)
+        # The host finds out by a connection of its own.
+        planner.crashing_requests.confirm_crash(server.entry.id, now_ms)
+        if isinstance(step, Again):
+            self._choose(host, flight)
+        else:
+            planner.record_end(flight)
+
+    def _replace(self, server: Server) -> None:
+        self.counts["replaced"] += 1
+        del self.servers[server.entry.id]
+        name = f"n{self.counts['replaced']}"
+        entry = self._add_server(name, self.clock.now_ms()).entry
+        self.after(LISTED_AFTER_MS, self._list, server.entry.id, entry)
+
+    def _list(self, old: str, entry: BackendServer) -> None:
+        now_ms = self.clock.now_ms()
+        for host in self.hosts.values():
+            host.planner.servers.remove(old, now_ms)
+            host.planner.servers.put(entry, now_ms)
+
+    def _add_server(self, id: str, started_ms: int) -> Server:
+        entry = BackendServer(
+            id, SERVICE, id, 8_000, "a", True, 64, 0.0, started_ms
+        )
+        server = self.servers[id] = Server(entry)
+        return server
+
+    def count_late(self, after_ms: int) -> int:
+        """Returns the deadly sends later than that after the fifth crash."""
+        if len(self.crashes) < 5:
+            return 0
+        return sum(at > self.crashes[4] + after_ms for at in self.deadly_sends)
+
+    def begun_share(self, from_ms: int, to_ms: int) -> float:
+        """Returns how often sound requests begin at the first attempt."""
+        tries = [ok for at, ok in self.first_tries if from_ms <= at < to_ms]
+        return sum(tries) / max(1, len(tries))
+
+
+def is_deadly(flight: Flight) -> bool:
+    """Returns whether a request crashes the server that answers it."""
+    return any(part.id == DEADLY_PART for part in flight.req.parts)
+
+
+def build_desired() -> DesiredState:
+    """Returns a desired state with one service of models."""
+    route = Route(
+        "chat",
+        "example.test",
+        "/chat/",
+        RouteKind.STREAM,
+        6_000,
+        1_000,
+        1,
+        ((SERVICE, 1.0),),
+        2,
+        False,
+        True,
+        400,
+    )
+    return DesiredState(
+        1,
+        [route],
+        [Service(SERVICE, 2_000, 9.0, 200_000, 3_000)],
+        DEFAULT_LIMITS,
+        {KEY: Workspace("acme", None)},
+        True,
+    )
--- a/tests/test_entry_planned_stops.py
+++ b/tests/test_entry_planned_stops.py
@@ -129,9 +129,7 @@
         settings = build_settings("h", "127.0.0.1", ("127.0.0.1", 1))
         settings = decode_settings(settings)
         settings.grace_ms = 400
-        host = EntryHost(
-            settings, pathlib.Path(), clock, random.Random(1)
-        )
+        host = EntryHost(settings, pathlib.Path(), clock, random.Random(1))
         monkeypatch.setattr(host_stop, "ACCEPT_AFTER_STOP_MS", 0)
         if part == "accept":  # longer than the grace period
             monkeypatch.setattr(host_stop, "ACCEPT_AFTER_STOP_MS", 60_000)
