--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -55,7 +55,7 @@
 # Time in which a failed connection is noticed.
 CONNECT_MS: Final = 3
 SESSIONS_PER_HOST: Final = 6
-DEADLY_PART: Final = "deadly"
+CRASHING_PART: Final = "crashing"
 
 
 class Host:
@@ -133,8 +133,8 @@
 
     Attributes:
         clock: The virtual clock.
-        crashes: When servers crashed under deadly requests.
-        deadly_sends: When deadly requests reached servers.
+        crashes: When servers crashed under such requests.
+        crashing_sends: When such requests reached servers.
         first_tries: Time of each sound request, and whether its answer began
             at the first server that it was sent to.
         refused: Reasons of refusals of sound requests, with their times.
@@ -145,8 +145,8 @@
         hosts: int = 8,
         servers: int = 5,
         per_s: float = 20.0,
-        deadly_share: float = 0.05,
-        deadly_from_ms: int = 4_000,
+        crashing_share: float = 0.05,
+        crashing_from_ms: int = 4_000,
         loss: float = 0.0,
         seed: int = 1,
     ) -> None:
@@ -154,14 +154,14 @@
         self.rng = random.Random(seed)
         self.desired = build_desired()
         self.crashes: list[int] = []
-        self.deadly_sends: list[int] = []
+        self.crashing_sends: list[int] = []
         self.first_tries: list[tuple[int, bool]] = []
         self.refused: list[tuple[int, str]] = []
         self.counts: Counter[str] = Counter()
         self.deaf: set[tuple[str, str]] = set()
         self._per_s = per_s
-        self._deadly_share = deadly_share
-        self._deadly_from_ms = deadly_from_ms
+        self._crashing_share = crashing_share
+        self._crashing_from_ms = crashing_from_ms
         self._loss = loss
         self._decoded: tuple[bytes, Heartbeat] | None = None
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -253,9 +253,9 @@
         id = f"r{self._sequence}"
         session = self.rng.randrange(SESSIONS_PER_HOST * len(self.hosts))
         part = f"s{session}"
-        if now_ms >= self._deadly_from_ms:
-            if self.rng.random() < self._deadly_share:
-                part = DEADLY_PART
+        if now_ms >= self._crashing_from_ms:
+            if self.rng.random() < self._crashing_share:
+                part = CRASHING_PART
         parts = (("t", 2_000), (part, 3_000), (id, 400))
         req = CallerRequest(
             id,
@@ -282,7 +282,7 @@
         if isinstance(step, Hold):
             self.after(step.delay_ms, self._choose, host, flight)
         elif isinstance(step, Refuse):
-            if not is_deadly(flight):
+            if not is_crashing(flight):
                 self.refused.append((flight.arrived_ms, step.reason))
                 if not flight.sends:
                     self.first_tries.append((flight.arrived_ms, False))
@@ -301,8 +301,8 @@
         host.planner.record_sent(flight, step.server, now_ms)
         server.running[flight] = host
         server.arrivals.append((now_ms, host))
-        if is_deadly(flight):
-            self.deadly_sends.append(now_ms)
+        if is_crashing(flight):
+            self.crashing_sends.append(now_ms)
         delay_ms = self.rng.randint(*PREFILL_MS)
         self.after(delay_ms, self._begin, host, flight, server)
 
@@ -310,7 +310,7 @@
         if flight not in server.running:
             return
         now_ms = self.clock.now_ms()
-        if is_deadly(flight):
+        if is_crashing(flight):
             self.crash(server)
             return
         host.planner.record_answer_begun(flight, now_ms)
@@ -331,7 +331,7 @@
         self.crashes.append(self.clock.now_ms())
         for flight, host in server.running.items():
             if flight.sends == 1 and not flight.answer_started:
-                if not is_deadly(flight):
+                if not is_crashing(flight):
                     self.first_tries.append((flight.arrived_ms, False))
             self.after(
                 CONNECT_MS, self._fail, host, flight, server, Ending.BROKEN
@@ -373,10 +373,12 @@
         return server
 
     def count_late(self, after_ms: int) -> int:
-        """Returns the deadly sends later than that after the fifth crash."""
+        """Returns such sends later than that after the fifth crash."""
         if len(self.crashes) < 5:
             return 0
-        return sum(at > self.crashes[4] + after_ms for at in self.deadly_sends)
+        return sum(
+            at > self.crashes[4] + after_ms for at in self.crashing_sends
+        )
 
     def begun_share(self, from_ms: int, to_ms: int) -> float:
         """Returns how often sound requests begin at the first attempt."""
@@ -384,9 +386,9 @@
         return sum(tries) / max(1, len(tries))
 
 
-def is_deadly(flight: Flight) -> bool:
+def is_crashing(flight: Flight) -> bool:
     """Returns whether a request crashes the server that answers it."""
-    return any(part.id == DEADLY_PART for part in flight.req.parts)
+    return any(part.id == CRASHING_PART for part in flight.req.parts)
 
 
 def build_desired() -> DesiredState:
--- a/tests/test_entry_deadly_parts.py
+++ b/tests/test_entry_crashing_parts.py
@@ -27,18 +27,18 @@
 # which no two are alike.
 @pytest.mark.parametrize("hosts, servers", [(8, 5), (69, 30), (330, 60)])
 @pytest.mark.parametrize("share", [0.03, 0.2])
-def test_deadly_part_is_kept_away_from_servers(hosts, servers, share):
+def test_crashing_part_is_kept_away_from_servers(hosts, servers, share):
     connectivity_ms = CONNECTIVITY_MS[hosts]
     fleet = EntryFleet(
-        hosts, servers, per_s=4.0 * servers, deadly_share=share, seed=hosts
+        hosts, servers, per_s=4.0 * servers, crashing_share=share, seed=hosts
     ).run(14_000)
     assert fleet.count_late(connectivity_ms) <= ALLOWED_LATE
 
 
-# Guards against sound requests that are refused with the deadly ones.
+# Guards against sound requests that are refused with the crashing ones.
 @pytest.mark.parametrize("seed", [1, 2])
-def test_sound_requests_beside_a_deadly_part_are_served(seed):
-    fleet = EntryFleet(8, 5, deadly_share=0.2, seed=seed).run(26_000)
+def test_sound_requests_beside_a_crashing_part_are_served(seed):
+    fleet = EntryFleet(8, 5, crashing_share=0.2, seed=seed).run(26_000)
     fifth_ms = fleet.crashes[4]
     usual = fleet.begun_share(1_000, 4_000)
     later = fleet.begun_share(fifth_ms + 6_000, 25_000)
