Move the choice for silent servers' requests out of planner

Change: the choice of another server for a request whose server is silent becomes Moves in core/entry/moves.py; Planner.find_move calls it.

Result: the tests of silent servers, crashing requests, brittle servers, paths and the planner pass.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -21,6 +21,7 @@
     Refuse,
     Send,
 )
+from .moves import Moves
 from .prompt_counts import count_prompt
 from .refusals import Refusals
 from .requests import CallerRequest
@@ -71,6 +72,7 @@
         "counters",
         "crashing_requests",
         "_choice",
+        "_moves",
         "_cold_limiter",
         "_refusals",
         "_retries",
@@ -107,6 +109,7 @@
             name, selection, cold_limiter, self._refusals
         )
         self._retries = Retries(selection, self._refusals, retry_budget)
+        self._moves = Moves(selection, self._retries, self.crashing_requests)
 
     @property
     def desired(self) -> DesiredState | None:
@@ -356,33 +359,11 @@
     def find_move(self, flight: Flight, now_ms: int) -> Send | None:
         """Chooses another server for a request whose server is silent.
 
-        Takes two retries from the budget: one to get there, and one to come
-        back if that server declines.
-
         Returns:
-            The other server, warm and well; None if the request has to stay,
-            as giving it up would end an answer that may still come.
+            The other server; None if the request has to stay.
         """
-        self.selection.check_pause(now_ms)
-        left_ms = flight.deadline_ms - now_ms
-        if left_ms < MIN_LEFT_MS or not self._retries.may_retry(flight, 0):
-            return None
-        if self.crashing_requests.should_refuse(flight.req, now_ms):
-            return None
-        servers = [
-            server
-            for server in self.selection.list_usable(flight, now_ms)
-            if self.selection.has_free_connection(server)
-            and not self.ejections.is_ejected(server.id, now_ms)
-            and not self.selection.may_be_cold(server, now_ms)
-        ]
-        servers = self.rooms.filter(servers, self.hosts, now_ms)
-        servers = self.rollouts.filter(flight, servers, now_ms)
-        if not servers or not self._retries.take_move(flight, now_ms):
-            return None
-        return self._send(
-            flight, self.selection.rank(flight, servers, now_ms)[0], now_ms
-        )
+        server = self._moves.find(flight, now_ms)
+        return None if server is None else self._send(flight, server, now_ms)
 
     def cancel_move(self, flight: Flight) -> None:
         """Records that the request stays where it is after all."""
