Move the forwarding of events out of relay

Change: what passes events on to the caller becomes EventForwarder in entry/event_forwarder.py. No other change.

Result: the tests of paths, silent servers, repeated answers and tunnels pass.

--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -11,7 +11,7 @@
 from ..adapters.http1_server import ServerConnection
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
-from ..core.entry.events import EventSplitter, read_event_id
+from ..core.entry.events import EventSplitter
 from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
@@ -22,6 +22,7 @@
 from .answer_signs import record_answer_signs
 from .answer_timing import AnswerTiming, record_rollout_answer
 from .backends import ConnectionPool
+from .event_forwarder import EventForwarder
 from .refusal_answer import send_refusal
 from .server_marks import ServerMarks
 from .server_request import send_request
@@ -50,6 +51,7 @@
         "_failure_detail",
         "_timing",
         "_move",
+        "_forwarder",
     )
 
     def __init__(
@@ -75,6 +77,7 @@
         self._failure_detail = ""
         self._timing = AnswerTiming(0)
         self._move: Move | None = None
+        self._forwarder = EventForwarder(planner, clock, conn)
 
     async def run(self) -> None:
         """Serves the request until it is answered, refused or timed out."""
@@ -123,12 +126,6 @@
         kind = flight.route.kind.value if flight else "none"
         self._planner.counters.add("requests", kind=kind, outcome=outcome)
 
-    def _record_first_byte(self, flight: Flight) -> None:
-        """Records how long the caller waited for the first byte."""
-        waited_ms = self._clock.now_ms() - flight.arrived_ms
-        kind = flight.route.kind.value
-        self._planner.counters.record_latency(kind, waited_ms)
-
     def _record_ending(
         self, flight: Flight, server: BackendServer, ending: Ending | None
     ) -> None:
@@ -298,7 +295,7 @@
         if answer.status < MIN_SERVER_ERROR_STATUS:
             self._planner.record_answer_begun(flight, self._clock.now_ms())
             self._planner.record_complete_answer(flight)
-        self._record_first_byte(flight)
+        self._forwarder.record_first_byte(flight)
         await self._conn.respond(answer.status, answer.headers, answer.body)
 
     async def _relay_events(
@@ -319,51 +316,17 @@
             events = splitter.feed(bytes(event.data))
             self._timing.record(len(events), reader.received_ms)
             reader.record_progress(bool(events) or not splitter.rest)
-            await self._forward_events(events, head)
+            await self._forwarder.forward(flight, events, head)
             if splitter.is_excessive:
                 return Ending.INVALID_ANSWER
         if not isinstance(event, h11.EndOfMessage) or splitter.rest:
             return Ending.BROKEN
-        self._start_answer(head, flight)
+        self._forwarder.start_answer(flight, head)
         self._planner.record_complete_answer(flight)
         self._conn.protocol.write(h11.EndOfMessage())
         await self._conn.protocol.flush()
         return None
 
-    async def _forward_events(
-        self, events: list[bytes], head: AnswerHead
-    ) -> None:
-        flight = self._flight
-        assert flight is not None
-        new_events: list[bytes] = []
-        for event in events:
-            event_id = read_event_id(event)
-            last = flight.last_event_id
-            if event_id is not None:
-                if last is not None and event_id <= last:
-                    continue
-                flight.last_event_id = event_id
-            new_events.append(event)
-        if not new_events:
-            return
-        self._start_answer(head, flight)
-        self._conn.protocol.write(h11.Data(data=b"".join(new_events)))
-        await self._conn.protocol.flush()
-
-    def _start_answer(self, head: AnswerHead, flight: Flight) -> None:
-        """Sends the head of the answer, once.
-
-        When another server resumes the stream, its events follow under the
-        head that was sent first.
-        """
-        self._planner.record_answer_begun(flight, self._clock.now_ms())
-        if flight.answer_started:
-            return
-        flight.answer_started = True
-        self._record_first_byte(flight)
-        chunked = (b"Transfer-Encoding", b"chunked")
-        self._conn.start(head.status, [*head.headers, chunked])
-
     async def _refuse(self, refusal: Refuse) -> None:
         self._count_outcome("refused")
         await send_refusal(
