Quarantine prompt parts that crash the servers that answer them

What callers saw: under requests of one kind, of which no two are alike, one server after the other went down; streams of others broke, and for want of warm servers callers were refused.

Cause: crashes were counted for exact requests only (path, key and body). A part that different requests share had no record.

Change: interrupted attempts name the shared parts of their prompts and whether their answers had begun. Hosts exchange them, and tell each other which parts were answered. A part that none has answered is quarantined after three crashes at two moments under two requests; one in use needs five at three. Attempts beside one that had begun, parts beside one that went longer without an answer, and crashes with a known cause blame nothing. A lost request has its server checked by a new connection at once, which the next request uses.

The two tests of bounds in test_entry_crashing_requests.py name the new bounds (attempts, attempts under one crash, crashes); all others only call the reports by their new shape.

--- a/corianderdoor/core/entry/crashing_requests.py
+++ b/corianderdoor/core/entry/crashing_requests.py
@@ -2,22 +2,32 @@
 
 A request is identified by its path, API key and body. If several servers
 crashed while they ran it, and no complete answer came since, it is refused
-for a while instead of being sent to the next server. A broken connection
-alone is not a crash: the server must also become unreachable, disappear
-from the list or restart soon after. Otherwise a popular request would be
-refused because of lost answers.
+for a while instead of being sent to the next server. The same holds for the
+parts of prompts that requests share, see `PartQuarantine`. A broken
+connection alone is not a crash: the server must also become unreachable,
+disappear from the list or restart soon after. Otherwise a popular request
+would be refused because of lost answers.
 """
 
 from __future__ import annotations
 
-from collections import deque, OrderedDict
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
 import enum
 from typing import Final
 
 import xxhash
 
 from ..records import Record
+from .cache_map import digest_part
+from .crash_evidence import (
+    AttemptReport,
+    Crash,
+    CrashEvidence,
+    InterruptedAttempt,
+)
+from .flights import AnswerProgress, Flight
+from .part_quarantine import PartQuarantine
 from .requests import CallerRequest
 from .servers import digest_id
 
@@ -28,14 +38,18 @@
 # A broken connection counts as a crash if the server is found to be
 # unreachable or gone within this time.
 CONFIRM_MS: Final = 5_000
-# How long a crash counts; the request is refused no longer than this after
-# its last crash.
-CRASH_TTL_MS: Final = 60_000
-# One request takes about 300 bytes.
-MAX_REQUESTS: Final = 2_000
-# Bound of the broken connections kept for each server, and of the crashes
-# that wait to be reported; the oldest are dropped.
+# An answer that has gone on for this long shows that its request crashes no
+# server.
+SOUND_AFTER_MS: Final = 300
+# Parts of one prompt that are looked at, the first ones.
+MAX_PARTS: Final = 8
+# Bound of the interrupted attempts kept for each server, and of those that
+# wait to be reported; the oldest are dropped.
 MAX_UPDATES: Final = 64
+# Attempts in one heartbeat, and heartbeats that report each, as datagrams
+# may be lost.
+MAX_REPORTS: Final = 8
+TIMES_REPORTED: Final = 3
 
 
 class CrashCause(enum.Enum):
@@ -80,28 +94,91 @@
     return digest.intdigest()
 
 
+def digest_shared_parts(req: CallerRequest) -> tuple[int, ...]:
+    """Returns the digests of the parts that other requests can share.
+
+    The last part belongs to the request itself.
+    """
+    return tuple(digest_part(part) for part in req.parts[:-1][:MAX_PARTS])
+
+
 class CrashingRequests:
-    """Crashes by request and server, for the last `MAX_REQUESTS` requests.
+    """Crashes of servers, and the requests and prompt parts to blame.
 
     Attributes:
+        parts: Prompt parts that are kept away from servers.
         on_crash: Called with each crash that interrupted a request of this
             host.
+        on_interrupted: Called with the id of a server that may have crashed.
     """
 
-    __slots__ = ("on_crash", "_crashes", "_broken", "_updates")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "parts",
+        "on_crash",
+        "on_interrupted",
+        "_evidence",
+        "_refused",
+        "_interrupted",
+        "_unreported",
+    )
+
+    def __init__(self, name: str = "") -> None:
+        """Creates the records of the host `name`, without any crash."""
+        self._evidence = CrashEvidence()
+        # Requests found to crash servers by themselves.
+        self._refused: set[int] = set()
+        self.parts = PartQuarantine(name, self._evidence, self._refused)
         self.on_crash: Callable[[ServerCrash], None] = lambda crash: None
-        self._crashes: OrderedDict[int, dict[int, int]] = OrderedDict()
-        self._broken: dict[str, deque[tuple[int, int]]] = {}
-        self._updates: deque[tuple[int, int]] = deque(maxlen=MAX_UPDATES)
+        self.on_interrupted: Callable[[str], None] = lambda server_id: None
+        # Attempts at servers that are not known to have crashed.
+        self._interrupted: dict[str, deque[InterruptedAttempt]] = {}
+        # Attempts, and how often each is to be reported yet.
+        self._unreported: deque[tuple[InterruptedAttempt, int]] = deque(
+            maxlen=MAX_UPDATES
+        )
+
+    def record_interruption(
+        self, flight: Flight, server_id: str, now_ms: int
+    ) -> None:
+        """Records that the attempt at `server_id` ended without an answer.
+
+        An answer that had gone on for a while shows that its request is not
+        to blame if the server has crashed.
+        """
+        if flight.progress is not AnswerProgress.SOUND:
+            begun = flight.progress is AnswerProgress.BEGUN
+            self.record_broken_connection(flight.req, server_id, now_ms, begun)
 
     def record_broken_connection(
-        self, req: CallerRequest, server_id: str, now_ms: int
+        self,
+        req: CallerRequest,
+        server_id: str,
+        now_ms: int,
+        begun: bool = False,
     ) -> None:
-        """Records that the connection broke while `server_id` ran `req`."""
-        broken = self._broken.setdefault(server_id, deque(maxlen=MAX_UPDATES))
-        broken.append((now_ms, compute_fingerprint(req)))
+        """Records that an attempt at `server_id` was interrupted.
+
+        Args:
+            req: The request.
+            server_id: Id of the server that ran it.
+            now_ms: Monotonic time in ms.
+            begun: Whether the head of its answer had arrived.
+        """
+        attempt = InterruptedAttempt(
+            xxhash.xxh3_64_intdigest(
+                f"{req.id}\0{server_id}\0{now_ms}".encode()
+            ),
+            compute_fingerprint(req),
+            digest_id(server_id),
+            now_ms,
+            begun,
+            digest_shared_parts(req),
+        )
+        kept = self._interrupted.setdefault(
+            server_id, deque(maxlen=MAX_UPDATES)
+        )
+        kept.append(attempt)
+        self.on_interrupted(server_id)
 
     def confirm_crash(
         self,
@@ -109,61 +186,182 @@
         now_ms: int,
         cause: CrashCause = CrashCause.UNREACHABLE,
     ) -> None:
-        """Counts recent broken connections to `server_id` as crashes.
+        """Counts recent interruptions at `server_id` as a crash.
 
         To be called when the server is unreachable, gone from the list or
         restarted.
         """
-        digest = digest_id(server_id)
-        fingerprints = []
-        for at_ms, fingerprint in self._broken.pop(server_id, ()):
-            if now_ms - at_ms < CONFIRM_MS:
-                self.add_crash(fingerprint, digest, now_ms)
-                self._updates.append((fingerprint, digest))
-                fingerprints.append(fingerprint)
-        if fingerprints:
-            self.on_crash(ServerCrash(server_id, cause, tuple(fingerprints)))
+        attempts = [
+            attempt
+            for attempt in self._interrupted.pop(server_id, ())
+            if now_ms - attempt.at_ms < CONFIRM_MS
+        ]
+        if not attempts:
+            return
+        self._add(attempts, now_ms)
+        self._unreported.extend((one, TIMES_REPORTED) for one in attempts)
+        fingerprints = tuple(attempt.request for attempt in attempts)
+        self.on_crash(ServerCrash(server_id, cause, fingerprints))
+
+    def merge(self, reports: Iterable[AttemptReport], now_ms: int) -> None:
+        """Adds attempts under crashes that a peer reported."""
+        attempts = [
+            InterruptedAttempt(
+                report.id,
+                report.request,
+                report.server,
+                now_ms - report.age_ms,
+                report.begun,
+                report.parts,
+            )
+            for report in reports
+        ]
+        self._add(attempts, now_ms)
+
+    def _add(self, attempts: list[InterruptedAttempt], now_ms: int) -> None:
+        added = [one for one in attempts if self._evidence.add(one, now_ms)]
+        for attempt in added:
+            if self._is_refused(attempt.request):
+                self._refused.add(attempt.request)
+        self.parts.judge(added)
 
     def add_crash(self, fingerprint: int, server: int, now_ms: int) -> None:
-        """Records a crash, seen here or reported by a peer.
+        """Records a crash reported by a host of an earlier release.
 
         Args:
             fingerprint: Fingerprint of the request.
             server: Digest of the id of the server that crashed.
             now_ms: Monotonic time in ms.
         """
-        self._crashes.setdefault(fingerprint, {})[server] = now_ms
-        self._crashes.move_to_end(fingerprint)
-        while len(self._crashes) > MAX_REQUESTS:
-            self._crashes.popitem(last=False)
+        id = xxhash.xxh3_64_intdigest(b"%d %d" % (fingerprint, server))
+        attempt = InterruptedAttempt(id, fingerprint, server, now_ms)
+        self._add([attempt], now_ms)
 
     def record_complete_answer(self, req: CallerRequest) -> None:
         """Drops the crashes of `req`, which got a complete answer.
 
         Peers keep theirs.
         """
-        if self._crashes:
-            self._crashes.pop(compute_fingerprint(req), None)
+        if len(self._evidence):
+            fingerprint = compute_fingerprint(req)
+            self._evidence.forget_request(fingerprint)
+            self._refused.discard(fingerprint)
+
+    def record_progress(self, flight: Flight, now_ms: int) -> None:
+        """Records that an event of the answer to a request has arrived.
+
+        An answer that goes on shows that its prompt's parts crash no server.
+        """
+        if flight.progress is AnswerProgress.SOUND:
+            return
+        if flight.first_event_ms is None:
+            flight.first_event_ms = now_ms
+        if now_ms - flight.first_event_ms >= SOUND_AFTER_MS:
+            self.record_sound_answer(flight, flight.first_event_ms)
+
+    def record_sound_answer(self, flight: Flight, began_ms: int) -> None:
+        """Records an answer that was complete or has gone on for a while."""
+        if flight.progress is not AnswerProgress.SOUND:
+            flight.progress = AnswerProgress.SOUND
+            flight.was_sound = True
+            self.parts.record_answer(digest_shared_parts(flight.req), began_ms)
+
+    def find_refusal(
+        self, flight: Flight, hosts: Sequence[str], now_ms: int
+    ) -> str | None:
+        """Returns why a request must not be sent to a server.
+
+        Args:
+            flight: The request.
+            hosts: Names of all hosts, which share the trials of prompt parts.
+            now_ms: Monotonic time in ms.
+
+        Returns:
+            The reason as a stable word; None if it may be sent.
+        """
+        if self.should_refuse(flight.req, now_ms):
+            return "breaks-servers"
+        if not len(self.parts) or flight.was_sound or not flight.req.parts:
+            return None
+        if self.parts.may_send(
+            digest_shared_parts(flight.req),
+            flight.req.id,
+            flight.sends == 0,
+            hosts,
+            now_ms,
+        ):
+            return None
+        return "prompt-breaks-servers"
 
     def should_refuse(self, req: CallerRequest, now_ms: int) -> bool:
-        """Returns whether `req` must not be sent to a server."""
-        if not self._crashes:
+        """Returns whether `req` itself must not be sent to a server."""
+        if not len(self._evidence):
             return False
-        crashes = self._crashes.get(compute_fingerprint(req), {})
-        recent = [at for at in crashes.values() if now_ms - at < CRASH_TTL_MS]
-        return len(recent) >= SERVERS_TO_REFUSE
+        self._evidence.drop_expired(now_ms)
+        return self._is_refused(compute_fingerprint(req))
 
-    def retain(self, ids: frozenset[str]) -> None:
-        """Drops the broken connections of all servers but `ids`."""
-        for name in self._broken.keys() - ids:
-            del self._broken[name]
+    def _is_refused(self, fingerprint: int) -> bool:
+        crashes = self._evidence.of_request(fingerprint)
+        if len(crashes) < SERVERS_TO_REFUSE:
+            return False
+        servers = {
+            crash.server
+            for crash in crashes
+            if self._blames(crash, fingerprint)
+        }
+        return len(servers) >= SERVERS_TO_REFUSE
+
+    def _blames(self, crash: Crash, fingerprint: int) -> bool:
+        """Returns whether a request may have caused a crash."""
+        suspects = crash.suspects()
+        if any(
+            other.request in self._refused and other.request != fingerprint
+            for other in suspects
+        ):
+            return False
+        return any(
+            attempt.request == fingerprint
+            and not self.parts.has_quarantined(suspects, attempt)
+            for attempt in suspects
+        )
 
-    def take_updates(self) -> list[tuple[int, int]]:
-        """Removes and returns the crashes to report to peers.
+    def tick(self, ids: frozenset[str], now_ms: int) -> None:
+        """Drops what no longer counts.
 
-        Returns:
-            Pairs of a request's fingerprint and a server's digest.
+        Args:
+            ids: Ids of the listed servers.
+            now_ms: Monotonic time in ms.
+        """
+        for name in self._interrupted.keys() - ids:
+            del self._interrupted[name]
+        self._evidence.drop_expired(now_ms)
+        for fingerprint in list(self._refused):
+            if not self._is_refused(fingerprint):
+                self._refused.discard(fingerprint)
+        self.parts.drop_expired(now_ms)
+
+    def take_updates(self, now_ms: int) -> list[AttemptReport]:
+        """Returns the attempts to report to peers now.
+
+        Attempts whose answers had begun come first.
         """
-        updates = list(self._updates)
-        self._updates.clear()
-        return updates
+        waiting = sorted(
+            self._unreported, key=lambda item: (not item[0].begun, -item[1])
+        )
+        due, rest = waiting[:MAX_REPORTS], waiting[MAX_REPORTS:]
+        self._unreported.clear()
+        self._unreported.extend(rest)
+        self._unreported.extend(
+            (attempt, times - 1) for attempt, times in due if times > 1
+        )
+        return [
+            AttemptReport(
+                attempt.id,
+                attempt.request,
+                attempt.server,
+                max(0, now_ms - attempt.at_ms),
+                attempt.begun,
+                attempt.parts,
+            )
+            for attempt, _ in due
+        ]
--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -42,6 +42,19 @@
 )
 
 
+class AnswerProgress(enum.Enum):
+    """How far the answer to the current attempt is.
+
+    NONE: Nothing has arrived.
+    BEGUN: The head has arrived.
+    SOUND: The answer is complete, or has gone on for a while.
+    """
+
+    NONE = "none"
+    BEGUN = "begun"
+    SOUND = "sound"
+
+
 class Send(Record):
     """Decision to send the request to `server`.
 
@@ -188,6 +201,9 @@
         returning: Whether the request goes back there.
         interrupted_ms: When the begun answer lost its server; None unless
             it waits for one to resume it.
+        progress: How far the answer of the current attempt is.
+        first_event_ms: When its first event arrived; None before that.
+        was_sound: Whether an answer of any attempt was sound.
     """
 
     __slots__ = (
@@ -214,6 +230,9 @@
         "spare_retry",
         "returning",
         "interrupted_ms",
+        "progress",
+        "first_event_ms",
+        "was_sound",
     )
 
     def __init__(
@@ -248,6 +267,9 @@
         self.spare_retry = False
         self.returning = False
         self.interrupted_ms: int | None = None
+        self.progress = AnswerProgress.NONE
+        self.first_event_ms: int | None = None
+        self.was_sound = False
 
     def urgency(self) -> int:
         """Returns the priority at the server, from 0 (highest) to 9."""
--- a/corianderdoor/core/entry/heartbeat.py
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -6,6 +6,8 @@
 
 from ..records import Record
 from .brittle_room import RoomReport
+from .crash_evidence import AttemptReport
+from .part_reports import PartReport
 from .rollout_records import RolloutReport
 
 # Heartbeat interval between active hosts. It grows with the number of active
@@ -32,7 +34,8 @@
         live_peers: Number of peers from which the host gets heartbeats.
         ejected: Digests of the servers that the host has ejected.
         crashes: Fingerprints of requests and digests of the servers that
-            crashed while they ran them.
+            crashed while they ran them; for hosts of an earlier release,
+            which do not read `attempts`.
         interval_ms: Time until the next heartbeat to the same peer.
         cpu_percent: CPU use of the host in percent.
         unreached: Digests of the servers that the host could not reach
@@ -43,6 +46,8 @@
             answers to the host announced that they leave.
         rooms: Room of the brittle servers.
         rollouts: Rollouts in progress.
+        attempts: Attempts at servers that crashed meanwhile.
+        parts: Prompt parts suspected of crashing servers.
     """
 
     __slots__ = (
@@ -64,6 +69,8 @@
         "leaving_servers",
         "rooms",
         "rollouts",
+        "attempts",
+        "parts",
     )
 
     def __init__(
@@ -86,7 +93,11 @@
         leaving_servers: tuple[int, ...] = (),
         rooms: tuple[RoomReport, ...] = (),
         rollouts: tuple[RolloutReport, ...] = (),
+        attempts: tuple[AttemptReport, ...] = (),
+        parts: tuple[PartReport, ...] = (),
     ) -> None:
+        self.attempts = attempts
+        self.parts = parts
         self.rollouts = rollouts
         self.rooms = rooms
         self.era = era
--- a/corianderdoor/core/entry/moves.py
+++ b/corianderdoor/core/entry/moves.py
@@ -39,7 +39,9 @@
         left_ms = flight.deadline_ms - now_ms
         if left_ms < MIN_LEFT_MS or not self._retries.may_retry(flight, 0):
             return None
-        if self._crashing_requests.should_refuse(flight.req, now_ms):
+        if self._crashing_requests.find_refusal(
+            flight, selection.hosts, now_ms
+        ):
             return None
         servers = [
             server
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -13,6 +13,7 @@
 from .crashing_requests import CrashingRequests
 from .flights import (
     Again,
+    AnswerProgress,
     CERTAINLY_NOT_RUN,
     Deliver,
     Ending,
@@ -102,7 +103,7 @@
         self.rooms = selection.rooms
         self.rollouts = selection.rollouts
         self.counters = Counters()
-        self.crashing_requests = CrashingRequests()
+        self.crashing_requests = CrashingRequests(name)
         self._cold_limiter = cold_limiter
         self._refusals = Refusals(selection, rng)
         self._choice = ServerChoice(
@@ -144,7 +145,7 @@
         ids = self.servers.ids()
         self.ejections.retain(ids)
         self._cold_limiter.retain(ids)
-        self.crashing_requests.retain(ids)
+        self.crashing_requests.tick(ids, now_ms)
         self.restarts.retain(ids)
         self.leaving.retain(self.servers.all(), now_ms)
         self.pauses.drop_expired(now_ms)
@@ -182,8 +183,11 @@
         left_ms = flight.deadline_ms - now_ms
         if left_ms < MIN_LEFT_MS:
             return self._refusals.refuse(flight, "out-of-time", now_ms)
-        if self.crashing_requests.should_refuse(flight.req, now_ms):
-            return self._refusals.refuse(flight, "breaks-servers", now_ms)
+        reason = self.crashing_requests.find_refusal(
+            flight, self.hosts, now_ms
+        )
+        if reason is not None:
+            return self._refusals.refuse(flight, reason, now_ms)
         usable = self.selection.list_usable(flight, now_ms)
         if not usable:
             return self._refusals.wait_for_pause(
@@ -250,6 +254,8 @@
         flight.excluded.add(server.id)
         flight.sends += 1
         flight.runs += 1
+        flight.progress = AnswerProgress.NONE
+        flight.first_event_ms = None
         self.loads.start(server.id, flight.unread)
         self.selection.forecasts.record_sent(flight, server, now_ms)
         self.rooms.release(flight)
@@ -325,15 +331,7 @@
         if ending is Ending.UNREACHED:
             self.record_unreached(flight, server, now_ms)
             return Again()
-        self.counters.add("sends", ending=ending.value)
-        self.ejections.record_ending(server.id, ending, now_ms)
-        if ending is Ending.BROKEN:
-            self.restarts.record_broken(server.id, now_ms)
-            self.crashing_requests.record_broken_connection(
-                flight.req, server.id, now_ms
-            )
-        if ending is Ending.SILENT:
-            flight.left_server = server.id
+        self._record_ending(flight, server, ending, now_ms)
         if ending is Ending.WITHDRAWN:
             return Again()
         if ending in CERTAINLY_NOT_RUN:
@@ -346,6 +344,37 @@
             return self._refusals.diagnose(flight, ending.value, now_ms)
         return self._refusals.refuse(flight, ending.value, now_ms)
 
+    def _record_ending(
+        self,
+        flight: Flight,
+        server: BackendServer,
+        ending: Ending,
+        now_ms: int,
+    ) -> None:
+        self.counters.add("sends", ending=ending.value)
+        self.ejections.record_ending(server.id, ending, now_ms)
+        if ending is Ending.BROKEN:
+            self.restarts.record_broken(server.id, now_ms)
+        if ending in (Ending.BROKEN, Ending.SILENT):
+            self.record_interruption(flight, server, now_ms)
+        if ending is Ending.SILENT:
+            flight.left_server = server.id
+
+    def record_interruption(
+        self, flight: Flight, server: BackendServer, now_ms: int
+    ) -> None:
+        """Records an attempt that may have ended by a crash of its server.
+
+        The end of a server that was to leave is none.
+        """
+        listed = self.servers.get(server.id)
+        if listed is not None and not listed.available:
+            return
+        if not self.leaving.includes(server):
+            self.crashing_requests.record_interruption(
+                flight, server.id, now_ms
+            )
+
     def record_unreached(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> None:
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -151,6 +151,12 @@
         idle = self._idle.setdefault(server.id, [])
         idle.append(_IdleConnection(protocol, now_ms, idle_ms))
 
+    def keep(self, server: BackendServer, protocol: H11Protocol) -> None:
+        """Keeps a new connection for the next request."""
+        idle = self._idle.setdefault(server.id, [])
+        now_ms = self._clock.now_ms()
+        idle.append(_IdleConnection(protocol, now_ms, DEFAULT_IDLE_TIMEOUT_MS))
+
     def close_idle(self, server_id: str) -> None:
         """Closes the idle connections to a server."""
         for idle in self._idle.pop(server_id, []):
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -25,6 +25,26 @@
   leavingServers @15 :List(UInt64);  # digests of servers' incarnations
   rooms @16 :List(Room);
   rollouts @17 :List(Rollout);
+  attempts @18 :List(Attempt);
+  parts @19 :List(SuspectPart);
+}
+
+# An attempt at a backend server that crashed meanwhile.
+struct Attempt {
+  id @0 :UInt64;
+  request @1 :UInt64;  # fingerprint
+  server @2 :UInt64;  # digest of the server's id
+  ageMs @3 :UInt32;  # since the connection failed
+  begun @4 :Bool;  # whether the head of the answer had arrived
+  parts @5 :List(UInt64);  # digests of the prompt's shared parts, in order
+}
+
+# A part of prompts that may crash the servers that answer it.
+struct SuspectPart {
+  part @0 :UInt64;  # digest of the part's id
+  answeredAgeMs @1 :UInt32 = 0xffffffff;  # highest value: not told
+  quarantinedAgeMs @2 :UInt32 = 0xffffffff;  # highest value: it is not
+  periodMs @3 :UInt32;  # of the quarantine
 }
 
 # A request, identified by a digest, during which a backend server crashed.
--- a/corianderdoor/entry/gauges.py
+++ b/corianderdoor/entry/gauges.py
@@ -43,5 +43,8 @@
         ),
         "highest_load_share": read_highest_load_share,
         "brittle_servers": lambda: float(planner.rooms.count()),
+        "quarantined_parts": lambda: float(
+            len(planner.crashing_requests.parts)
+        ),
         "lowest_room": planner.rooms.lowest_room,
     }
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -33,8 +33,9 @@
 from .backends import ConnectionPool
 from .cache_map_saver import CacheMapSaver
 from .callers import CallerService
-from .crash_log import attach_crash_log
 from .cpu_meter import CpuMeter
+from .crash_checks import CrashChecks
+from .crash_reports import attach_crash_reports
 from .directory import DirectoryService
 from .gauges import build_gauges
 from .host_stop import HostStop
@@ -78,6 +79,7 @@
         "_rollouts",
         "_rollout_writer",
         "_marks",
+        "_crash_checks",
         "_callers",
         "_directory",
         "_stop",
@@ -139,7 +141,6 @@
                 self._planner.counters,
             )
         self._pool.on_unexpected_bytes = self._record_unexpected_bytes
-        attach_crash_log(self._planner)
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock, self._rollouts
         )
@@ -204,6 +205,10 @@
         self._marks = ServerMarks(
             self._planner, self._pool, clock, self._peering.send_soon
         )
+        attach_crash_reports(self._planner, self._peering.send_soon)
+        self._crash_checks = CrashChecks(
+            self._planner, self._pool, clock, self._is_isolated
+        )
         self._callers = CallerService(
             self._planner, self._pool, self._marks, clock
         )
@@ -222,6 +227,11 @@
     def _list_helpers(self, server_id: str) -> list[Address]:
         return self._peers.list_helpers(server_id, self._clock.now_ms())
 
+    def _is_isolated(self) -> bool:
+        """Returns whether this host gets no heartbeats of any peer."""
+        live = self._peers.count_live(self._clock.now_ms())
+        return live == 0 and bool(self._peers.all())
+
     def _record_unexpected_bytes(self, server_id: str) -> None:
         log_event("unexpected_bytes", "WARNING", server=server_id)
         self._planner.counters.add("unexpected_bytes")
@@ -282,6 +292,7 @@
                 self._planner.servers.get,
                 self._list_waiting,
             ),
+            "crash-checks": self._crash_checks.run,
             "ticks": self._run_ticks,
         }
         if self._rollout_writer is not None:
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -14,6 +14,12 @@
 from ..core.entry.rollout_evidence import MAX_ROUTES, MAX_SERVERS
 from ..core.entry.rollout_records import RolloutReport, RouteCounts
 from ..core.entry.brittle_room import RoomReport
+from .crash_codec import (
+    decode_attempts,
+    decode_parts,
+    encode_attempts,
+    encode_parts,
+)
 from .packed_messages import is_whole
 
 _SCHEMA: Any = capnp.load(str(pathlib.Path(__file__).with_name("entry.capnp")))
@@ -82,6 +88,8 @@
             for report in heartbeat.rooms
         ],
         rollouts=_encode_rollouts(heartbeat.rollouts),
+        attempts=encode_attempts(heartbeat.attempts),
+        parts=encode_parts(heartbeat.parts),
     )
     return bytes(message.to_bytes_packed())
 
@@ -182,6 +190,8 @@
                 for room in raw.rooms
             ),
             _decode_rollouts(raw.rollouts),
+            decode_attempts(raw.attempts),
+            decode_parts(raw.parts),
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -16,9 +16,11 @@
 from ..adapters.tunnel import CONNECT_METHOD
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
+from ..core.entry.crash_evidence import AttemptReport
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.leaving_servers import digest_incarnation
 from ..core.entry.loads import PeerLoads
+from ..core.entry.part_reports import PartReport
 from ..core.entry.peer import MISSED_HEARTBEATS, Peer, PEER_TIMEOUT_MS
 from ..core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
 from ..core.entry.planner import Planner
@@ -28,6 +30,7 @@
 from ..core.entry.servers import digest_id
 from ..platform.store import read_full_answer
 from .answer_signs import merge_room_reports
+from .crash_reports import merge_crash_reports
 from .peer_codec import (
     decode_heartbeat,
     decode_page,
@@ -128,6 +131,8 @@
             return
         if peer.heartbeats == 1:
             log_event("peer_discovered", peer=peer.name, boot=heartbeat.boot)
+            if self._planner.crashing_requests.parts.repeat_soon():
+                self.send_soon()
         if peer.address is None:
             peer.address = (addr[0], addr[1])
         self._merge_reports(heartbeat, now_ms)
@@ -161,10 +166,7 @@
             if server_id is not None:
                 self._planner.restarts.add_report(server_id, now_ms)
         merge_room_reports(self._planner, heartbeat, now_ms)
-        for fingerprint, digest in heartbeat.crashes:
-            self._planner.crashing_requests.add_crash(
-                fingerprint, digest, now_ms
-            )
+        merge_crash_reports(self._planner, heartbeat, now_ms)
         for part, digest in heartbeat.cached_parts:
             server_id = find_server(digest)
             if server_id is not None:
@@ -204,19 +206,25 @@
         if self._transport is None:
             return
         active, reserve = self._peers.split_by_active()
-        crashes = tuple(self._planner.crashing_requests.take_updates())
+        now_ms = self._clock.now_ms()
+        crashing = self._planner.crashing_requests
+        attempts = tuple(crashing.take_updates(now_ms))
+        parts = tuple(crashing.parts.take_reports(self._planner.hosts, now_ms))
         interval_ms = self._peers.heartbeat_interval_ms()
         if not self._peers.is_active:
             self._send(
                 active + reserve,
-                self._build_heartbeat(True, crashes, interval_ms),
+                self._build_heartbeat(True, attempts, parts, interval_ms),
             )
             return
-        self._send(active, self._build_heartbeat(True, crashes, interval_ms))
-        if reserve and (to_reserve or crashes):
+        self._send(
+            active, self._build_heartbeat(True, attempts, parts, interval_ms)
+        )
+        if reserve and (to_reserve or attempts or parts):
             interval_ms *= RESERVE_HEARTBEAT_EVERY
             self._send(
-                reserve, self._build_heartbeat(False, crashes, interval_ms)
+                reserve,
+                self._build_heartbeat(False, attempts, parts, interval_ms),
             )
 
     def _send(self, peers: list[Peer], heartbeat: Heartbeat) -> None:
@@ -229,7 +237,8 @@
     def _build_heartbeat(
         self,
         include_caches: bool,
-        crashes: tuple[tuple[int, int], ...],
+        attempts: tuple[AttemptReport, ...],
+        parts: tuple[PartReport, ...],
         interval_ms: int,
     ) -> Heartbeat:
         now_ms = self._clock.now_ms()
@@ -259,7 +268,7 @@
                 digest_id(server_id)
                 for server_id in planner.ejections.own_ejected(now_ms)
             ),
-            crashes,
+            tuple((report.request, report.server) for report in attempts),
             interval_ms,
             self._peers.cpu_percent,
             tuple(map(digest_id, planner.restarts.recent(now_ms))),
@@ -268,6 +277,8 @@
             planner.leaving.reports(),
             tuple(planner.rooms.take_reports(now_ms)),
             self._rollouts.reports(now_ms) if self._rollouts else (),
+            attempts,
+            parts,
         )
 
     def send_soon(self) -> None:
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -12,7 +12,15 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.events import EventSplitter
-from ..core.entry.flights import Again, Ending, Flight, Hold, Refuse, Send
+from ..core.entry.flights import (
+    Again,
+    AnswerProgress,
+    Ending,
+    Flight,
+    Hold,
+    Refuse,
+    Send,
+)
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
 from ..core.entry.servers import BackendServer
@@ -32,6 +40,8 @@
 UNPROVEN_STATUSES: Final = frozenset({408, 421, 429, 503})
 SUCCESS_STATUSES: Final = range(200, 300)
 MIN_SERVER_ERROR_STATUS: Final = 500
+# Silence after which a server whose request ended may have crashed.
+SUSPICIOUS_SILENCE_MS: Final = 1_000
 
 
 class Relay:
@@ -97,9 +107,12 @@
                 status = 504 if flight.runs else 503
                 refusal = Refuse(status, Ending.TIMEOUT.value)
                 if flight.server is not None:
+                    self._record_interruption(flight, flight.server)
                     self._record_ending(flight, flight.server, Ending.TIMEOUT)
             finished = True
         finally:
+            if not finished and flight.server is not None:
+                self._record_interruption(flight, flight.server)
             self._planner.record_end(flight)
             if not finished:
                 self._count_outcome("caller-disconnected")
@@ -126,6 +139,14 @@
         kind = flight.route.kind.value if flight else "none"
         self._planner.counters.add("requests", kind=kind, outcome=outcome)
 
+    def _record_interruption(
+        self, flight: Flight, server: BackendServer
+    ) -> None:
+        """Records an attempt that ended here while its server was silent."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._received_ms >= SUSPICIOUS_SILENCE_MS:
+            self._planner.record_interruption(flight, server, now_ms)
+
     def _record_ending(
         self, flight: Flight, server: BackendServer, ending: Ending | None
     ) -> None:
@@ -249,6 +270,7 @@
         if head is None:
             return Ending.INVALID_ANSWER
         self._head = head
+        flight.progress = AnswerProgress.BEGUN
         record_answer_signs(
             self._planner, send.server.id, head, reader.received_ms
         )
@@ -292,9 +314,12 @@
     async def _deliver(self, answer: ServerAnswer) -> None:
         flight = self._flight
         assert flight is not None
+        now_ms = self._clock.now_ms()
         if answer.status < MIN_SERVER_ERROR_STATUS:
-            self._planner.record_answer_begun(flight, self._clock.now_ms())
+            self._planner.record_answer_begun(flight, now_ms)
             self._planner.record_complete_answer(flight)
+        if answer.status in SUCCESS_STATUSES:
+            self._planner.crashing_requests.record_sound_answer(flight, now_ms)
         self._forwarder.record_first_byte(flight)
         await self._conn.respond(answer.status, answer.headers, answer.body)
 
@@ -316,6 +341,10 @@
             events = splitter.feed(bytes(event.data))
             self._timing.record(len(events), reader.received_ms)
             reader.record_progress(bool(events) or not splitter.rest)
+            if events:
+                self._planner.crashing_requests.record_progress(
+                    flight, reader.received_ms
+                )
             await self._forwarder.forward(flight, events, head)
             if splitter.is_excessive:
                 return Ending.INVALID_ANSWER
@@ -323,6 +352,9 @@
             return Ending.BROKEN
         self._forwarder.start_answer(flight, head)
         self._planner.record_complete_answer(flight)
+        self._planner.crashing_requests.record_sound_answer(
+            flight, flight.first_event_ms or reader.received_ms
+        )
         self._conn.protocol.write(h11.EndOfMessage())
         await self._conn.protocol.flush()
         return None
--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -17,6 +17,7 @@
 from ..core.clock import ManualClock, MS_PER_SECOND
 from ..core.entry.flights import (
     Again,
+    AnswerProgress,
     Ending,
     Flight,
     Hold,
@@ -310,9 +311,11 @@
         if flight not in server.running:
             return
         now_ms = self.clock.now_ms()
+        flight.progress = AnswerProgress.BEGUN
         if is_crashing(flight):
             self.crash(server)
             return
+        host.planner.crashing_requests.record_progress(flight, now_ms)
         host.planner.record_answer_begun(flight, now_ms)
         if flight.sends == 1:
             self.first_tries.append((flight.arrived_ms, True))
@@ -323,6 +326,9 @@
     def _finish(self, host: Host, flight: Flight, server: Server) -> None:
         if server.running.pop(flight, None) is not None:
             host.planner.record_complete_answer(flight)
+            host.planner.crashing_requests.record_sound_answer(
+                flight, flight.first_event_ms or 0
+            )
             self.counts["served"] += 1
 
     def crash(self, server: Server) -> None:
@@ -347,6 +353,7 @@
         step = planner.handle_failure(flight, server.entry, ending, now_ms)
         # The host finds out by a connection of its own.
         planner.crashing_requests.confirm_crash(server.entry.id, now_ms)
+        host.peering.send_heartbeats()
         if isinstance(step, Again):
             self._choose(host, flight)
         else:
@@ -354,13 +361,13 @@
 
     def _replace(self, server: Server) -> None:
         self.counts["replaced"] += 1
-        del self.servers[server.entry.id]
         name = f"n{self.counts['replaced']}"
         entry = self._add_server(name, self.clock.now_ms()).entry
         self.after(LISTED_AFTER_MS, self._list, server.entry.id, entry)
 
     def _list(self, old: str, entry: BackendServer) -> None:
         now_ms = self.clock.now_ms()
+        del self.servers[old]
         for host in self.hosts.values():
             host.planner.servers.remove(old, now_ms)
             host.planner.servers.put(entry, now_ms)
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -7,11 +7,15 @@
 
 from entry_builders import build_planner, build_request
 
+from corianderdoor.core.entry.crash_evidence import (
+    CRASH_TTL_MS,
+    MAX_ATTEMPTS,
+    MAX_ATTEMPTS_PER_CRASH,
+    MAX_CRASHES,
+)
 from corianderdoor.core.entry.crashing_requests import (
     CONFIRM_MS,
-    CRASH_TTL_MS,
     CrashingRequests,
-    MAX_REQUESTS,
 )
 from corianderdoor.core.entry.flights import Ending, Refuse, Send
 
@@ -26,11 +30,9 @@
 def share_crashes(planners, now_ms: int) -> None:
     """Reports the crashes that each planner saw to all planners."""
     for planner in planners:
-        for fingerprint, server_id in planner.crashing_requests.take_updates():
-            for other in planners:
-                other.crashing_requests.add_crash(
-                    fingerprint, server_id, now_ms
-                )
+        reports = planner.crashing_requests.take_updates(now_ms)
+        for other in planners:
+            other.crashing_requests.merge(reports, now_ms)
 
 
 def test_request_that_crashes_three_servers_is_refused_at_every_host():
@@ -106,14 +108,36 @@
     assert not crashing.should_refuse(request(1), 10)
 
 
+def test_number_of_recorded_attempts_is_bounded():
+    crashing = CrashingRequests()
+    per_crash = 20
+    for number in range(MAX_ATTEMPTS + 5 * per_crash):
+        server_id = f"s{number // per_crash}"
+        crashing.record_broken_connection(
+            request(number, b"%d" % number), server_id, number
+        )
+        crashing.confirm_crash(server_id, number)
+    assert len(crashing._evidence) == MAX_ATTEMPTS
+
+
 def test_number_of_recorded_crashes_is_bounded():
     crashing = CrashingRequests()
-    for number in range(MAX_REQUESTS + 50):
+    for number in range(MAX_CRASHES + 50):
         crashing.record_broken_connection(
-            request(1, b"%d" % number), "s1", number
+            request(number, b"%d" % number), f"s{number}", number
         )
-        crashing.confirm_crash("s1", number)
-    assert len(crashing._crashes) == MAX_REQUESTS
+        crashing.confirm_crash(f"s{number}", number)
+    assert len(crashing._evidence) == MAX_CRASHES
+
+
+def test_number_of_attempts_under_one_crash_is_bounded():
+    crashing = CrashingRequests()
+    for number in range(MAX_ATTEMPTS_PER_CRASH + 50):
+        crashing.record_broken_connection(
+            request(number, b"%d" % number), "s1", 0, begun=True
+        )
+        crashing.confirm_crash("s1", 0)
+    assert len(crashing._evidence) == MAX_ATTEMPTS_PER_CRASH
 
 
 def test_host_keeps_to_its_share_of_connections():
