Read, log and count the limits that servers name

Cause: nothing read Server-Limit, and the logs could not show which host knew a server's limit since when.

Change: the heads of answers are decoded with it; an invalid value, or several different ones, are ignored and logged as the mark "limit". ServerLimits keeps the limits; one ends with an answer without it to a request sent later than it was stated last. server_limit logs, two metrics count. Decisions stay as they are.

The tests of marks, paths and logs pass.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -150,6 +150,7 @@
         self.leaving.retain(self.servers.all(), now_ms)
         self.pauses.drop_expired(now_ms)
         self.rooms.tick(now_ms)
+        self.selection.limits.retain(ids)
         return expired
 
     def admit(self, req: CallerRequest, now_ms: int) -> Flight | Refuse:
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -27,6 +27,7 @@
 from .rollouts import Rollouts
 from .routing import DEFAULT_GAP_MS, DesiredState, Service
 from .server_ejection import ServerEjections
+from .server_limits import ServerLimits
 from .server_pauses import ServerPauses
 from .server_room import ServerRooms
 from .servers import BackendServer, Servers
@@ -54,6 +55,7 @@
         leaving: Servers that announced that they leave.
         pauses: Servers that asked this host for no requests for a while.
         rooms: Room of the brittle servers.
+        limits: Rates that servers in need have named.
         rates: Prefill rates of the services.
         forecasts: Forecasts of the time to the first event.
         waiting: Servers that state that requests wait there.
@@ -74,6 +76,7 @@
         "leaving",
         "pauses",
         "rooms",
+        "limits",
         "rates",
         "forecasts",
         "waiting",
@@ -105,6 +108,7 @@
         self.leaving = LeavingServers()
         self.pauses = ServerPauses()
         self.rooms = ServerRooms(name, self.servers, self.loads)
+        self.limits = ServerLimits()
         self.rates = PrefillRates()
         self.waiting = WaitingRequests()
         self.forecasts = FirstEventForecasts(
--- a/corianderdoor/entry/gauges.py
+++ b/corianderdoor/entry/gauges.py
@@ -46,5 +46,6 @@
         "quarantined_parts": lambda: float(
             len(planner.crashing_requests.parts)
         ),
+        "limited_servers": lambda: float(planner.selection.limits.count()),
         "lowest_room": planner.rooms.lowest_room,
     }
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -272,7 +272,11 @@
         self._head = head
         flight.progress = AnswerProgress.BEGUN
         record_answer_signs(
-            self._planner, send.server.id, head, reader.received_ms
+            self._planner,
+            send.server.id,
+            head,
+            flight.sent_ms,
+            reader.received_ms,
         )
         if protocol.via_peer and not head.framed:
             # A reset at the server would look like the end of the answer.
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -199,6 +199,7 @@
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
             self._planner.ejections.remove(server.id)
+            self._planner.selection.limits.remove(server.id)
             self._planner.crashing_requests.confirm_crash(
                 server.id, now_ms, CrashCause.RESTARTED
             )
--- a/corianderdoor/platform/answer_head.py
+++ b/corianderdoor/platform/answer_head.py
@@ -9,6 +9,7 @@
 
 from ..adapters.http1 import Headers
 from ..core.clock import MS_PER_SECOND
+from ..core.entry.server_limits import StatedLimit
 from ..core.records import Record
 from .headers import ATTEMPT_ID, get_values, HEADERS_NOT_FORWARDED
 
@@ -23,6 +24,9 @@
 MISDIRECTED_REQUEST: Final = 421
 # Status of a request that a server turned away.
 SERVICE_UNAVAILABLE: Final = 503
+SERVER_LIMIT: Final = b"server-limit"
+# A server that takes more requests in a second is not in need.
+LIMIT_PER_S: Final = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,9})?")
 SECONDS: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # A longer time that a server asks for is a mistake.
 MAX_RETRY_AFTER_S: Final = 3_600
@@ -49,6 +53,8 @@
             100 as usual; None if the server does not say so.
         rejections_per_s: Requests that the server can turn away in a second
             without falling over; None if it does not say that it is brittle.
+        stated_limit: What the server says about the rate of requests that it
+            takes.
         keep_alive_s: How long the server keeps an idle connection; None if
             unknown.
         closes: Whether the connection ends with this answer.
@@ -57,9 +63,9 @@
         leaving: Whether the server announces that it leaves.
         pause_ms: How long the server, which turned the request away, wants
             no further ones; 0 if it asks for no pause.
-        ignored_marks: Kinds of marks ("leaving", "pause", "load", "brittle")
-            that are ignored because their values are invalid or appear more
-            than once.
+        ignored_marks: Kinds of marks ("leaving", "pause", "load", "brittle",
+            "limit") that are ignored because their values are invalid or
+            appear more than once.
         headers: Headers to forward.
     """
 
@@ -74,6 +80,7 @@
         "running",
         "work_percent",
         "rejections_per_s",
+        "stated_limit",
         "keep_alive_s",
         "closes",
         "framed",
@@ -104,6 +111,10 @@
         self.rejections_per_s = self._decode(
             SERVER_BRITTLE, "brittle", headers, _parse_count
         )
+        self.stated_limit = StatedLimit(
+            self._decode(SERVER_LIMIT, "limit", headers, _parse_limit),
+            SERVER_LIMIT not in by_name,
+        )
         self.keep_alive_s = _parse_keep_alive(by_name.get(b"keep-alive"))
         self.closes = any(
             b"close" in value.lower()
@@ -159,6 +170,11 @@
     return int(text)
 
 
+def _parse_limit(value: bytes) -> float | None:
+    text = value.strip()
+    return float(text) if LIMIT_PER_S.fullmatch(text) else None
+
+
 def _parse_load(value: bytes) -> list[int] | None:
     """Returns running, waiting, slots and what follows; None if invalid.
 
