--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -37,6 +37,7 @@
     Service,
     Workspace,
 )
+from ..core.entry.server_limits import StatedLimit
 from ..core.entry.servers import BackendServer
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
 from ..entry.peer_codec import decode_heartbeat
@@ -120,6 +121,9 @@
         is_up: Whether it runs.
         running: Requests in progress, by flight.
         arrivals: When each request arrived, and from which host.
+        limit_per_s: Requests per second that its answers name as its limit;
+            None for none.
+        told: When each host first got such an answer.
     """
 
     def __init__(self, entry: BackendServer) -> None:
@@ -127,6 +131,8 @@
         self.is_up = True
         self.running: dict[Flight, Host] = {}
         self.arrivals: list[tuple[int, Host]] = []
+        self.limit_per_s: float | None = None
+        self.told: dict[Host, int] = {}
 
 
 class EntryFleet:
@@ -312,6 +318,7 @@
             return
         now_ms = self.clock.now_ms()
         flight.progress = AnswerProgress.BEGUN
+        self._tell_limit(host, flight, server)
         if is_crashing(flight):
             self.crash(server)
             return
@@ -323,6 +330,23 @@
         delay_ms = self.rng.randint(*ANSWER_MS)
         self.after(delay_ms, self._finish, host, flight, server)
 
+    def _tell_limit(self, host: Host, flight: Flight, server: Server) -> None:
+        now_ms = self.clock.now_ms()
+        per_s = server.limit_per_s
+        if per_s is not None:
+            server.told.setdefault(host, now_ms)
+        host.planner.selection.limits.record_answer(
+            server.entry.id,
+            StatedLimit(per_s, per_s is None),
+            flight.sent_ms,
+            now_ms,
+        )
+
+    def limit(self, count: int, per_s: float | None) -> None:
+        """Has the first servers name a limit from now on, or none."""
+        for number in range(count):
+            self.servers[f"s{number}"].limit_per_s = per_s
+
     def _finish(self, host: Host, flight: Flight, server: Server) -> None:
         if server.running.pop(flight, None) is not None:
             host.planner.record_complete_answer(flight)
