Treat a stream without a length and an event as broken off

What callers saw: if a server ended as it began to answer, a stream that has neither a length nor chunks reached its caller as an empty, complete answer.

Cause: such a stream ends with its connection, and the relay judged its end by the bytes after the last event only.

Change: a stream without a length that brought no event, to a request that had none before, is broken off; the next server gets it.

Result: the new test failed before (an empty answer) and passes; the tests of paths pass.

--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -354,6 +354,10 @@
                 return Ending.INVALID_ANSWER
         if not isinstance(event, h11.EndOfMessage) or splitter.rest:
             return Ending.BROKEN
+        has_events = flight.first_event_ms or flight.last_event_id
+        if not head.framed and has_events is None:
+            # Nothing but the server's end has ended a stream without events.
+            return Ending.BROKEN
         self._forwarder.start_answer(flight, head)
         self._planner.record_complete_answer(flight)
         self._planner.crashing_requests.record_sound_answer(
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -38,7 +38,8 @@
             no body), "pause" (silent for `pause_ms` inside its next answer,
             then goes on and serves normally), "trickle" (sends the second
             event byte by byte, without an end), "large" (a body of 8 MB),
-            "moved" (421, as if another worker had the address).
+            "moved" (421, as if another worker had the address), "ended"
+            (a stream without a length that ends before its first event).
         runs: Number of runs of each request.
         last_headers: Headers of the last request.
         cached: Prompt parts in the cache.
@@ -265,13 +266,22 @@
         if self.mode == "pause":
             await self._pause()
         if self.mode == "unframed":
-            lines = [b"%s: %s\r\n" % pair for pair in signed_headers]
-            head = b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\n"
-            conn.protocol.write_raw(head + body)
-            conn.protocol.close()
+            self._write_unframed(conn, signed_headers, body)
             return
         await conn.respond(200, signed_headers, body)
 
+    def _write_unframed(
+        self,
+        conn: ServerConnection,
+        signed_headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Sends an answer that ends with its connection."""
+        lines = [b"%s: %s\r\n" % pair for pair in signed_headers]
+        head = b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\n"
+        conn.protocol.write_raw(head + body)
+        conn.protocol.close()
+
     def _marks(self) -> list[tuple[bytes, bytes]]:
         """Returns the headers that the worker adds to all its answers."""
         leaving = [(b"Server-Leaving", b"1")] if self.leaving else []
@@ -332,6 +342,9 @@
         signed_headers: list[tuple[bytes, bytes]],
         pace: float,
     ) -> None:
+        if self.mode == "ended":
+            self._write_unframed(conn, signed_headers, b"")
+            return
         gap_s = pace * EVENT_GAP_MS / MS_PER_SECOND
         kind = (b"Content-Type", b"text/event-stream")
         conn.start(
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -234,6 +234,24 @@
     run(scenario, hosts=1)
 
 
+# Guards against a server that ends at its first event, and whose stream then
+# looks complete: the caller would get an empty answer.
+def test_stream_that_ends_with_its_connection_before_an_event_is_broken():
+    async def scenario(fleet):
+        fleet.workers["engine-0"].mode = "ended"
+        for number in range(12):
+            reply = await fleet.chat(
+                "host-0",
+                f"id-{number}",
+                Prompt_Prefix=f"t{number}:9,s{number}:9,o:9",
+            )
+            assert reply.complete
+            assert IDS.findall(reply.body) == [b"%d" % n for n in range(1, 7)]
+        assert fleet.workers["engine-0"].runs
+
+    run(scenario, hosts=1)
+
+
 def test_stream_cut_within_an_event_resumes_without_gap_or_duplicate():
     async def scenario(fleet):
         fleet.workers["engine-0"].mode = "cut"
