Do not retry a request whose third crash is not known yet

Cause: a host decides on a retry as soon as a connection breaks, a moment before it has found out that the server has crashed.

Change: a request that two servers seem to have crashed under is not sent once more by the host whose connection broke. Others' copies wait for the crash to be confirmed.

Result: the new test failed before and passes.

--- a/corianderdoor/core/entry/crashing_requests.py
+++ b/corianderdoor/core/entry/crashing_requests.py
@@ -281,6 +281,8 @@
         """
         if self.should_refuse(flight.req, now_ms):
             return "breaks-servers"
+        if flight.sends and self._is_last_chance_lost(flight.req):
+            return "breaks-servers"
         if not len(self.parts) or flight.was_sound or not flight.req.parts:
             return None
         if self.parts.may_send(
@@ -300,16 +302,35 @@
         self._evidence.drop_expired(now_ms)
         return self._is_refused(compute_fingerprint(req))
 
-    def _is_refused(self, fingerprint: int) -> bool:
-        crashes = self._evidence.of_request(fingerprint)
-        if len(crashes) < SERVERS_TO_REFUSE:
+    def _is_last_chance_lost(self, req: CallerRequest) -> bool:
+        """Returns whether a request is not worth one more server.
+
+        Its last connection broke, and whether that server has crashed too is
+        not known yet.
+        """
+        if not len(self._evidence):
+            return False
+        fingerprint = compute_fingerprint(req)
+        if self._count_servers(fingerprint) < SERVERS_TO_REFUSE - 1:
             return False
-        servers = {
-            crash.server
-            for crash in crashes
-            if self._blames(crash, fingerprint)
-        }
-        return len(servers) >= SERVERS_TO_REFUSE
+        return any(
+            attempt.request == fingerprint
+            for attempts in self._interrupted.values()
+            for attempt in attempts
+        )
+
+    def _is_refused(self, fingerprint: int) -> bool:
+        return self._count_servers(fingerprint) >= SERVERS_TO_REFUSE
+
+    def _count_servers(self, fingerprint: int) -> int:
+        """Returns the number of servers that a request seems to have ended."""
+        return len(
+            {
+                crash.server
+                for crash in self._evidence.of_request(fingerprint)
+                if self._blames(crash, fingerprint)
+            }
+        )
 
     def _blames(self, crash: Crash, fingerprint: int) -> bool:
         """Returns whether a request may have caused a crash."""
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -57,6 +57,26 @@
     assert len(crashed) == 3
 
 
+# Guards against a retry that is sent before the third crash is known.
+def test_request_is_not_retried_while_its_third_crash_is_uncertain():
+    planner = build_planner(servers=8)
+    for number in range(2):
+        planner.crashing_requests.record_broken_connection(
+            request(number), f"s{number}", number
+        )
+        planner.crashing_requests.confirm_crash(f"s{number}", number)
+    flight = planner.admit(build_request("/chat/x", "r9"), 100)
+    flight.req.path, flight.req.body = "/once/x", b"lethal"
+    step = planner.choose(flight, 100)
+    assert isinstance(step, Send)
+    planner.record_sent(flight, step.server, 100)
+    planner.handle_failure(flight, step.server, Ending.BROKEN, 110)
+    assert isinstance(planner.choose(flight, 110), Refuse)
+    # Another host's copy may go on: a broken connection is no crash.
+    other = planner.admit(request(10), 120)
+    assert isinstance(planner.choose(other, 120), Send)
+
+
 def test_crashes_under_different_requests_refuse_none():
     planner = build_planner(servers=8)
     for number in range(6):
