--- a/tests/test_entry_many_peers.py
+++ b/tests/test_entry_many_peers.py
@@ -11,8 +11,8 @@
 
 from corianderdoor.core.entry import active_hosts
 from corianderdoor.core.entry import peers as peers_module
-from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.loads import Loads, PeerLoads
+from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peers import Peers
 
 PEERS = 195
