Leave a request in ten seconds to servers that name a limit of none

Cause: a host's share of a limit of zero, or near it, was never due again, so no answer could show that the limit was over: the server stayed out of use. Found in review.

Change: the least rate that is shared is one request in ten seconds, and a share of a low rate goes to so few hosts that it is due as often. The operators bear five requests beside any limit.

Result: the new test failed before (no request after the first ten seconds) and passes; the other tests of limits but those at 330 hosts pass.

--- a/corianderdoor/core/entry/server_limits.py
+++ b/corianderdoor/core/entry/server_limits.py
@@ -22,6 +22,9 @@
 BURST_SHARE: Final = 0.5
 BURST_SPAN_MS: Final = 4_000
 BURST_REQUESTS: Final = 5
+# A share is due at least this often, so that the end of a limit is noticed:
+# of a lower rate, a single host sends one request in this time.
+MAX_SHARE_INTERVAL_MS: Final = 10_000
 # What a host may save up, in time at its share of the rate.
 SAVED_MS: Final = 1_000
 # How long an answer without a limit is told to peers.
@@ -168,9 +171,11 @@
         Returns:
             Requests per ms, and how many the host may save up.
         """
+        per_s = max(per_s, MS_PER_SECOND / MAX_SHARE_INTERVAL_MS)
         burst: float = BURST_REQUESTS
         burst += BURST_SHARE * per_s * BURST_SPAN_MS / MS_PER_SECOND
-        count = max(1, min(len(self.hosts), int(burst * SAFE_SHARE)))
+        most = int(per_s * MAX_SHARE_INTERVAL_MS / MS_PER_SECOND)
+        count = min(len(self.hosts), int(burst * SAFE_SHARE), most)
         own = rank_host(f"{server_id} {self._name}")
         rank = sum(rank_host(f"{server_id} {h}") < own for h in self.hosts)
         if rank >= count or self._name not in self.hosts:
--- a/tests/test_entry_server_limits.py
+++ b/tests/test_entry_server_limits.py
@@ -130,6 +130,26 @@
     )
 
 
+# Guards against a server that is never asked again after a limit of none.
+def test_limit_of_zero_leaves_a_request_in_ten_seconds():
+    planners = [build_planner(name=f"h{n + 1}", hosts=8) for n in range(8)]
+    sent = []
+    for planner in planners:
+        planner.selection.limits.hosts = planner.hosts
+        limit(planner, 0.0, 0)
+    for now_ms in range(0, 60_000, 100):
+        for planner in planners:
+            limits = planner.selection.limits
+            if limits.filter([planner.servers.get("s0")], now_ms):
+                limits.take("s0", now_ms)
+                sent.append(now_ms)
+    assert sum(at >= 10_000 for at in sent) == 5
+    assert all(
+        sum(at <= other < at + WINDOW_MS for other in sent) <= SLACK
+        for at in sent
+    )
+
+
 def limit(planner, per_s, now_ms, sent_ms=None, absent=False, ids="01234"):
     """Records answers of servers; returns the last change."""
     change = None
