Tell callers of quarantined requests to stay away for long

Cause: a request that crashes servers is refused for a minute, and its caller was told to come back in 0.6 to 1 s.

Change: Retry-After is as long as the quarantine, bounded by a third of the caller's time as before.

Result: the new test failed before (560 to 1040 ms) and passes.

--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from .counters import Counters
+from .crash_evidence import CRASH_TTL_MS
 from .crashing_requests import CrashingRequests
 from .flights import (
     Again,
@@ -178,7 +179,7 @@
             flight, self.hosts, now_ms
         )
         if reason is not None:
-            return self._refusals.refuse(flight, reason, now_ms)
+            return self._refusals.refuse(flight, reason, now_ms, CRASH_TTL_MS)
         usable = self.selection.list_usable(flight, now_ms)
         if not usable:
             return self._refusals.wait_for_pause(
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -7,6 +7,7 @@
 
 from entry_builders import build_planner, build_request
 
+from corianderdoor.core.entry.admission import MAX_RETRY_SHARE
 from corianderdoor.core.entry.crash_evidence import (
     CRASH_TTL_MS,
     MAX_ATTEMPTS,
@@ -57,6 +58,21 @@
     assert len(crashed) == 3
 
 
+# Guards against callers that are told to come back at once for nothing.
+def test_refused_request_is_told_to_stay_away_for_long():
+    planner = build_planner(servers=8)
+    for number in range(3):
+        planner.crashing_requests.record_broken_connection(
+            request(number), f"s{number}", number
+        )
+        planner.crashing_requests.confirm_crash(f"s{number}", number)
+    flight = planner.admit(request(9), 100)
+    refusal = planner.choose(flight, 100)
+    assert isinstance(refusal, Refuse)
+    # Callers wait a third of their time at most.
+    assert refusal.retry_after_ms == int(MAX_RETRY_SHARE * 6_000)
+
+
 # Guards against a retry that is sent before the third crash is known.
 def test_request_is_not_retried_while_its_third_crash_is_uncertain():
     planner = build_planner(servers=8)
