Share the check of streams beside a faulty server between two tests

Cause: the test of empty streams repeated that of cut ones, and a test spelled out another's request body.

--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -82,7 +82,8 @@
         )
         planner.crashing_requests.confirm_crash(f"s{number}", number)
     flight = planner.admit(build_request("/chat/x", "r9"), 100)
-    flight.req.path, flight.req.body = "/once/x", b"lethal"
+    alike = request(9)
+    flight.req.path, flight.req.body = alike.path, alike.body
     step = planner.choose(flight, 100)
     assert isinstance(step, Send)
     planner.record_sent(flight, step.server, 100)
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -234,11 +234,11 @@
     run(scenario, hosts=1)
 
 
-# Guards against a server that ends at its first event, and whose stream then
-# looks complete: the caller would get an empty answer.
-def test_stream_that_ends_with_its_connection_before_an_event_is_broken():
+def check_streams_are_whole(mode) -> None:
+    """Checks streams beside a server with the given fault."""
+
     async def scenario(fleet):
-        fleet.workers["engine-0"].mode = "ended"
+        fleet.workers["engine-0"].mode = mode
         for number in range(12):
             reply = await fleet.chat(
                 "host-0",
@@ -252,20 +252,14 @@
     run(scenario, hosts=1)
 
 
-def test_stream_cut_within_an_event_resumes_without_gap_or_duplicate():
-    async def scenario(fleet):
-        fleet.workers["engine-0"].mode = "cut"
-        for number in range(12):
-            reply = await fleet.chat(
-                "host-0",
-                f"id-{number}",
-                Prompt_Prefix=f"t{number}:9,s{number}:9,o:9",
-            )
-            assert reply.complete
-            assert IDS.findall(reply.body) == [b"%d" % n for n in range(1, 7)]
-        assert fleet.workers["engine-0"].runs
+# Guards against a server that ends at its first event, and whose stream then
+# looks complete: the caller would get an empty answer.
+def test_stream_that_ends_with_its_connection_before_an_event_is_broken():
+    check_streams_are_whole("ended")
 
-    run(scenario, hosts=1)
+
+def test_stream_cut_within_an_event_resumes_without_gap_or_duplicate():
+    check_streams_are_whole("cut")
 
 
 def test_stream_that_may_not_resume_is_cut_and_never_looks_complete():
