Move the callers of the simulated fleet into a module of their own

Cause: entry_fleet.py has no room for callers that send requests in clumps.

Change: a move; the random numbers are drawn in the same order.

--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -14,7 +14,7 @@
 import random
 from typing import cast, Final
 
-from ..core.clock import ManualClock, MS_PER_SECOND
+from ..core.clock import ManualClock
 from ..core.entry.flights import (
     Again,
     AnswerProgress,
@@ -29,21 +29,14 @@
 from ..core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Replica
-from ..core.entry.requests import CallerRequest, PromptPart
 from ..core.entry.server_limits import StatedLimit
 from ..core.entry.servers import BackendServer
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
 from ..entry.peer_codec import decode_heartbeat
 from ..entry.peering import Peering
 from ..entry.tunnels import TunnelService
-from .entry_fleet_servers import (
-    build_desired,
-    CRASHING_PART,
-    is_crashing,
-    KEY,
-    Server,
-    SERVICE,
-)
+from .entry_fleet_callers import Callers
+from .entry_fleet_servers import build_desired, is_crashing, Server, SERVICE
 
 TICK_MS: Final = 100
 LINK_MS: Final = 2
@@ -55,7 +48,6 @@
 LISTED_AFTER_MS: Final = 300
 # Time in which a failed connection is noticed.
 CONNECT_MS: Final = 3
-SESSIONS_PER_HOST: Final = 6
 
 
 class Host:
@@ -120,6 +112,7 @@
 
     Attributes:
         clock: The virtual clock.
+        callers: The callers.
         crashes: When servers crashed under such requests.
         crashing_sends: When such requests reached servers.
         first_tries: Time of each sound request, and whether its answer began
@@ -151,9 +144,9 @@
         self.refused: list[tuple[int, str]] = []
         self.counts: Counter[str] = Counter()
         self.blocked: set[tuple[str, str]] = set()
-        self._per_s = per_s
-        self._crashing_share = crashing_share
-        self._crashing_from_ms = crashing_from_ms
+        self.callers = Callers(
+            self.rng, per_s, hosts, crashing_share, crashing_from_ms
+        )
         self._loss = loss
         self._decoded: tuple[bytes, Heartbeat] | None = None
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -241,30 +234,10 @@
         )
 
     def _arrive(self) -> None:
-        gap_ms = self.rng.expovariate(self._per_s / MS_PER_SECOND)
-        self.after(max(1, round(gap_ms)), self._arrive)
+        self.after(self.callers.next_gap_ms(), self._arrive)
         now_ms = self.clock.now_ms()
         self._sequence += 1
-        id = f"r{self._sequence}"
-        session = self.rng.randrange(SESSIONS_PER_HOST * len(self.hosts))
-        part = f"s{session}"
-        if now_ms >= self._crashing_from_ms:
-            if self.rng.random() < self._crashing_share:
-                part = CRASHING_PART
-        parts = (("t", 2_000), (part, 3_000), (id, 400))
-        req = CallerRequest(
-            id,
-            "POST",
-            "/chat/x",
-            "example.test",
-            KEY,
-            6_000.0,
-            tuple(PromptPart(name, tokens) for name, tokens in parts),
-            sum(tokens for _, tokens in parts),
-            None,
-            [],
-            id.encode(),
-        )
+        req = self.callers.build_request(f"r{self._sequence}", now_ms)
         active = [h for h in self.hosts.values() if h.peers.is_active]
         host = self.rng.choice(active or list(self.hosts.values()))
         flight = host.planner.admit(req, now_ms)
