Add failing tests of the loads of servers under clumps of requests

No test measures how uneven the loads of servers are: requests arrive evenly in the simulated fleet, and its chats begin with one first part of a fleet that is warm.

Change: callers of the simulated fleet send requests in clumps, with several first parts and a popular chat; an audit counts, as the operators do, the requests that reach a server above twice the mean and three.

--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -36,6 +36,7 @@
 from ..entry.peering import Peering
 from ..entry.tunnels import TunnelService
 from .entry_fleet_callers import Callers
+from .entry_fleet_loads import LoadAudit
 from .entry_fleet_servers import build_desired, is_crashing, Server, SERVICE
 
 TICK_MS: Final = 100
@@ -113,6 +114,7 @@
     Attributes:
         clock: The virtual clock.
         callers: The callers.
+        load_audit: Loads that requests met at the servers.
         crashes: When servers crashed under such requests.
         crashing_sends: When such requests reached servers.
         first_tries: Time of each sound request, and whether its answer began
@@ -138,6 +140,7 @@
         self.clock = ManualClock(wall_ms=1_800_000_000_000)
         self.rng = random.Random(seed)
         self.desired = build_desired()
+        self.load_audit = LoadAudit()
         self.crashes: list[int] = []
         self.crashing_sends: list[int] = []
         self.first_tries: list[tuple[int, bool]] = []
@@ -267,6 +270,7 @@
             )
             return
         host.planner.record_sent(flight, step.server, now_ms)
+        self.load_audit.record(server, self.servers.values(), now_ms)
         server.running[flight] = host
         server.arrivals.append((now_ms, host))
         if is_crashing(flight):
--- a/corianderdoor/standins/entry_fleet_callers.py
+++ b/corianderdoor/standins/entry_fleet_callers.py
@@ -17,6 +17,10 @@
 
     Attributes:
         per_s: Requests per second.
+        clump: Mean number of requests that arrive together.
+        first_parts: First parts of prompts with their weights.
+        sessions: Number of chats.
+        hot_share: Share of the requests that belong to one chat.
     """
 
     def __init__(
@@ -28,23 +32,31 @@
         crashing_from_ms: int,
     ) -> None:
         self.per_s = per_s
+        self.clump = 1.0
+        self.first_parts: dict[str, float] = {"t": 1.0}
+        self.sessions = SESSIONS_PER_HOST * hosts
+        self.hot_share = 0.0
         self._rng = rng
-        self._sessions = SESSIONS_PER_HOST * hosts
         self._crashing_share = crashing_share
         self._crashing_from_ms = crashing_from_ms
 
     def next_gap_ms(self) -> int:
         """Returns the time until the next request."""
+        if self.clump > 1 and self._rng.random() >= 1 / self.clump:
+            return 1
         gap_ms = self._rng.expovariate(self.per_s / MS_PER_SECOND)
-        return max(1, round(gap_ms))
+        return max(1, round(gap_ms * self.clump))
 
     def build_request(self, id: str, now_ms: int) -> CallerRequest:
         """Returns the next request."""
-        part = f"s{self._rng.randrange(self._sessions)}"
+        session = self._rng.randrange(self.sessions)
+        if self.hot_share and self._rng.random() < self.hot_share:
+            session = 0
+        part = f"s{session}"
         if now_ms >= self._crashing_from_ms:
             if self._rng.random() < self._crashing_share:
                 part = CRASHING_PART
-        parts = (("t", 2_000), (part, 3_000), (id, 400))
+        parts = ((self._first_part(session), 2_000), (part, 3_000), (id, 400))
         return CallerRequest(
             id,
             "POST",
@@ -58,3 +70,14 @@
             [],
             id.encode(),
         )
+
+    def _first_part(self, session: int) -> str:
+        """Returns the first part of the prompts of a chat."""
+        point = random.Random(session).random() * sum(
+            self.first_parts.values()
+        )
+        for name, weight in self.first_parts.items():
+            point -= weight
+            if point < 0:
+                break
+        return name
