Share the room of servers among the hosts that send

Cause: hosts keep to a bound on the load that they know, which is a heartbeat old. When requests arrive in clumps, all 25 active hosts use the same room of the same server: those of the first part of new chats, and the holder of a popular chat.

Change: hosts share the room in an order of each server. New chats need room for each host before this one; cached chats a part of three requests; a host without a share spreads its chats; holders of a popular chat share it; the least loaded server differs from host to host.

--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+import math
 from typing import Final
 
 import xxhash
@@ -50,6 +51,13 @@
     return xxhash.xxh3_64_intdigest(f"{key}\0{server.id}".encode())
 
 
+def rank_by_chat(
+    req: CallerRequest, servers: Sequence[BackendServer]
+) -> list[BackendServer]:
+    """Returns `servers` by rendezvous hashing of the chat, best first."""
+    return sorted(servers, key=lambda s: _score(req.session() or req.id, s))
+
+
 def rank_by_prompt(
     req: CallerRequest, servers: Sequence[BackendServer]
 ) -> list[BackendServer]:
@@ -103,27 +111,28 @@
     )
 
 
-def under_bound(
+def measure_room(
     servers: Sequence[BackendServer],
     listed: Sequence[BackendServer],
     load_of: Callable[[str], int],
     bound: tuple[float, float],
-) -> list[BackendServer]:
-    """Returns the servers that stay below `bound` with one request more.
+) -> dict[str, float]:
+    """Returns how many more requests fit at each server below `bound`.
 
     Args:
         servers: Servers to choose from.
         listed: All servers of their service, over which the mean is taken;
             those that get no requests at present lower it.
         load_of: Returns the number of in-flight requests at a server.
-        bound: Highest load, as a multiple of the mean and a constant.
+        bound: Highest load, as a multiple of the mean and a constant; an
+            only server has none.
     """
     if len(servers) < 2:
-        return list(servers)
+        return {server.id: math.inf for server in servers}
     factor, slack = bound
     total = sum(load_of(server.id) for server in listed)
     most = factor * total / len(listed) + slack
-    return [s for s in servers if load_of(s.id) + 1 <= most]
+    return {server.id: most - load_of(server.id) for server in servers}
 
 
 def put_idle_first(
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -14,17 +14,19 @@
     CACHED_CHAT_MAX_GAPS,
     FULL_BOUND,
     max_backlog,
+    measure_room,
     NEW_CHAT_BOUND,
     NEW_CHAT_MAX_GAPS,
     put_idle_first,
+    rank_by_chat,
     rank_by_load,
     rank_by_prompt,
-    under_bound,
 )
 from .prefill_rates import PrefillRates, REFERENCE_RATE
 from .process_pauses import ProcessPauses
 from .requests import CallerRequest
 from .rollouts import Rollouts
+from .room_shares import RoomShares
 from .routing import DEFAULT_GAP_MS, DesiredState, Service
 from .server_ejection import ServerEjections
 from .server_limits import ServerLimits
@@ -56,6 +58,7 @@
         pauses: Servers that asked this host for no requests for a while.
         rooms: Room of the brittle servers.
         limits: Rates that servers in need have named.
+        shares: This host's shares of the room of servers.
         rates: Prefill rates of the services.
         forecasts: Forecasts of the time to the first event.
         waiting: Servers that state that requests wait there.
@@ -77,6 +80,7 @@
         "pauses",
         "rooms",
         "limits",
+        "shares",
         "rates",
         "forecasts",
         "waiting",
@@ -109,6 +113,7 @@
         self.pauses = ServerPauses()
         self.rooms = ServerRooms(name, self.servers, self.loads)
         self.limits = ServerLimits(name, self.servers)
+        self.shares = RoomShares(name)
         self.rates = PrefillRates()
         self.waiting = WaitingRequests()
         self.forecasts = FirstEventForecasts(
@@ -136,8 +141,14 @@
         self.pauses.drop_expired(now_ms)
         self.rooms.tick(now_ms)
         self.limits.tick(ids, now_ms)
+        self.shares.retain(ids)
         return expired
 
+    def set_serving_hosts(self, names: list[str]) -> None:
+        """Sets the names of the hosts that send requests to the servers."""
+        self.limits.hosts = names
+        self.shares.set_hosts(names)
+
     def check_pause(self, now_ms: int) -> None:
         """Withdraws what a pause of this process made uncertain.
 
@@ -256,27 +267,42 @@
                 self._name,
                 self._data_centre,
             )
-        holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
         listed = self.servers.listed(flight.service)
+        room = measure_room(servers, listed, load_of, FULL_BOUND)
+        holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
         most = self.max_backlog(flight.service, CACHED_CHAT_MAX_GAPS, now_ms)
-        open_servers = under_bound(servers, listed, load_of, FULL_BOUND)
         cached = [
             server
-            for server in open_servers
-            if server.id in holders and unread_of(server.id) <= most
+            for server in servers
+            if server.id in holders
+            and unread_of(server.id) <= most
+            and self.shares.may_send_cached(server, room[server.id])
         ]
         if cached:
-            cached.sort(key=lambda server: holders[server.id], reverse=True)
-            return cached
-        ranked = rank_by_prompt(flight.req, servers)
+            return self.shares.spread(cached, holders)
         most = self.max_backlog(flight.service, NEW_CHAT_MAX_GAPS, now_ms)
-        for bound in (NEW_CHAT_BOUND, FULL_BOUND):
-            found = under_bound(servers, listed, load_of, bound)
-            free = {server.id for server in found}
-            if free:
-                choice = [s for s in ranked if s.id in free]
-                return put_idle_first(choice, unread_of, most)
-        return sorted(ranked, key=lambda server: load_of(server.id))
+        new_room = measure_room(servers, listed, load_of, NEW_CHAT_BOUND)
+        free = [server for server in servers if new_room[server.id] >= 1]
+        own = {
+            server.id
+            for server in free
+            if self.shares.may_send_new(server, room[server.id])
+        }
+        if own:
+            ranked = rank_by_prompt(flight.req, servers)
+            choice = [server for server in ranked if server.id in own]
+            return put_idle_first(choice, unread_of, most)
+        # Hosts without a share spread their chats over all servers.
+        free = free or [s for s in servers if room[s.id] >= 1]
+        ranked = rank_by_chat(flight.req, free or servers)
+        if free:
+            return put_idle_first(ranked, unread_of, most)
+        return sorted(
+            ranked,
+            key=lambda server: (
+                load_of(server.id) + self.shares.handicap(server)
+            ),
+        )
 
     def find_cache_source(
         self, flight: Flight, server: BackendServer, now_ms: int
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -358,8 +358,8 @@
             self._marks.close_idle()
             hosts = self._peers.hosts_sharing_limits(now_ms)
             self._planner.hosts = hosts
-            selection.limits.hosts = list_limit_hosts(
-                hosts, self._peers, now_ms
+            selection.set_serving_hosts(
+                list_limit_hosts(hosts, self._peers, now_ms)
             )
             self._links.paths.retain(self._planner.servers.ids())
             self._update_links_cut(now_ms)
--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -103,8 +103,8 @@
         hosts = self.peers.hosts_sharing_limits(now_ms)
         self.planner.hosts = hosts
         self.peers.choose_active(now_ms, True, False)
-        self.planner.selection.limits.hosts = list_limit_hosts(
-            hosts, self.peers, now_ms
+        self.planner.selection.set_serving_hosts(
+            list_limit_hosts(hosts, self.peers, now_ms)
         )
 
 
