--- a/corianderdoor/core/entry/requests.py
+++ b/corianderdoor/core/entry/requests.py
@@ -35,6 +35,10 @@
         prompt_tokens: Size of the prompt in tokens; 0 if unknown.
         last_event_id: Id of the last event of the stream that the caller
             has; None if it asks for the whole stream.
+        resumes: Id of the attempt that brought the first event of the stream
+            that the caller takes up again; None if it names none.
+        ignored_marks: Kinds of headers ("resumes") that are ignored because
+            their values are invalid or appear more than once.
         headers: Headers to forward.
         body: The body.
     """
@@ -50,6 +54,8 @@
         "parts",
         "prompt_tokens",
         "last_event_id",
+        "resumes",
+        "ignored_marks",
         "headers",
         "body",
     )
@@ -67,7 +73,11 @@
         last_event_id: int | None,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
+        resumes: str | None = None,
+        ignored_marks: tuple[str, ...] = (),
     ) -> None:
+        self.resumes = resumes
+        self.ignored_marks = ignored_marks
         self.id = id
         self.method = method
         self.target = target
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -185,6 +185,8 @@
         except HeaderError as exc:
             await self._reject(conn, UnreadableRequest(400, str(exc)))
             return
+        for kind in req.ignored_marks:
+            self._marks.record_ignored("", kind)
         await self._wait_for_desired_state()
         relay = Relay(
             self._planner, self._pool, self._marks, self._clock, conn, req
--- a/corianderdoor/entry/server_marks.py
+++ b/corianderdoor/entry/server_marks.py
@@ -49,7 +49,7 @@
         """
         now_ms = self._clock.now_ms()
         for kind in head.ignored_marks:
-            self._count_ignored(server, kind, now_ms)
+            self.record_ignored(server.id, kind)
         if head.wrong_server:
             return
         if head.leaving:
@@ -60,9 +60,14 @@
             )
             self._planner.counters.add("server_pauses")
 
-    def _count_ignored(
-        self, server: BackendServer, kind: str, now_ms: int
-    ) -> None:
+    def record_ignored(self, server_id: str, kind: str) -> None:
+        """Counts a header that can't be used, and logs some of them.
+
+        Args:
+            server_id: Server that sent it; empty for a caller.
+            kind: Kind of the header.
+        """
+        now_ms = self._clock.now_ms()
         self._planner.counters.add("ignored_marks", mark=kind)
         count = self._ignored.record(kind, now_ms)
         if count:
@@ -70,7 +75,7 @@
                 "mark_ignored",
                 "WARNING",
                 mark=kind,
-                server=server.id,
+                server=server_id,
                 count=count,
             )
 
--- a/corianderdoor/platform/headers.py
+++ b/corianderdoor/platform/headers.py
@@ -13,12 +13,15 @@
 ATTEMPT_ID: Final = b"attempt-id"
 DEADLINE_MS: Final = b"deadline-ms"
 LAST_EVENT_ID: Final = b"last-event-id"
+RESUMES: Final = b"resumes"
 PROMPT_PREFIX: Final = b"prompt-prefix"
 TOKEN_USAGE: Final = b"token-usage"
 AUTHORIZATION: Final = b"authorization"
 AUTH_SCHEME: Final = "token "
 INSTANCE_ID: Final = b"instance-id"
 COLD_START_MS: Final = b"cold-start-ms"
+# Longer ids of attempts are not plausible.
+MAX_ATTEMPT_ID_BYTES: Final = 256
 # Digits of the tokens of a part of a prompt.
 MAX_TOKEN_DIGITS: Final = 9
 # Headers that only the entry host may set or that are meant for it alone;
@@ -87,6 +90,8 @@
     if not target.startswith(b"/"):
         raise HeaderError("the target is not a path")
     parts = _parse_prompt_parts(values.get(PROMPT_PREFIX))
+    named = get_values(headers, RESUMES)
+    resumes = _parse_resumed_id(named)
     return CallerRequest(
         request_id.decode("latin-1"),
         method.decode("latin-1"),
@@ -101,6 +106,8 @@
             headers, b",".join(get_values(headers, b"connection"))
         ),
         body,
+        resumes,
+        ("resumes",) if named and resumes is None else (),
     )
 
 
@@ -133,6 +140,14 @@
     return int(value)
 
 
+def _parse_resumed_id(values: list[bytes]) -> str | None:
+    """Returns the id of an attempt; None if there is no valid one."""
+    if len(values) != 1 or len(values[0]) > MAX_ATTEMPT_ID_BYTES:
+        return None
+    id = values[0].decode("latin-1").strip()
+    return id if id and id.isascii() and id.isprintable() else None
+
+
 def _parse_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     """Returns the parts of a prompt; none if the value is invalid."""
     if value is None:
--- a/tests/test_entry_stream_versions.py
+++ b/tests/test_entry_stream_versions.py
@@ -5,9 +5,13 @@
 import random
 
 import anyio
+from loguru import logger
 import pytest
 from test_entry_path import IDS, run, set_modes
 
+from corianderdoor.platform.headers import read_caller_request
+from corianderdoor.standins.platform_fleet import METRICS_PORT, send_request
+
 ENGINES = 2
 
 
@@ -130,3 +134,33 @@
         assert list_versions(fleet, "again") == set()
 
     run(scenario, engines=ENGINES)
+
+
+@pytest.mark.parametrize(
+    "values",
+    [[b""], [b"a" * 257], [b"a\x01"], [b"\xe9"], [b"a", b"b"], [b"a", b"a"]],
+)
+def test_bad_id_of_the_resumed_attempt_is_ignored(values):
+    headers = [(b"attempt-id", b"r1"), (b"host", b"example.test")]
+    headers += [(b"resumes", value) for value in values]
+    req = read_caller_request(b"POST", b"/chat/x", headers, b"")
+    assert (req.resumes, req.ignored_marks) == (None, ("resumes",))
+
+
+def test_bad_ids_of_resumed_attempts_are_counted_and_logged_once_a_second():
+    async def scenario(fleet):
+        lines = []
+        sink = logger.add(lambda line: lines.append(str(line)))
+        for number in range(5):
+            reply = await chat(
+                fleet, "host-0", f"id-{number}", Resumes="x" * 300
+            )
+            assert reply.status == 200
+        logger.remove(sink)
+        address = (fleet.hosts["host-0"][0], METRICS_PORT)
+        text = (await send_request(address, "/metrics")).body.decode()
+        (line,) = [one for one in text.splitlines() if 'mark="resumes"' in one]
+        assert float(line.split()[-1]) == 5
+        assert sum("mark=resumes" in line for line in lines) == 1
+
+    run(scenario, engines=ENGINES)
