Move the periodic work of a host into a module of its own

Change: a move of three methods into HostTicks; what they use is passed in.

Result: the tests of the path, of planned stops, of the start and of active hosts pass.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -7,7 +7,6 @@
 import gc
 import pathlib
 import random
-from typing import Final
 
 import anyio
 import anyio.abc
@@ -16,9 +15,8 @@
 from ..adapters.http1_server import listen
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
-from ..core.clock import Clock, MS_PER_SECOND
+from ..core.clock import Clock
 from ..core.entry.addresses import Address
-from ..core.entry.limit_hosts import list_limit_hosts
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
@@ -34,12 +32,12 @@
 from .backends import ConnectionPool
 from .cache_map_saver import CacheMapSaver
 from .callers import CallerService
-from .cpu_meter import CpuMeter
 from .crash_checks import CrashChecks
 from .crash_reports import attach_crash_reports
 from .directory import DirectoryService
 from .gauges import build_gauges
 from .host_stop import HostStop
+from .host_ticks import HostTicks
 from .metrics import MetricsService
 from .peering import Peering
 from .registration import Registration
@@ -52,12 +50,6 @@
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
-TICK_MS: Final = 100
-EVICTION_TICKS: Final = 10
-# CPU use is measured over five seconds, longer than a burst of changes takes
-# to read.
-CPU_TICKS: Final = 50
-
 
 class EntryHost:
     """One entry host and its tasks."""
@@ -84,6 +76,7 @@
         "_callers",
         "_directory",
         "_stop",
+        "_ticks",
         "_metrics_port",
     )
 
@@ -216,6 +209,20 @@
         self._directory = DirectoryService(
             settings, self._planner, self._peers, clock, self._store_reached
         )
+        self._ticks = HostTicks(
+            self._planner,
+            self._peers,
+            self._links,
+            self._pool,
+            self._applier,
+            self._sync,
+            self._peering,
+            self._rollouts,
+            self._marks,
+            clock,
+            settings.processor_share,
+            self._store_reached,
+        )
         self._stop = HostStop(
             settings.grace_ms,
             self._callers,
@@ -294,7 +301,7 @@
                 self._list_waiting,
             ),
             "crash-checks": self._crash_checks.run,
-            "ticks": self._run_ticks,
+            "ticks": self._ticks.run,
         }
         if self._rollout_writer is not None:
             jobs["rollouts"] = self._rollout_writer.run
@@ -333,65 +340,3 @@
     def _handle_pause(self, gap_ms: int) -> None:
         log_event("paused", gap_ms=gap_ms)
         self._sync.confirm_contact()
-
-    async def _run_ticks(self) -> None:
-        selection = self._planner.selection
-        meter = CpuMeter(self._clock, self._settings.processor_share)
-        ticks = 0
-        while True:
-            await anyio.sleep(TICK_MS / MS_PER_SECOND)
-            now_ms = self._clock.now_ms()
-            selection.check_pause(now_ms)
-            selection.process_pauses.record_tick(now_ms)
-            ticks += 1
-            contact_ms = max(
-                now_ms - self._sync.contact_age_ms(),
-                self._peers.latest_contact_ms(now_ms),
-            )
-            self._planner.restarts.update_contact(contact_ms, now_ms)
-            for server_id in self._planner.tick(now_ms):
-                log_event("server_expired", server=server_id)
-            self._applier.tick(now_ms)
-            for name in self._peers.remove_expired(now_ms):
-                self._planner.loads.remove(name)
-                log_event("peer_removed", peer=name)
-            self._marks.close_idle()
-            hosts = self._peers.hosts_sharing_limits(now_ms)
-            self._planner.hosts = hosts
-            selection.set_serving_hosts(
-                list_limit_hosts(hosts, self._peers, now_ms)
-            )
-            self._links.paths.retain(self._planner.servers.ids())
-            self._update_links_cut(now_ms)
-            if not selection.process_pauses.is_settling(now_ms):
-                self._choose_active(now_ms)
-            if self._rollouts is not None and self._rollouts.tick(now_ms):
-                self._peering.send_soon()
-            if ticks % EVICTION_TICKS == 0:
-                self._pool.evict_expired()
-            if ticks % CPU_TICKS == 0:
-                cpu_percent = meter.measure(now_ms)
-                # The first measurement covers the start, which uses all the
-                # CPU time available and says nothing about the load.
-                self._peers.cpu_percent = (
-                    cpu_percent if ticks > CPU_TICKS else 0
-                )
-
-    def _update_links_cut(self, now_ms: int) -> None:
-        """Tells peers at once when the links to the servers are gone."""
-        cut = self._links.paths.is_cut(now_ms)
-        if cut != self._peers.links_cut:
-            self._peers.links_cut = cut
-            self._peering.send_heartbeats()
-
-    def _choose_active(self, now_ms: int) -> None:
-        changed = self._peers.choose_active(
-            now_ms, self._store_reached(), self._peering.leaving
-        )
-        if changed:
-            log_event(
-                "active_hosts_changed",
-                count=len(self._peers.active.names),
-                own=self._peers.is_active,
-                live_peers=self._peers.count_live(now_ms),
-            )
