Resume streams only at the software version that began them

Callers got streams with events of two software versions of a service (ORDER), which are of no use.

Cause: a host that resumed a stream, for a caller or by itself, chose any server of the service. The version was known to the host of the first event alone, if at all; Resumes was not used.

Change: each resumable stream is told to three other hosts on a ring of names before its first event goes out; a host that does not know a stream asks eight. The version binds retries, moves and the way back. Unknown streams go on only where one version was there, seen without a gap, for as long as a request may last; else 503 at once. A host without contact to the store resumes nothing at a server that failed.

--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -194,6 +194,8 @@
         answer_started: Whether a part of the answer was sent to the caller.
         last_event_id: Id of the last event that the caller has; None before
             the first.
+        version: Software version that began the stream; None before its first
+            event.
         left_server: Id of the silent server that the request left for
             another one; it serves again if that one declines. None if there
             is none.
@@ -226,6 +228,7 @@
         "sends",
         "answer_started",
         "last_event_id",
+        "version",
         "left_server",
         "spare_retry",
         "returning",
@@ -263,6 +266,7 @@
         self.sends = 0
         self.answer_started = False
         self.last_event_id = req.last_event_id
+        self.version: str | None = None
         self.left_server: str | None = None
         self.spare_retry = False
         self.returning = False
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -200,10 +200,24 @@
         ]
         if not self.rollouts.is_idle:
             listed = self.rollouts.allowed(flight.service, listed)
+        if flight.version is not None:
+            listed = [s for s in listed if self._continues(flight, s)]
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
 
+    def _continues(self, flight: Flight, server: BackendServer) -> bool:
+        """Returns whether a stream may go on at `server`.
+
+        Without contact to the store, a server that failed may have started
+        again with another version.
+        """
+        if server.version != flight.version:
+            return False
+        return self.restarts.in_contact or not self.restarts.may_include(
+            server.id
+        )
+
     def list_usable(self, flight: Flight, now_ms: int) -> list[BackendServer]:
         """Returns the servers that may get the request now."""
         return [
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -25,6 +25,7 @@
 from .backends import ConnectionPool
 from .relay import Relay
 from .server_marks import ServerMarks
+from .stream_registry import StreamRegistry
 
 # A host that starts receives its desired state after a few calls to the
 # store; requests that arrive before wait up to this long instead of being
@@ -50,6 +51,7 @@
         "_planner",
         "_pool",
         "_marks",
+        "_streams",
         "_clock",
         "_conns",
         "_unsent",
@@ -62,12 +64,14 @@
         planner: Planner,
         pool: ConnectionPool,
         marks: ServerMarks,
+        streams: StreamRegistry,
         clock: Clock,
     ) -> None:
         self.draining = False
         self._planner = planner
         self._pool = pool
         self._marks = marks
+        self._streams = streams
         self._clock = clock
         # When each connection was opened, or its last answer ended.
         self._conns: dict[ServerConnection, int] = {}
@@ -189,7 +193,13 @@
             self._marks.record_ignored("", kind)
         await self._wait_for_desired_state()
         relay = Relay(
-            self._planner, self._pool, self._marks, self._clock, conn, req
+            self._planner,
+            self._pool,
+            self._marks,
+            self._streams,
+            self._clock,
+            conn,
+            req,
         )
         await relay.run()
 
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -30,6 +30,23 @@
   limits @20 :List(Limit);
 }
 
+# What hosts tell each other of the origin of a stream.
+struct StreamMessage {
+  stream @0 :UInt64;  # digest of the id of the attempt that began it
+  kind @1 :Kind;
+  question @2 :UInt32;  # number of the question, and of its answer
+  service @3 :Text;
+  version @4 :Text;  # software version of the server that began it
+  leftMs @5 :UInt32;  # how long its caller may resume it
+
+  enum Kind {
+    record @0;
+    question @1;
+    known @2;
+    unknown @3;
+  }
+}
+
 # An attempt at a backend server that crashed meanwhile.
 struct Attempt {
   id @0 :UInt64;
--- a/corianderdoor/entry/event_forwarder.py
+++ b/corianderdoor/entry/event_forwarder.py
@@ -10,17 +10,23 @@
 from ..core.entry.flights import Flight
 from ..core.entry.planner import Planner
 from ..platform.answer_head import AnswerHead
+from .stream_registry import StreamRegistry
 
 
 class EventForwarder:
     """Passes events on, under one head and each of them once."""
 
-    __slots__ = ("_planner", "_clock", "_conn")
+    __slots__ = ("_planner", "_streams", "_clock", "_conn")
 
     def __init__(
-        self, planner: Planner, clock: Clock, conn: ServerConnection
+        self,
+        planner: Planner,
+        streams: StreamRegistry,
+        clock: Clock,
+        conn: ServerConnection,
     ) -> None:
         self._planner = planner
+        self._streams = streams
         self._clock = clock
         self._conn = conn
 
@@ -39,6 +45,7 @@
             new_events.append(event)
         if not new_events:
             return
+        self._streams.record_begun(flight)
         self.start_answer(flight, head)
         self._conn.protocol.write(h11.Data(data=b"".join(new_events)))
         await self._conn.protocol.flush()
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -47,6 +47,7 @@
 from .server_marks import ServerMarks
 from .state_applier import StateApplier
 from .state_sync import FIRST_START_DELAY_MS, StateSync
+from .stream_registry import PORT_OFFSET, StreamRegistry
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
@@ -72,6 +73,7 @@
         "_rollouts",
         "_rollout_writer",
         "_marks",
+        "_streams",
         "_crash_checks",
         "_callers",
         "_directory",
@@ -203,8 +205,9 @@
         self._crash_checks = CrashChecks(
             self._planner, self._pool, clock, self._is_isolated
         )
+        self._streams = StreamRegistry(self._planner, self._peers, clock)
         self._callers = CallerService(
-            self._planner, self._pool, self._marks, clock
+            self._planner, self._pool, self._marks, self._streams, clock
         )
         self._directory = DirectoryService(
             settings, self._planner, self._peers, clock, self._store_reached
@@ -219,6 +222,7 @@
             self._peering,
             self._rollouts,
             self._marks,
+            self._streams,
             clock,
             settings.processor_share,
             self._store_reached,
@@ -268,9 +272,14 @@
                 await listen(settings.directory, tasks, self._directory.serve)
             peer_address = (settings.address, settings.peer_ports[0])
             await listen(peer_address, tasks, self._peering.serve)
-            await asyncio.get_running_loop().create_datagram_endpoint(
+            loop = asyncio.get_running_loop()
+            await loop.create_datagram_endpoint(
                 lambda: self._peering, local_addr=peer_address
             )
+            await loop.create_datagram_endpoint(
+                lambda: self._streams,
+                local_addr=(peer_address[0], peer_address[1] + PORT_OFFSET),
+            )
             if self._metrics_port is not None:
                 await self._serve_metrics(tasks, self._metrics_port)
             for name, job in self._list_jobs().items():
@@ -300,6 +309,7 @@
                 self._planner.servers.get,
                 self._list_waiting,
             ),
+            "streams": self._streams.run,
             "crash-checks": self._crash_checks.run,
             "ticks": self._ticks.run,
         }
@@ -339,4 +349,5 @@
 
     def _handle_pause(self, gap_ms: int) -> None:
         log_event("paused", gap_ms=gap_ms)
+        self._streams.record_pause()
         self._sync.confirm_contact()
--- a/corianderdoor/entry/host_ticks.py
+++ b/corianderdoor/entry/host_ticks.py
@@ -20,6 +20,7 @@
 from .server_marks import ServerMarks
 from .state_applier import StateApplier
 from .state_sync import StateSync
+from .stream_registry import StreamRegistry
 
 TICK_MS: Final = 100
 EVICTION_TICKS: Final = 10
@@ -41,6 +42,7 @@
         "_peering",
         "_rollouts",
         "_marks",
+        "_streams",
         "_clock",
         "_processor_share",
         "_store_reached",
@@ -57,6 +59,7 @@
         peering: Peering,
         rollouts: RolloutFeed | None,
         marks: ServerMarks,
+        streams: StreamRegistry,
         clock: Clock,
         processor_share: float,
         store_reached: Callable[[], bool],
@@ -73,6 +76,7 @@
             peering: Exchanges heartbeats with the other hosts.
             rollouts: Rollouts of new versions; None if there are none.
             marks: What servers say of themselves.
+            streams: Versions that began streams.
             clock: The clock.
             processor_share: Share of a CPU core that the process may use.
             store_reached: Returns whether the store answers.
@@ -86,6 +90,7 @@
         self._peering = peering
         self._rollouts = rollouts
         self._marks = marks
+        self._streams = streams
         self._clock = clock
         self._processor_share = processor_share
         self._store_reached = store_reached
@@ -118,6 +123,7 @@
             selection.set_serving_hosts(
                 list_limit_hosts(hosts, self._peers, now_ms)
             )
+            self._streams.tick(now_ms)
             self._links.paths.retain(self._planner.servers.ids())
             self._update_links_cut(now_ms)
             if not selection.process_pauses.is_settling(now_ms):
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -34,6 +34,7 @@
 from .refusal_answer import send_refusal
 from .server_marks import ServerMarks
 from .server_request import send_request
+from .stream_registry import StreamRegistry
 
 # Failures that suggest that the request did not run. Without the server's
 # signature they don't prove it and are not passed on to the caller.
@@ -51,6 +52,7 @@
         "_planner",
         "_pool",
         "_marks",
+        "_streams",
         "_clock",
         "_conn",
         "_req",
@@ -69,6 +71,7 @@
         planner: Planner,
         pool: ConnectionPool,
         marks: ServerMarks,
+        streams: StreamRegistry,
         clock: Clock,
         conn: ServerConnection,
         req: CallerRequest,
@@ -76,6 +79,7 @@
         self._planner = planner
         self._pool = pool
         self._marks = marks
+        self._streams = streams
         self._clock = clock
         self._conn = conn
         self._req = req
@@ -87,7 +91,7 @@
         self._failure_detail = ""
         self._timing = AnswerTiming(0)
         self._move: Move | None = None
-        self._forwarder = EventForwarder(planner, clock, conn)
+        self._forwarder = EventForwarder(planner, streams, clock, conn)
 
     async def run(self) -> None:
         """Serves the request until it is answered, refused or timed out."""
@@ -102,7 +106,9 @@
         finished = False
         try:
             with anyio.move_on_after(left_ms / MS_PER_SECOND) as scope:
-                refusal = await self._run_attempts(flight)
+                refusal = await self._streams.prepare(flight)
+                if refusal is None:
+                    refusal = await self._run_attempts(flight)
             if scope.cancelled_caught:
                 status = 504 if flight.runs else 503
                 refusal = Refuse(status, Ending.TIMEOUT.value)
--- /dev/null
+++ b/corianderdoor/entry/stream_registry.py
@@ -0,0 +1,254 @@
+"""Exchanges the origins of streams with the other entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast, Final
+
+import anyio
+
+from ..adapters.logs import log_event
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.addresses import Address
+from ..core.entry.flights import Flight, Refuse
+from ..core.entry.ignored_marks import IgnoredMarks
+from ..core.entry.peer import Peer
+from ..core.entry.peers import Peers
+from ..core.entry.planner import Planner
+from ..core.entry.stream_homes import StreamHomes
+from ..core.entry.stream_versions import (
+    digest_stream,
+    StreamOrigin,
+    StreamVersions,
+)
+from .peer_codec import MessageError
+from .stream_codec import (
+    decode_stream_message,
+    encode_stream_message,
+    StreamMessage,
+    StreamMessageKind,
+)
+
+# Port of these messages, counted from that of the heartbeats.
+PORT_OFFSET: Final = 1
+# Times after a question at which it is repeated, as datagrams get lost, and
+# after which nobody knows.
+REPEAT_MS: Final = (50, 100)
+QUESTION_MS: Final = 200
+MAX_QUESTION: Final = 2**32
+
+
+class _Question:
+    """A question in progress.
+
+    Attributes:
+        pending: Addresses of the peers that have not answered.
+        ended: Set once a peer knows or all have answered.
+        answer: The answer of a peer that knows; None without one.
+    """
+
+    __slots__ = ("pending", "ended", "answer")
+
+    def __init__(self, pending: set[Address]) -> None:
+        self.pending = pending
+        self.ended = anyio.Event()
+        self.answer: StreamMessage | None = None
+
+
+class StreamRegistry(asyncio.DatagramProtocol):
+    """Tells peers where streams began, and asks them."""
+
+    def __init__(self, planner: Planner, peers: Peers, clock: Clock) -> None:
+        """Initializes the protocol.
+
+        Args:
+            planner: Has the listed servers and the counters.
+            peers: The other hosts.
+            clock: The clock.
+        """
+        self._versions = StreamVersions()
+        self._homes = StreamHomes()
+        self._planner = planner
+        self._peers = peers
+        self._clock = clock
+        self._ignored = IgnoredMarks()
+        self._questions: dict[int, _Question] = {}
+        self._next_question = clock.wall_ms() % MAX_QUESTION
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Stores the transport."""
+        # uvloop's transports are not subclasses of asyncio's.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores errors from unreachable peers, which do not answer."""
+
+    async def run(self) -> None:
+        """Closes the transport when it is cancelled."""
+        try:
+            await anyio.sleep_forever()
+        finally:
+            if self._transport is not None:
+                self._transport.close()
+
+    def tick(self, now_ms: int) -> None:
+        """Updates what is known of peers and servers."""
+        self._homes.update(self._peers.all())
+        self._versions.tick(now_ms)
+        self._versions.history.update(
+            self._planner.servers, self._planner.restarts.in_contact, now_ms
+        )
+
+    def record_pause(self) -> None:
+        """Records that this process was suspended."""
+        self._versions.history.record_pause()
+
+    def record_begun(self, flight: Flight) -> None:
+        """Tells peers of a stream whose first event is about to go out."""
+        now_ms = self._clock.now_ms()
+        begun = self._versions.record_begun(flight, now_ms)
+        if begun is None:
+            return
+        stream, origin, left_ms = begun
+        message = StreamMessage(
+            stream, StreamMessageKind.RECORD, 0, origin, left_ms
+        )
+        data = encode_stream_message(message)
+        for peer in self._homes.find_copied(stream, now_ms):
+            self._send(data, _locate(peer))
+
+    async def prepare(self, flight: Flight) -> Refuse | None:
+        """Finds the version for a stream that its caller resumes.
+
+        Returns:
+            The refusal; None if the request may be sent.
+        """
+        req = flight.req
+        if not flight.route.is_stream:
+            return None
+        if req.last_event_id is None and req.resumes is None:
+            return None
+        origin: StreamOrigin | None = None
+        if req.resumes is not None:
+            origin = await self._find(digest_stream(req.resumes))
+        refusal = self._versions.resume(
+            flight, origin, self._planner.servers, self._clock.now_ms()
+        )
+        outcome = "refused" if refusal else "unknown"
+        if refusal is None and flight.version is not None:
+            outcome = "known" if origin is not None else "only-version"
+        self._planner.counters.add("resumed_streams", outcome=outcome)
+        log_event(
+            "stream_resumed",
+            request_id=req.id,
+            resumes=req.resumes,
+            version=flight.version,
+            outcome=outcome,
+        )
+        return refusal
+
+    async def _find(self, stream: int) -> StreamOrigin | None:
+        """Returns the origin of a stream; None if nobody knows it."""
+        now_ms = self._clock.now_ms()
+        found = self._versions.find(stream, now_ms)
+        if found is not None:
+            return found[0]
+        asked = [_locate(peer) for peer in self._homes.find_asked(stream)]
+        if not asked:
+            return None
+        answer = await self._ask(stream, asked)
+        if answer is None:
+            return None
+        self._versions.record(
+            stream, answer.origin, answer.left_ms, self._clock.now_ms()
+        )
+        return answer.origin
+
+    async def _ask(
+        self, stream: int, asked: list[Address]
+    ) -> StreamMessage | None:
+        """Returns the first answer that knows a stream; None without one."""
+        number = self._next_question
+        self._next_question = (number + 1) % MAX_QUESTION
+        question = self._questions[number] = _Question(set(asked))
+        data = encode_stream_message(
+            StreamMessage(stream, StreamMessageKind.QUESTION, number)
+        )
+        begun_ms = 0
+        try:
+            for until_ms in (*REPEAT_MS, QUESTION_MS):
+                for address in list(question.pending):
+                    self._send(data, address)
+                wait_s = (until_ms - begun_ms) / MS_PER_SECOND
+                with anyio.move_on_after(wait_s):
+                    await question.ended.wait()
+                    break
+                begun_ms = until_ms
+            return question.answer
+        finally:
+            del self._questions[number]
+
+    def _send(self, data: bytes, address: Address) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, address)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Handles a message of a peer."""
+        try:
+            self._handle(decode_stream_message(data), (addr[0], addr[1]))
+        except MessageError as exc:
+            kind = "stream-message"
+            self._planner.counters.add("invalid_messages", kind=kind)
+            count = self._ignored.record(kind, self._clock.now_ms())
+            if count:
+                log_event(
+                    "stream_message_invalid",
+                    "WARNING",
+                    count=count,
+                    detail=str(exc),
+                )
+
+    def _handle(self, message: StreamMessage, addr: Address) -> None:
+        now_ms = self._clock.now_ms()
+        if message.kind is StreamMessageKind.RECORD:
+            self._versions.record(
+                message.stream, message.origin, message.left_ms, now_ms
+            )
+        elif message.kind is StreamMessageKind.QUESTION:
+            self._answer(message, addr, now_ms)
+        else:
+            self._accept(message, addr)
+
+    def _answer(
+        self, message: StreamMessage, addr: Address, now_ms: int
+    ) -> None:
+        found = self._versions.find(message.stream, now_ms)
+        answer = StreamMessage(
+            message.stream, StreamMessageKind.UNKNOWN, message.question
+        )
+        if found is not None:
+            answer = StreamMessage(
+                message.stream,
+                StreamMessageKind.KNOWN,
+                message.question,
+                found[0],
+                found[1],
+            )
+        self._send(encode_stream_message(answer), addr)
+
+    def _accept(self, message: StreamMessage, addr: Address) -> None:
+        """Handles the answer to a question of this host."""
+        question = self._questions.get(message.question)
+        if question is None:
+            return
+        question.pending.discard(addr)
+        if message.kind is StreamMessageKind.KNOWN:
+            question.answer = message
+        if question.answer is not None or not question.pending:
+            question.ended.set()
+
+
+def _locate(peer: Peer) -> Address:
+    assert peer.address is not None
+    return peer.address[0], peer.address[1] + PORT_OFFSET
--- a/tests/test_entry_busy_host.py
+++ b/tests/test_entry_busy_host.py
@@ -23,8 +23,10 @@
 from corianderdoor.adapters.http1 import connect
 from corianderdoor.adapters.http1_server import listen
 from corianderdoor.core.clock import SystemClock
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.entry.callers import CallerService
 from corianderdoor.entry.server_marks import ServerMarks
+from corianderdoor.entry.stream_registry import StreamRegistry
 
 BUSY_S = 0.5
 CONNECT_TIMEOUT_MS = 400
@@ -94,7 +96,8 @@
             )
         pool = build_pool(clock)
         marks = ServerMarks(planner, pool, clock, lambda: None)
-        self.callers = CallerService(planner, pool, marks, clock)
+        streams = StreamRegistry(planner, Peers("h1"), clock)
+        self.callers = CallerService(planner, pool, marks, streams, clock)
         self.address = ("", 0)
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -253,7 +256,7 @@
         desired = None
 
     async def main():
-        service = Service(Planner(), None, None, SystemClock())
+        service = Service(Planner(), None, None, None, SystemClock())
         async with anyio.create_task_group() as tasks:
             server = await listen(("127.0.0.1", 0), tasks, service.serve)
             print(server.sockets[0].getsockname()[1], flush=True)
--- a/tests/test_entry_planned_stops.py
+++ b/tests/test_entry_planned_stops.py
@@ -29,7 +29,7 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.begun, self.go_on = anyio.Event(), anyio.Event()
-        super().__init__(type("Planner", (), {"desired": None}), *[None] * 3)
+        super().__init__(type("Planner", (), {"desired": None}), *[None] * 4)
         self._clock = self.clock
 
     async def _answer(self, conn, received):
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -13,12 +13,14 @@
 
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.flights import Again, Ending, Hold, Refuse, Send
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.refusals import (
     MAX_RESUME_HOLD_MS,
     MAX_RETRY_SHARE,
 )
 from corianderdoor.core.entry.server_pauses import MAX_PAUSE_MS, ServerPauses
 from corianderdoor.entry.relay import Relay
+from corianderdoor.entry.stream_registry import StreamRegistry
 from corianderdoor.platform.answer_head import AnswerHead
 from corianderdoor.standins.platform_fleet import PlatformFleet
 from corianderdoor.standins.platform_worker import Worker
@@ -268,7 +270,9 @@
             planner.pauses.record(server, 60_000, 0)
 
     pool, caller = FakePool(on_open), FakeCaller()
-    relay = Relay(planner, pool, None, ManualClock(), caller, build_request())
+    clock = ManualClock()
+    streams = StreamRegistry(planner, Peers("h1"), clock)
+    relay = Relay(planner, pool, None, streams, clock, caller, build_request())
     anyio.run(relay.run)
     assert len(set(pool.opened)) == len(pool.opened) == 2
     assert pool.protocol.aborted and not pool.protocol.written
--- a/tests/test_entry_stream_versions.py
+++ b/tests/test_entry_stream_versions.py
@@ -15,20 +15,24 @@
 ENGINES = 2
 
 
-async def start_versions(fleet, versions, hosts=("host-0", "host-1")):
-    """Adds engines of the versions to the fleet's, and waits for them."""
+async def start_versions(fleet, versions):
+    """Adds engines of the versions to the fleet's, until all hosts know."""
     for version in versions:
         for number in range(ENGINES):
             await fleet.add_worker(f"{version}-{number}", True, version)
-    engines = [w for w in fleet.workers.values() if w.engine]
+    newest = fleet.store.state.revision
     with anyio.fail_after(10):
-        for host in hosts:
-            for engine in engines:
-                engine.runs.clear()
-            number = 0
-            while not all(engine.runs for engine in engines):
-                number += 1
-                await chat(fleet, host, f"warm-{host}-{number}")
+        for host in fleet.hosts:
+            while await read_metric(fleet, host, "replica_revision") < newest:
+                await anyio.sleep(0.02)
+
+
+async def read_metric(fleet, host, name):
+    """Returns the value of the first metric whose line has `name`."""
+    address = (fleet.hosts[host][0], METRICS_PORT)
+    text = (await send_request(address, "/metrics")).body.decode()
+    lines = [line for line in text.splitlines() if line[:1] != "#"]
+    return next(float(one.split()[-1]) for one in lines if name in one)
 
 
 async def chat(fleet, host, id, **headers):
@@ -157,10 +161,8 @@
             )
             assert reply.status == 200
         logger.remove(sink)
-        address = (fleet.hosts["host-0"][0], METRICS_PORT)
-        text = (await send_request(address, "/metrics")).body.decode()
-        (line,) = [one for one in text.splitlines() if 'mark="resumes"' in one]
-        assert float(line.split()[-1]) == 5
+        mark = 'mark="resumes"'
+        assert await read_metric(fleet, "host-0", mark) == 5
         assert sum("mark=resumes" in line for line in lines) == 1
 
     run(scenario, engines=ENGINES)
