--- a/corianderdoor/standins/entry_fleet.py
+++ b/corianderdoor/standins/entry_fleet.py
@@ -44,6 +44,8 @@
 # Time until the first event, and from there to the end of the answer.
 PREFILL_MS: Final = (60, 250)
 ANSWER_MS: Final = (300, 1_500)
+# Mean and deviation of the logarithm of the work, whose mean is 1.
+WORK_SPREAD: Final = (-0.125, 0.5)
 # How long a crashed server is away, and when hosts learn of its return.
 DOWN_MS: Final = 3_000
 LISTED_AFTER_MS: Final = 300
@@ -136,7 +138,23 @@
         crashing_from_ms: int = 4_000,
         loss: float = 0.0,
         seed: int = 1,
+        slots: int = 64,
+        work_ms: int | None = None,
     ) -> None:
+        """Creates the fleet.
+
+        Args:
+            hosts: Number of hosts.
+            servers: Number of servers.
+            per_s: Requests per second.
+            crashing_share: Share of requests that crash their servers.
+            crashing_from_ms: When these begin.
+            loss: Share of the datagrams that is lost.
+            seed: Seed of all random numbers.
+            slots: Requests that a server processes at once.
+            work_ms: Mean time that a slot takes for a request, whose answer
+                then comes at once; None for streams, which need no slot.
+        """
         self.clock = ManualClock(wall_ms=1_800_000_000_000)
         self.rng = random.Random(seed)
         self.desired = build_desired()
@@ -151,6 +169,8 @@
             self.rng, per_s, hosts, crashing_share, crashing_from_ms
         )
         self._loss = loss
+        self._slots = slots
+        self._work_ms = work_ms
         self._decoded: tuple[bytes, Heartbeat] | None = None
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
@@ -275,7 +295,11 @@
         server.arrivals.append((now_ms, host))
         if is_crashing(flight):
             self.crashing_sends.append(now_ms)
-        delay_ms = self.rng.randint(*PREFILL_MS)
+        if self._work_ms is None:
+            delay_ms = self.rng.randint(*PREFILL_MS)
+        else:
+            work_ms = self._work_ms * self.rng.lognormvariate(*WORK_SPREAD)
+            delay_ms = server.take_slot(now_ms, 1 + int(work_ms))
         self.after(delay_ms, self._begin, host, flight, server)
 
     def _begin(self, host: Host, flight: Flight, server: Server[Host]) -> None:
@@ -292,7 +316,7 @@
         if flight.sends == 1:
             self.first_tries.append((flight.arrived_ms, True))
         flight.answer_started = True
-        delay_ms = self.rng.randint(*ANSWER_MS)
+        delay_ms = self.rng.randint(*ANSWER_MS) if self._work_ms is None else 0
         self.after(delay_ms, self._finish, host, flight, server)
 
     def _tell_limit(
@@ -367,7 +391,7 @@
 
     def _add_server(self, id: str, started_ms: int) -> Server[Host]:
         entry = BackendServer(
-            id, SERVICE, id, 8_000, "a", True, 64, 0.0, started_ms
+            id, SERVICE, id, 8_000, "a", True, self._slots, 0.0, started_ms
         )
         server = self.servers[id] = Server[Host](entry)
         return server
--- a/corianderdoor/standins/entry_fleet_callers.py
+++ b/corianderdoor/standins/entry_fleet_callers.py
@@ -21,6 +21,7 @@
         first_parts: First parts of prompts with their weights.
         sessions: Number of chats.
         hot_share: Share of the requests that belong to one chat.
+        has_prompts: Whether requests have prompts.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         self.first_parts: dict[str, float] = {"t": 1.0}
         self.sessions = SESSIONS_PER_HOST * hosts
         self.hot_share = 0.0
+        self.has_prompts = True
         self._rng = rng
         self._crashing_share = crashing_share
         self._crashing_from_ms = crashing_from_ms
@@ -56,7 +58,13 @@
         if now_ms >= self._crashing_from_ms:
             if self._rng.random() < self._crashing_share:
                 part = CRASHING_PART
-        parts = ((self._first_part(session), 2_000), (part, 3_000), (id, 400))
+        parts: tuple[tuple[str, int], ...] = (
+            (self._first_part(session), 2_000),
+            (part, 3_000),
+            (id, 400),
+        )
+        if not self.has_prompts:
+            parts = ()
         return CallerRequest(
             id,
             "POST",
--- a/corianderdoor/standins/entry_fleet_servers.py
+++ b/corianderdoor/standins/entry_fleet_servers.py
@@ -34,6 +34,8 @@
         limit_per_s: Requests per second that its answers name as its limit;
             None for none.
         told: When each host first got such an answer.
+        busy_until_ms: When each of the slots is free again, for requests that
+            wait for one.
     """
 
     def __init__(self, entry: BackendServer) -> None:
@@ -43,6 +45,18 @@
         self.arrivals: list[tuple[int, H]] = []
         self.limit_per_s: float | None = None
         self.told: dict[H, int] = {}
+        self.busy_until_ms = [0] * entry.slots
+
+    def take_slot(self, now_ms: int, work_ms: int) -> int:
+        """Gives a request the first slot that is free.
+
+        Returns:
+            The time in ms until the request is done.
+        """
+        free_ms = min(self.busy_until_ms)
+        done_ms = max(now_ms, free_ms) + work_ms
+        self.busy_until_ms[self.busy_until_ms.index(free_ms)] = done_ms
+        return done_ms - now_ms
 
 
 def is_crashing(flight: Flight) -> bool:
--- a/tests/test_entry_uneven_load.py
+++ b/tests/test_entry_uneven_load.py
@@ -62,3 +62,27 @@
     fleet.run(12_000)
     assert fleet.load_audit.worst_share() <= MAX_SHARE_ABOVE
     assert not fleet.refused
+
+
+# Guards against the same where requests have no prompt and end before other
+# hosts learn of them: all hosts took the server that had been idle.
+@pytest.mark.parametrize(
+    "hosts, servers, per_s",
+    [(8, 3, 40), (66, 3, 120), (101, 3, 94), (101, 3, 200), (330, 5, 200)],
+)
+def test_short_requests_in_clumps_overload_no_server(hosts, servers, per_s):
+    for seed in range(1 if hosts == 330 else 4):
+        fleet = EntryFleet(
+            hosts,
+            servers,
+            per_s=float(per_s),
+            crashing_share=0.0,
+            seed=seed,
+            slots=6,
+            work_ms=45,
+        )
+        fleet.callers.clump = CLUMP
+        fleet.callers.has_prompts = False
+        fleet.run(6_000)
+        assert fleet.load_audit.worst_share() <= MAX_SHARE_ABOVE
+        assert not fleet.refused
