Spread short requests by weight, not by loads that are out of date

Cause: requests without a prompt went to the least loaded server, in steps of two requests. They take 45 ms and heartbeats come every 0.2 s, so all hosts chose the server that had been idle.

Change: where a service gets more requests between two heartbeats than such a step, each request is placed by weighted rendezvous hashing; the weight falls with the known load and with what is not known yet.

--- a/corianderdoor/core/entry/heartbeat.py
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -17,6 +17,15 @@
 HEARTBEAT_MS_PER_ACTIVE: Final = 8
 
 
+def get_interval_ms(peers: int) -> int:
+    """Returns the time between two heartbeats of an active host.
+
+    Args:
+        peers: Number of the other active hosts.
+    """
+    return max(HEARTBEAT_MS, HEARTBEAT_MS_PER_ACTIVE * peers)
+
+
 class Heartbeat(Record):
     """State that a host sends to its peers periodically.
 
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -7,7 +7,7 @@
 
 from .active_hosts import ActiveHosts, Candidate, rank_host, SLOW_LINK_MBPS
 from .addresses import Address
-from .heartbeat import Heartbeat, HEARTBEAT_MS, HEARTBEAT_MS_PER_ACTIVE
+from .heartbeat import get_interval_ms, Heartbeat, HEARTBEAT_MS
 from .peer import MISSED_HEARTBEATS, NOT_WATCHING_MS, Peer
 from .replica import is_ahead
 
@@ -270,7 +270,7 @@
         if not self.is_active:
             return max(HEARTBEAT_MS, HEARTBEAT_MS_PER_PEER * len(self._peers))
         active_peers = len(self.active.names) - 1 or len(self._peers)
-        return max(HEARTBEAT_MS, HEARTBEAT_MS_PER_ACTIVE * active_peers)
+        return get_interval_ms(active_peers)
 
     def count_live(self, now_ms: int) -> int:
         """Returns the number of peers that have not timed out."""
--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -33,6 +33,7 @@
 # Bounds on backlogs are rounded to this number of tokens. A learnt rate
 # varies by some percent, and bounds that follow it would move chats.
 BACKLOG_STEP: Final = 500
+MAX_SCORE: Final = 2**64
 
 
 def max_backlog(gaps: float, gap_ms: float, rate: float) -> int:
@@ -111,6 +112,33 @@
     )
 
 
+def rank_by_weight(
+    req: CallerRequest,
+    servers: Sequence[BackendServer],
+    load_of: Callable[[str], int],
+    unseen: float,
+) -> list[BackendServer]:
+    """Returns `servers` by weighted rendezvous hashing of the request.
+
+    It is for services that finish many requests between two heartbeats.
+    Hosts with the same old loads spread over all servers, and send more to
+    those with less to do, without any of them becoming the choice of all.
+
+    Args:
+        req: The request.
+        servers: Servers to sort.
+        load_of: Returns the number of in-flight requests at a server.
+        unseen: Requests that a server gets before this host learns of them.
+    """
+
+    def get_cost(server: BackendServer) -> float:
+        point = (_score(req.id, server) + 1) / (MAX_SCORE + 1)
+        weight = max(1, server.slots) / (unseen / 2 + load_of(server.id))
+        return -math.log(point) / weight
+
+    return sorted(servers, key=get_cost)
+
+
 def measure_room(
     servers: Sequence[BackendServer],
     listed: Sequence[BackendServer],
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -253,6 +253,7 @@
         flight.progress = AnswerProgress.NONE
         flight.first_event_ms = None
         self.loads.start(server.id, flight.unread)
+        self.selection.sends.add(server.id, now_ms)
         self.selection.forecasts.record_sent(flight, server, now_ms)
         self.rooms.release(flight)
         self.rooms.record_sent(server.id)
--- a/corianderdoor/core/entry/room_shares.py
+++ b/corianderdoor/core/entry/room_shares.py
@@ -16,10 +16,10 @@
 # Room that has to be left for each host of a server's order that may send a
 # new chat there: each sends one before it learns of the others'.
 NEW_CHAT_SHARE: Final = 1.0
-# Room below which the first hosts of the order alone send chats that the
-# server has cached; the others use it only as far as there is more. Few of
-# them have a request for the same server within one heartbeat.
-CACHED_CHAT_ROOM: Final = 3.0
+# Requests by which the last host of a server's order overstates its load. Few
+# hosts have a request for the same server within one heartbeat, as chats stay
+# with the servers that have them cached, so this is less than one for each.
+MAX_HANDICAP: Final = 3.0
 # Servers that got the same chat within this time share a popular one.
 POPULAR_MS: Final = 1_000
 
@@ -44,6 +44,10 @@
             self._hosts = hosts
             self._ranks = {}
 
+    def count_hosts(self) -> int:
+        """Returns the number of hosts that share the room."""
+        return len(self._hosts)
+
     def retain(self, ids: frozenset[str]) -> None:
         """Drops the orders of all servers but `ids`."""
         for server_id in self._ranks.keys() - ids:
@@ -58,8 +62,10 @@
         """
         return room >= 1 + NEW_CHAT_SHARE * self._rank(server.id)
 
-    def may_send_cached(self, server: BackendServer, room: float) -> bool:
-        """Returns whether this host may send a chat that a server caches.
+    def may_send(self, server: BackendServer, room: float) -> bool:
+        """Returns whether this host may send a request to a server.
+
+        Chats that no server has cached need more, see `may_send_new`.
 
         Args:
             server: The server.
@@ -74,7 +80,7 @@
         server the least loaded one.
         """
         share = self._rank(server.id) / max(1, len(self._hosts))
-        return CACHED_CHAT_ROOM * share
+        return MAX_HANDICAP * share
 
     def spread(
         self, servers: list[BackendServer], holders: dict[str, int]
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -13,6 +13,7 @@
 from .placing import (
     CACHED_CHAT_MAX_GAPS,
     FULL_BOUND,
+    LOAD_STEPS,
     max_backlog,
     measure_room,
     NEW_CHAT_BOUND,
@@ -21,6 +22,7 @@
     rank_by_chat,
     rank_by_load,
     rank_by_prompt,
+    rank_by_weight,
 )
 from .prefill_rates import PrefillRates, REFERENCE_RATE
 from .process_pauses import ProcessPauses
@@ -32,6 +34,7 @@
 from .server_limits import ServerLimits
 from .server_pauses import ServerPauses
 from .server_room import ServerRooms
+from .server_sends import ServerSends
 from .servers import BackendServer, Servers
 from .suspected_restarts import SuspectedRestarts
 from .waiting_requests import WaitingRequests
@@ -59,6 +62,7 @@
         rooms: Room of the brittle servers.
         limits: Rates that servers in need have named.
         shares: This host's shares of the room of servers.
+        sends: Requests that this host sent lately.
         rates: Prefill rates of the services.
         forecasts: Forecasts of the time to the first event.
         waiting: Servers that state that requests wait there.
@@ -81,6 +85,7 @@
         "rooms",
         "limits",
         "shares",
+        "sends",
         "rates",
         "forecasts",
         "waiting",
@@ -114,6 +119,7 @@
         self.rooms = ServerRooms(name, self.servers, self.loads)
         self.limits = ServerLimits(name, self.servers)
         self.shares = RoomShares(name)
+        self.sends = ServerSends()
         self.rates = PrefillRates()
         self.waiting = WaitingRequests()
         self.forecasts = FirstEventForecasts(
@@ -142,6 +148,7 @@
         self.rooms.tick(now_ms)
         self.limits.tick(ids, now_ms)
         self.shares.retain(ids)
+        self.sends.retain(ids)
         return expired
 
     def set_serving_hosts(self, names: list[str]) -> None:
@@ -272,17 +279,10 @@
         def unread_of(server_id: str) -> int:
             return self.loads.unread_of(server_id, now_ms)
 
-        if not flight.req.parts:
-            # Without a prompt, no server has an advantage by its cache.
-            return rank_by_load(
-                servers,
-                load_of,
-                self.is_connected,
-                self._name,
-                self._data_centre,
-            )
         listed = self.servers.listed(flight.service)
         room = measure_room(servers, listed, load_of, FULL_BOUND)
+        if not flight.req.parts:
+            return self._rank_without_prompt(flight, servers, room, now_ms)
         holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
         most = self.max_backlog(flight.service, CACHED_CHAT_MAX_GAPS, now_ms)
         cached = [
@@ -290,7 +290,7 @@
             for server in servers
             if server.id in holders
             and unread_of(server.id) <= most
-            and self.shares.may_send_cached(server, room[server.id])
+            and self.shares.may_send(server, room[server.id])
         ]
         if cached:
             return self.shares.spread(cached, holders)
@@ -318,6 +318,41 @@
             ),
         )
 
+    def _rank_without_prompt(
+        self,
+        flight: Flight,
+        servers: list[BackendServer],
+        room: dict[str, float],
+        now_ms: int,
+    ) -> list[BackendServer]:
+        """Returns the servers for a request that none has cached.
+
+        Loads decide as long as few requests come and go between two
+        heartbeats.
+        """
+        unseen = self.sends.count_unseen(
+            servers, self.shares.count_hosts(), now_ms
+        )
+        if unseen <= max(1, servers[0].slots // LOAD_STEPS):
+            return rank_by_load(
+                servers,
+                lambda server_id: self.loads.of(server_id, now_ms),
+                self.is_connected,
+                self._name,
+                self._data_centre,
+            )
+        free = [
+            server
+            for server in servers
+            if self.shares.may_send(server, room[server.id])
+        ]
+        return rank_by_weight(
+            flight.req,
+            free or servers,
+            lambda server_id: self.loads.of(server_id, now_ms),
+            unseen,
+        )
+
     def find_cache_source(
         self, flight: Flight, server: BackendServer, now_ms: int
     ) -> BackendServer | None:
