Tell restarted hosts what is in force in place of a restored copy

Callers reached servers that had left, and used withdrawn keys, at hosts that restarted after the store came back from an older copy.

Cause: a peer's copy held the store's items alone; that some of them are held back, and that a newer desired state is in force, was known to the hosts that had seen the restore, and told to nobody.

Change: these hosts keep what they have in force in place of the copy's items beside their replica, and pages carry it. Heartbeats say that there is something; a host that has neither seen the restore nor such a page asks once in an era. What is written again since the restore counts.

--- a/corianderdoor/core/entry/departed_servers.py
+++ b/corianderdoor/core/entry/departed_servers.py
@@ -60,6 +60,10 @@
         self._held_back[server.id] = (server, now_ms + HELD_BACK_MS)
         return True
 
+    def list_held_back(self) -> list[str]:
+        """Returns the ids of the servers that are held back."""
+        return list(self._held_back)
+
     def release(self, now_ms: int) -> list[BackendServer]:
         """Returns the servers that need not be held back any longer."""
         due = [s for s, until in self._held_back.values() if until <= now_ms]
--- a/corianderdoor/core/entry/heartbeat.py
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -59,6 +59,8 @@
         attempts: Attempts at servers that crashed meanwhile.
         parts: Prompt parts suspected of crashing servers.
         limits: Rates that servers in need have named.
+        has_overrides: Whether the host has something in force in place of
+            items of the copy from which the store was restored.
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "attempts",
         "parts",
         "limits",
+        "has_overrides",
     )
 
     def __init__(
@@ -108,7 +111,9 @@
         attempts: tuple[AttemptReport, ...] = (),
         parts: tuple[PartReport, ...] = (),
         limits: tuple[LimitReport, ...] = (),
+        has_overrides: bool = False,
     ) -> None:
+        self.has_overrides = has_overrides
         self.limits = limits
         self.attempts = attempts
         self.parts = parts
--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -79,9 +79,18 @@
         era: Era of the store; rises when it is restored from a copy.
         restored_revision: Items up to this revision may come from the copy
             from which the store was restored; 0 if none is known to.
+        overrides: What the sender has in force in place of items of that
+            copy; without a value, an item that it does not use.
     """
 
-    __slots__ = ("changes", "revision", "full", "era", "restored_revision")
+    __slots__ = (
+        "changes",
+        "revision",
+        "full",
+        "era",
+        "restored_revision",
+        "overrides",
+    )
 
     def __init__(
         self,
@@ -90,7 +99,9 @@
         full: bool,
         era: int = 0,
         restored_revision: int = 0,
+        overrides: tuple[Change, ...] = (),
     ) -> None:
+        self.overrides = overrides
         self.era = era
         self.restored_revision = restored_revision
         self.changes = changes
@@ -111,6 +122,10 @@
             from which the store was restored.
         revision: Newest revision up to which all changes are known.
         changed_revision: Newest revision at which an item here changed.
+        overrides: What is in force in place of items of that copy, by key;
+            without a value, an item that is not used.
+        overrides_era: Era whose overrides this host knows, as it has seen
+            the restore or has got them from a peer.
     """
 
     __slots__ = (
@@ -118,6 +133,8 @@
         "restored_revision",
         "revision",
         "changed_revision",
+        "overrides",
+        "overrides_era",
         "_items",
         "_tombstones",
         "_tombstone_order",
@@ -129,6 +146,8 @@
         self.restored_revision = 0
         self.revision = 0
         self.changed_revision = 0
+        self.overrides: dict[str, Change] = {}
+        self.overrides_era = 0
         self._items: dict[str, Change] = {}
         self._tombstones: dict[str, Change] = {}
         self._tombstone_order: deque[tuple[int, str]] = deque()
@@ -171,6 +190,7 @@
             that are missing.
         """
         former = self._items
+        self.overrides = {}
         self._items = {
             change.key: change
             for change in page.changes
@@ -246,8 +266,17 @@
             full,
             self.era,
             self.restored_revision,
+            tuple(self.overrides.values()),
         )
 
+    def misses(self, overrides_era: int) -> bool:
+        """Returns whether the overrides of a peer are not known here.
+
+        Args:
+            overrides_era: Era to which they belong.
+        """
+        return self.overrides_era < overrides_era == self.era
+
     def get(self, key: str) -> Change | None:
         """Returns the item `key`; None if it does not exist."""
         return self._items.get(key)
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -28,6 +28,7 @@
   attempts @18 :List(Attempt);
   parts @19 :List(SuspectPart);
   limits @20 :List(Limit);
+  hasOverrides @21 :Bool;  # pages of the sender have overrides
 }
 
 # What hosts tell each other of the origin of a stream.
@@ -138,6 +139,7 @@
   changes @2 :List(Change);
   era @3 :UInt64;  # era of the store
   restoredRevision @4 :UInt64;  # items up to it may come from a copy
+  overrides @5 :List(Change);  # in force in place of items of the copy
 }
 
 struct Change {
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -92,6 +92,7 @@
         attempts=encode_attempts(heartbeat.attempts),
         parts=encode_parts(heartbeat.parts),
         limits=encode_limits(heartbeat.limits),
+        hasOverrides=heartbeat.has_overrides,
     )
     return bytes(message.to_bytes_packed())
 
@@ -195,6 +196,7 @@
             decode_attempts(raw.attempts),
             decode_parts(raw.parts),
             decode_limits(raw.limits),
+            raw.hasOverrides,
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
@@ -207,20 +209,37 @@
         full=page.full,
         era=page.era,
         restoredRevision=page.restored_revision,
-        changes=[
-            {
-                "key": change.key,
-                "revision": change.revision,
-                "removed": change.value is None,
-                "graceMs": change.grace_ms,
-                "value": change.value or b"",
-            }
-            for change in page.changes
-        ],
+        changes=_encode_changes(page.changes),
+        overrides=_encode_changes(page.overrides),
     )
     return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
+def _encode_changes(changes: tuple[Change, ...]) -> list[dict[str, Any]]:
+    return [
+        {
+            "key": change.key,
+            "revision": change.revision,
+            "removed": change.value is None,
+            "graceMs": change.grace_ms,
+            "value": change.value or b"",
+        }
+        for change in changes
+    ]
+
+
+def _decode_changes(changes: Any) -> tuple[Change, ...]:
+    return tuple(
+        Change(
+            change.key,
+            None if change.removed else bytes(change.value),
+            change.revision,
+            change.graceMs,
+        )
+        for change in changes
+    )
+
+
 def decode_page(data: bytes) -> Page:
     """Returns the page in a body.
 
@@ -233,19 +252,12 @@
             content, traversal_limit_in_words=MAX_WORDS
         ) as raw:
             return Page(
-                tuple(
-                    Change(
-                        change.key,
-                        None if change.removed else bytes(change.value),
-                        change.revision,
-                        change.graceMs,
-                    )
-                    for change in raw.changes
-                ),
+                _decode_changes(raw.changes),
                 raw.revision,
                 raw.full,
                 raw.era,
                 raw.restoredRevision,
+                _decode_changes(raw.overrides),
             )
     except (capnp.KjException, ValueError, zlib.error) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -165,11 +165,13 @@
         if peer.address is None:
             peer.address = (addr[0], addr[1])
         self._merge_reports(heartbeat, now_ms)
-        if is_ahead(
+        replica = self._replica
+        missing = heartbeat.has_overrides and replica.misses(heartbeat.era)
+        if missing or is_ahead(
             heartbeat.era,
             heartbeat.revision,
-            self._replica.era,
-            self._replica.revision,
+            replica.era,
+            replica.revision,
         ):
             self._on_newer_revision()
 
@@ -314,6 +316,7 @@
             announced.attempts,
             announced.parts,
             announced.limits,
+            bool(self._replica.overrides),
         )
 
     def send_soon(self) -> None:
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import singledispatchmethod
 from typing import Final
 
@@ -26,6 +27,7 @@
     ServerRemoved,
     UnusableRecord,
 )
+from ..platform.records import SERVER_PREFIX
 from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
@@ -58,6 +60,7 @@
         "_clock",
         "_rollouts",
         "_kept_evacuations",
+        "_desired",
     )
 
     def __init__(
@@ -75,6 +78,8 @@
         self._clock = clock
         self._rollouts = rollouts
         self._kept_evacuations: dict[str, int] = {}
+        # The item with the desired state in force.
+        self._desired: Change | None = None
 
     def apply(self, page: Page, source: str, grace_ms: int) -> int:
         """Applies the changes of `page` that are not yet known.
@@ -101,6 +106,8 @@
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
         changes = self.replica.apply(page, grace_ms)
+        if restored:
+            self.replica.overrides_era = self.replica.era
         if restored:
             changes += self._list_rollouts_kept(changes)
         for change in changes:
@@ -119,8 +126,36 @@
                     detail=repr(exc),
                 )
                 self._planner.counters.add("invalid_messages", kind="record")
+        if page.overrides and self.replica.misses(page.era):
+            self._apply_overrides(page.overrides)
         return len(changes)
 
+    def _apply_overrides(self, overrides: Iterable[Change]) -> None:
+        """Takes over what a peer has in force in place of a copy's items."""
+        self.replica.overrides_era = self.replica.era
+        for override in overrides:
+            item = self.replica.get(override.key)
+            if item is None or item.revision > self.replica.restored_revision:
+                # Written again, or removed, since the restore.
+                continue
+            known = self.replica.overrides.get(override.key)
+            if known is None and override.value is None:
+                self._hold_back(item)
+            elif known is None:
+                self._apply_change(override, "override", False)
+            self.replica.overrides.setdefault(override.key, override)
+
+    def _hold_back(self, item: Change) -> None:
+        """Stops using a server that left before the store was restored."""
+        decoded = decode_change(item)
+        if isinstance(decoded, ServerListed):
+            now_ms = self._clock.now_ms()
+            servers = self._planner.servers
+            servers.remove(decoded.server.id, now_ms)
+            servers.departed.record(decoded.server, now_ms)
+            servers.departed.hold_back(decoded.server, now_ms)
+            log_event("server_copy_ignored", server=decoded.server.id)
+
     def _list_rollouts_kept(self, changes: list[Change]) -> list[Change]:
         """Returns the items about rollouts that are not in `changes`.
 
@@ -154,6 +189,7 @@
         """Ends what was kept for a time after a restore of the store."""
         for server in self._planner.servers.departed.release(now_ms):
             log_event("server_readmitted", server=server.id)
+            self.replica.overrides.pop(SERVER_PREFIX + server.id, None)
             self._planner.servers.put(server, now_ms)
         for name, until_ms in list(self._kept_evacuations.items()):
             if until_ms <= now_ms:
@@ -174,7 +210,21 @@
             grace_ms=change.grace_ms,
             source=source,
         )
+        if not from_copy:
+            self.replica.overrides.pop(change.key, None)
         self._apply_decoded(decoded, from_copy)
+        if isinstance(decoded, DesiredStateChange):
+            self._record_desired(decoded, change, from_copy)
+
+    def _record_desired(
+        self, decoded: DesiredStateChange, change: Change, from_copy: bool
+    ) -> None:
+        """Records which item is in force."""
+        if decoded.state is self._planner.desired:
+            self._desired = change
+        elif from_copy and self._desired is not None:
+            override = Change(change.key, self._desired.value, 0)
+            self.replica.overrides[change.key] = override
 
     @singledispatchmethod
     def _apply_decoded(self, decoded: DecodedChange, from_copy: bool) -> None:
@@ -195,6 +245,9 @@
             server, now_ms, OUTAGE_GRACE_MS
         ):
             log_event("server_copy_ignored", server=server.id)
+            if self._planner.servers.get(server.id) is None:
+                key = SERVER_PREFIX + server.id
+                self.replica.overrides[key] = Change(key, None, 0)
             return
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -9,7 +9,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.counters import Counters
-from ..core.entry.peer import NOT_WATCHING_MS
+from ..core.entry.peer import NOT_WATCHING_MS, Peer
 from ..core.entry.peers import Peers
 from ..core.entry.replica import Change, Page
 from ..platform.records import CACHES_KEY
@@ -142,6 +142,8 @@
                 with anyio.CancelScope() as scope:
                     self._scope = scope
                     await self._read_store(relist)
+                    if self._find_overriding_peer(self._clock.now_ms()):
+                        await self._pull_from_peer()
                     relist = False
                     retry_ms = FIRST_RETRY_MS
             except HistoryGoneError:
@@ -309,9 +311,12 @@
             False if the pull failed.
         """
         replica = self._applier.replica
+        now_ms = self._clock.now_ms()
         ahead = self._peers.find_peer_ahead(
-            replica.revision, self._clock.now_ms(), replica.era
+            replica.revision, now_ms, replica.era
         )
+        if ahead is None:
+            ahead = self._find_overriding_peer(now_ms)
         if ahead is None or self._peering is None:
             return True
         page = await self._peering.pull(ahead)
@@ -319,3 +324,21 @@
             self._applier.apply(page, ahead.name, self._removal_grace_ms())
             self._era.observe(page.era)
         return page is not None
+
+    def _find_overriding_peer(self, now_ms: int) -> Peer | None:
+        """Returns a peer that does not use all items of a restored store.
+
+        Returns:
+            The peer; None if this host knows what it has to know of them.
+        """
+        replica = self._applier.replica
+        if not replica.misses(replica.era):
+            return None
+        for peer in self._peers.all():
+            heartbeat = peer.last_heartbeat
+            if heartbeat is None or now_ms > peer.alive_until_ms:
+                continue
+            if heartbeat.has_overrides and peer.address is not None:
+                if heartbeat.era == replica.era:
+                    return peer
+        return None
--- a/tests/test_entry_restarts.py
+++ b/tests/test_entry_restarts.py
@@ -7,13 +7,21 @@
 from test_entry_store_restore import encode_config, encode_entry, Host
 
 from corianderdoor.core.entry.cache_map import digest_part
+from corianderdoor.core.entry.departed_servers import HELD_BACK_MS
 from corianderdoor.core.entry.flights import Send
+from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.leaving_servers import (
     digest_incarnation,
     KEEP_UNLISTED_MS,
     LeavingServers,
 )
 from corianderdoor.core.entry.replica import Change, Page
+from corianderdoor.entry.peer_codec import (
+    decode_heartbeat,
+    decode_page,
+    encode_heartbeat,
+    encode_page,
+)
 
 SERVER = build_server("s0")
 
@@ -90,15 +98,45 @@
     return restarted
 
 
-# Shows a fault: a restarted host does not know which servers left before the
+# Guards against a restarted host that uses servers which left before the
 # restore of the store.
 def test_restart_after_a_restore_brings_no_server_back():
     host = restart_after_restore(servers_s1=(encode_entry(), 5))
     assert host.usable() == []
 
 
-# Shows a fault: a restarted host takes the older state of the restored store,
-# in which a key may not be withdrawn yet, over the one in force.
+# Guards against a restarted host that takes the older state of the restored
+# store, in which a key may not be withdrawn yet, over the one in force.
 def test_restart_after_a_restore_brings_no_key_back():
     host = restart_after_restore(op_config=(encode_config(20), 4))
     assert host.planner.desired.version == 30
+
+
+# Guards against hosts that hold a sound server back for ever, in turn.
+def test_host_takes_over_what_peers_do_not_use_once():
+    listed = {"servers_s1": (encode_entry(), 5)}
+    restarted = restart_after_restore(**listed)
+    page = restarted.applier.replica.changes_since(0)
+    assert page.overrides
+    restarted.clock.advance(HELD_BACK_MS)
+    restarted.applier.tick(restarted.clock.now_ms())
+    assert restarted.usable() == ["s1"]
+    assert not restarted.applier.replica.overrides
+    restarted.applier.apply(page, "h1", 0)
+    assert restarted.usable() == ["s1"]
+
+
+# Guards against a server that started again and is held back all the same.
+def test_server_that_writes_its_entry_again_is_used_by_a_restarted_host():
+    restarted = restart_after_restore(servers_s1=(encode_entry(), 5))
+    restarted.write("servers/s1", encode_entry(born=9), 11, 2)
+    assert restarted.usable() == ["s1"]
+    assert not restarted.applier.replica.overrides
+
+
+def test_overrides_survive_their_encoding():
+    restarted = restart_after_restore(op_config=(encode_config(20), 4))
+    page = restarted.applier.replica.changes_since(0)
+    assert page.overrides and decode_page(encode_page(page)) == page
+    heartbeat = Heartbeat("h1", 1, 3, 0, False, (), has_overrides=True)
+    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
--- a/tests/test_entry_restore_fleet.py
+++ b/tests/test_entry_restore_fleet.py
@@ -41,6 +41,15 @@
         await anyio.sleep(0.02)
 
 
+async def wait_for_status(
+    fleet: PlatformFleet, host: str, id: str, status: int
+) -> None:
+    """Sends requests to a route until the host answers with `status`."""
+    with anyio.fail_after(5):
+        while (await fleet.chat(host, id, "/later/x")).status != status:
+            await anyio.sleep(0.02)
+
+
 def hosts_listed(fleet: PlatformFleet) -> int:
     """Returns how many hosts have a record in the store."""
     keys = [f"corianderdoor/hosts/{name}" for name in fleet.hosts]
@@ -59,11 +68,7 @@
             store.state.put("op/config", build_config(2, routes))
             worker = await fleet.add_worker("plain-later", False)
             for name in fleet.hosts:
-                with anyio.fail_after(5):
-                    while (
-                        await fleet.chat(name, f"wait-{name}", "/later/x")
-                    ).status != 200:
-                        await anyio.sleep(0.02)
+                await wait_for_status(fleet, name, f"wait-{name}", 200)
             lists = store.calls["kv-range"]
             for _ in range(restores):
                 store.fault = "reset"
@@ -83,13 +88,14 @@
             for name in fleet.hosts:
                 reply = await fleet.chat(name, f"after-{name}", "/later/x")
                 assert reply.status == 200
+            # A host that starts now finds the older state in the store.
+            await fleet.add_host("host-late")
+            await wait_for_status(fleet, "host-late", "late", 200)
+            reply = await fleet.chat("host-late", "lost", "/read/x")
+            assert reply.status == 404
             store.state.put("op/config", build_config(3))
             for name in fleet.hosts:
-                with anyio.fail_after(5):
-                    while (
-                        await fleet.chat(name, f"new-{name}", "/later/x")
-                    ).status != 404:
-                        await anyio.sleep(0.02)
+                await wait_for_status(fleet, name, f"new-{name}", 404)
             assert worker is fleet.workers["plain-later"]
 
     anyio.run(run)
