Keep the exchange of streams' versions open whatever a datagram holds

Cause: an error other than a message that can't be read would end the transport, and with it the exchange of this host.

Change: every error counts as an invalid message, as for heartbeats.

Result: the 43 tests of copies pass.

--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -21,7 +21,6 @@
     StreamOrigin,
     StreamVersions,
 )
-from .peer_codec import MessageError
 from .stream_codec import (
     decode_stream_message,
     encode_stream_message,
@@ -197,7 +196,8 @@
         """Handles a message of a peer."""
         try:
             self._handle(decode_stream_message(data), (addr[0], addr[1]))
-        except MessageError as exc:
+        except Exception as exc:
+            # Whatever a datagram holds, the other peers' count.
             kind = "stream-message"
             self._planner.counters.add("invalid_messages", kind=kind)
             count = self._ignored.record(kind, self._clock.now_ms())
@@ -206,7 +206,7 @@
                     "stream_message_invalid",
                     "WARNING",
                     count=count,
-                    detail=str(exc),
+                    detail=repr(exc),
                 )
 
     def _handle(self, message: StreamMessage, addr: Address) -> None:
