Give peers all items after a listing that left a gap

Cause: a restarted host listed the store at revision 304. The removal of a server at 303 was in no listing, and, of a store that names no era, the host took its replica for complete: it told a peer at 302 the changes after that one, without the removal. The peer went on from 304, and never heard of it.

Change: a full page that leaves a gap marks what was removed before it as unknown, so that peers behind it get all items. Stores with an era did so at each restore.

--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -177,6 +177,9 @@
                 removal = Change(item.key, None, page.revision, grace_ms)
                 self._merge(removal)
                 merged.append(removal)
+        if page.full and page.revision > self.revision:
+            # What came and went since the last change here is not known.
+            self._trimmed_revision = page.revision
         self.revision = max(self.revision, page.revision)
         newest = max((change.revision for change in merged), default=0)
         self.changed_revision = max(self.changed_revision, newest)
--- a/tests/test_entry_restarts.py
+++ b/tests/test_entry_restarts.py
@@ -15,7 +15,7 @@
     KEEP_UNLISTED_MS,
     LeavingServers,
 )
-from corianderdoor.core.entry.replica import Change, Page
+from corianderdoor.core.entry.replica import Change, Page, Replica
 from corianderdoor.entry.peer_codec import (
     decode_heartbeat,
     decode_page,
@@ -140,3 +140,25 @@
     assert page.overrides and decode_page(encode_page(page)) == page
     heartbeat = Heartbeat("h1", 1, 3, 0, False, (), has_overrides=True)
     assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
+
+
+# Guards against DRAIN: a host that has just listed a store without an era
+# does not know what was removed before, and told a peer of its changes alone,
+# which went on using a server that had left (kestrel-lagoon-grown).
+@pytest.mark.parametrize("era", [0, 1])
+def test_peer_learns_of_a_server_that_left_before_a_restart(era):
+    behind, restarted = Host(), Host()
+    behind.list(5, era, servers_s1=(encode_entry(), 4))
+    restarted.list(7, era, op_config=(encode_config(20), 7))
+    page = restarted.applier.replica.changes_since(5)
+    behind.applier.apply(page, "h1", 0)
+    assert behind.usable() == []
+    assert behind.planner.desired.version == 20
+
+
+def test_host_that_missed_changes_gets_all_items_from_one_that_listed_them():
+    replica = Replica()
+    replica.apply(Page((Change("a", b"1", 2),), 2, True))
+    replica.apply(Page((Change("a", b"1", 2),), 9, True))
+    assert replica.changes_since(5).full
+    assert not replica.changes_since(9).full
