Share the room of servers up to the operators' bound

Cause: hosts shared the room below the bound that they keep to themselves, which is lower than the operators'.

Change: the room that is shared ends at twice the mean and three; the lower bound still holds for each host alone.

The fleet tests at 8 to 330 hosts pass.

--- a/corianderdoor/core/entry/placing.py
+++ b/corianderdoor/core/entry/placing.py
@@ -23,6 +23,8 @@
 # the platform's bound, as the known loads are out of date.
 NEW_CHAT_BOUND: Final = (1.4, 1.5)
 FULL_BOUND: Final = (1.8, 2.5)
+# Load above which a server holds too much by the platform's bound.
+HIGHEST_BOUND: Final = (2.0, 3.0)
 # Time to prefill a server's backlog above which it gets no new chats, as a
 # multiple of the longest pause that its streams may make: prefill delays the
 # events of all streams of a server.
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -13,6 +13,7 @@
 from .placing import (
     CACHED_CHAT_MAX_GAPS,
     FULL_BOUND,
+    HIGHEST_BOUND,
     LOAD_STEPS,
     max_backlog,
     measure_room,
@@ -281,6 +282,7 @@
 
         listed = self.servers.listed(flight.service)
         room = measure_room(servers, listed, load_of, FULL_BOUND)
+        shared = measure_room(servers, listed, load_of, HIGHEST_BOUND)
         if not flight.req.parts:
             return self._rank_without_prompt(flight, servers, room, now_ms)
         holders = self.caches.holders(flight.req.shared_parts()[-1], now_ms)
@@ -290,7 +292,8 @@
             for server in servers
             if server.id in holders
             and unread_of(server.id) <= most
-            and self.shares.may_send(server, room[server.id])
+            and room[server.id] >= 1
+            and self.shares.may_send(server, shared[server.id])
         ]
         if cached:
             return self.shares.spread(cached, holders)
@@ -300,7 +303,7 @@
         own = {
             server.id
             for server in free
-            if self.shares.may_send_new(server, room[server.id])
+            if self.shares.may_send_new(server, shared[server.id])
         }
         if own:
             ranked = rank_by_prompt(flight.req, servers)
@@ -330,10 +333,10 @@
         Loads decide as long as few requests come and go between two
         heartbeats.
         """
-        unseen = self.sends.count_unseen(
-            servers, self.shares.count_hosts(), now_ms
-        )
-        if unseen <= max(1, servers[0].slots // LOAD_STEPS):
+        hosts = self.shares.count_hosts()
+        step = max(1, servers[0].slots // LOAD_STEPS)
+        unseen = self.sends.count_unseen(servers, hosts, now_ms)
+        if unseen <= step:
             return rank_by_load(
                 servers,
                 lambda server_id: self.loads.of(server_id, now_ms),
@@ -350,7 +353,7 @@
             flight.req,
             free or servers,
             lambda server_id: self.loads.of(server_id, now_ms),
-            unseen,
+            max(step, unseen),
         )
 
     def find_cache_source(
