Place short requests by weight in all large fleets

Change: where more hosts serve than are all active in a small fleet, requests without a prompt are always placed by weight.

--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from .active_hosts import MIN_ACTIVE_HOSTS
 from .cache_map import CacheMap
 from .cache_source import find_cache_source
 from .first_event_forecast import FirstEventForecasts
@@ -331,12 +332,12 @@
         """Returns the servers for a request that none has cached.
 
         Loads decide as long as few requests come and go between two
-        heartbeats.
+        heartbeats. A host of a large fleet sends too few to know.
         """
         hosts = self.shares.count_hosts()
         step = max(1, servers[0].slots // LOAD_STEPS)
         unseen = self.sends.count_unseen(servers, hosts, now_ms)
-        if unseen <= step:
+        if hosts <= MIN_ACTIVE_HOSTS and unseen <= step:
             return rank_by_load(
                 servers,
                 lambda server_id: self.loads.of(server_id, now_ms),
