Lock the dependencies for arm64 as for x86-64

Cause: scripts/lock.py wrote one hash for each package, that of the wheel that suited the machine on which it ran, so 26 of 79 packages had no hash for arm64. On x86-64 with glibc 2.28 cryptography was refused as well (the hash was that of a wheel for a newer glibc).

`make lock` keeps the versions in force, `make lock UPGRADE=--upgrade` raises them. CPython 3.15 is left out: pycapnp and contourpy have no wheels for it.

On x86-64 nothing was run.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,16 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 DEPLOYMENT ?= cuidadoras
+# Options of uv that raise versions, such as --upgrade.
+UPGRADE ?=
+COMPILE := $(PY) -m uv pip compile --quiet --universal --python-version 3.11 \
+	--generate-hashes --no-annotate --no-header
+# These need the package registry.
+LOCK_TESTS := tests/test_lock_files.py
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: trial setup demo test paused soak check format lint types lock wheel
+.PHONY: trial setup demo test paused soak check format lint types lock \
+	check-locks wheel
 
 setup: $(STAMP)
 
@@ -18,7 +25,7 @@
 	DEPLOYMENT=$(DEPLOYMENT) $(PY) scripts/demo.py
 
 test: setup
-	$(PY) -m pytest
+	$(PY) -m pytest --ignore=$(LOCK_TESTS)
 
 format: setup
 	$(PY) -m black --check --quiet . || \
@@ -43,8 +50,18 @@
 
 check: format lint types test
 
+# uv prefers the versions of an output file that exists. It would keep that
+# file's hashes too, and so miss the wheels of other platforms.
 lock: setup
-	$(PY) scripts/lock.py
+	sed 's/ \\$$//; /--hash=/d' requirements-dev.lock > $(VENV)/dev.lock
+	rm -f $(VENV)/run.lock
+	$(COMPILE) $(UPGRADE) -o $(VENV)/dev.lock requirements-dev.in
+	$(COMPILE) -c $(VENV)/dev.lock -o $(VENV)/run.lock requirements.in
+	cp $(VENV)/dev.lock requirements-dev.lock
+	cp $(VENV)/run.lock requirements.lock
+
+check-locks: setup
+	$(PY) -m pytest $(LOCK_TESTS)
 
 wheel: setup
 	$(PY) -m pip wheel --no-deps --quiet -w dist .
