Add case 4 of the review: streams after a loss of power of all hosts

LOST: where streams began is kept in the memory of the hosts alone, so none goes on after all hosts have lost power. Its second form, TROUBLE=upgrade, has hosts replaced by the present build.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+# With TROUBLE=0 the case does the same without its disruption.
+# TROUBLE=upgrade has another disruption, and TROUBLE=replace is the same
+# without that one.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
+cd "$(dirname "$0")" || exit 2
+case "$TROUBLE" in
+upgrade | replace) exec python3 upgrade.py ;;
+esac
+exec python3 case.py
