--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -8,15 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 import socket
 from typing import cast, Final
 
 import h11
 
-from ..core.clock import MS_PER_SECOND
-from ..core.entry.addresses import Address
-
 Headers = list[tuple[bytes, bytes]]
 
 # Reading pauses above this number of unparsed bytes.
@@ -29,10 +26,6 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 3
 MAX_HEAD_BYTES: Final = 65_536
-# Turns of the event loop in which it delivers what has arrived.
-LOOP_TURNS: Final = 2
-# Turns that it needs to report a connection that is open.
-CONNECT_LOOP_TURNS: Final = 6
 
 
 class ConnectionBrokenError(Exception):
@@ -351,60 +344,3 @@
         """Closes the connection immediately and drops unsent bytes."""
         if self._transport is not None:
             self._transport.abort()
-
-
-async def deliver_pending() -> None:
-    """Lets the event loop deliver what has arrived.
-
-    A busy process may learn of bytes and of a timeout at once, in either
-    order.
-    """
-    for _ in range(LOOP_TURNS):
-        await asyncio.sleep(0)
-
-
-async def connect(
-    address: Address, timeout_ms: int, unacked_timeout_ms: int
-) -> H11Protocol | None:
-    """Opens a connection; returns None on failure or timeout."""
-    loop = asyncio.get_running_loop()
-    opening = asyncio.ensure_future(
-        loop.create_connection(
-            lambda: H11Protocol(
-                h11.CLIENT, unacked_timeout_ms=unacked_timeout_ms
-            ),
-            address[0],
-            address[1],
-        )
-    )
-    try:
-        await asyncio.wait({opening}, timeout=timeout_ms / MS_PER_SECOND)
-        for _ in range(CONNECT_LOOP_TURNS):
-            if not opening.done():
-                await asyncio.sleep(0)
-    except asyncio.CancelledError:
-        opening.add_done_callback(_abort_opened)
-        opening.cancel()
-        raise
-    if not opening.done():
-        opening.add_done_callback(_abort_opened)
-        opening.cancel()
-        return None
-    exc = opening.exception()
-    if exc is None:
-        return opening.result()[1]
-    if not isinstance(exc, OSError):
-        raise exc
-    return None
-
-
-def _abort_opened(
-    opening: asyncio.Future[tuple[asyncio.Transport, H11Protocol]],
-) -> None:
-    """Aborts a connection that nobody waits for any more."""
-    if not opening.cancelled() and opening.exception() is None:
-        opening.result()[1].abort()
-
-
-# Opens a connection, as `connect` does.
-Connect = Callable[[Address, int, int], Awaitable[H11Protocol | None]]
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -13,12 +13,8 @@
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.routing import CallerLimits
-from .http1 import (
-    ConnectionBrokenError,
-    deliver_pending,
-    H11Protocol,
-    Headers,
-)
+from .http1 import ConnectionBrokenError, H11Protocol, Headers
+from .http1_connect import deliver_pending
 from .logs import log_event
 
 LISTEN_BACKLOG: Final = 1_024
--- a/corianderdoor/adapters/tunnel.py
+++ b/corianderdoor/adapters/tunnel.py
@@ -6,7 +6,8 @@
 import h11
 
 from ..core.entry.addresses import Address
-from .http1 import Connect, ConnectionBrokenError, H11Protocol
+from .http1 import ConnectionBrokenError, H11Protocol
+from .http1_connect import Connect
 from .http1_server import ServerConnection
 
 CONNECT_METHOD = b"CONNECT"
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -8,12 +8,8 @@
 import h11
 
 from ..adapters.answer_meter import AnswerMeter
-from ..adapters.http1 import (
-    ConnectionBrokenError,
-    deliver_pending,
-    H11Protocol,
-    Headers,
-)
+from ..adapters.http1 import ConnectionBrokenError, H11Protocol, Headers
+from ..adapters.http1_connect import deliver_pending
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.flights import Flight, Send
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..adapters.http1 import deliver_pending
+from ..adapters.http1_connect import deliver_pending
 from ..adapters.http1_server import (
     ReceivedRequest,
     ServerConnection,
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -11,7 +11,7 @@
 import anyio
 import anyio.abc
 
-from ..adapters.http1 import Connect, connect
+from ..adapters.http1_connect import Connect, connect
 from ..adapters.http1_server import listen
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ..adapters.http1 import deliver_pending
+from ..adapters.http1_connect import deliver_pending
 from ..adapters.logs import log_event
 from ..core.clock import MS_PER_SECOND
 from .callers import CallerService
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -10,7 +10,8 @@
 import anyio
 import h11
 
-from ..adapters.http1 import connect, ConnectionBrokenError
+from ..adapters.http1 import ConnectionBrokenError
+from ..adapters.http1_connect import connect
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
 from ..adapters.logs import log_event
 from ..adapters.tunnel import CONNECT_METHOD
--- a/corianderdoor/entry/server_links.py
+++ b/corianderdoor/entry/server_links.py
@@ -8,7 +8,8 @@
 
 import anyio
 
-from ..adapters.http1 import Connect, connect, H11Protocol
+from ..adapters.http1 import H11Protocol
+from ..adapters.http1_connect import Connect, connect
 from ..adapters.logs import log_event
 from ..adapters.staggered import Attempt, open_first
 from ..adapters.tunnel import open_tunnel
--- a/corianderdoor/entry/tunnels.py
+++ b/corianderdoor/entry/tunnels.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from ..adapters.http1 import Connect
+from ..adapters.http1_connect import Connect
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
 from ..adapters.logs import log_event
 from ..adapters.tunnel import pass_on
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from ..adapters.answer_meter import AnswerMeter
-from ..adapters.http1 import connect, ConnectionBrokenError, H11Protocol
+from ..adapters.http1 import ConnectionBrokenError, H11Protocol
+from ..adapters.http1_connect import connect
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.counters import Counters
--- a/corianderdoor/soak/callers.py
+++ b/corianderdoor/soak/callers.py
@@ -9,7 +9,8 @@
 import anyio
 import msgspec
 
-from ..adapters.http1 import connect, H11Protocol
+from ..adapters.http1 import H11Protocol
+from ..adapters.http1_connect import connect
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..platform.directory import DIRECTORY_PATH
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -18,7 +18,7 @@
 import anyio.abc
 import msgspec
 
-from ..adapters.http1 import connect
+from ..adapters.http1_connect import connect
 from ..adapters.http1_server import listen
 from ..core.clock import SystemClock
 from ..entry.host import EntryHost
--- a/corianderdoor/standins/platform_links.py
+++ b/corianderdoor/standins/platform_links.py
@@ -60,7 +60,7 @@
     async def connect(
         self, address: Address, timeout_ms: int, unacked_timeout_ms: int
     ) -> H11Protocol | None:
-        """Opens a connection as `adapters.http1.connect` does."""
+        """Opens a connection as `http1_connect.connect` does."""
         if self._mode == "hang":
             await anyio.sleep(timeout_ms / MS_PER_SECOND)
             return None
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -24,7 +24,7 @@
 )
 from soak_faults import FaultInjector
 
-from corianderdoor.adapters.http1 import connect
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.soak.callers import Caller
 from corianderdoor.soak.checks import (
     AT_MOST_ONCE_KINDS,
--- a/scripts/stop_check.py
+++ b/scripts/stop_check.py
@@ -21,7 +21,8 @@
 import anyio.abc
 from soak_deployment import Host
 
-from corianderdoor.adapters.http1 import connect, H11Protocol
+from corianderdoor.adapters.http1 import H11Protocol
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.adapters.logs import set_up_entry_logs
 from corianderdoor.core.clock import SystemClock
 from corianderdoor.standins.platform_caller import read_answer, write_chat
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -4,7 +4,7 @@
 
 import random
 
-from corianderdoor.adapters.http1 import connect
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.core.entry.counters import Counters
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.core.entry.requests import CallerRequest, PromptPart
--- a/tests/test_entry_busy_host.py
+++ b/tests/test_entry_busy_host.py
@@ -20,7 +20,7 @@
 from entry_builders import build_planner, build_pool, build_server, KEY
 import pytest
 
-from corianderdoor.adapters.http1 import connect
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.adapters.http1_server import listen
 from corianderdoor.core.clock import SystemClock
 from corianderdoor.core.entry.peers import Peers
--- a/tests/test_entry_endless_bytes.py
+++ b/tests/test_entry_endless_bytes.py
@@ -7,7 +7,8 @@
 from test_entry_path import run, wait_for
 
 from corianderdoor.adapters.answer_meter import MAX_FRAMING_BYTES
-from corianderdoor.adapters.http1 import connect, ConnectionBrokenError
+from corianderdoor.adapters.http1 import ConnectionBrokenError
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.core.entry.events import EventSplitter
 from corianderdoor.entry.answer_reader import MAX_ANSWER_BYTES
 from corianderdoor.platform.store import read_full_answer
--- a/tests/test_entry_idle_limit_changes.py
+++ b/tests/test_entry_idle_limit_changes.py
@@ -6,7 +6,7 @@
 import msgspec
 from test_entry_path import run, wait_for
 
-from corianderdoor.adapters.http1 import connect
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.standins.platform_caller import read_answer, write_request
 from corianderdoor.standins.platform_fleet import (
     build_config,
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -9,7 +9,7 @@
 from loguru import logger
 import pytest
 
-from corianderdoor.adapters.http1 import connect
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.standins.platform_fleet import (
     build_config,
     METRICS_PORT,
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -10,7 +10,8 @@
 import pytest
 from test_entry_path import IDS, run, wait_for
 
-from corianderdoor.adapters.http1 import connect, H11Protocol
+from corianderdoor.adapters.http1 import H11Protocol
+from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.adapters.staggered import Attempt, open_first
 from corianderdoor.adapters.tunnel import open_tunnel
 from corianderdoor.core.entry.heartbeat import Heartbeat
