Read kept connections on after many or long requests

Cause: the sum of unparsed bytes, by which reading pauses, was set back only where the parser asked for more bytes. Whole requests never lead to that.

The sum is an upper bound now. When it crosses the mark, it is replaced by what the parser holds, and the end of a message resumes reading if that is little. The bound stays for callers that send on without reading.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -127,10 +127,27 @@
             self.h11.receive_data(data)
         except (RuntimeError, h11.ProtocolError):
             self.abort()  # the parser is in an error state
-        if self._unparsed_bytes > READ_HIGH_WATER_BYTES and not self._paused:
+        self._limit_reading()
+        self._wake_reader()
+
+    def _limit_reading(self) -> None:
+        """Reads from the peer while few bytes wait for the parser.
+
+        The count is an upper bound: the parser does not tell how much it has
+        used up, and looking at what it holds copies all of it.
+        """
+        if self._unparsed_bytes > READ_HIGH_WATER_BYTES:
+            self._unparsed_bytes = len(self.h11.trailing_data[0])
+        if self._unparsed_bytes <= READ_HIGH_WATER_BYTES:
+            self._resume_reading()
+        elif not self._paused:
             self._paused = True
             self._open_transport().pause_reading()
-        self._wake_reader()
+
+    def _resume_reading(self) -> None:
+        if self._paused and not self._open_transport().is_closing():
+            self._paused = False
+            self._open_transport().resume_reading()
 
     def eof_received(self) -> bool:
         """Handles the end of the peer's stream."""
@@ -192,15 +209,17 @@
                 protocol_error = not self.eof
                 raise ConnectionBrokenError(str(exc), protocol_error) from exc
             if event is not h11.NEED_DATA:
+                if isinstance(event, h11.EndOfMessage):
+                    # The end of the connection has to be noticed while the
+                    # message is handled.
+                    self._limit_reading()
                 return event  # type: ignore[return-value]
             self._unparsed_bytes = 0
             if self.lost:
                 raise ConnectionBrokenError(
                     f"connection lost: {self.lost_reason}"
                 )
-            if self._paused:
-                self._paused = False
-                self._open_transport().resume_reading()
+            self._resume_reading()
             await self._wait_for_data()
 
     async def wait_for_bytes(self) -> None:
@@ -211,9 +230,8 @@
     async def discard(self) -> None:
         """Waits for more bytes and discards them."""
         self.h11 = h11.Connection(self._role)
-        if self._paused:
-            self._paused = False
-            self._open_transport().resume_reading()
+        self._unparsed_bytes = 0
+        self._resume_reading()
         await self._wait_for_data()
 
     async def _wait_for_data(self) -> None:
