Resume streams after the loss of all hosts by evidence in the store

Cause: the version that began a stream, and the versions that a service had, were known to hosts alone. Refusing was all that kept ORDER: the servers of another version may have left a moment ago.

The hosts now keep a ledger in the store of the versions that may have begun streams, and streams begin at recorded versions while one is in service. Both are read when a stream is taken up that no host knows, so the evidence is never older than the question; without it the stream is refused as before.

--- a/corianderdoor/core/entry/rollouts.py
+++ b/corianderdoor/core/entry/rollouts.py
@@ -30,6 +30,9 @@
 # Heartbeats without delay after a change.
 URGENT_HEARTBEATS: Final = 3
 
+# `exposure_share`, `exposure_slack` and `rollback_ms` of `Rollouts`.
+RolloutBounds = tuple[float, int, int]
+
 
 class Rollouts:
     """Rollouts of all services, as one host sees them.
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -29,7 +29,7 @@
 from .prefill_rates import PrefillRates, REFERENCE_RATE
 from .process_pauses import ProcessPauses
 from .requests import CallerRequest
-from .rollouts import Rollouts
+from .rollouts import RolloutBounds, Rollouts
 from .room_shares import RoomShares
 from .routing import DEFAULT_GAP_MS, DesiredState, Service
 from .server_ejection import ServerEjections
@@ -39,11 +39,9 @@
 from .server_sends import ServerSends
 from .servers import BackendServer, Servers
 from .suspected_restarts import SuspectedRestarts
+from .version_ledger import KnownLedger
 from .waiting_requests import WaitingRequests
 
-# `exposure_share`, `exposure_slack` and `rollback_ms` of `Rollouts`.
-RolloutBounds = tuple[float, int, int]
-
 
 class ServerSelection:
     """What one entry host knows of the servers, and whom it may choose.
@@ -69,6 +67,7 @@
         forecasts: Forecasts of the time to the first event.
         waiting: Servers that state that requests wait there.
         rollouts: Rollouts of new versions.
+        ledger: Versions that may have begun streams.
         process_pauses: The last pause of this process.
         on_pause: Called with the length of a pause in ms when it is noticed.
     """
@@ -92,6 +91,7 @@
         "forecasts",
         "waiting",
         "rollouts",
+        "ledger",
         "process_pauses",
         "on_pause",
         "_name",
@@ -130,6 +130,7 @@
         self.rollouts = Rollouts(
             name, self.servers, self.loads, self.may_be_cold, *bounds
         )
+        self.ledger = KnownLedger()
         self.process_pauses = ProcessPauses()
         self.on_pause: Callable[[int], None] = lambda gap_ms: None
         self._name = name
@@ -211,6 +212,8 @@
             listed = self.rollouts.allowed(flight.service, listed)
         if flight.version is not None:
             listed = [s for s in listed if self._continues(flight, s)]
+        elif flight.route.resumable:
+            listed = self.ledger.prefer_recorded(flight.service, listed)
         if flight.returning:
             return [s for s in listed if s.id == flight.left_server]
         return [s for s in listed if s.id not in flight.excluded]
--- a/corianderdoor/core/entry/version_history.py
+++ b/corianderdoor/core/entry/version_history.py
@@ -58,6 +58,18 @@
         """Records that this process was suspended, which is a gap."""
         self._since_ms = None
 
+    def covered_ms(self, now_ms: int) -> int:
+        """Returns for how long this host has seen the list without a gap."""
+        return 0 if self._since_ms is None else now_ms - self._since_ms
+
+    def absent_ms(self, service: str, version: str, now_ms: int) -> int:
+        """Returns for how long a version is known not to have been listed."""
+        seen_ms = self._seen_ms.get(service, {}).get(version)
+        covered_ms = self.covered_ms(now_ms)
+        if seen_ms is None:
+            return covered_ms
+        return min(covered_ms, now_ms - seen_ms)
+
     def find_only(
         self, service: str, servers: Servers, span_ms: int, now_ms: int
     ) -> str | None:
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -38,6 +38,7 @@
 from .gauges import build_gauges
 from .host_stop import HostStop
 from .host_ticks import HostTicks
+from .ledger_writer import LedgerWriter
 from .metrics import MetricsService
 from .peering import Peering
 from .registration import Registration
@@ -47,7 +48,9 @@
 from .server_marks import ServerMarks
 from .state_applier import StateApplier
 from .state_sync import FIRST_START_DELAY_MS, StateSync
+from .stored_streams import StoredStreams
 from .stream_registry import PORT_OFFSET, StreamRegistry
+from .stream_saver import StreamSaver
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
@@ -74,6 +77,8 @@
         "_rollout_writer",
         "_marks",
         "_streams",
+        "_stream_saver",
+        "_ledger_writer",
         "_crash_checks",
         "_callers",
         "_directory",
@@ -205,7 +210,30 @@
         self._crash_checks = CrashChecks(
             self._planner, self._pool, clock, self._is_isolated
         )
-        self._streams = StreamRegistry(self._planner, self._peers, clock)
+        self._streams = StreamRegistry(
+            self._planner,
+            self._peers,
+            clock,
+            StoredStreams(self._connect_store(), self._planner.servers),
+        )
+        self._stream_saver = StreamSaver(
+            self._connect_store(),
+            self._planner,
+            self._peers,
+            self._streams.begun,
+            clock,
+            settings.name,
+            settings.store_writes_per_s,
+        )
+        self._ledger_writer = LedgerWriter(
+            self._connect_store(),
+            self._planner,
+            self._peers,
+            self._applier.replica,
+            self._streams.history,
+            clock,
+            settings.first_start,
+        )
         self._callers = CallerService(
             self._planner, self._pool, self._marks, self._streams, clock
         )
@@ -310,6 +338,8 @@
                 self._list_waiting,
             ),
             "streams": self._streams.run,
+            "stream-saver": self._stream_saver.run,
+            "stream-ledger": self._ledger_writer.run,
             "crash-checks": self._crash_checks.run,
             "ticks": self._ticks.run,
         }
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -131,6 +131,7 @@
         if refusal is not None:
             await self._refuse(refusal)
             return
+        self._streams.record_complete(flight)
         self._count_outcome("served")
         log_event(
             "request_done",
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -21,6 +21,7 @@
     Evacuation,
     HostListed,
     HostRemoved,
+    LedgerChange,
     RolloutOrderChange,
     RolloutRecordChange,
     ServerListed,
@@ -347,6 +348,10 @@
         if self._rollouts is not None:
             self._rollouts.apply_record(decoded)
 
+    @_apply_decoded.register
+    def _(self, decoded: LedgerChange, from_copy: bool) -> None:
+        self._planner.selection.ledger.record(decoded.ledger, self.replica.era)
+
     @_apply_decoded.register
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         log_event(
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -15,6 +15,7 @@
 from ..platform.records import CACHES_KEY
 from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
 from ..platform.store_era import StoreEra
+from ..platform.stream_records import BEGUN_PREFIX
 from .peering import Peering
 from .state_applier import OUTAGE_GRACE_MS, StateApplier
 
@@ -274,7 +275,9 @@
         changes = tuple(
             Change(item.key, item.value, item.revision, grace_ms)
             for item in items
-            if full or item.key != CACHES_KEY
+            if (full or item.key != CACHES_KEY)
+            # Hosts read these when they need them.
+            and not item.key.startswith(BEGUN_PREFIX)
         )
         restored = self._applier.replica.era < era
         restored_revision = (
--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -10,6 +10,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
+from ..core.entry.begun_streams import BegunStreams
 from ..core.entry.flights import Flight, Refuse
 from ..core.entry.ignored_marks import IgnoredMarks
 from ..core.entry.peer import Peer
@@ -18,9 +19,11 @@
 from ..core.entry.stream_homes import StreamHomes
 from ..core.entry.stream_versions import (
     digest_stream,
+    RESUME_MARGIN_MS,
     StreamOrigin,
     StreamVersions,
 )
+from .stored_streams import StoredStreams
 from .stream_codec import (
     decode_stream_message,
     encode_stream_message,
@@ -55,17 +58,32 @@
 
 
 class StreamRegistry(asyncio.DatagramProtocol):
-    """Tells peers where streams began, and asks them."""
+    """Tells peers where streams began, and asks them.
 
-    def __init__(self, planner: Planner, peers: Peers, clock: Clock) -> None:
+    Attributes:
+        begun: The streams in progress here.
+        history: Versions that the servers of each service had.
+    """
+
+    def __init__(
+        self,
+        planner: Planner,
+        peers: Peers,
+        clock: Clock,
+        stored: StoredStreams | None = None,
+    ) -> None:
         """Initializes the protocol.
 
         Args:
             planner: Has the listed servers and the counters.
             peers: The other hosts.
             clock: The clock.
+            stored: What the store has of streams; None without a store.
         """
         self._versions = StreamVersions()
+        self.begun = BegunStreams()
+        self.history = self._versions.history
+        self._stored = stored
         self._homes = StreamHomes()
         self._planner = planner
         self._peers = peers
@@ -110,6 +128,7 @@
         if begun is None:
             return
         stream, origin, left_ms = begun
+        self.begun.add(stream, origin, now_ms + left_ms)
         message = StreamMessage(
             stream, StreamMessageKind.RECORD, 0, origin, left_ms
         )
@@ -117,6 +136,13 @@
         for peer in self._homes.find_copied(stream, now_ms):
             self._send(data, _locate(peer))
 
+    def record_complete(self, flight: Flight) -> None:
+        """Records that the caller has all of a request's answer."""
+        if flight.version is not None:
+            self.begun.discard(digest_stream(flight.req.id))
+            if flight.req.resumes is not None:
+                self.begun.discard(digest_stream(flight.req.resumes))
+
     async def prepare(self, flight: Flight) -> Refuse | None:
         """Finds the version for a stream that its caller resumes.
 
@@ -128,15 +154,23 @@
             return None
         if req.last_event_id is None and req.resumes is None:
             return None
+        stream: int | None = None
         origin: StreamOrigin | None = None
         if req.resumes is not None:
-            origin = await self._find(digest_stream(req.resumes))
-        refusal = self._versions.resume(
-            flight, origin, self._planner.servers, self._clock.now_ms()
-        )
-        outcome = "refused" if refusal else "unknown"
-        if refusal is None and flight.version is not None:
-            outcome = "known" if origin is not None else "only-version"
+            stream = digest_stream(req.resumes)
+            origin = await self._find(stream)
+        outcome = "known" if origin is not None else "only-version"
+        refusal = self._resume(flight, origin)
+        if flight.version is None and origin is None and self._stored:
+            # No host that was asked knows it; the store may.
+            origin = await self._stored.find(stream, flight.service)
+            if origin is not None:
+                outcome = "stored"
+                refusal = self._resume(flight, origin)
+        if flight.version is None:
+            outcome = "refused" if refusal else "unknown"
+        elif stream is not None:
+            self._keep_resumed(flight, stream)
         self._planner.counters.add("resumed_streams", outcome=outcome)
         log_event(
             "stream_resumed",
@@ -147,6 +181,20 @@
         )
         return refusal
 
+    def _resume(
+        self, flight: Flight, origin: StreamOrigin | None
+    ) -> Refuse | None:
+        return self._versions.resume(
+            flight, origin, self._planner.servers, self._clock.now_ms()
+        )
+
+    def _keep_resumed(self, flight: Flight, stream: int) -> None:
+        """Keeps the origin of a resumed stream, which may break off again."""
+        assert flight.version is not None
+        origin = StreamOrigin(flight.service, flight.version)
+        until_ms = int(flight.deadline_ms) + RESUME_MARGIN_MS
+        self.begun.add(stream, origin, until_ms)
+
     async def _find(self, stream: int) -> StreamOrigin | None:
         """Returns the origin of a stream; None if nobody knows it."""
         now_ms = self._clock.now_ms()
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -9,6 +9,7 @@
 from ..core.entry.rollout_records import RolloutOrder, RolloutRecord
 from ..core.entry.routing import DesiredState
 from ..core.entry.servers import BackendServer
+from ..core.entry.version_ledger import VersionLedger
 from ..core.records import Record
 from .records import (
     CACHES_KEY,
@@ -27,6 +28,7 @@
     ORDER_PREFIX,
     ROLLOUT_PREFIX,
 )
+from .stream_records import decode_ledger, LEDGER_KEY
 
 
 class ServerListed(Record):
@@ -141,6 +143,19 @@
         self.record = record
 
 
+class LedgerChange(Record):
+    """The hosts' ledger of the versions of streams was written or removed.
+
+    Attributes:
+        ledger: The ledger; None if it was removed.
+    """
+
+    __slots__ = ("ledger",)
+
+    def __init__(self, ledger: VersionLedger | None) -> None:
+        self.ledger = ledger
+
+
 class UnusableRecord(Record):
     """A value in the store that can't be decoded."""
 
@@ -161,6 +176,7 @@
     | CacheSnapshot
     | RolloutOrderChange
     | RolloutRecordChange
+    | LedgerChange
     | UnusableRecord
 )
 
@@ -189,6 +205,10 @@
         return _decode_order_change(change, key[len(ORDER_PREFIX) :])
     if key.startswith(ROLLOUT_PREFIX):
         return _decode_rollout_change(change, key[len(ROLLOUT_PREFIX) :])
+    if key == LEDGER_KEY:
+        return LedgerChange(
+            None if change.value is None else decode_ledger(change.value)
+        )
     if key == DESIRED_KEY and change.value is not None:
         return DesiredStateChange(decode_desired(change.value))
     if key == CACHES_KEY and change.value is not None:
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -36,6 +36,7 @@
         directory: Address on which callers look up which host to use.
         peer_ports: First and last port for traffic between entry hosts.
         store: Address of the platform's store.
+        store_writes_per_s: Writes a second that the store takes of all hosts.
         heartbeat_ms: Interval between heartbeats of a backend server.
         grace_ms: Time between the stop signal and the kill.
         cold_factor: Multiple of a cold server's request rate that may be
@@ -69,6 +70,7 @@
         "directory",
         "peer_ports",
         "store",
+        "store_writes_per_s",
         "heartbeat_ms",
         "grace_ms",
         "cold_factor",
@@ -97,6 +99,7 @@
         self.directory = parse_address(raw.listen_addresses.directory_service)
         self.peer_ports = raw.internal_port_range
         self.store = parse_address(raw.platform.address)
+        self.store_writes_per_s = raw.platform.writes_per_s
         self.heartbeat_ms = raw.heartbeat_interval_ms
         self.grace_ms = int(bounds.grace_period_s * MS_PER_SECOND)
         self.cold_factor = bounds.cold_factor
@@ -140,6 +143,7 @@
 
 class _Store(msgspec.Struct):
     address: str
+    writes_per_s: float = 400.0
 
 
 class _Limits(msgspec.Struct):
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -137,6 +137,7 @@
     data_centre: str = "a",
     retry_budget_slack: int = RETRY_BUDGET_SLACK,
     contracts: tuple[str, ...] = (),
+    first_start: bool = False,
 ) -> bytes:
     """Returns the settings file of an entry host at `address`."""
     return msgspec.json.encode(
@@ -151,6 +152,7 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 5],
             "platform": {"address": f"{store[0]}:{store[1]}"},
+            "initial_start": first_start,
             "contracts": list(contracts),
             "bounds": {
                 "grace_period_s": GRACE_PERIOD_S,
@@ -186,6 +188,7 @@
         self.hosts: dict[str, tuple[str, int]] = {}
         self.links: dict[str, ServerLinks] = {}
         self._stop_events: dict[str, anyio.Event] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
         self._tasks = tasks
         self._next_address = 1
         pid = os.getpid()
@@ -206,7 +209,7 @@
         for number in range(plain):
             await self.add_worker(f"plain-{number}", False)
         for number in range(hosts):
-            await self.add_host(f"host-{number}")
+            await self.add_host(f"host-{number}", first_start=True)
 
     async def add_worker(
         self,
@@ -267,11 +270,20 @@
         value = msgspec.json.encode(entry)
         self.store.state.put(f"servers/{id}", value)
 
-    async def add_host(self, name: str) -> None:
-        """Starts an entry host and waits until it is ready."""
+    async def add_host(self, name: str, first_start: bool = False) -> None:
+        """Starts an entry host and waits until it is ready.
+
+        Args:
+            name: Name of the host.
+            first_start: Whether no host has served before.
+        """
         address = self.allocate_address()
         settings = build_settings(
-            name, address, self.store_address, contracts=self.contracts
+            name,
+            address,
+            self.store_address,
+            contracts=self.contracts,
+            first_start=first_start,
         )
         self.links[name] = ServerLinks()
         host = EntryHost(
@@ -284,7 +296,13 @@
         )
         self._stop_events[name] = anyio.Event()
         self.hosts[name] = (address, PORT)
-        self._tasks.start_soon(host.run, self._stop_events[name])
+        scope = self._scopes[name] = anyio.CancelScope()
+
+        async def run_host(stop: anyio.Event) -> None:
+            with scope:
+                await host.run(stop)
+
+        self._tasks.start_soon(run_host, self._stop_events[name])
         await self.wait_ready(name)
 
     async def wait_ready(self, name: str) -> None:
@@ -307,6 +325,10 @@
         """Starts the graceful shutdown of a host, as SIGTERM does."""
         self._stop_events[name].set()
 
+    def kill_host(self, name: str) -> None:
+        """Ends a host at once, as SIGKILL does; its record stays."""
+        self._scopes[name].cancel()
+
     async def chat(
         self, host: str, id: str, path: str = "/chat/x", **headers: str
     ) -> Reply:
--- a/tests/test_entry_stream_versions.py
+++ b/tests/test_entry_stream_versions.py
@@ -10,7 +10,12 @@
 from test_entry_path import IDS, run, set_modes
 
 from corianderdoor.platform.headers import read_caller_request
-from corianderdoor.standins.platform_fleet import METRICS_PORT, send_request
+from corianderdoor.platform.stream_records import decode_ledger, LEDGER_KEY
+from corianderdoor.standins.platform_fleet import (
+    ENGINE_SERVICE,
+    METRICS_PORT,
+    send_request,
+)
 
 ENGINES = 2
 
@@ -20,13 +25,23 @@
     for version in versions:
         for number in range(ENGINES):
             await fleet.add_worker(f"{version}-{number}", True, version)
-    newest = fleet.store.state.revision
     with anyio.fail_after(10):
+        while not names_versions(fleet, versions):
+            await anyio.sleep(0.02)
+        newest = fleet.store.state.revision
         for host in fleet.hosts:
             while await read_metric(fleet, host, "replica_revision") < newest:
                 await anyio.sleep(0.02)
 
 
+def names_versions(fleet, versions):
+    """Returns whether streams may begin at the versions."""
+    value = fleet.store.state.read_value(LEDGER_KEY)
+    if value is None:
+        return False
+    return decode_ledger(value).versions[ENGINE_SERVICE].issuperset(versions)
+
+
 async def read_metric(fleet, host, name):
     """Returns the value of the first metric whose line has `name`."""
     address = (fleet.hosts[host][0], METRICS_PORT)
