Refuse requests that come late in a planned stop and may outlast it

Cause: a connection in the middle of an answer at the SIGTERM stays open for one more request, which may come at any time. How much of the grace period was left was known, and not compared with how long the request may last.

Requests that come later than 2.5 s after the signal get 503 at once if their deadline, or one and a half times the longest of the last 32 answers of their route, is after the end. They have not run; their callers go to another host.

--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -14,6 +14,7 @@
 )
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.planned_stop import PlannedStop
 from ..core.entry.planner import Planner
 from ..core.entry.routing import CallerLimits, DEFAULT_LIMITS
 from ..platform.headers import (
@@ -44,10 +45,12 @@
 
     Attributes:
         draining: Whether connections close after the answer in progress.
+        stop: The planned stop, and what still fits in.
     """
 
     __slots__ = (
         "draining",
+        "stop",
         "_planner",
         "_pool",
         "_marks",
@@ -68,6 +71,7 @@
         clock: Clock,
     ) -> None:
         self.draining = False
+        self.stop = PlannedStop()
         self._planner = planner
         self._pool = pool
         self._marks = marks
@@ -99,9 +103,15 @@
         self.count_busy()  # drops those whose bytes are sent by now
         return len(self._unsent) + len(self._conns)
 
-    def drain(self) -> None:
-        """Makes each connection close after the answer in progress."""
+    def drain(self, accept_ms: int, span_ms: int) -> None:
+        """Makes each connection close after the answer in progress.
+
+        Args:
+            accept_ms: Time in which all requests are taken.
+            span_ms: Time after which `end_requests` is called.
+        """
         self.draining = True
+        self.stop.begin(accept_ms, span_ms, self._clock.now_ms())
         for conn in self._conns:
             conn.closing = True
 
@@ -197,6 +207,7 @@
             self._pool,
             self._marks,
             self._streams,
+            self.stop,
             self._clock,
             conn,
             req,
--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -73,14 +73,15 @@
         log_event("stopping", in_progress=self._callers.count_busy())
         self._peering.leaving = True
         self._directory.leaving = True
-        self._callers.drain()
+        accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
+        self._callers.drain(accept_ms, span_ms)
         self._peering.send_heartbeats()
         # Bounds all of the stop: the store may not answer, and a grace period
         # may be shorter than the delays below.
         with anyio.move_on_after(span_ms / MS_PER_SECOND):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._registration.withdraw)
-                await self._drain_connections(listener, span_ms)
+                await self._drain_connections(listener, accept_ms)
         listener.close()
         log_event("shutdown_done", in_progress=self._callers.count_busy())
         if self._callers.count_open():
@@ -88,10 +89,14 @@
             await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
 
     async def _drain_connections(
-        self, listener: asyncio.Server, span_ms: int
+        self, listener: asyncio.Server, accept_ms: int
     ) -> None:
-        """Waits until callers and peers have no connection here."""
-        accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
+        """Waits until callers and peers have no connection here.
+
+        Args:
+            listener: Accepts connections.
+            accept_ms: How long it goes on doing so.
+        """
         idle_ms = min(IDLE_CLOSE_DELAY_MS, accept_ms)
         await anyio.sleep(idle_ms / MS_PER_SECOND)
         await self._callers.close_idle()
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -21,6 +21,7 @@
     Refuse,
     Send,
 )
+from ..core.entry.planned_stop import PlannedStop
 from ..core.entry.planner import Planner, RETRYABLE_STATUSES
 from ..core.entry.requests import CallerRequest
 from ..core.entry.servers import BackendServer
@@ -53,6 +54,7 @@
         "_pool",
         "_marks",
         "_streams",
+        "_stop",
         "_clock",
         "_conn",
         "_req",
@@ -72,6 +74,7 @@
         pool: ConnectionPool,
         marks: ServerMarks,
         streams: StreamRegistry,
+        stop: PlannedStop,
         clock: Clock,
         conn: ServerConnection,
         req: CallerRequest,
@@ -80,6 +83,7 @@
         self._pool = pool
         self._marks = marks
         self._streams = streams
+        self._stop = stop
         self._clock = clock
         self._conn = conn
         self._req = req
@@ -102,11 +106,11 @@
             return
         self._flight = flight
         left_ms = flight.deadline_ms - now_ms
-        refusal: Refuse | None = None
+        refusal = self._stop.find_refusal(flight, now_ms)
         finished = False
         try:
             with anyio.move_on_after(left_ms / MS_PER_SECOND) as scope:
-                refusal = await self._streams.prepare(flight)
+                refusal = refusal or await self._streams.prepare(flight)
                 if refusal is None:
                     refusal = await self._run_attempts(flight)
             if scope.cancelled_caught:
@@ -132,6 +136,7 @@
             await self._refuse(refusal)
             return
         self._streams.record_complete(flight)
+        self._stop.record_answer(flight, self._clock.now_ms())
         self._count_outcome("served")
         log_event(
             "request_done",
--- a/tests/test_entry_busy_host.py
+++ b/tests/test_entry_busy_host.py
@@ -212,7 +212,7 @@
         assert (await receive(caller)).endswith(ANSWER_END)
 
         async def stop() -> None:
-            host.callers.drain()
+            host.callers.drain(2_500, 7_440)
             await anyio.sleep(0.3)
             await host.callers.close_idle()
 
@@ -249,7 +249,7 @@
         async def _answer(self, conn, received):
             sock = conn.protocol._transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            self.drain()
+            self.drain(2_500, 7_440)
             await conn.respond(200, [], BODY)
 
     class Planner:
--- /dev/null
+++ b/tests/test_entry_late_requests.py
@@ -0,0 +1,155 @@
+"""Requests that arrive late in a planned stop, on connections in use."""
+
+from __future__ import annotations
+
+import anyio
+from entry_builders import build_request, build_route
+import pytest
+from test_entry_path import IDS, run, set_modes, total_runs
+
+from corianderdoor.adapters.http1_connect import connect
+from corianderdoor.core.entry.flights import Flight
+from corianderdoor.core.entry.planned_stop import (
+    MAX_ROUTES,
+    MIN_ANSWERS,
+    PlannedStop,
+)
+from corianderdoor.core.entry.routing import RouteKind
+from corianderdoor.entry import host_stop
+from corianderdoor.standins.platform_caller import read_answer, write_chat
+from corianderdoor.standins.platform_fleet import CALLER_HOST, KEY, Reply
+
+ACCEPT_MS = 2_500
+SPAN_MS = 7_440
+
+
+class KeptConnection:
+    """A caller's connection to a host that it uses again and again."""
+
+    def __init__(self, protocol):
+        self.protocol = protocol
+
+    @classmethod
+    async def open(cls, fleet, host):
+        """Returns a connection to a host."""
+        protocol = await connect(fleet.hosts[host], 1_000, 0)
+        assert protocol is not None
+        return cls(protocol)
+
+    async def ask(self, id, path, deadline_ms=3_000):
+        """Returns the answer to a request."""
+        reply = Reply()
+        write_chat(self.protocol, CALLER_HOST, id, path, KEY, "", deadline_ms)
+        await read_answer(self.protocol, reply)
+        self.protocol.reset_cycle()
+        return reply
+
+
+async def stop_during_answer(fleet, conn):
+    """Stops host-0 inside a stream on `conn`, which ends late in the stop."""
+    set_modes(fleet, "pause", engine=True)
+    for worker in fleet.workers.values():
+        worker.pause_ms = 1_200
+    async with anyio.create_task_group() as tasks:
+
+        async def ask() -> None:
+            reply = await conn.ask("first", "/draft/x")
+            assert reply.complete and b"connection" not in reply.headers
+
+        tasks.start_soon(ask)
+        await anyio.sleep(0.2)
+        fleet.stop_host("host-0")
+    set_modes(fleet, "", engine=True)
+
+
+# Guards against LOST: streams that were taken late in the grace period were
+# cut at its end (reports of other operators; kestrel-lagoon-grown).
+@pytest.mark.parametrize("path", ["/chat/x", "/draft/x", "/pay/x"])
+def test_late_request_that_may_outlast_the_stop_is_refused_at_once(
+    path, monkeypatch
+):
+    monkeypatch.setattr(host_stop, "ACCEPT_AFTER_STOP_MS", 700)
+    monkeypatch.setattr(host_stop, "IDLE_CLOSE_DELAY_MS", 300)
+    monkeypatch.setattr(host_stop, "GRACE_PERIOD_SHARE", 0.5)
+
+    async def scenario(fleet):
+        conn = await KeptConnection.open(fleet, "host-0")
+        await stop_during_answer(fleet, conn)
+        reply = await conn.ask("late", path)
+        assert (reply.status, reply.complete) == (503, True)
+        assert reply.headers[b"connection"] == b"close"
+        assert float(reply.headers[b"retry-after"]) < 1
+        assert total_runs(fleet, "late") == 0
+        # Another host takes it at once.
+        reply = await fleet.chat("host-1", "late-2", path)
+        assert (reply.status, reply.complete) == (200, True)
+
+    run(scenario)
+
+
+def test_late_requests_that_end_in_time_are_served(monkeypatch):
+    monkeypatch.setattr(host_stop, "ACCEPT_AFTER_STOP_MS", 700)
+    monkeypatch.setattr(host_stop, "IDLE_CLOSE_DELAY_MS", 300)
+
+    async def scenario(fleet):
+        conn = await KeptConnection.open(fleet, "host-0")
+        for number in range(MIN_ANSWERS):
+            reply = await conn.ask(f"chat-{number}", "/chat/x", 60_000)
+            assert IDS.findall(reply.body)
+        await stop_during_answer(fleet, conn)
+        reply = await conn.ask("late", "/chat/x", 60_000)
+        assert (reply.status, reply.complete) == (200, True)
+
+    run(scenario)
+
+
+def build_flight(name="chat", deadline_ms=15_000, now_ms=0):
+    """Returns a request that waits for its answer until a deadline."""
+    route = build_route(f"/{name}/", RouteKind.STREAM)
+    return Flight(
+        build_request(), route, "llm", None, now_ms, now_ms + deadline_ms
+    )
+
+
+def refuses(stop, at_ms, **fields):
+    """Returns whether a request that arrives at a time is refused."""
+    flight = build_flight(now_ms=at_ms, **fields)
+    return stop.find_refusal(flight, at_ms) is not None
+
+
+def test_only_late_requests_whose_deadline_is_after_the_end_are_refused():
+    stop = PlannedStop()
+    assert not refuses(stop, 1_000_000)
+    stop.begin(ACCEPT_MS, SPAN_MS, 0)
+    assert not refuses(stop, ACCEPT_MS - 1)
+    assert refuses(stop, ACCEPT_MS)
+    assert not refuses(stop, 3_000, deadline_ms=4_440)
+    assert refuses(stop, 3_001, deadline_ms=4_440)
+
+
+def test_answers_of_the_route_tell_how_long_the_next_one_may_take():
+    stop = PlannedStop()
+    for number in range(MIN_ANSWERS):
+        assert not number or refuses_when_begun(stop, 4_000)
+        stop.record_answer(build_flight(), 1_000 + number)
+    stop.begin(ACCEPT_MS, SPAN_MS, 0)
+    assert not refuses(stop, 5_900)
+    assert refuses(stop, 6_000)
+    assert refuses(stop, 5_900, name="other")
+    stop.record_answer(build_flight(), 4_000)
+    assert refuses(stop, 2_600)
+
+
+def refuses_when_begun(stop, at_ms):
+    """Returns whether a stop that has begun refuses a request."""
+    begun = PlannedStop()
+    begun._answers = stop._answers
+    begun.begin(ACCEPT_MS, SPAN_MS, 0)
+    return refuses(begun, at_ms)
+
+
+def test_number_of_routes_is_bounded():
+    stop = PlannedStop()
+    for number in range(MAX_ROUTES + 10):
+        stop.record_answer(build_flight(f"r{number}"), 5)
+    assert len(stop._answers) == MAX_ROUTES
--- a/tests/test_entry_planned_stops.py
+++ b/tests/test_entry_planned_stops.py
@@ -75,7 +75,7 @@
 def test_new_connection_is_served_and_an_idle_one_closed():
     async def scenario(service, first, second):
         service.go_on.set()
-        service.drain()
+        service.drain(2_500, 7_440)
         await service.close_idle()
         await first.send(REQUEST)
         head = await read_head(first)
@@ -93,7 +93,7 @@
     async def scenario(service, first, second):
         await first.send(REQUEST)
         await service.begun.wait()
-        service.drain()
+        service.drain(2_500, 7_440)
         service.go_on.set()
         assert b"Connection: close" not in await read_head(first)
         await service.close_idle()
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -14,6 +14,7 @@
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.flights import Again, Ending, Hold, Refuse, Send
 from corianderdoor.core.entry.peers import Peers
+from corianderdoor.core.entry.planned_stop import PlannedStop
 from corianderdoor.core.entry.refusals import (
     MAX_RESUME_HOLD_MS,
     MAX_RETRY_SHARE,
@@ -272,7 +273,16 @@
     pool, caller = FakePool(on_open), FakeCaller()
     clock = ManualClock()
     streams = StreamRegistry(planner, Peers("h1"), clock)
-    relay = Relay(planner, pool, None, streams, clock, caller, build_request())
+    relay = Relay(
+        planner,
+        pool,
+        None,
+        streams,
+        PlannedStop(),
+        clock,
+        caller,
+        build_request(),
+    )
     anyio.run(relay.run)
     assert len(set(pool.opened)) == len(pool.opened) == 2
     assert pool.protocol.aborted and not pool.protocol.written
