Bound the memory of all answers that are held together

A faulty server that sends bodies without an end in answer to many requests could fill the memory of a host: each answer is held up to 16 MiB, each incomplete event up to 1 MiB, and nothing bounded their sum (report of other operators). One endless answer was bounded before, in a head, a body or after it, which tests show.

All held answers together now take an eighth of the process's memory at most.

--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -12,6 +12,7 @@
 from ..adapters.http1_connect import deliver_pending
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.answer_memory import HeldAnswers
 from ..core.entry.flights import Flight, Send
 from ..core.entry.planner import Planner
 from ..platform.answer_head import AnswerHead
@@ -29,6 +30,7 @@
 MAX_ANSWER_BYTES: Final = 16_777_216
 HEAD: Final = "HEAD"
 TRUNCATED: Final = "connection closed before the end of the answer"
+TOO_MANY_HELD: Final = "incomplete answers take too much memory"
 
 
 class ServerAnswer:
@@ -85,6 +87,7 @@
         "_own_id",
         "_skipped_bytes",
         "_meter",
+        "_held",
     )
 
     def __init__(
@@ -94,8 +97,18 @@
         clock: Clock,
         flight: Flight,
         protocol: H11Protocol,
+        held: HeldAnswers,
     ) -> None:
-        """Creates a reader for a request that is sent over `protocol`."""
+        """Creates a reader for a request that is sent over `protocol`.
+
+        Args:
+            planner: State of the servers and of the requests.
+            pool: Connections to the servers.
+            clock: The clock.
+            flight: The request.
+            protocol: Connection to its server.
+            held: Bytes of the answers to the request.
+        """
         self.received_ms = clock.now_ms()
         self._planner = planner
         self._pool = pool
@@ -111,6 +124,7 @@
         self._own_id: bytes | None = None
         self._skipped_bytes = 0
         self._meter = AnswerMeter(protocol)
+        self._held = held
 
     async def next_event(
         self, silence_ms: float | None
@@ -147,14 +161,20 @@
             await self._look_for_other_server(received_bytes)
             wait_ms = MOVE_POLL_MS
 
-    def record_progress(self, is_complete: bool) -> None:
+    def record_progress(self, has_events: bool, rest_bytes: int) -> None:
         """Records bytes of a stream that were read.
 
         Args:
-            is_complete: Whether they complete an event or end with one.
+            has_events: Whether they complete an event.
+            rest_bytes: Size of the incomplete event after them.
+
+        Raises:
+            ConnectionBrokenError: The answers take too much memory.
         """
-        self._is_incomplete = not is_complete
-        if is_complete:
+        if not self._held.set_event(rest_bytes):
+            raise ConnectionBrokenError(TOO_MANY_HELD, True)
+        self._is_incomplete = not has_events and rest_bytes > 0
+        if not self._is_incomplete:
             self._progress_ms = self.received_ms
 
     def _accept(
@@ -299,13 +319,15 @@
         Raises:
             MovedError: The request goes on at another server.
             ConnectionBrokenError: The body is truncated or larger than
-                `MAX_ANSWER_BYTES`.
+                `MAX_ANSWER_BYTES`, or the answers take too much memory.
         """
         body = bytearray()
         while True:
             event = await self.next_event(silence_ms)
             if isinstance(event, h11.Data):
                 body += event.data
+                if not self._held.add(len(event.data)):
+                    raise ConnectionBrokenError(TOO_MANY_HELD, True)
                 if len(body) > MAX_ANSWER_BYTES:
                     raise ConnectionBrokenError(
                         "answer is larger than 16 MiB", True
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -7,6 +7,7 @@
 
 from ..adapters.http1 import H11Protocol
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.answer_memory import AnswerMemory
 from ..core.entry.answered_ids import AnsweredIds
 from ..core.entry.servers import BackendServer
 from .server_links import ServerLinks
@@ -37,20 +38,28 @@
 
     Attributes:
         answered: Ids of requests that were answered recently.
+        memory: Bytes of answers that are held.
         on_unexpected_bytes: Called with the id of a server that sent bytes
             after an answer, before another request.
     """
 
     __slots__ = (
         "answered",
+        "memory",
         "on_unexpected_bytes",
         "_links",
         "_clock",
         "_idle",
     )
 
-    def __init__(self, clock: Clock, links: ServerLinks) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        links: ServerLinks,
+        memory: AnswerMemory | None = None,
+    ) -> None:
         self.answered = AnsweredIds()
+        self.memory = memory or AnswerMemory()
         self.on_unexpected_bytes: Callable[[str], None] = lambda id: None
         self._links = links
         self._clock = clock
--- a/corianderdoor/entry/gauges.py
+++ b/corianderdoor/entry/gauges.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ..core.clock import Clock
+from ..core.entry.answer_memory import AnswerMemory
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
 from ..core.entry.replica import Replica
@@ -15,6 +16,7 @@
     peers: Peers,
     replica: Replica,
     count_busy: Callable[[], int],
+    memory: AnswerMemory,
     clock: Clock,
 ) -> dict[str, Callable[[], float]]:
     """Returns the functions that read the gauges, by name.
@@ -24,6 +26,7 @@
         peers: The other hosts.
         replica: This host's replica of the store.
         count_busy: Returns the number of callers' requests in progress.
+        memory: Bytes of answers that are held.
         clock: The clock.
     """
 
@@ -35,6 +38,7 @@
 
     return {
         "in_progress": lambda: float(count_busy()),
+        "held_answer_bytes": lambda: float(memory.held),
         "live_peers": lambda: float(peers.count_live(clock.now_ms())),
         "replica_revision": lambda: float(replica.revision),
         "replica_era": lambda: float(replica.era),
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -17,6 +17,7 @@
 from ..adapters.metrics_text import MetricsText
 from ..core.clock import Clock
 from ..core.entry.addresses import Address
+from ..core.entry.answer_memory import AnswerMemory
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
 from ..core.entry.windows import ColdRateLimiter, RetryBudget
@@ -131,7 +132,9 @@
             clock, self._planner.counters, connect_server
         )
         self._links.list_helpers = self._list_helpers
-        self._pool = ConnectionPool(clock, self._links)
+        self._pool = ConnectionPool(
+            clock, self._links, AnswerMemory(settings.memory_mb)
+        )
         self._planner.selection.is_connected = self._pool.is_connected
         self._rollouts: RolloutFeed | None = None
         if ROLLOUT_CONTRACT in settings.contracts:
@@ -355,6 +358,7 @@
             self._peers,
             self._applier.replica,
             self._callers.count_busy,
+            self._pool.memory,
             self._clock,
         )
         text = MetricsText(self._planner.counters, gauges)
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -66,6 +66,7 @@
         "_timing",
         "_move",
         "_forwarder",
+        "_held",
     )
 
     def __init__(
@@ -96,6 +97,7 @@
         self._timing = AnswerTiming(0)
         self._move: Move | None = None
         self._forwarder = EventForwarder(planner, streams, clock, conn)
+        self._held = pool.memory.open()
 
     async def run(self) -> None:
         """Serves the request until it is answered, refused or timed out."""
@@ -124,6 +126,7 @@
             if not finished and flight.server is not None:
                 self._record_interruption(flight, flight.server)
             self._planner.record_end(flight)
+            self._held.release()
             if not finished:
                 self._count_outcome("caller-disconnected")
                 log_event(
@@ -237,7 +240,12 @@
         self._timing = AnswerTiming(now_ms)
         released = False
         reader = AnswerReader(
-            self._planner, self._pool, self._clock, flight, protocol
+            self._planner,
+            self._pool,
+            self._clock,
+            flight,
+            protocol,
+            self._held,
         )
         try:
             sent = send_request(
@@ -347,16 +355,14 @@
         send: Send,
     ) -> Ending | None:
         splitter = EventSplitter()
-        silence_ms = None
-        if send.silence_ms is not None:
-            silence_ms = MIN_STREAM_SILENCE_MS
+        silence_ms = None if send.silence_ms is None else MIN_STREAM_SILENCE_MS
         while True:
             event = await reader.next_event(silence_ms)
             if not isinstance(event, h11.Data):
                 break
             events = splitter.feed(bytes(event.data))
             self._timing.record(len(events), reader.received_ms)
-            reader.record_progress(bool(events) or not splitter.rest)
+            reader.record_progress(bool(events), len(splitter.rest))
             if events:
                 self._planner.crashing_requests.record_progress(
                     flight, reader.received_ms
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -50,6 +50,7 @@
         link_mbps: Speed of the host's network link in Mbit/s; 0 if unknown.
         processor_share: Share of one CPU core that this process may use; at
             most 1, as it runs on one core at a time.
+        memory_mb: Memory that this process may take, in MB; 0 if unknown.
         lost_after_ms: Time after which a host without connections is no
             longer held to the bounds of reaction times.
         first_start: Whether all hosts start for the first time, together.
@@ -81,6 +82,7 @@
         "directory_ttl_s",
         "link_mbps",
         "processor_share",
+        "memory_mb",
         "lost_after_ms",
         "first_start",
         "contracts",
@@ -111,6 +113,7 @@
         self.link_mbps = raw.limits.link_speed_mbps
         limits = raw.limits
         self.processor_share = min(1.0, limits.cpu_share * limits.cpu_cores)
+        self.memory_mb = limits.memory_mb
         self.lost_after_ms = int(bounds.connectivity_ms)
         self.first_start = raw.initial_start
         self.contracts = frozenset(
@@ -147,6 +150,7 @@
 
 
 class _Limits(msgspec.Struct):
+    memory_mb: float = 0.0
     link_speed_mbps: float = 0.0
     # Share of each core, not of the host.
     cpu_share: float = 1.0
--- a/tests/test_entry_endless_bytes.py
+++ b/tests/test_entry_endless_bytes.py
@@ -9,9 +9,12 @@
 from corianderdoor.adapters.answer_meter import MAX_FRAMING_BYTES
 from corianderdoor.adapters.http1 import ConnectionBrokenError
 from corianderdoor.adapters.http1_connect import connect
+from corianderdoor.core.entry import answer_memory
+from corianderdoor.core.entry.answer_memory import AnswerMemory
 from corianderdoor.core.entry.events import EventSplitter
 from corianderdoor.entry.answer_reader import MAX_ANSWER_BYTES
 from corianderdoor.platform.store import read_full_answer
+from corianderdoor.standins.platform_fleet import METRICS_PORT, send_request
 from corianderdoor.standins.raw_server import (
     add_raw_server,
     build_answer,
@@ -120,3 +123,77 @@
 
     server = RawServer(script)
     run(scenario, engines=0, plain=0, hosts=0)
+
+
+REQUESTS = 40
+# A small machine: an eighth of it is less than two of the longest answers.
+MEMORY_MB = 160.0
+
+
+async def read_held(fleet) -> float:
+    """Returns how many bytes of answers host-0 holds."""
+    address = (fleet.hosts["host-0"][0], METRICS_PORT)
+    text = (await send_request(address, "/metrics")).body.decode()
+    lines = [one for one in text.splitlines() if one[:1] != "#"]
+    found = [one.split()[-1] for one in lines if "held_answer_bytes" in one]
+    return float(found[0])
+
+
+# Guards against a host that runs out of memory as each of many answers without
+# an end is held up to the bound of one (report of other operators).
+@pytest.mark.parametrize("path", ["/read/x", "/chat/x"])
+def test_many_endless_answers_together_take_a_bounded_share(path, monkeypatch):
+    monkeypatch.setattr(answer_memory, "DEFAULT_MEMORY_MB", MEMORY_MB)
+    most = AnswerMemory(MEMORY_MB).limit
+    held: list[float] = []
+
+    async def scenario(fleet):
+        async def script(req, writer):
+            writer.write(build_start(b"own", req))
+            for _ in range(64):
+                writer.write(b"8000\r\n%b\r\n" % (b"a" * 32_768))
+                await writer.drain()
+                await anyio.sleep(0.02)
+            await anyio.sleep_forever()
+
+        await add_raw_server(
+            fleet, "bad", path == "/chat/x", RawServer(script)
+        )
+        await anyio.sleep(0.6)
+        async with anyio.create_task_group() as tasks:
+            for number in range(REQUESTS):
+                tasks.start_soon(fleet.chat, "host-0", f"id-{number}", path)
+            for _ in range(20):
+                await anyio.sleep(0.1)
+                held.append(await read_held(fleet))
+            tasks.cancel_scope.cancel()
+        while await read_held(fleet):
+            await anyio.sleep(0.05)
+        assert 0 < max(held) <= most
+
+    run(scenario, engines=0, plain=0, hosts=1)
+
+
+def test_short_answers_find_room_beside_endless_ones():
+    memory = AnswerMemory(MEMORY_MB)
+    endless = [memory.open() for _ in range(REQUESTS)]
+    while all([one.add(10_000) for one in endless]):
+        assert memory.held <= memory.limit
+    short = memory.open()
+    assert short.add(100_000)
+    short.release()
+    for one in endless:
+        one.release()
+    assert memory.held == 0
+    alone = memory.open()
+    assert alone.add(memory.limit // 2)
+    assert not alone.add(2)
+
+
+def test_only_the_incomplete_event_of_a_stream_is_held():
+    memory = AnswerMemory(MEMORY_MB)
+    stream = memory.open()
+    assert stream.set_event(500) and memory.held == 500
+    assert stream.set_event(200) and memory.held == 200
+    assert not stream.set_event(memory.limit)
+    assert stream.set_event(0) and memory.held == 0
