Look for new versions when items change, and ask the store only if it helps

It looks when an item of the store has changed, and once a second. A version that is listed for less than the second between two looks of VersionHistory counts as seen, so that it is retired late enough. Hosts ask the store for streams that they would refuse, at most ten times a second, and not when nobody has contact to it.

--- a/corianderdoor/core/entry/version_history.py
+++ b/corianderdoor/core/entry/version_history.py
@@ -46,8 +46,7 @@
             return
         self._updated_ms = now_ms
         for server in servers.all():
-            versions = self._seen_ms.setdefault(server.service, {})
-            versions[server.version] = now_ms
+            self.record_listed(server.service, server.version, now_ms)
         for versions in self._seen_ms.values():
             if len(versions) > 1:
                 for version, seen_ms in list(versions.items()):
@@ -58,6 +57,10 @@
         """Records that this process was suspended, which is a gap."""
         self._since_ms = None
 
+    def record_listed(self, service: str, version: str, now_ms: int) -> None:
+        """Records that a server of a version is listed now."""
+        self._seen_ms.setdefault(service, {})[version] = now_ms
+
     def covered_ms(self, now_ms: int) -> int:
         """Returns for how long this host has seen the list without a gap."""
         return 0 if self._since_ms is None else now_ms - self._since_ms
--- a/corianderdoor/core/entry/version_ledger.py
+++ b/corianderdoor/core/entry/version_ledger.py
@@ -134,6 +134,10 @@
             now_ms: Monotonic time in ms.
         """
         base = self._find_base(era, first_start)
+        listed: dict[str, set[str]] = {}
+        for server in servers.all():
+            listed.setdefault(server.service, set()).add(server.version)
+            history.record_listed(server.service, server.version, now_ms)
         versions = {
             service: frozenset(
                 version
@@ -142,9 +146,8 @@
             )
             for service, names in base.versions.items()
         }
-        for server in servers.all():
-            names = versions.get(server.service, frozenset())
-            versions[server.service] = names | {server.version}
+        for service, names in listed.items():
+            versions[service] = versions.get(service, frozenset()) | names
         complete = base.complete or history.covered_ms(now_ms) >= RETIRE_MS
         planned = VersionLedger(
             era, {name: vs for name, vs in versions.items() if vs}, complete
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -217,7 +217,7 @@
             self._planner,
             self._peers,
             clock,
-            StoredStreams(self._connect_store(), self._planner.servers),
+            StoredStreams(self._connect_store(), self._planner.servers, clock),
         )
         self._stream_saver = StreamSaver(
             self._connect_store(),
--- a/corianderdoor/entry/ledger_writer.py
+++ b/corianderdoor/entry/ledger_writer.py
@@ -19,6 +19,8 @@
 # Interval at which the host looks for something to write: streams begin at a
 # new version only once it is recorded.
 POLL_MS: Final = 100
+# Time after which it looks even if no item of the store has changed.
+LOOK_MS: Final = 1_000
 # Longest wait for what was written to arrive here, with its revision.
 MAX_SETTLE_MS: Final = 1_000
 
@@ -38,6 +40,8 @@
         "_history",
         "_clock",
         "_first_start",
+        "_looked",
+        "_look_at_ms",
     )
 
     def __init__(
@@ -68,6 +72,9 @@
         self._history = history
         self._clock = clock
         self._first_start = first_start
+        # Era and revision at the last look, and when to look again.
+        self._looked = (0, 0)
+        self._look_at_ms = 0
 
     async def run(self) -> None:
         """Keeps the ledger up to date until cancelled."""
@@ -91,6 +98,11 @@
         Returns:
             Whether a call was made.
         """
+        now_ms = self._clock.now_ms()
+        at = self._replica.era, self._replica.changed_revision
+        if at == self._looked and now_ms < self._look_at_ms:
+            return False
+        self._looked, self._look_at_ms = at, now_ms + LOOK_MS
         ledger = self._plan()
         if ledger is None:
             return False
--- a/corianderdoor/entry/stored_streams.py
+++ b/corianderdoor/entry/stored_streams.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ..adapters.logs import log_event
-from ..core.clock import MS_PER_SECOND
+from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.servers import Servers
 from ..core.entry.stream_versions import StreamOrigin
 from ..core.entry.version_ledger import VersionLedger
@@ -23,6 +23,8 @@
 
 # Time after which a question counts as unanswered. Its caller waits for it.
 READ_MS: Final = 400
+# Shortest time between two readings. One of a large fleet takes tens of ms.
+INTERVAL_MS: Final = 100
 
 
 class StoredStreams:
@@ -31,17 +33,30 @@
     Questions that come while the store is read share the next reading.
     """
 
-    __slots__ = ("_store", "_servers", "_lock", "_readings", "_content")
+    __slots__ = (
+        "_store",
+        "_servers",
+        "_clock",
+        "_lock",
+        "_readings",
+        "_next_ms",
+        "_content",
+    )
 
-    def __init__(self, store: StoreClient, servers: Servers) -> None:
+    def __init__(
+        self, store: StoreClient, servers: Servers, clock: Clock
+    ) -> None:
         """Initializes the reader.
 
         Args:
             store: Client of the store, for this object alone.
             servers: The listed servers.
+            clock: The clock.
         """
         self._store = store
         self._servers = servers
+        self._clock = clock
+        self._next_ms = 0
         self._lock = anyio.Lock()
         # Readings that were begun, and what the last complete one found.
         self._readings = 0
@@ -75,6 +90,9 @@
         return None if version is None else StreamOrigin(service, version)
 
     async def _read(self) -> None:
+        wait_ms = max(0, self._next_ms - self._clock.now_ms())
+        await anyio.sleep(wait_ms / MS_PER_SECOND)
+        self._next_ms = self._clock.now_ms() + INTERVAL_MS
         self._readings += 1
         content = _Content(self._readings, None, {})
         try:
--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -161,9 +161,9 @@
             origin = await self._find(stream)
         outcome = "known" if origin is not None else "only-version"
         refusal = self._resume(flight, origin)
-        if flight.version is None and origin is None and self._stored:
+        if refusal is not None and origin is None:
             # No host that was asked knows it; the store may.
-            origin = await self._stored.find(stream, flight.service)
+            origin = await self._find_stored(stream, flight.service)
             if origin is not None:
                 outcome = "stored"
                 refusal = self._resume(flight, origin)
@@ -181,6 +181,14 @@
         )
         return refusal
 
+    async def _find_stored(
+        self, stream: int | None, service: str
+    ) -> StreamOrigin | None:
+        """Returns the origin of a stream from the store, if it answers."""
+        if self._stored is None or not self._planner.restarts.in_contact:
+            return None
+        return await self._stored.find(stream, service)
+
     def _resume(
         self, flight: Flight, origin: StreamOrigin | None
     ) -> Refuse | None:
--- a/corianderdoor/platform/stream_records.py
+++ b/corianderdoor/platform/stream_records.py
@@ -78,10 +78,11 @@
     """
     try:
         groups = msgspec.json.decode(value, type=list[_Begun])
-        return {
-            stream: StreamOrigin(group.service, group.version)
-            for group in groups
-            for (stream,) in _DIGEST.iter_unpack(group.streams)
-        }
+        found: dict[int, StreamOrigin] = {}
+        for group in groups:
+            origin = StreamOrigin(group.service, group.version)
+            for (stream,) in _DIGEST.iter_unpack(group.streams):
+                found[stream] = origin
+        return found
     except (*UNDECODABLE, struct.error) as exc:
         raise RecordError(f"streams in progress: {exc}") from exc
--- a/tests/test_version_ledger.py
+++ b/tests/test_version_ledger.py
@@ -206,3 +206,17 @@
     for stream in range(10, 10 + MAX_BEGUN):
         begun.add(stream, origin, 900)
     assert begun.services() == {"llm"}
+
+
+# Guards against a version that is back for less than the time between two
+# looks at the list, and begins streams in it.
+def test_version_that_is_back_for_a_moment_is_retired_later():
+    view = View("v2", stored=build_ledger("v1", "v2"))
+    view.advance(RETIRE_MS - 2_000)
+    view.list_versions("v1", "v2")
+    assert view.plan() is None
+    view.list_versions("v2")
+    view.advance(RETIRE_MS - 1_000)
+    assert view.plan() is None
+    view.advance(2_000)
+    assert view.plan() == ({"v2"}, True)
