Check by a model that streams keep their version, and mend what it shows

A small model of the ledger (two hosts with late views of the store, two versions, hosts killed, a store restored from an older copy) joined a stream from two versions in two ways, both shown by its traces:

- After a restore a host wrote what it had known as a complete ledger, while another host used a version that it had recorded and the restore had lost.
- A ledger became complete by time that a host had seen the list before the ledger, in which others began streams at versions that have left since.

After a restore, and after hosts without a ledger, the ledger is not complete until its era's ledger has been known for as long as a version takes to retire. A host whose store has lost the ledger begins streams by the last one it knew.

--- a/corianderdoor/core/entry/version_ledger.py
+++ b/corianderdoor/core/entry/version_ledger.py
@@ -81,10 +81,12 @@
         stored: The ledger in the store; None without one.
     """
 
-    __slots__ = ("stored", "_confirmed")
+    __slots__ = ("stored", "_confirmed", "_incomplete")
 
     def __init__(self) -> None:
         self.stored: VersionLedger | None = None
+        # Era whose ledger is not complete, and since when this host knows.
+        self._incomplete: tuple[int, int] | None = None
         # The last ledger that was stored in the era of that time.
         self._confirmed: VersionLedger | None = None
 
@@ -111,9 +113,11 @@
         self, service: str, servers: list[BackendServer]
     ) -> list[BackendServer]:
         """Returns the servers of recorded versions; all if there are none."""
-        if self.stored is None:
+        # A restore of the store may have lost the ledger.
+        ledger = self.stored or self._confirmed
+        if ledger is None:
             return servers
-        recorded = self.stored.versions.get(service, frozenset())
+        recorded = ledger.versions.get(service, frozenset())
         return [s for s in servers if s.version in recorded] or servers
 
     def plan_next(
@@ -148,24 +152,39 @@
         }
         for service, names in listed.items():
             versions[service] = versions.get(service, frozenset()) | names
-        complete = base.complete or history.covered_ms(now_ms) >= RETIRE_MS
-        planned = VersionLedger(
-            era, {name: vs for name, vs in versions.items() if vs}, complete
-        )
+        versions = {name: names for name, names in versions.items() if names}
+        covered_ms = history.covered_ms(now_ms)
+        complete = self._is_complete(base, covered_ms, now_ms)
+        planned = VersionLedger(era, versions, complete)
         if planned == self.stored or not (planned.versions or self.stored):
             return None
         return planned
 
+    def _is_complete(
+        self, base: VersionLedger, covered_ms: int, now_ms: int
+    ) -> bool:
+        """Returns whether streams at versions without a record have ended.
+
+        All hosts have to know the ledger for as long as a version takes to
+        retire; what they saw before it does not count.
+        """
+        if base.complete:
+            self._incomplete = None
+            return True
+        if self._incomplete is None or self._incomplete[0] != base.era:
+            self._incomplete = base.era, now_ms
+        return min(covered_ms, now_ms - self._incomplete[1]) >= RETIRE_MS
+
     def _find_base(self, era: int, first_start: bool) -> VersionLedger:
         """Returns what is known to have been recorded."""
         if self.stored is None and self._confirmed is None:
             return VersionLedger(era, {}, first_start)
         if self.stored is not None and self.stored.era == era:
             return self.stored
-        # The store was restored. Without a ledger that was current before,
-        # what the copy lacks is not known.
-        base = self._confirmed or VersionLedger(era, {}, False)
-        if self.stored is not None:
-            versions = VersionLedger(era, self.stored.versions, True)
-            base = versions.merge(base)
-        return VersionLedger(era, base.versions, base.complete)
+        # The store was restored. It may have lost versions that others wrote
+        # and that this host has not read.
+        base = VersionLedger(era, {}, False)
+        for ledger in (self.stored, self._confirmed):
+            if ledger is not None:
+                base = base.merge(ledger)
+        return base
--- a/tests/test_version_ledger.py
+++ b/tests/test_version_ledger.py
@@ -86,6 +86,19 @@
     assert view.find_only() == "v1"
 
 
+# Guards against streams of hosts without a ledger, at a version that has left
+# while this host saw the list.
+def test_time_before_the_ledger_does_not_make_it_complete():
+    view = View("v1", "v2")
+    view.advance(RETIRE_MS)
+    view.list_versions("v2")
+    assert view.plan() == ({"v2"}, False)
+    view.advance(RETIRE_MS - 1_000)
+    assert view.plan() is None
+    view.advance(1_000)
+    assert view.plan() == ({"v2"}, True)
+
+
 def test_nothing_is_written_while_the_ledger_is_right_or_nothing_is_listed():
     assert View("v1", stored=build_ledger("v1")).plan() is None
     assert View().plan(first_start=True) is None
@@ -127,20 +140,24 @@
     view.era += 1
     view.known.record(old, view.era)
     assert view.find_only() is None
-    # This host knows what the store had before.
-    assert view.plan() == ({"v1", "v2"}, True)
+    # This host knows what the store had before, but not what others wrote.
+    assert view.plan() == ({"v1", "v2"}, False)
     view = View("v1", era=ERA + 1, stored=old)
     assert view.find_only() is None
-    # This one does not.
     assert view.plan() == ({"v1"}, False)
+    view.advance(RETIRE_MS + 1_000)
+    assert view.plan() == ({"v1"}, True)
 
 
 def test_ledger_that_a_restore_lost_is_written_again():
     view = View("v1", stored=build_ledger("v1", "v2"))
     view.era += 1
     view.known.record(None, view.era)
+    servers = [build_server("s3", version="v3"), build_server("s1")]
+    servers[1].version = "v1"
+    assert view.known.prefer_recorded("llm", servers) == servers[1:]
     assert view.find_only() is None
-    assert view.plan() == ({"v1", "v2"}, True)
+    assert view.plan() == ({"v1", "v2"}, False)
 
 
 def test_streams_begin_anywhere_if_no_recorded_version_is_in_service():
