Write the ledger of versions in place of a first host that can't

While the store turned the first host away, nobody recorded a new version, so that its servers got no streams beside those of recorded ones. Other watchers write the ledger once it has been due for 0.8 s; the revision of the key keeps two writers apart. A ledger that another writer has made unreadable counts as lost, and is written again; hosts kept the last one and never wrote.

--- a/corianderdoor/core/entry/version_ledger.py
+++ b/corianderdoor/core/entry/version_ledger.py
@@ -12,12 +12,14 @@
 
 from ..records import Record
 from .servers import BackendServer, Servers
+from .stream_versions import MAX_STREAM_MS
 from .version_history import VersionHistory
 
+# Time for which hosts without contact go on using servers that have left.
+LEAVING_MARGIN_MS: Final = 10_000
 # Time without a listed server of a version after which none of its streams
-# can be resumed. It covers the longest stream, and the time for which hosts
-# without contact go on using servers that have left.
-RETIRE_MS: Final = 70_000
+# can be resumed.
+RETIRE_MS: Final = MAX_STREAM_MS + LEAVING_MARGIN_MS
 
 
 class VersionLedger(Record):
@@ -27,7 +29,7 @@
         era: Era of the store in which the ledger was written.
         versions: The versions by service.
         complete: Whether no other version can have begun such a stream; False
-            for a time after hosts without a ledger.
+            for a time after hosts without a ledger, and after a restore.
     """
 
     __slots__ = ("era", "versions", "complete")
--- a/corianderdoor/entry/ledger_writer.py
+++ b/corianderdoor/entry/ledger_writer.py
@@ -25,11 +25,16 @@
 MAX_SETTLE_MS: Final = 1_000
 
 
+# Time after which the other watchers write it, as the store may refuse the
+# first host.
+BACKUP_MS: Final = 800
+
+
 class LedgerWriter:
-    """Writes the ledger while this host is first.
+    """Writes the ledger while this host is first, or in place of the first.
 
     The key has to have the revision that this host knows, so that two hosts
-    that are first, and a call that is executed late, do no harm.
+    that write, and a call that is executed late, do no harm.
     """
 
     __slots__ = (
@@ -42,6 +47,7 @@
         "_first_start",
         "_looked",
         "_look_at_ms",
+        "_due_ms",
     )
 
     def __init__(
@@ -75,6 +81,8 @@
         # Era and revision at the last look, and when to look again.
         self._looked = (0, 0)
         self._look_at_ms = 0
+        # Since when the ledger has to change; None if it is right.
+        self._due_ms: int | None = None
 
     async def run(self) -> None:
         """Keeps the ledger up to date until cancelled."""
@@ -129,11 +137,24 @@
         return True
 
     def _plan(self) -> VersionLedger | None:
+        """Returns the ledger that this host has to write; None without one."""
+        ledger = self._find_due()
         now_ms = self._clock.now_ms()
-        if not self._replica.revision or not self._peers.is_first(now_ms):
+        if ledger is None:
+            self._due_ms = None
             return None
+        if self._due_ms is None:
+            self._due_ms = now_ms
+        if self._peers.is_first(now_ms) or now_ms - self._due_ms >= BACKUP_MS:
+            return ledger
+        return None
+
+    def _find_due(self) -> VersionLedger | None:
+        now_ms = self._clock.now_ms()
         selection = self._planner.selection
-        if not selection.restarts.in_contact:
+        if not self._replica.revision or not selection.restarts.in_contact:
+            return None
+        if not self._peers.should_watch(now_ms):
             return None
         if not selection.process_pauses.is_current(now_ms):
             return None
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -30,6 +30,7 @@
 )
 from ..platform.records import SERVER_PREFIX
 from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
+from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
 from .rollout_feed import RolloutFeed
@@ -354,6 +355,8 @@
 
     @_apply_decoded.register
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
+        if decoded.key == LEDGER_KEY:
+            self._planner.selection.ledger.record(None, self.replica.era)
         log_event(
             "record_invalid",
             "WARNING",
--- a/corianderdoor/entry/stored_streams.py
+++ b/corianderdoor/entry/stored_streams.py
@@ -27,6 +27,28 @@
 INTERVAL_MS: Final = 100
 
 
+class _Content:
+    """What a reading found.
+
+    Attributes:
+        reading: Number of the reading, from 1.
+        ledger: Versions that may have begun streams; None if unknown.
+        begun: Origins of streams by their digests.
+    """
+
+    __slots__ = ("reading", "ledger", "begun")
+
+    def __init__(
+        self,
+        reading: int,
+        ledger: VersionLedger | None,
+        begun: dict[int, StreamOrigin],
+    ) -> None:
+        self.reading = reading
+        self.ledger = ledger
+        self.begun = begun
+
+
 class StoredStreams:
     """Answers questions from what the store has at the time of the question.
 
@@ -116,25 +138,3 @@
                     detail=str(exc),
                 )
         self._content = content
-
-
-class _Content:
-    """What a reading found.
-
-    Attributes:
-        reading: Number of the reading, from 1.
-        ledger: Versions that may have begun streams; None if unknown.
-        begun: Origins of streams by their digests.
-    """
-
-    __slots__ = ("reading", "ledger", "begun")
-
-    def __init__(
-        self,
-        reading: int,
-        ledger: VersionLedger | None,
-        begun: dict[int, StreamOrigin],
-    ) -> None:
-        self.reading = reading
-        self.ledger = ledger
-        self.begun = begun
--- a/tests/test_entry_stream_versions.py
+++ b/tests/test_entry_stream_versions.py
@@ -37,7 +37,7 @@
 def names_versions(fleet, versions):
     """Returns whether streams may begin at the versions."""
     value = fleet.store.state.read_value(LEDGER_KEY)
-    if value is None:
+    if not value or not value.endswith(b"}"):
         return False
     return decode_ledger(value).versions[ENGINE_SERVICE].issuperset(versions)
 
--- a/tests/test_entry_streams_after_loss.py
+++ b/tests/test_entry_streams_after_loss.py
@@ -14,6 +14,7 @@
     start_versions,
 )
 
+from corianderdoor.platform.store import StoreClient, StoreError
 from corianderdoor.platform.stream_records import LEDGER_KEY
 
 HOSTS = 3
@@ -141,3 +142,29 @@
         await wait_for(lambda: names_versions(fleet, ["v1", "v2"]))
 
     run(scenario, engines=ENGINES, hosts=1)
+
+
+# Guards against a version that gets no streams while the store turns the
+# first host away, and against a ledger that another writer has overwritten.
+@pytest.mark.parametrize("fault", ["refused", "overwritten"])
+def test_ledger_is_written_by_another_host_and_again(fault, monkeypatch):
+    refused: set[str] = set()
+    commit = StoreClient.compare_and_set
+
+    async def refuse_first(self, *args, **kwargs):
+        if fault == "refused" and (not refused or id(self) in refused):
+            refused.add(id(self))
+            raise StoreError("kv-txn", "429", True)
+        return await commit(self, *args, **kwargs)
+
+    monkeypatch.setattr(StoreClient, "compare_and_set", refuse_first)
+
+    async def scenario(fleet):
+        await wait_for(lambda: names_versions(fleet, ["v1"]))
+        if fault == "overwritten":
+            fleet.store.state.put(LEDGER_KEY, b"{")
+        await wait_for(lambda: names_versions(fleet, ["v1"]))
+        await fleet.add_worker("new", True, "v2")
+        await wait_for(lambda: names_versions(fleet, ["v1", "v2"]))
+
+    run(scenario, engines=ENGINES, hosts=HOSTS)
