--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -12,6 +12,7 @@
 from test_entry_planner import admit, send
 
 from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.entry.answer_memory import AnswerMemory
 from corianderdoor.core.entry.flights import Again, Ending, Hold, Refuse, Send
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.planned_stop import PlannedStop
@@ -232,6 +233,7 @@
     """Opens one connection, during which the server asks for no requests."""
 
     def __init__(self, on_open) -> None:
+        self.memory = AnswerMemory()
         self.protocol = FakeProtocol()
         self.opened: list[str] = []
         self._on_open = on_open
