Log requests that a stop cuts off, and by which way they were sent

A request that the end of the grace period cut off was logged and counted as one whose caller had left, so that no log told the hypotheses of its LOST apart: a request that came late, one that was silent or on its way through a peer, a host that ends too early.

Such requests now get request_cut_by_stop with the time from the begin of the stop to their arrival, the time to their deadline, the silence of their server and whether a peer passed the bytes on, and the outcome cut-by-stop. send_failed says the last two as well, and for how long the host has been stopping.

--- a/corianderdoor/core/entry/planned_stop.py
+++ b/corianderdoor/core/entry/planned_stop.py
@@ -24,11 +24,17 @@
     A request that arrives late, on a connection that was in use, would be cut
     off at the end of the grace period. Refusing it lets its caller go to
     another host at once.
+
+    Attributes:
+        ended: Whether answers in progress are being cut off.
     """
 
-    __slots__ = ("_late_ms", "_end_ms", "_answers")
+    __slots__ = ("ended", "_began_ms", "_late_ms", "_end_ms", "_answers")
 
     def __init__(self) -> None:
+        self.ended = False
+        # When the stop began; None while the host serves.
+        self._began_ms: int | None = None
         # When requests count as late, and when all answers are cut off; None
         # while the host serves.
         self._late_ms: int | None = None
@@ -45,9 +51,19 @@
             span_ms: Time after which answers are cut off.
             now_ms: Monotonic time in ms.
         """
+        self._began_ms = now_ms
         self._late_ms = now_ms + accept_ms
         self._end_ms = now_ms + span_ms
 
+    def since_begin_ms(self, at_ms: int) -> int | None:
+        """Returns the time from the begin of the stop; None without one.
+
+        Args:
+            at_ms: Monotonic time in ms; before the begin it gives a negative
+                result.
+        """
+        return None if self._began_ms is None else at_ms - self._began_ms
+
     def record_answer(self, flight: Flight, now_ms: int) -> None:
         """Records how long a complete answer took."""
         name = flight.route.name
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -59,7 +59,6 @@
         "_conns",
         "_unsent",
         "_scopes",
-        "_ending",
     )
 
     def __init__(
@@ -83,7 +82,6 @@
         self._unsent: set[ServerConnection] = set()
         # What to cancel when the grace period ends.
         self._scopes: dict[ServerConnection, anyio.CancelScope] = {}
-        self._ending = False
 
     def count_busy(self) -> int:
         """Returns how many connections have a request or answer in progress.
@@ -127,7 +125,7 @@
 
     def end_requests(self) -> None:
         """Ends what is in progress, with an answer where none has begun."""
-        self._ending = True
+        self.stop.ended = True
         for scope in list(self._scopes.values()):
             scope.cancel()
 
@@ -169,12 +167,12 @@
         with anyio.CancelScope() as scope:
             protocol.on_peer_closed = scope.cancel
             self._scopes[conn] = scope
-            if self._ending:
+            if self.stop.ended:
                 scope.cancel()
             await self._answer(conn, received)
         protocol.on_peer_closed = None
         if scope.cancelled_caught:
-            if not self._ending or conn.response_started or protocol.ended:
+            if not self.stop.ended or conn.response_started or protocol.ended:
                 protocol.abort()
                 return False
             # The request may have run.
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -9,7 +9,6 @@
 
 from ..adapters.http1 import ConnectionBrokenError, H11Protocol
 from ..adapters.http1_server import ServerConnection
-from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.events import EventSplitter
 from ..core.entry.flights import (
@@ -33,6 +32,7 @@
 from .backends import ConnectionPool
 from .event_forwarder import EventForwarder
 from .refusal_answer import send_refusal
+from .relay_log import log_done, log_failed_send, record_unanswered
 from .server_marks import ServerMarks
 from .server_request import send_request
 from .stream_registry import StreamRegistry
@@ -63,6 +63,7 @@
         "_head",
         "_received_ms",
         "_failure_detail",
+        "_via_peer",
         "_timing",
         "_move",
         "_forwarder",
@@ -94,6 +95,8 @@
         # When the server last sent a byte, and why its connection failed.
         self._received_ms = 0
         self._failure_detail = ""
+        # Whether a peer passes the bytes of the current attempt on.
+        self._via_peer = False
         self._timing = AnswerTiming(0)
         self._move: Move | None = None
         self._forwarder = EventForwarder(planner, streams, clock, conn)
@@ -128,12 +131,14 @@
             self._planner.record_end(flight)
             self._held.release()
             if not finished:
-                self._count_outcome("caller-disconnected")
-                log_event(
-                    "caller_disconnected",
-                    request_id=self._req.id,
-                    runs=flight.runs,
-                    begun=flight.answer_started,
+                now_ms = self._clock.now_ms()
+                record_unanswered(
+                    flight,
+                    self._stop,
+                    self._planner.counters,
+                    now_ms,
+                    silent_ms=now_ms - self._received_ms,
+                    via_peer=self._via_peer,
                 )
         if refusal is not None:
             await self._refuse(refusal)
@@ -141,13 +146,7 @@
         self._streams.record_complete(flight)
         self._stop.record_answer(flight, self._clock.now_ms())
         self._count_outcome("served")
-        log_event(
-            "request_done",
-            request_id=self._req.id,
-            service=flight.service,
-            sends=flight.sends,
-            took_ms=self._clock.now_ms() - now_ms,
-        )
+        log_done(flight, self._clock.now_ms())
 
     def _count_outcome(self, outcome: str) -> None:
         flight = self._flight
@@ -192,16 +191,17 @@
             next_step = self._planner.handle_failure(
                 flight, step.server, ending, self._clock.now_ms()
             )
-            log_event(
-                "send_failed",
-                request_id=self._req.id,
-                server=step.server.id,
-                ending=ending.value,
-                follow=type(next_step).__name__.lower(),
-                runs=flight.runs,
+            now_ms = self._clock.now_ms()
+            log_failed_send(
+                flight,
+                step.server,
+                ending,
+                next_step,
+                self._stop,
+                now_ms,
                 head=self._head is not None,
-                begun=flight.answer_started,
-                silent_ms=self._clock.now_ms() - self._received_ms,
+                silent_ms=now_ms - self._received_ms,
+                via_peer=self._via_peer,
                 detail=self._failure_detail,
             )
             if isinstance(next_step, Refuse):
@@ -231,6 +231,7 @@
         )
         if protocol is None:
             return Ending.UNREACHED
+        self._via_peer = protocol.via_peer
         if not self._planner.selection.may_send(server, self._clock.now_ms()):
             protocol.abort()
             return Ending.WITHDRAWN
