Keep hosts alive that get SIGHUP while they start or end

A host restarts in a planned stop, its settings change at that moment, and the process ends by itself.

Cause: SIGHUP keeps its default action, which ends the process, until the event loop handles it, some 0.3 s into the start, and again between the end of the service and the exit of the process.

SIGHUP is now blocked from the first line of the start module until it can be handled; one that came in between is delivered then, so that the change isn't missed. It is blocked again when the service ends.

--- a/corianderdoor/entry/__main__.py
+++ b/corianderdoor/entry/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 
@@ -12,11 +13,13 @@
 
     The garbage collector stays off until the host serves: what a start
     allocates is kept, and traversing it again and again delays the start.
+    SIGHUP is blocked until it can be handled: it would end the process.
 
     Returns:
         The exit status.
     """
     gc.disable()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     from .command import main as run
 
     return run()
--- a/corianderdoor/entry/command.py
+++ b/corianderdoor/entry/command.py
@@ -45,11 +45,16 @@
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                host.reload()
-            else:
-                stop.set()
+        try:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    host.reload()
+                else:
+                    stop.set()
+        finally:
+            # Nothing handles it from here to the end of the process.
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
 def main(argv: list[str] | None = None) -> int:
