Send no request through a peer that shuts down

A host that reached a server through a peer kept the tunnel, and went on using it after the peer had announced its end. The peer ends its tunnels with its grace period, whatever they carry: a payment that was sent late in the peer's stop got 502, without a second run.

Cause: an idle tunnel was judged by whether its server is still reached through peers, not by the peer that passes its bytes on. The order in which peers are asked considers their announcements, so only new tunnels did. Nor was the own connection tried before a peer that shuts down, while a server counts as reached through peers.

A connection now knows its peer. Idle tunnels of a peer that shuts down, or is gone, take no further request, and such peers are asked after the own connection. If every peer shuts down and the own links are cut, tunnels of such peers are still opened, as nothing else is left.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -14,6 +14,8 @@
 
 import h11
 
+from ..core.entry.addresses import Address
+
 Headers = list[tuple[bytes, bytes]]
 
 # Reading pauses above this number of unparsed bytes.
@@ -52,8 +54,9 @@
         on_peer_closed: Called once when the peer ends its stream or the
             connection is lost.
         bytes_received: Bytes received since the last complete request cycle.
-        via_peer: Whether a peer passes the bytes on, which hides whether the
-            other end closed the connection or reset it.
+        peer: Address of the peer that passes the bytes on, which hides
+            whether the other end closed the connection or reset it; None
+            without one.
     """
 
     def __init__(
@@ -81,7 +84,7 @@
         self.lost_reason = ""
         self.on_peer_closed: Callable[[], None] | None = None
         self.bytes_received = 0
-        self.via_peer = False
+        self.peer: Address | None = None
         self._pass_to: H11Protocol | None = None
         self._role = role
         self._max_head_bytes = max_head_bytes
@@ -251,13 +254,18 @@
         """Stops reading; used to simulate misbehaving peers."""
         self._open_transport().pause_reading()
 
-    def restart_as_tunnel(self) -> None:
+    @property
+    def via_peer(self) -> bool:
+        """Whether a peer passes the bytes on."""
+        return self.peer is not None
+
+    def restart_as_tunnel(self, peer: Address) -> None:
         """Prepares a connection through a peer for its first request."""
         self.h11 = h11.Connection(
             self._role, max_incomplete_event_size=self._max_head_bytes
         )
         self.bytes_received = 0
-        self.via_peer = True
+        self.peer = peer
 
     def pass_to(self, other: H11Protocol, on_end: Callable[[], None]) -> None:
         """Passes all bytes that arrive from now on to `other`.
--- a/corianderdoor/adapters/tunnel.py
+++ b/corianderdoor/adapters/tunnel.py
@@ -44,7 +44,7 @@
         early = protocol.h11.trailing_data[0]
         opened = isinstance(event, h11.Response) and event.status_code == OK
         if opened and not early:
-            protocol.restart_as_tunnel()
+            protocol.restart_as_tunnel(peer)
             passed_on = True
     except ConnectionBrokenError:
         # The peer ended; the caller of this function asks another one.
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -251,6 +251,13 @@
         )
         return [peer.address for peer in live if peer.address is not None]
 
+    def is_leaving(self, address: Address) -> bool:
+        """Returns whether the peer at an address shuts down, or is gone."""
+        return not any(
+            peer.address == address and not peer.leaving
+            for peer in self._peers.values()
+        )
+
     @property
     def is_active(self) -> bool:
         """Whether callers are sent to this host."""
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -126,9 +126,13 @@
         if not idle.protocol.reusable or now_ms >= idle.expires_ms:
             return False
         paths = self._links.paths
-        if idle.protocol.via_peer:
-            return paths.is_relayed(server_id, now_ms)
-        return paths.trusts(server_id, idle.used_ms)
+        peer = idle.protocol.peer
+        if peer is None:
+            return paths.trusts(server_id, idle.used_ms)
+        # A peer that shuts down ends its tunnels, whatever they carry.
+        return paths.is_relayed(
+            server_id, now_ms
+        ) and not self._links.is_leaving(peer)
 
     def release(
         self,
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -132,6 +132,7 @@
             clock, self._planner.counters, connect_server
         )
         self._links.list_helpers = self._list_helpers
+        self._links.is_leaving = self._peers.is_leaving
         self._pool = ConnectionPool(
             clock, self._links, AnswerMemory(settings.memory_mb)
         )
--- a/corianderdoor/entry/server_links.py
+++ b/corianderdoor/entry/server_links.py
@@ -44,11 +44,13 @@
         paths: Which servers are reached directly.
         list_helpers: Returns the addresses of peers that may reach a server,
             best first.
+        is_leaving: Returns whether the peer at an address shuts down.
     """
 
     __slots__ = (
         "paths",
         "list_helpers",
+        "is_leaving",
         "_connect",
         "_clock",
         "_counters",
@@ -67,6 +69,7 @@
         """
         self.paths = ServerPaths()
         self.list_helpers: Callable[[str], list[Address]] = lambda id: []
+        self.is_leaving: Callable[[Address], bool] = lambda address: False
         self._connect = connect_server
         self._clock = clock
         self._counters = counters
@@ -78,18 +81,23 @@
         direct = functools.partial(self._open_direct, server)
         helpers = self.list_helpers(server.id)[:MAX_PEERS_ASKED]
         head_start_ms = self.paths.head_start_ms(server.id, now_ms)
-        attempts = [
-            Attempt(
-                (head_start_ms or 0) + PEER_STAGGER_MS * number,
-                functools.partial(self._open_through, helper, server),
-            )
-            for number, helper in enumerate(helpers)
+        ways = [
+            functools.partial(self._open_through, helper, server)
+            for helper in helpers
         ]
+        # A connection of this host's own outlasts one through a peer that
+        # shuts down.
+        position = 0
+        if head_start_ms is None:
+            leaving = map(self.is_leaving, helpers)
+            position = [*leaving, True].index(True)
+        ways.insert(position, direct)
+        delays_ms = [PEER_STAGGER_MS * number for number in range(len(ways))]
         if head_start_ms is not None:
-            attempts.insert(0, Attempt(0, direct))
-        else:
-            delay_ms = PEER_STAGGER_MS * len(helpers)
-            attempts.append(Attempt(delay_ms, direct))
+            delays_ms[1:] = [
+                head_start_ms + delay_ms for delay_ms in delays_ms[:-1]
+            ]
+        attempts = list(map(Attempt, delays_ms, ways))
         found = await open_first(attempts, CONNECT_TIMEOUT_MS)
         if found is None:
             return None
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from entry_builders import build_server
+import h11
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -14,6 +16,8 @@
 from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.adapters.staggered import Attempt, open_first
 from corianderdoor.adapters.tunnel import open_tunnel
+from corianderdoor.core.clock import SystemClock
+from corianderdoor.core.entry.counters import Counters
 from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.server_paths import (
@@ -22,6 +26,7 @@
     ServerPaths,
     SILENT_MS,
 )
+from corianderdoor.entry import host_stop, server_links
 from corianderdoor.standins.platform_fleet import PEER_PORT, PORT
 from corianderdoor.standins.platform_links import CUT_MODES
 
@@ -111,6 +116,58 @@
     run(scenario, engines=0, plain=1, hosts=2)
 
 
+# Guards against LOST: a payment that is sent through the kept tunnel of a peer
+# that shuts down, and cut with it.
+def test_kept_tunnel_of_a_peer_that_shuts_down_takes_no_request(monkeypatch):
+    monkeypatch.setattr(host_stop, "GRACE_PERIOD_SHARE", 0.2)
+
+    async def scenario(fleet):
+        cut(fleet)
+        (worker,) = fleet.workers.values()
+        assert (await fleet.chat("host-0", "id-1", "/read/x")).status == 200
+        (peer,) = [
+            name for name in fleet.hosts if fleet.links[name].count_opened()
+        ]
+        fleet.stop_host(peer)
+        await anyio.sleep(0.3)
+        worker.work_ms = 1_500
+        reply = await fleet.chat("host-0", "id-2", "/pay/x")
+        assert (reply.status, worker.runs["id-2"]) == (200, 1)
+
+    run(scenario, engines=0, plain=1, hosts=3)
+
+
+# Guards against LOST: requests that go through a peer that shuts down though
+# this host reaches the server itself.
+@pytest.mark.anyio
+async def test_own_connection_is_tried_before_peers_that_shut_down(
+    monkeypatch,
+):
+    tunnels = []
+
+    async def open_through(connect, peer, *args):
+        await anyio.sleep(0.01)
+        tunnels.append(peer)
+        protocol = H11Protocol(h11.CLIENT)
+        protocol.restart_as_tunnel(peer)
+        return protocol
+
+    async def open_direct(*args):
+        return H11Protocol(h11.CLIENT)
+
+    monkeypatch.setattr(server_links, "open_tunnel", open_through)
+    clock = SystemClock()
+    links = server_links.ServerLinks(clock, Counters(), open_direct)
+    links.list_helpers = lambda id: [("p", 1)]
+    server = build_server("s0")
+    for leaving, via in ((False, ("p", 1)), (True, None)):
+        links.paths.record_relayed("s0", clock.now_ms())
+        links.is_leaving = lambda address: leaving
+        protocol = await links.open(server)
+        assert protocol is not None and protocol.peer == via
+    assert len(tunnels) == 1
+
+
 class FakeProtocol:
     """A connection that only records that it was dropped."""
 
