Go on with a stop when a part of it fails

A host gets SIGTERM, and all its answers in progress end at once, without their ends.

Cause: while a host serves, an unexpected error ends one task, which starts again. In a stop the heartbeat that announces it, and the withdrawal of the record, ran outside of that, so that an error in one of them ended the process. The class: a protection of the normal service that the stop doesn't have.

Shown with the record of another writer whose peer address is a name, not an IP address (uvloop refuses to send to it): the host serves on, as the task of the heartbeats starts again and again, but a SIGTERM ended it at once and cut a begun stream.

Announcement, withdrawal and the wait for connections now run like the tasks of the service: their errors are logged and counted, and the wait goes on.

test_failure_in_a_stop_cuts_no_answer (two cases): on the commit before, both streams were cut; both are whole now.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -266,6 +266,7 @@
             self._directory,
             self._registration,
             self._tunnels,
+            self._planner.counters,
         )
 
     def _list_helpers(self, server_id: str) -> list[Address]:
--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import Final
 
 import anyio
@@ -10,11 +11,13 @@
 from ..adapters.http1_connect import deliver_pending
 from ..adapters.logs import log_event
 from ..core.clock import MS_PER_SECOND
+from ..core.entry.counters import Counters
 from .callers import CallerService
 from .directory import DirectoryService
 from .peering import Peering
 from .registration import Registration
 from .tunnels import TunnelService
+from .upkeep import keep_running, run_once
 
 # A stopping host accepts connections for this long, as callers may still hold
 # a directory answer that names it.
@@ -39,6 +42,7 @@
         "_directory",
         "_registration",
         "_tunnels",
+        "_counters",
     )
 
     def __init__(
@@ -49,6 +53,7 @@
         directory: DirectoryService,
         registration: Registration,
         tunnels: TunnelService,
+        counters: Counters,
     ) -> None:
         """Initializes the object with the parts that a stop ends.
 
@@ -59,6 +64,7 @@
             directory: Names this host to callers no longer.
             registration: Withdraws this host's record.
             tunnels: Connections that peers use.
+            counters: Counts unexpected errors; none of them ends the stop.
         """
         self._grace_ms = grace_ms
         self._callers = callers
@@ -66,6 +72,7 @@
         self._directory = directory
         self._registration = registration
         self._tunnels = tunnels
+        self._counters = counters
 
     async def run(self, listener: asyncio.Server) -> None:
         """Takes the host out of service and waits for answers in progress."""
@@ -75,19 +82,28 @@
         self._directory.leaving = True
         accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
         self._callers.drain(accept_ms, span_ms)
-        self._peering.send_heartbeats()
         # Bounds all of the stop: the store may not answer, and a grace period
         # may be shorter than the delays below.
         with anyio.move_on_after(span_ms / MS_PER_SECOND):
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._registration.withdraw)
-                await self._drain_connections(listener, accept_ms)
+                for name, job in (
+                    ("announcement", self._announce),
+                    ("withdrawal", self._registration.withdraw),
+                ):
+                    tasks.start_soon(run_once, name, job, self._counters)
+                drain = functools.partial(
+                    self._drain_connections, listener, accept_ms
+                )
+                await keep_running("drain", drain, self._counters)
         listener.close()
         log_event("shutdown_done", in_progress=self._callers.count_busy())
         if self._callers.count_open():
             self._callers.end_requests()
             await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
 
+    async def _announce(self) -> None:
+        self._peering.send_heartbeats()
+
     async def _drain_connections(
         self, listener: asyncio.Server, accept_ms: int
     ) -> None:
--- a/corianderdoor/entry/upkeep.py
+++ b/corianderdoor/entry/upkeep.py
@@ -17,6 +17,26 @@
 Job = Callable[[], Awaitable[None]]
 
 
+async def run_once(name: str, job: Job, counters: Counters) -> bool:
+    """Runs a task; logs and counts an unexpected error.
+
+    Args:
+        name: Name of the task, for logs and metrics.
+        job: The task.
+        counters: Counts the errors.
+
+    Returns:
+        Whether it ended without an error.
+    """
+    try:
+        await job()
+    except Exception as exc:
+        log_event("task_failed", "ERROR", task=name, detail=repr(exc))
+        counters.add("task_failures", task=name)
+        return False
+    return True
+
+
 async def keep_running(name: str, job: Job, counters: Counters) -> None:
     """Runs a task, and starts it again after an unexpected error.
 
@@ -30,12 +50,6 @@
         counters: Counts the errors.
     """
     delay_ms = FIRST_RESTART_MS
-    while True:
-        try:
-            await job()
-            return
-        except Exception as exc:
-            log_event("task_failed", "ERROR", task=name, detail=repr(exc))
-            counters.add("task_failures", task=name)
+    while not await run_once(name, job, counters):
         await anyio.sleep(delay_ms / MS_PER_SECOND)
         delay_ms = min(MAX_RESTART_MS, 2 * delay_ms)
--- a/tests/test_entry_late_requests.py
+++ b/tests/test_entry_late_requests.py
@@ -5,13 +5,15 @@
 import anyio
 from entry_builders import build_request, build_route
 import pytest
-from test_entry_path import IDS, run, set_modes, total_runs
+from test_entry_path import IDS, run, set_modes, total_runs, wait_for
 
 from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.core.entry.flights import Flight
 from corianderdoor.core.entry.planned_stop import PlannedStop
 from corianderdoor.core.entry.routing import RouteKind
 from corianderdoor.entry import host_stop
+from corianderdoor.entry.peering import Peering
+from corianderdoor.entry.registration import Registration
 from corianderdoor.standins.platform_caller import read_answer, write_chat
 from corianderdoor.standins.platform_fleet import CALLER_HOST, KEY, Reply
 
@@ -143,3 +145,61 @@
     assert refuses(stop, ACCEPT_MS)
     assert not refuses(stop, 3_000, deadline_ms=4_440)
     assert refuses(stop, 3_001, deadline_ms=4_440)
+
+
+# Guards against LOST: a begun stream leaves its silent server in a stop, and
+# is cut as the server that it moved to declines it.
+def test_stream_of_a_silent_server_outlasts_a_declined_move_in_a_stop():
+    async def scenario(fleet):
+        for worker in fleet.workers.values():
+            worker.mode = "pause"
+            worker.pause_ms = 1_900
+        conn = await KeptConnection.open(fleet, "host-0")
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await conn.ask("r1", "/chat/x"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            while not total_runs(fleet, "r1"):
+                await anyio.sleep(0.01)
+            for worker in fleet.workers.values():
+                if not worker.runs["r1"]:
+                    worker.mode = "decline"
+            fleet.stop_host("host-0")
+        (reply,) = replies
+        assert reply.status == 200 and reply.complete
+        assert IDS.findall(reply.body) == [b"%d" % n for n in range(1, 7)]
+
+    run(scenario, engines=2, plain=0, hosts=1)
+
+
+# Guards against LOST: a task that fails in a stop ended the host at once, with
+# all answers in progress.
+@pytest.mark.parametrize(
+    ("part", "name"),
+    [(Peering, "send_heartbeats"), (Registration, "withdraw")],
+)
+def test_failure_in_a_stop_cuts_no_answer(monkeypatch, part, name):
+    def fail_once(*args, **kwargs):
+        monkeypatch.undo()
+        raise ValueError("a DNS lookup is required")
+
+    async def scenario(fleet):
+        set_modes(fleet, "pause", engine=True)
+        (worker,) = fleet.workers.values()
+        worker.pause_ms = 1_000
+        conn = await KeptConnection.open(fleet, "host-0")
+        async with anyio.create_task_group() as tasks:
+
+            async def ask() -> None:
+                reply = await conn.ask("r1", "/draft/x")
+                assert reply.status == 200 and reply.complete
+
+            tasks.start_soon(ask)
+            await wait_for(lambda: worker.runs["r1"] > 0)
+            monkeypatch.setattr(part, name, fail_once)
+            fleet.stop_host("host-0")
+
+    run(scenario, engines=1, plain=0, hosts=1)
