Answer requests that fail unexpectedly

A request that was read whole and passed on ended with a closed connection, without an answer, when an unexpected error was raised while it was served.

Cause: errors reached the handler of the connection, which only closes it. The class is that of a stop that an error ended: work that has been accepted needs an end that the caller can see.

Such a request now gets 502, or is cut if its answer has begun, and request_failed and a counter say so. A request that may have run is not said not to have run.

test_request_that_fails_unexpectedly_gets_an_answer: on the commit before, the connection was closed without an answer; now 502. The check that callers who leave cause no such error looks for both log lines. The tests of requests, stops and documents pass.

--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -169,7 +169,7 @@
             self._scopes[conn] = scope
             if self.stop.ended:
                 scope.cancel()
-            await self._answer(conn, received)
+            failed = not await self._try_answer(conn, received)
         protocol.on_peer_closed = None
         if scope.cancelled_caught:
             if not self.stop.ended or conn.response_started or protocol.ended:
@@ -179,11 +179,30 @@
             id = find_request_id(received.headers)
             await self._end_request(conn, 504, id, None)
             return False
+        if failed:
+            if conn.response_started or protocol.ended:
+                protocol.abort()
+                return False
+            id = find_request_id(received.headers)
+            await self._end_request(conn, 502, id, None)
+            return False
         conn.closing = conn.closing or self.draining
         more = await conn.finish()
         conn.busy = False
         return more
 
+    async def _try_answer(
+        self, conn: ServerConnection, received: ReceivedRequest
+    ) -> bool:
+        """Answers a request; returns False after an unexpected error."""
+        try:
+            await self._answer(conn, received)
+        except Exception as exc:
+            log_event("request_failed", "ERROR", detail=repr(exc))
+            self._planner.counters.add("request_failures")
+            return False
+        return True
+
     async def _answer(
         self, conn: ServerConnection, received: ReceivedRequest
     ) -> None:
@@ -227,7 +246,7 @@
         request_id: str | None,
         retry_after_ms: int | None,
     ) -> None:
-        """Answers a request that the end of the grace period cuts off."""
+        """Answers a request that ends before its server answered."""
         log_event("request_ended", "WARNING", id=request_id, status=status)
         conn.closing = True
         headers = build_refusal_headers(request_id, retry_after_ms)
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -10,6 +10,7 @@
 import pytest
 
 from corianderdoor.adapters.http1_connect import connect
+from corianderdoor.core.entry.planner import Planner
 from corianderdoor.standins.platform_fleet import (
     build_config,
     METRICS_PORT,
@@ -305,7 +306,8 @@
         assert reply.status == 200
         protocol.abort()
         logger.remove(sink)
-        assert not [line for line in lines if "connection_failed" in line]
+        failures = ("connection_failed", "request_failed")
+        assert not [line for line in lines if any(f in line for f in failures)]
         assert [line for line in lines if "reason=timeout" in line]
 
     run(scenario, hosts=1)
@@ -446,3 +448,18 @@
         protocol.abort()
 
     run(scenario, hosts=1)
+
+
+# Guards against LOST: an unexpected error closed the connection of a request
+# that had run, without an answer.
+def test_request_that_fails_unexpectedly_gets_an_answer(monkeypatch):
+    def fail(*args):
+        raise UnicodeError("label too long")
+
+    async def scenario(fleet):
+        monkeypatch.setattr(Planner, "record_complete_answer", fail)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x")
+        assert (reply.status, reply.complete) == (502, True)
+        assert total_runs(fleet, "id-1") == 1
+
+    run(scenario, engines=0, plain=1, hosts=1)
