Check stops with late requests, silent servers and peers that stop

Half of the callers now use a connection for as long as it lasts. Requests are judged by the rule as it is written, with its excuses; those on connections of callers who stop after 2 s need an answer as before. What the hosts logged of each way to cut an answer is counted.

--- a/scripts/soak_deployment.py
+++ b/scripts/soak_deployment.py
@@ -28,6 +28,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 CENTRES = ("a", "b")
+ENTRY_COMMAND = ("-m", "corianderdoor.entry")
 SECOND_KEY = "key-2"
 PROBE_ROUTE = build_route("/probe/", "idempotent", PLAIN_SERVICE)
 # Low enough that the load of a run reaches both limits.
@@ -53,7 +54,12 @@
     """
 
     def __init__(
-        self, name: str, address: str, settings: pathlib.Path, log: TextIO
+        self,
+        name: str,
+        address: str,
+        settings: pathlib.Path,
+        log: TextIO,
+        command: tuple[str, ...] = ENTRY_COMMAND,
     ) -> None:
         self.name = name
         self.address = address
@@ -61,6 +67,7 @@
         self.peak_kb = 0
         self._settings = settings
         self._log = log
+        self._command = command
         self.proc = self.start()
 
     def start(self) -> subprocess.Popen[bytes]:
@@ -68,8 +75,7 @@
         self.proc = subprocess.Popen(
             [
                 sys.executable,
-                "-m",
-                "corianderdoor.entry",
+                *self._command,
                 "--settings",
                 str(self._settings),
             ],
--- a/scripts/stop_check.py
+++ b/scripts/stop_check.py
@@ -1,9 +1,13 @@
 """Checks planned stops of entry hosts under load with real processes.
 
-Callers send requests to every host, on new and on kept connections, until
-`CALLER_TTL_MS` after its stop, as with an old directory answer. Exits with 1
-if a request that a host accepted ends without a complete answer, or if a host
-is still there at the end of its grace period.
+Callers send requests to every host, on new and on kept connections. Some stop
+using a host 2 s after its stop, as with an old directory answer; others use a
+connection for as long as it lasts. Answers last up to most of the timeouts of
+their routes, servers fall silent for up to two seconds, hosts get SIGHUP at
+any time and SIGTERM again during their stops, stops overlap, and some come
+right after a start. Exits with 1 if the rule for planned work was broken, if
+a host is still there at the end of its grace period, or if it ends by a
+signal.
 """
 
 from __future__ import annotations
@@ -12,6 +16,7 @@
 from collections import Counter
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -19,32 +24,37 @@
 
 import anyio
 import anyio.abc
-from soak_deployment import Host
+from soak_deployment import ENTRY_COMMAND, Host, ROOT
+from stop_check_callers import ALL_ROUTES, Callers
+from stop_check_servers import VariedWorker
 
-from corianderdoor.adapters.http1 import H11Protocol
-from corianderdoor.adapters.http1_connect import connect
+from corianderdoor.adapters.http1_server import listen
 from corianderdoor.adapters.logs import set_up_entry_logs
-from corianderdoor.core.clock import SystemClock
-from corianderdoor.standins.platform_caller import read_answer, write_chat
+from corianderdoor.core.clock import MS_PER_SECOND, SystemClock
 from corianderdoor.standins.platform_fleet import (
+    build_config,
     build_settings,
-    CALLER_HOST,
     GRACE_PERIOD_S,
-    KEY,
     PlatformFleet,
     PORT,
-    Reply,
-    TIMEOUT_MS,
 )
 
 MAX_STOPS = 200
-# Callers use a directory answer for up to two seconds.
-CALLER_TTL_MS = 2_000
-MAX_DELAY_S = 0.5
-THINK_S = 0.02
-PATHS = ("/chat/x", "/pay/x", "/read/x")
-# Times that the plain services take.
-WORK_MS = (5, 120, 900)
+ENGINES = 4
+PLAIN = 3
+SLOTS = 64
+# How long a server is silent, and the time between two silences.
+SILENT_MS = (1_000, 2_000)
+SILENCE_GAP_S = (0.5, 4.0)
+HUP_GAP_S = (0.1, 0.8)
+SECOND_TERM_S = (0.0, 5.0)
+EARLY_STOP_S = (0.5, 1.5)
+EARLY_STOP_SHARE = 0.25
+# Events of the hosts' logs that tell causes of a cut answer apart.
+LOGGED = re.compile(
+    r"event=(request_cut_by_stop|server_reached_by_peer|connection_failed"
+    r"|send_failed .*begun=True|task_failed|stopped)"
+)
 
 
 class StopCheck:
@@ -55,51 +65,56 @@
         self._folder = folder
         self._rng = random.Random(args.seed)
         self._hosts: list[Host] = []
-        # When callers stop using a host, in ms; 0 while it serves.
-        self._unused_ms: Counter[str] = Counter()
-        self._number = 0
-        self._done = False
-        self.outcomes: Counter[str] = Counter()
-        self.failures: list[str] = []
+        self._started_s: dict[str, float] = {}
+        self._starts: Counter[str] = Counter()
         self.exit_times_s: list[float] = []
 
     async def run(self) -> None:
         """Stops hosts under load, `stops` times in all."""
         async with anyio.create_task_group() as tasks:
             self._fleet = PlatformFleet(tasks)
+            self.callers = Callers(self._fleet, self._rng)
             try:
-                await self._start()
+                await self._start(tasks)
                 for host in self._hosts:
                     for number in range(self._args.callers):
-                        tasks.start_soon(self._call, host, number % 2 == 0)
+                        tasks.start_soon(
+                            self.callers.call,
+                            host,
+                            number % 4 != 0,
+                            number % 4 > 1,
+                        )
                 tasks.start_soon(self._expire_leases)
+                tasks.start_soon(self._silence_servers)
+                tasks.start_soon(self._send_hups)
                 left = self._args.stops
                 while left > 0:
                     batch = self._hosts[1:][:left]
-                    self._fleet.store.fault = self._args.store_fault
-                    async with anyio.create_task_group() as stops:
-                        for host in batch:
-                            stops.start_soon(self._stop, host)
-                    self._fleet.store.fault = ""
-                    for host in batch:
-                        host.start()
-                    for host in batch:
-                        await self._fleet.wait_ready(host.name)
-                        self._unused_ms[host.name] = 0
+                    await self._stop_all(batch)
                     left -= len(batch)
             finally:
-                self._done = True
+                self.callers.done = True
                 for host in self._hosts:
                     if host.proc.poll() is None:
                         host.proc.kill()
                         host.proc.wait()
                 tasks.cancel_scope.cancel()
 
-    async def _start(self) -> None:
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
         fleet = self._fleet
-        await fleet.start(2, len(WORK_MS), 0)
-        for number, work_ms in enumerate(WORK_MS):
-            fleet.workers[f"plain-{number}"].work_ms = work_ms
+        await fleet.start(0, 0, 0)
+        fleet.store.state.put("op/config", build_config(2, ALL_ROUTES))
+        for number in range(ENGINES + PLAIN):
+            engine = number < ENGINES
+            id = f"{'engine' if engine else 'plain'}-{number}"
+            worker = fleet.workers[id] = VariedWorker(id, engine)
+            address = fleet.allocate_address()
+            await listen((address, PORT), tasks, worker.serve)
+            fleet.register_worker(id, address, slots=SLOTS)
+        command = ENTRY_COMMAND
+        if self._args.slow_links:
+            script = str(ROOT / "scripts" / "stop_check_host.py")
+            command = (script, str(self._args.slow_links))
         for number in range(self._args.hosts):
             name = f"host-{number}"
             address = fleet.allocate_address()
@@ -109,7 +124,9 @@
             )
             log = (self._folder / f"{name}.log").open("a")
             fleet.hosts[name] = (address, PORT)
-            self._hosts.append(Host(name, address, path, log))
+            self._hosts.append(Host(name, address, path, log, command))
+            self._started_s[name] = time.monotonic()
+            self._starts[name] += 1
         for host in self._hosts:
             await fleet.wait_ready(host.name)
 
@@ -118,71 +135,114 @@
             await anyio.sleep(0.1)
             self._fleet.store.state.expire_leases()
 
-    async def _stop(self, host: Host) -> None:
-        await anyio.sleep(self._rng.uniform(0, MAX_DELAY_S))
+    async def _silence_servers(self) -> None:
+        while True:
+            await anyio.sleep(self._rng.uniform(*SILENCE_GAP_S))
+            worker = self._rng.choice(list(self._fleet.workers.values()))
+            assert isinstance(worker, VariedWorker)
+            worker.fall_silent(self._rng.randint(*SILENT_MS))
+
+    async def _send_hups(self) -> None:
+        while True:
+            await anyio.sleep(self._rng.uniform(*HUP_GAP_S))
+            host = self._rng.choice(self._hosts)
+            if host.proc.poll() is None and _holds_hup(host.proc.pid):
+                host.proc.send_signal(signal.SIGHUP)
+
+    async def _stop_all(self, batch: list[Host]) -> None:
+        """Stops hosts, each at its own time, and starts them again."""
+        self._fleet.store.fault = self._args.store_fault
+        async with anyio.create_task_group() as stops:
+            for host in batch:
+                delay_s = self._rng.uniform(0, self._args.spread)
+                stops.start_soon(self._stop, host, delay_s)
+        self._fleet.store.fault = ""
+        for host in batch:
+            self._restart(host)
+        async with anyio.create_task_group() as stops:
+            for host in batch:
+                if self._rng.random() < EARLY_STOP_SHARE:
+                    delay_s = self._rng.uniform(*EARLY_STOP_S)
+                    stops.start_soon(self._stop_early, host, delay_s)
+        for host in batch:
+            await self._wait_ready(host)
+            self.callers.signal_ms.pop(host.name, None)
+            self.callers.starting.discard(host.name)
+
+    async def _wait_ready(self, host: Host) -> None:
+        try:
+            await self._fleet.wait_ready(host.name)
+        except TimeoutError:
+            self._fail(f"{host.name}: not ready, {host.proc.poll()}")
+            if host.proc.poll() is not None:
+                self._restart(host)
+                await self._fleet.wait_ready(host.name)
+
+    def _restart(self, host: Host) -> None:
+        self.callers.starting.add(host.name)
+        host.start()
+        self._starts[host.name] += 1
+        self._started_s[host.name] = time.monotonic()
+
+    async def _stop_early(self, host: Host, delay_s: float) -> None:
+        """Stops a host that has just been started, and starts it again."""
+        await self._stop(host, delay_s)
+        self._restart(host)
+
+    async def _stop(self, host: Host, delay_s: float) -> None:
+        await anyio.sleep(delay_s)
         began_s = time.monotonic()
-        self._unused_ms[host.name] = self._fleet.clock.now_ms() + CALLER_TTL_MS
+        second_s = began_s + self._rng.uniform(*SECOND_TERM_S)
+        self.callers.signal_ms[host.name] = self._fleet.clock.now_ms()
         host.proc.send_signal(signal.SIGTERM)
         with anyio.move_on_after(GRACE_PERIOD_S):
             while host.proc.poll() is None:
+                if time.monotonic() > second_s:
+                    second_s += GRACE_PERIOD_S
+                    host.proc.send_signal(signal.SIGTERM)
                 await anyio.sleep(0.01)
         self.exit_times_s.append(time.monotonic() - began_s)
         if host.proc.poll() is None:
-            self.failures.append(f"{host.name}: still there at the end")
+            self._fail(f"{host.name}: still there at the end")
             host.proc.kill()
             host.proc.wait()
+        elif host.proc.returncode == -signal.SIGTERM and not self._served(
+            host
+        ):
+            # The default action of the signal, before it could be handled.
+            self.callers.outcomes["host ended in its start"] += 1
         elif host.proc.returncode:
-            self.failures.append(f"{host.name}: {host.proc.returncode}")
+            age_ms = (began_s - self._started_s[host.name]) * MS_PER_SECOND
+            self._fail(
+                f"{host.name}: {host.proc.returncode}, {age_ms:.0f} ms old"
+            )
 
-    async def _call(self, host: Host, keeps: bool) -> None:
-        """Sends requests to a host, one after the other."""
-        kept: H11Protocol | None = None
-        while True:
-            unused_ms = self._unused_ms[host.name]
-            now_ms = self._fleet.clock.now_ms()
-            if unused_ms and now_ms > unused_ms:
-                kept = None
-                await anyio.sleep(THINK_S)
-                continue
-            reused = kept is not None and kept.reusable
-            protocol = kept if reused else None
-            if protocol is None:
-                protocol = await connect((host.address, PORT), 1_000, 0)
-            if protocol is None:
-                self.outcomes["not accepted"] += 1
-                if unused_ms:
-                    self.failures.append(f"{host.name}: refused connection")
-                await anyio.sleep(THINK_S)
-                continue
-            await self._send(host, protocol, reused)
-            kept = protocol if keeps and protocol.reset_cycle() else None
-            if kept is None:
-                protocol.abort()
-            await anyio.sleep(self._rng.choice((0, 0, THINK_S)))
-
-    async def _send(
-        self, host: Host, protocol: H11Protocol, reused: bool
-    ) -> None:
-        self._number += 1
-        id = f"r{self._number}"
-        reply = Reply()
-        path = self._rng.choice(PATHS)
-        sent_ms = self._fleet.clock.now_ms()
-        write_chat(protocol, CALLER_HOST, id, path, KEY, "", TIMEOUT_MS)
-        await read_answer(protocol, reply)
-        if self._done:
-            return
-        if reply.complete:
-            self.outcomes[f"status {reply.status}"] += 1
-            return
-        way = "kept" if reused else "new"
-        begun = "cut" if reply.status else "unanswered"
-        self.outcomes[f"{begun} on a {way} connection"] += 1
-        left_ms = self._unused_ms[host.name] - sent_ms
-        self.failures.append(
-            f"{host.name}: {id} {path} {begun} on a {way} connection, sent "
-            f"{CALLER_TTL_MS - left_ms} ms after the stop"
-        )
+    def _served(self, host: Host) -> bool:
+        """Returns whether the last process of a host had begun to serve."""
+        log = (self._folder / f"{host.name}.log").read_text()
+        return log.count("event=started") == self._starts[host.name]
+
+    def _fail(self, failure: str) -> None:
+        self.callers.failures.append(failure)
+
+    def count_logged(self) -> Counter[str]:
+        """Returns how often the hosts logged what tells causes apart."""
+        found: Counter[str] = Counter()
+        for path in sorted(self._folder.glob("*.log")):
+            for match in LOGGED.finditer(path.read_text()):
+                found[match[1].partition(" ")[0]] += 1
+        return found
+
+
+def _holds_hup(pid: int) -> bool:
+    """Returns whether a process has blocked SIGHUP once, or handles it.
+
+    Nothing can while the interpreter starts.
+    """
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = re.findall(r"Sig(?:Blk|Cgt):\s*([0-9a-f]+)", status)
+    bit = 1 << (signal.SIGHUP - 1)
+    return any(int(mask, 16) & bit for mask in masks)
 
 
 def main() -> int:
@@ -192,6 +252,18 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--callers", type=int, default=8, help="per host")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--spread",
+        type=float,
+        default=8.0,
+        help="seconds within which stops of several hosts begin",
+    )
+    parser.add_argument(
+        "--slow-links",
+        type=float,
+        default=0.0,
+        help="share of the hosts' connections to servers that fail",
+    )
     parser.add_argument(
         "--store-fault", default="", help="fault of the store at the stops"
     )
@@ -201,13 +273,15 @@
     set_up_entry_logs("stops", "ERROR", SystemClock())
     check = StopCheck(args, folder)
     anyio.run(check.run, backend_options={"use_uvloop": True})
+    failures = check.callers.failures
     print(f"{len(check.exit_times_s)} stops, seed {args.seed}")
-    print(f"outcomes: {dict(check.outcomes)}")
+    print(f"outcomes: {dict(check.callers.outcomes)}")
+    print(f"logged: {dict(check.count_logged())}")
     print(f"longest stop: {max(check.exit_times_s):.2f} s")
-    for line in check.failures[:20]:
+    for line in failures[:20]:
         print(f"  {line}")
-    print(f"{len(check.failures)} failures, logs in {folder}")
-    return int(bool(check.failures))
+    print(f"{len(failures)} failures, logs in {folder}")
+    return int(bool(failures))
 
 
 if __name__ == "__main__":
