--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -221,6 +221,7 @@
     def __init__(self) -> None:
         self.written: list[object] = []
         self.aborted = False
+        self.via_peer = False
 
     def write(self, event: object) -> None:
         self.written.append(event)
