--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -132,6 +132,7 @@
             clock, self._planner.counters, connect_server
         )
         self._links.list_helpers = self._list_helpers
+        self._links.is_leaving = self._peers.is_leaving
         self._pool = ConnectionPool(
             clock, self._links, AnswerMemory(settings.memory_mb)
         )
@@ -265,6 +266,7 @@
             self._directory,
             self._registration,
             self._tunnels,
+            self._planner.counters,
         )
 
     def _list_helpers(self, server_id: str) -> list[Address]:
