Refuse addresses that can't be one, and survive errors of connects

What callers saw: beside an entry of another writer whose address names no host (a NUL, 300 letters, `a..b`), connections were closed without an answer.

Cause: any text counted as the host of an address, so that the event loop resolved it and raised UnicodeError or ValueError. `connect` took OSError alone for a failure; the error passed through the relay and ended the caller's connection, and nothing was recorded against the server.

Change: the platform has IPv4 addresses alone, so the standard library's `ipaddress` decides, for settings and for records of servers and hosts; the latter can't be addresses at which nothing is reached either. Any error of a connect, direct or through a peer, is a failure of that attempt.

--- a/corianderdoor/adapters/http1_connect.py
+++ b/corianderdoor/adapters/http1_connect.py
@@ -11,6 +11,7 @@
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from .http1 import H11Protocol
+from .logs import log_event
 
 # Turns of the event loop in which it delivers what has arrived.
 LOOP_TURNS: Final = 2
@@ -58,8 +59,11 @@
     exc = opening.exception()
     if exc is None:
         return opening.result()[1]
-    if not isinstance(exc, OSError):
+    if not isinstance(exc, Exception):
         raise exc
+    if not isinstance(exc, OSError):
+        # The event loop raises other errors for addresses that can't be one.
+        log_event("connect_raised", "WARNING", detail=repr(exc)[:200])
     return None
 
 
--- a/corianderdoor/adapters/staggered.py
+++ b/corianderdoor/adapters/staggered.py
@@ -8,6 +8,7 @@
 
 from ..core.clock import MS_PER_SECOND
 from .http1 import H11Protocol
+from .logs import log_event
 
 
 class Attempt:
@@ -27,6 +28,14 @@
         self.delay_ms = delay_ms
         self.open = open
 
+    async def run(self) -> H11Protocol | None:
+        """Opens the connection; an error is a failure of this attempt."""
+        try:
+            return await self.open()
+        except Exception as exc:
+            log_event("connect_raised", "WARNING", detail=repr(exc)[:200])
+            return None
+
 
 async def open_first(
     attempts: Sequence[Attempt], timeout_ms: int
@@ -47,7 +56,7 @@
         if index:
             with anyio.move_on_after(attempt.delay_ms / MS_PER_SECOND):
                 await failed[index - 1].wait()
-        protocol = await attempt.open()
+        protocol = await attempt.run()
         if protocol is None:
             failed[index].set()
         elif opened:
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -17,7 +17,7 @@
     Workspace,
 )
 from ..core.entry.servers import BackendServer
-from .settings import parse_address, SettingsError
+from .settings import parse_remote_address, SettingsError
 
 SERVER_PREFIX: Final = "servers/"
 DESIRED_KEY: Final = "op/config"
@@ -119,7 +119,7 @@
     """
     try:
         raw = msgspec.json.decode(value, type=_Server)
-        host, port = parse_address(raw.address)
+        host, port = parse_remote_address(raw.address)
     except (*UNDECODABLE, SettingsError) as exc:
         raise RecordError(f"entry of server {server_id}: {exc}") from exc
     return BackendServer(
@@ -238,8 +238,8 @@
     try:
         raw = msgspec.json.decode(value, type=_Host)
         return (
-            parse_address(raw.callers),
-            parse_address(raw.peers),
+            parse_remote_address(raw.callers),
+            parse_remote_address(raw.peers),
             raw.data_centre,
             raw.link_mbps,
         )
--- a/corianderdoor/platform/settings.py
+++ b/corianderdoor/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
 import pathlib
 from typing import Any, Final
@@ -172,17 +173,36 @@
 
 
 def parse_address(text: str) -> Address:
-    """Returns the IP address and the port of "IP:PORT".
+    """Returns the IPv4 address and the port of "IP:PORT".
 
     Raises:
         SettingsError: The text does not have this form.
     """
     host, colon, port = text.rpartition(":")
     if not (host and colon and port.isascii() and port.isdigit()):
-        raise SettingsError(f"{text!r} is not an address of the form IP:PORT")
+        raise SettingsError(
+            f"{text[:80]!r} is not an address of the form IP:PORT"
+        )
     if len(port) > len(str(MAX_PORT)) or not 0 < int(port) <= MAX_PORT:
         raise SettingsError(f"{text[:80]!r} has no valid port")
-    return host, int(port)
+    try:
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError as exc:
+        raise SettingsError(f"{text[:80]!r} has no valid IP address") from exc
+
+
+def parse_remote_address(text: str) -> Address:
+    """Returns the address of another process in the form "IP:PORT".
+
+    Raises:
+        SettingsError: The text does not have this form, or nothing can be
+            reached there.
+    """
+    address = parse_address(text)
+    host = ipaddress.IPv4Address(address[0])
+    if host.is_unspecified or host.is_multicast or host.is_reserved:
+        raise SettingsError(f"{text!r} is the address of no host")
+    return address
 
 
 def settings_path() -> pathlib.Path:
