Take an entry of a server only whole, field by field

What callers saw: payments were run by a model worker of another service (ROUTE), after entries of another writer under its id that lacked `version`, `cold_remaining_ms`, `sequence_number` and `born`.

Cause: lacking fields got defaults and `sequence_number` was not read, so that any value with six fields counted as what the server says of itself. Numbers had no bounds, and an id or a service could be empty or fit in no header.

A server whose sound entry is overwritten stays as that entry said for three heartbeats and is then removed like a silent one (docs/design/platform.md). A refused value is counted with its field and logged once. A known process that is said to have another service, which the desired state doesn't name, is such a value too.

--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -7,6 +7,7 @@
 import gc
 import pathlib
 import random
+from typing import Final
 
 import anyio
 import anyio.abc
@@ -55,6 +56,9 @@
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
+# Heartbeats that a server misses before the platform removes its entry.
+HEARTBEATS_MISSED: Final = 3
+
 
 class EntryHost:
     """One entry host and its tasks."""
@@ -146,7 +150,12 @@
             )
         self._pool.on_unexpected_bytes = self._record_unexpected_bytes
         self._applier = StateApplier(
-            self._planner, self._peers, self._pool, clock, self._rollouts
+            self._planner,
+            self._peers,
+            self._pool,
+            clock,
+            self._rollouts,
+            int(HEARTBEATS_MISSED * settings.heartbeat_ms),
         )
         self._era = StoreEra(self._planner.counters)
         self._sync = StateSync(
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -33,6 +33,7 @@
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
+from .refused_records import RefusedRecords
 from .rollout_feed import RolloutFeed
 
 # Servers of a data centre that takes requests again may be cold, which their
@@ -45,6 +46,8 @@
 # An evacuation that is missing after a restore stays in force for this long,
 # in which the operators write it again.
 EVACUATION_GRACE_MS: Final = 30_000
+# Silence after which the platform removes the entry of a server.
+SILENCE_MS: Final = 3_600
 
 
 class StateApplier:
@@ -63,6 +66,8 @@
         "_rollouts",
         "_kept_evacuations",
         "_desired",
+        "_refused",
+        "_silence_ms",
     )
 
     def __init__(
@@ -72,7 +77,20 @@
         pool: ConnectionPool,
         clock: Clock,
         rollouts: RolloutFeed | None = None,
+        silence_ms: int = SILENCE_MS,
     ) -> None:
+        """Creates an applier of a replica without items.
+
+        Args:
+            planner: Gets the servers and the desired state.
+            peers: Gets the other hosts.
+            pool: Connections to servers; those of former ones are closed.
+            clock: The clock.
+            rollouts: Gets what concerns rollouts; None if there are none.
+            silence_ms: Silence after which a server's entry is removed.
+        """
+        self._refused = RefusedRecords(planner.counters)
+        self._silence_ms = silence_ms
         self.replica = Replica()
         self._planner = planner
         self._peers = peers
@@ -214,6 +232,8 @@
         )
         if not from_copy:
             self.replica.overrides.pop(change.key, None)
+        if not isinstance(decoded, UnusableRecord):
+            self._refused.forget(change.key)
         self._apply_decoded(decoded, from_copy)
         if isinstance(decoded, DesiredStateChange):
             self._record_desired(decoded, change, from_copy)
@@ -243,6 +263,12 @@
     def _(self, decoded: ServerListed, from_copy: bool) -> None:
         now_ms = self._clock.now_ms()
         server = decoded.server
+        if self._planner.selection.names_other_service(server):
+            self._refused.record(
+                SERVER_PREFIX + server.id, "service", "not the server's own"
+            )
+            self._keep_overwritten(server.id)
+            return
         if from_copy and not self._planner.servers.accepts_copy(
             server, now_ms, OUTAGE_GRACE_MS
         ):
@@ -357,9 +383,14 @@
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         if decoded.key == LEDGER_KEY:
             self._planner.selection.ledger.record(None, self.replica.era)
-        log_event(
-            "record_invalid",
-            "WARNING",
-            key=decoded.key,
-            detail=decoded.detail,
-        )
+        self._refused.record(decoded.key, decoded.field, decoded.detail)
+        if decoded.key.startswith(SERVER_PREFIX):
+            self._keep_overwritten(decoded.key[len(SERVER_PREFIX) :])
+
+    def _keep_overwritten(self, server_id: str) -> None:
+        """Keeps a server whose entry another writer has overwritten.
+
+        It is removed as if silent unless it writes its entry again.
+        """
+        now_ms = self._clock.now_ms()
+        self._planner.servers.remove(server_id, now_ms, self._silence_ms)
--- a/corianderdoor/entry/stored_streams.py
+++ b/corianderdoor/entry/stored_streams.py
@@ -11,7 +11,7 @@
 from ..core.entry.servers import Servers
 from ..core.entry.stream_versions import StreamOrigin
 from ..core.entry.version_ledger import VersionLedger
-from ..platform.records import RecordError
+from ..platform.decoding import RecordError
 from ..platform.store import HistoryGoneError, StoreClient, StoreError
 from ..platform.stream_records import (
     BEGUN_PREFIX,
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -11,15 +11,14 @@
 from ..core.entry.servers import BackendServer
 from ..core.entry.version_ledger import VersionLedger
 from ..core.records import Record
+from .decoding import RecordError
 from .records import (
     CACHES_KEY,
     decode_desired,
     decode_host,
-    decode_server,
     DESIRED_KEY,
     EVACUATION_PREFIX,
     HOST_PREFIX,
-    RecordError,
     SERVER_PREFIX,
 )
 from .rollouts import (
@@ -28,6 +27,7 @@
     ORDER_PREFIX,
     ROLLOUT_PREFIX,
 )
+from .server_records import decode_server
 from .stream_records import decode_ledger, LEDGER_KEY
 
 
@@ -157,13 +157,20 @@
 
 
 class UnusableRecord(Record):
-    """A value in the store that can't be decoded."""
+    """A value in the store that can't be decoded.
 
-    __slots__ = ("key", "detail")
+    Attributes:
+        key: Its key.
+        detail: What is wrong with it.
+        field: Name of the invalid field; empty if there is no such field.
+    """
+
+    __slots__ = ("key", "detail", "field")
 
-    def __init__(self, key: str, detail: str) -> None:
+    def __init__(self, key: str, detail: str, field: str = "") -> None:
         self.key = key
         self.detail = detail
+        self.field = field
 
 
 DecodedChange: TypeAlias = (
@@ -186,7 +193,7 @@
     try:
         return _decode(change)
     except RecordError as exc:
-        return UnusableRecord(change.key, str(exc))
+        return UnusableRecord(change.key, str(exc), exc.field)
     except RecursionError:
         # The decoder raises it for values that are nested too deep.
         return UnusableRecord(change.key, "nested too deep")
--- a/corianderdoor/platform/records.py
+++ b/corianderdoor/platform/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final, Literal
+from typing import Annotated, Final
 
 import msgspec
 
@@ -16,7 +16,7 @@
     Service,
     Workspace,
 )
-from ..core.entry.servers import BackendServer
+from .decoding import decode_fields, RecordError
 from .settings import parse_remote_address, SettingsError
 
 SERVER_PREFIX: Final = "servers/"
@@ -26,8 +26,6 @@
 HOST_PREFIX: Final = "corianderdoor/hosts/"
 # Entry hosts save here which servers cache which prompt parts.
 CACHES_KEY: Final = "corianderdoor/caches"
-# Deeply nested JSON raises RecursionError.
-UNDECODABLE: Final = (msgspec.MsgspecError, RecursionError)
 ROUTE_KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -35,17 +33,6 @@
 }
 
 
-class _Server(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: Literal["available", "draining"]
-    cold_remaining_ms: float = 0.0
-    born: int = 0
-    version: str = ""
-
-
 class _Split(msgspec.Struct):
     service: str
     weight: float
@@ -104,36 +91,7 @@
     callers: str
     peers: str
     data_centre: str
-    link_mbps: float = 0.0
-
-
-class RecordError(Exception):
-    """A value in the store is invalid."""
-
-
-def decode_server(server_id: str, value: bytes) -> BackendServer:
-    """Returns the backend server that an entry describes.
-
-    Raises:
-        RecordError: The entry is invalid.
-    """
-    try:
-        raw = msgspec.json.decode(value, type=_Server)
-        host, port = parse_remote_address(raw.address)
-    except (*UNDECODABLE, SettingsError) as exc:
-        raise RecordError(f"entry of server {server_id}: {exc}") from exc
-    return BackendServer(
-        server_id,
-        raw.service,
-        host,
-        port,
-        raw.zone,
-        raw.state == "available",
-        max(1, raw.slots),
-        max(0.0, raw.cold_remaining_ms),
-        raw.born,
-        raw.version,
-    )
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 def decode_desired(value: bytes) -> DesiredState:
@@ -142,11 +100,11 @@
     Raises:
         RecordError: The value is not a valid desired state.
     """
+    raw = decode_fields(value, _Config, "desired state")
     try:
-        raw = msgspec.json.decode(value, type=_Config)
         routes = [_decode_route(route) for route in raw.routes]
         return _build_desired(raw, routes)
-    except (*UNDECODABLE, KeyError, ValueError, OverflowError) as exc:
+    except (KeyError, ValueError, OverflowError) as exc:
         raise RecordError(f"desired state: {exc}") from exc
 
 
@@ -235,13 +193,15 @@
     Raises:
         RecordError: The record is invalid.
     """
+    raw = decode_fields(value, _Host, f"record of host {name!r}")
     try:
-        raw = msgspec.json.decode(value, type=_Host)
-        return (
-            parse_remote_address(raw.callers),
-            parse_remote_address(raw.peers),
-            raw.data_centre,
-            raw.link_mbps,
-        )
-    except (*UNDECODABLE, SettingsError) as exc:
-        raise RecordError(f"record of host {name}: {exc}") from exc
+        callers = parse_remote_address(raw.callers)
+    except SettingsError as exc:
+        raise RecordError(
+            f"record of host {name!r}: {exc}", "callers"
+        ) from exc
+    try:
+        peers = parse_remote_address(raw.peers)
+    except SettingsError as exc:
+        raise RecordError(f"record of host {name!r}: {exc}", "peers") from exc
+    return callers, peers, raw.data_centre, raw.link_mbps
--- a/corianderdoor/platform/rollouts.py
+++ b/corianderdoor/platform/rollouts.py
@@ -13,7 +13,7 @@
     RolloutRecord,
     RolloutState,
 )
-from .records import RecordError
+from .decoding import decode_fields, RecordError
 
 # Written by the operators; the hosts only read it.
 ORDER_PREFIX: Final = "op/rollout/"
@@ -61,19 +61,20 @@
             key, names no version, or its duration is not a number of seconds
             above 0.
     """
-    try:
-        raw = msgspec.json.decode(value, type=_Order)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        raise RecordError(f"order for service {service}: {exc}") from exc
+    raw = decode_fields(value, _Order, f"order for service {service}")
     if not service or raw.service != service:
         raise RecordError(
-            f"order for service {service}: names service {raw.service!r}"
+            f"order for service {service}: names service {raw.service!r}",
+            "service",
         )
     if not raw.to:
-        raise RecordError(f"order for service {service}: names no version")
+        raise RecordError(
+            f"order for service {service}: names no version", "to"
+        )
     if not 0 < raw.duration_s <= MAX_DURATION_S:
         raise RecordError(
-            f"order for service {service}: duration of {raw.duration_s} s"
+            f"order for service {service}: duration of {raw.duration_s} s",
+            "duration_s",
         )
     duration_ms = math.ceil(raw.duration_s * MS_PER_SECOND)
     return RolloutOrder(service, raw.to, duration_ms, revision)
@@ -95,10 +96,7 @@
     Raises:
         RecordError: The record is invalid.
     """
-    try:
-        raw = msgspec.json.decode(value, type=_Record)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        raise RecordError(f"rollout of service {service}: {exc}") from exc
+    raw = decode_fields(value, _Record, f"rollout of service {service}")
     return RolloutRecord(
         service,
         raw.order_revision,
@@ -136,8 +134,5 @@
     Raises:
         RecordError: The status is invalid.
     """
-    try:
-        raw = msgspec.json.decode(value, type=_Status)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
-        raise RecordError(f"status of service {service}: {exc}") from exc
+    raw = decode_fields(value, _Status, f"status of service {service}")
     return raw.state, raw.to
--- a/corianderdoor/platform/stream_records.py
+++ b/corianderdoor/platform/stream_records.py
@@ -10,7 +10,7 @@
 
 from ..core.entry.stream_versions import StreamOrigin
 from ..core.entry.version_ledger import VersionLedger
-from .records import RecordError, UNDECODABLE
+from .decoding import decode_fields, RecordError, UNDECODABLE
 
 STREAMS_PREFIX: Final = "corianderdoor/streams/"
 # Versions that may have begun streams.
@@ -48,10 +48,7 @@
     Raises:
         RecordError: The ledger is malformed.
     """
-    try:
-        raw = msgspec.json.decode(value, type=_Ledger)
-    except UNDECODABLE as exc:
-        raise RecordError(f"versions of streams: {exc}") from exc
+    raw = decode_fields(value, _Ledger, "versions of streams")
     versions = {name: frozenset(vs) for name, vs in raw.versions.items()}
     return VersionLedger(raw.era, versions, raw.complete)
 
--- a/corianderdoor/standins/platform_fleet.py
+++ b/corianderdoor/standins/platform_fleet.py
@@ -263,6 +263,7 @@
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
+            "sequence_number": 1,
             "born": 1,
             "version": self.workers[id].version,
             **changes,
--- a/corianderdoor/tools/platform_rollouts.py
+++ b/corianderdoor/tools/platform_rollouts.py
@@ -15,7 +15,7 @@
     RolloutRecordChange,
     ServerListed,
 )
-from ..platform.records import RecordError
+from ..platform.decoding import RecordError
 from ..platform.rollouts import decode_status, STATUS_PREFIX
 
 
--- a/tests/test_entry_foreign_entries.py
+++ b/tests/test_entry_foreign_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+from entry_builders import build_planner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 import msgspec
@@ -11,8 +12,17 @@
 
 from corianderdoor.adapters.http1_connect import connect
 from corianderdoor.adapters.staggered import Attempt, open_first
-from corianderdoor.core.entry.replica import Change
-from corianderdoor.platform.changes import decode_change, UnusableRecord
+from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.entry.peers import Peers
+from corianderdoor.core.entry.replica import Change, Page
+from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry import refused_records
+from corianderdoor.entry.state_applier import StateApplier
+from corianderdoor.platform.changes import (
+    decode_change,
+    ServerListed,
+    UnusableRecord,
+)
 from corianderdoor.platform.settings import parse_address, SettingsError
 from corianderdoor.standins.platform_fleet import (
     METRICS_PORT,
@@ -52,6 +62,26 @@
 ]
 NOWHERE = ["0.0.0.0", "224.0.0.1", "255.255.255.255"]
 PORTS = ["0", "70000", "-1", "+80", "8 0", "9" * 5_000, "", "٨٠"]
+DIGITS = b":" + b"9" * 5_000
+FIELDS = {
+    "service": [""],
+    "zone": [""],
+    "slots": [0, -1, 1e6 + 1, 10**9, 2.5],
+    "state": ["", "gone", "Available"],
+    "cold_remaining_ms": [-1, 1e18],
+    "sequence_number": [-1, 0.5, 2**63],
+    "born": [0, -1, 1.5, 2**63],
+}
+OTHER_TYPES = [None, True, [], {}, [1], {"a": 1}]
+INVALID = [
+    {field: value}
+    for field in ENTRY
+    for value in [
+        *FIELDS.get(field, []),
+        *OTHER_TYPES,
+        1 if isinstance(ENTRY[field], str) else "1",
+    ]
+]
 ADDRESSES = [f"{host}:80" for host in HOSTS]
 ADDRESSES += [f"127.250.0.1:{port}" for port in PORTS]
 
@@ -116,12 +146,147 @@
     assert asked == ["first", "second"]
 
 
+# Guards against entries of other writers that count as a server's own: a
+# field that lacks, has another type, or has a value that can't be.
+@pytest.mark.parametrize("field", ENTRY)
+def test_entry_without_a_field_is_refused_with_its_name(field):
+    value = {name: v for name, v in ENTRY.items() if name != field}
+    decoded = decode_change(
+        Change("servers/i-1", msgspec.json.encode(value), 1)
+    )
+    assert isinstance(decoded, UnusableRecord) and decoded.field == field
+
+
+@pytest.mark.parametrize("changes", INVALID)
+def test_entry_with_a_value_that_cannot_be_is_refused(changes):
+    decoded = decode_change(Change("servers/i-1", entry(**changes), 1))
+    assert isinstance(decoded, UnusableRecord)
+    assert decoded.field == next(iter(changes))
+
+
+@pytest.mark.parametrize("id", ["", "a b", "a\r\nb", "\u00fc", "a\0"])
+def test_id_that_fits_in_no_header_is_refused(id):
+    assert is_refused(entry(), f"servers/{id}")
+
+
+def test_entry_of_a_server_is_taken_with_unknown_fields():
+    value = entry(another={"deep": [1, None]}, version="", slots=1)
+    decoded = decode_change(Change("servers/i-1", value, 1))
+    assert isinstance(decoded, ServerListed)
+    assert (decoded.server.started_ms, decoded.server.slots) == (
+        ENTRY["born"],
+        1,
+    )
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=4,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+@given(st.dictionaries(st.sampled_from(list(ENTRY)), JSON, max_size=3))
+def test_any_altered_entry_is_refused_or_usable(changes):
+    decoded = decode_change(Change("servers/i-1", entry(**changes), 1))
+    if isinstance(decoded, UnusableRecord):
+        assert decoded.field in changes
+        return
+    server = decoded.server
+    assert server.service and server.data_centre and server.started_ms > 0
+    assert 0 < server.slots <= 1_000_000 and server.cold_ms >= 0
+
+
+class Applied:
+    """A host that gets changes of the store one by one."""
+
+    def __init__(self) -> None:
+        self.planner = build_planner(servers=0, plain=0)
+        self._clock = ManualClock(10_000)
+        pool = ConnectionPool(self._clock, self.planner.counters)
+        self._applier = StateApplier(
+            self.planner, Peers("h0"), pool, self._clock
+        )
+        self._revision = 0
+
+    def write(self, value: bytes | None, key: str = "servers/i-1") -> None:
+        """Applies the write of a key; None removes it."""
+        self._revision += 1
+        change = Change(key, value, self._revision)
+        page = Page((change,), self._revision, False, 0, 0)
+        self._applier.apply(page, "store", 0)
+
+    def wait(self, ms: int) -> None:
+        """Lets time pass."""
+        self._clock.advance(ms)
+        self.planner.tick(self._clock.now_ms())
+
+    def is_usable(self) -> bool:
+        """Returns whether the server gets new requests."""
+        return bool(self.planner.servers.usable("llm"))
+
+
+# Guards against an entry of another writer that replaces what a server had
+# written, and against a server that stays in use for ever by it.
+@pytest.mark.parametrize(
+    "foreign",
+    [b"\xff", b'{"service":"plain"}', entry(service="llm", slots=-1)]
+    + [entry(service="other")],
+)
+def test_overwritten_server_stays_for_as_long_as_a_silent_one(foreign):
+    applied = Applied()
+    own = entry(service="llm")
+    applied.write(own)
+    for _ in range(4):
+        applied.write(foreign)
+        applied.wait(1_200)
+        assert applied.is_usable()
+        applied.write(own)
+        applied.wait(1_200)
+        assert applied.is_usable()
+    applied.write(foreign)
+    applied.wait(1_800)
+    applied.write(foreign)
+    applied.wait(1_700)
+    assert applied.is_usable()
+    applied.wait(200)
+    assert not applied.is_usable()
+    applied.write(own)
+    assert applied.is_usable()
+    counted = applied.planner.counters.read("refused_records")
+    assert sum(count for _, count in counted) == 6
+
+
+def test_overwritten_server_that_drains_stays_out_of_use():
+    applied = Applied()
+    applied.write(entry(service="llm"))
+    applied.write(entry(service="llm", state="draining"))
+    applied.write(b'{"service":"llm","state":"available"}')
+    assert not applied.is_usable()
+    applied.write(None)
+    assert not applied.planner.servers.ids()
+
+
+# Guards against a log that grows with each write of one foreign entry.
+def test_refused_entry_is_logged_once_with_its_field(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        refused_records, "log_event", lambda *_, **f: logged.append(f["field"])
+    )
+    applied = Applied()
+    for value in (entry(slots=-1),) * 3 + (entry(), entry(slots=-1)):
+        applied.write(value)
+    assert logged == ["slots", "slots"]
+
+
 # Guards against callers without an answer, and hosts that stop following the
 # store, after odd entries among those of the servers.
 def test_callers_get_answers_beside_odd_entries():
     odd = [entry(address=text) for text in ADDRESSES]
     odd += [entry(address=f"{host}:80") for host in NOWHERE]
-    odd += [NESTED, b"\xff", b"null"]
+    odd += [entry(**changes) for changes in INVALID]
+    odd += [NESTED, b"\xff", b"null", entry(slots=8).replace(b":8", DIGITS)]
 
     async def scenario(fleet):
         for number, value in enumerate(odd):
--- a/tests/test_entry_malformed_messages.py
+++ b/tests/test_entry_malformed_messages.py
@@ -50,7 +50,8 @@
 # Pieces that decoders have stumbled over.
 TRAPS = [DIGITS, NESTED, b"1e308", b":70000", b"-1", b"\xff", b"\0" * 9, b""]
 SERVER = b"""{"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,
-"state":"available","cold_remaining_ms":0,"born":1}"""
+"state":"available","cold_remaining_ms":0,"born":1,"version":"v1",
+"sequence_number":1}"""
 HOST = b"""{"callers":"10.0.0.1:80","peers":"10.0.0.1:81",
 "data_centre":"a","link_mbps":1}"""
 ENTRIES = b'{"at":1,"entries":[{"key":"a","revision":1,"value":"YQ=="}]}'
--- a/tests/test_entry_platform.py
+++ b/tests/test_entry_platform.py
@@ -71,6 +71,9 @@
     "slots": 8,
     "state": "available",
     "cold_remaining_ms": 0,
+    "version": "v1",
+    "sequence_number": 1,
+    "born": 1,
 }
 
 
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -138,6 +138,9 @@
         "zone": "a",
         "slots": 8,
         "state": "available",
+        "cold_remaining_ms": 0,
+        "version": "v1",
+        "sequence_number": 1,
         "born": 100,
     }
     return msgspec.json.encode({**entry, **changes})
--- a/tests/test_rollout_status.py
+++ b/tests/test_rollout_status.py
@@ -28,6 +28,9 @@
     "slots": 8,
     "state": "available",
     "version": "v1",
+    "cold_remaining_ms": 0,
+    "sequence_number": 1,
+    "born": 1,
 }
 
 
