Read the store in pages when a watch can't be used as a whole

What callers saw: payments went to the old service until the store discarded its history, 18 to 20 s after the ack of a version (CONFIG), after 25 large versions while connections were silent, or 13 MB of another writer's entries.

Cause: an answer above 16 MiB counted as a broken connection, and so did one too long to arrive within the time-out; the watch asked for the same events again. Only a 410 led to a listing.

Change: a watch whose answer began and could not be used as a whole is followed at once by a listing, whose pages the platform bounds; a length that is too large is refused at the head. A watch without any answer is asked again as before, so that an outage floods no store. `store_relistings` counts by reason, and `replica_behind_milliseconds` says for how long changes are known to lack. The event `store_relisted` takes the place of `store_history_gone`. The stand-in store bounds its pages by bytes, as the platform's does.

--- a/corianderdoor/entry/gauges.py
+++ b/corianderdoor/entry/gauges.py
@@ -15,6 +15,7 @@
     planner: Planner,
     peers: Peers,
     replica: Replica,
+    behind_ms: Callable[[], int],
     count_busy: Callable[[], int],
     memory: AnswerMemory,
     clock: Clock,
@@ -25,6 +26,7 @@
         planner: State of the servers and of the requests.
         peers: The other hosts.
         replica: This host's replica of the store.
+        behind_ms: Returns for how long the replica has been behind.
         count_busy: Returns the number of callers' requests in progress.
         memory: Bytes of answers that are held.
         clock: The clock.
@@ -41,6 +43,7 @@
         "held_answer_bytes": lambda: float(memory.held),
         "live_peers": lambda: float(peers.count_live(clock.now_ms())),
         "replica_revision": lambda: float(replica.revision),
+        "replica_behind_milliseconds": lambda: float(behind_ms()),
         "replica_era": lambda: float(replica.era),
         "desired_version": lambda: float(
             planner.desired.version if planner.desired else 0
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -165,6 +165,7 @@
             clock,
             FIRST_START_DELAY_MS if settings.first_start else 0,
             self._era,
+            self._planner.counters,
         )
         self._planner.selection.on_pause = self._handle_pause
         peer_address = (settings.address, settings.peer_ports[0])
@@ -366,6 +367,7 @@
             self._planner,
             self._peers,
             self._applier.replica,
+            self._sync.behind_ms,
             self._callers.count_busy,
             self._pool.memory,
             self._clock,
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -31,7 +31,7 @@
 from ..core.entry.server_limits import LimitReport
 from ..core.entry.servers import digest_id
 from ..core.records import Record
-from ..platform.store import read_full_answer
+from ..platform.store_answers import read_full_answer
 from .answer_signs import merge_limit_reports, merge_room_reports
 from .crash_reports import merge_crash_reports
 from .peer_codec import (
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -43,6 +43,13 @@
     """The store was restored, so that all items have to be read again."""
 
 
+# Why a watch can't go on.
+LISTING_REASONS: Final = {
+    HistoryGoneError: "history-gone",
+    StoreRestoredError: "restored",
+}
+
+
 class StateSync:
     """Keeps the replica of the store's items up to date.
 
@@ -64,6 +71,8 @@
         "_confirming",
         "_start_delay_ms",
         "_next_watch_ms",
+        "_counters",
+        "_behind_since_ms",
     )
 
     def __init__(
@@ -74,6 +83,7 @@
         clock: Clock,
         start_delay_ms: int = 0,
         era: StoreEra | None = None,
+        counters: Counters | None = None,
     ) -> None:
         """Creates the task that keeps the replica up to date.
 
@@ -84,8 +94,11 @@
             clock: The clock.
             start_delay_ms: Time before the store is first read.
             era: The store's era, as `store` reads it.
+            counters: Counts the times when all items are read again.
         """
-        self._era = era or StoreEra(Counters())
+        self._counters = counters or Counters()
+        self._behind_since_ms: int | None = None
+        self._era = era or StoreEra(self._counters)
         self._start_delay_ms = start_delay_ms
         self._next_watch_ms = 0
         self._store = store
@@ -114,6 +127,12 @@
             return NOT_WATCHING_MS
         return self._clock.now_ms() - self._contact_at_ms
 
+    def behind_ms(self) -> int:
+        """Returns for how long changes are known to lack here, in ms."""
+        if self._behind_since_ms is None:
+            return 0
+        return self._clock.now_ms() - self._behind_since_ms
+
     def wake(self) -> None:
         """Makes a host that follows peers check them at once."""
         self._wake.set()
@@ -147,13 +166,16 @@
                         await self._pull_from_peer()
                     relist = False
                     retry_ms = FIRST_RETRY_MS
-            except HistoryGoneError:
-                log_event("store_history_gone")
-                relist = await self._needs_listing()
-            except StoreRestoredError:
+            except (HistoryGoneError, StoreRestoredError) as exc:
+                self._record_behind(LISTING_REASONS[type(exc)])
                 relist = await self._needs_listing()
             except StoreError as exc:
                 self._confirming = False
+                if not relist and exc.begun:
+                    # The same answer would come again; pages are bounded.
+                    relist = True
+                    self._record_behind(exc.reason)
+                    continue
                 self._record_failure(exc)
                 await self._pull_from_peer()
                 await anyio.sleep(retry_ms / MS_PER_SECOND)
@@ -180,6 +202,13 @@
             return self._era.known > replica.era
         return True
 
+    def _record_behind(self, reason: str) -> None:
+        """Records that this host lacks changes that a watch won't bring."""
+        log_event("store_relisted", "WARNING", reason=reason)
+        self._counters.add("store_relistings", reason=reason)
+        if self._behind_since_ms is None:
+            self._behind_since_ms = self._clock.now_ms()
+
     def _record_failure(self, exc: StoreError) -> None:
         """Records that the store does not answer and notifies peers at once.
 
@@ -284,6 +313,7 @@
             at if restored else self._applier.replica.restored_revision
         )
         page = Page(changes, at, full, era, restored_revision)
+        self._behind_since_ms = None
         count = self._applier.apply(page, "store", grace_ms)
         if (count or restored) and self._peering is not None:
             self._peering.send_heartbeats()
@@ -305,7 +335,10 @@
         with anyio.move_on_after(FOLLOW_POLL_MS / MS_PER_SECOND):
             await self._wake.wait()
         self._wake = anyio.Event()
-        return await self._pull_from_peer()
+        pulled = await self._pull_from_peer()
+        if pulled:
+            self._behind_since_ms = None
+        return pulled
 
     async def _pull_from_peer(self) -> bool:
         """Pulls from a peer with a newer revision, if there is one.
@@ -323,7 +356,9 @@
         if ahead is None or self._peering is None:
             return True
         page = await self._peering.pull(ahead)
-        if page is not None:
+        if page is None:
+            self._behind_since_ms = self._behind_since_ms or now_ms
+        else:
             self._applier.apply(page, ahead.name, self._removal_grace_ms())
             self._era.observe(page.era)
         return page is not None
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -11,13 +11,13 @@
 import h11
 import msgspec
 
-from ..adapters.answer_meter import AnswerMeter
 from ..adapters.http1 import ConnectionBrokenError, H11Protocol
 from ..adapters.http1_connect import connect
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.addresses import Address
 from ..core.entry.counters import Counters
 from ..core.records import Record
+from .store_answers import AnswerTooLargeError, Headers, read_answer
 from .store_era import ERA_HEADER, StoreEra
 from .store_messages import (
     encode_commit,
@@ -35,11 +35,8 @@
 WATCH_MARGIN_MS: Final = 1_500
 UNACKED_TIMEOUT_MS: Final = 1_500
 MAX_PAGES: Final = 200
-# Entries of 3,900 servers take about 1 MB.
-MAX_ANSWER_BYTES: Final = 16_777_216
 
 AnswerT = TypeVar("AnswerT")
-Headers = list[tuple[bytes, bytes]]
 
 
 class StoreError(Exception):
@@ -49,17 +46,22 @@
         step: Name of the call.
         reason: "unreached" (no connection), "silent" (timeout), "cut"
             (connection lost), "unreadable" (invalid answer), "too many
-            pages", "old era" (answer from before a restore of the store),
-            "new era" (restore while pages were read), "withheld" (the caller
-            may no longer make the call), or the HTTP status.
+            pages", "too large" (an answer), "old era" (answer from before a
+            restore of the store), "new era" (restore while pages were read),
+            "withheld" (the caller may no longer make the call), or the HTTP
+            status.
         not_applied: Whether the call certainly changed nothing.
+        begun: Whether an answer began that was not usable as a whole.
     """
 
-    def __init__(self, step: str, reason: str, not_applied: bool) -> None:
+    def __init__(
+        self, step: str, reason: str, not_applied: bool, begun: bool = False
+    ) -> None:
         super().__init__(f"store call {step}: {reason}")
         self.step = step
         self.reason = reason
         self.not_applied = not_applied
+        self.begun = begun
 
 
 class HistoryGoneError(Exception):
@@ -96,7 +98,7 @@
             raise `StoreError`.
     """
 
-    __slots__ = ("era", "_address", "_counters", "_protocol")
+    __slots__ = ("era", "_address", "_counters", "_protocol", "_begun")
 
     def __init__(
         self,
@@ -108,6 +110,7 @@
         self._address = address
         self._counters = counters
         self._protocol: H11Protocol | None = None
+        self._begun = False
 
     def disconnect(self) -> None:
         """Aborts the connection; the next call opens a new one."""
@@ -280,7 +283,7 @@
         may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         self._counters.add("store_calls", call=step)
-        sent = False
+        sent = self._begun = False
         try:
             with anyio.fail_after(timeout_ms / MS_PER_SECOND):
                 protocol = await self._open(step)
@@ -292,10 +295,13 @@
                 )
         except TimeoutError as exc:
             self.disconnect()
-            raise StoreError(step, "silent", not sent) from exc
+            raise StoreError(step, "silent", not sent, self._begun) from exc
+        except AnswerTooLargeError as exc:
+            self.disconnect()
+            raise StoreError(step, "too large", False, True) from exc
         except (ConnectionBrokenError, h11.ProtocolError) as exc:
             self.disconnect()
-            raise StoreError(step, "cut", not sent) from exc
+            raise StoreError(step, "cut", not sent, self._begun) from exc
         except BaseException:
             self.disconnect()
             raise
@@ -332,40 +338,10 @@
         if body:
             protocol.write(h11.Data(data=body))
         protocol.write(h11.EndOfMessage())
-        return await _read_answer(protocol)
+        return await read_answer(protocol, self._record_begun)
 
-
-async def read_full_answer(protocol: H11Protocol) -> tuple[int, bytes]:
-    """Returns the status and the complete body of the next answer.
-
-    Raises:
-        ConnectionBrokenError: The connection ended before the answer did, or
-            the answer is larger than `MAX_ANSWER_BYTES`.
-    """
-    status, _, body = await _read_answer(protocol)
-    return status, body
-
-
-async def _read_answer(protocol: H11Protocol) -> tuple[int, Headers, bytes]:
-    status = 0
-    headers: Headers = []
-    body = bytearray()
-    meter = AnswerMeter(protocol)
-    while True:
-        event = await meter.next_event()
-        if isinstance(event, h11.Response):
-            status = event.status_code
-            headers = list(event.headers)
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_ANSWER_BYTES:
-                raise ConnectionBrokenError("answer is larger than 16 MiB")
-        elif isinstance(event, h11.EndOfMessage):
-            return status, headers, bytes(body)
-        elif isinstance(event, h11.ConnectionClosed):
-            raise ConnectionBrokenError(
-                "closed before the answer was complete"
-            )
+    def _record_begun(self) -> None:
+        self._begun = True
 
 
 def _decode_item(raw: RawItem) -> Item:
@@ -387,4 +363,4 @@
     try:
         return msgspec.json.decode(body, type=answer_type)
     except (msgspec.MsgspecError, RecursionError) as exc:
-        raise StoreError(step, "unreadable", False) from exc
+        raise StoreError(step, "unreadable", False, True) from exc
--- a/corianderdoor/standins/platform_store.py
+++ b/corianderdoor/standins/platform_store.py
@@ -17,6 +17,7 @@
 
 PATH: Final = "/corianderdoor/"
 PAGE_ITEMS: Final = 50
+PAGE_BYTES: Final = 1_000_000
 FIRST_REVISION: Final = 1
 FIRST_ERA: Final = 1
 
@@ -177,8 +178,14 @@
             for key in self._items
             if key.startswith(prefix) and key > after
         )
-        page = [self._items[key] for key in keys[:PAGE_ITEMS]]
-        more = len(keys) > PAGE_ITEMS
+        page: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self._items[key]["value"])
+            if page and size > PAGE_BYTES:
+                break
+            page.append(self._items[key])
+        more = len(keys) > len(page)
         return 200, {"entries": page, "has_more": more, "at": self.revision}
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> Answer:
--- a/tests/test_entry_endless_bytes.py
+++ b/tests/test_entry_endless_bytes.py
@@ -13,7 +13,7 @@
 from corianderdoor.core.entry.answer_memory import AnswerMemory
 from corianderdoor.core.entry.events import EventSplitter
 from corianderdoor.entry.answer_reader import MAX_ANSWER_BYTES
-from corianderdoor.platform.store import read_full_answer
+from corianderdoor.platform.store_answers import read_full_answer
 from corianderdoor.standins.platform_fleet import METRICS_PORT, send_request
 from corianderdoor.standins.raw_server import (
     add_raw_server,
--- a/tests/test_entry_restore_sync.py
+++ b/tests/test_entry_restore_sync.py
@@ -65,7 +65,13 @@
     def build_sync(self) -> StateSync:
         """Returns the task that keeps the replica up to date."""
         return StateSync(
-            self.connect(), self.applier, self.peers, self.clock, 0, self.era
+            self.connect(),
+            self.applier,
+            self.peers,
+            self.clock,
+            0,
+            self.era,
+            self.counters,
         )
 
     def build_registration(self) -> Registration:
--- a/tests/test_entry_stalled_readers.py
+++ b/tests/test_entry_stalled_readers.py
@@ -12,7 +12,7 @@
 
 from corianderdoor.adapters.http1 import H11Protocol
 from corianderdoor.core.clock import SystemClock
-from corianderdoor.platform.store import read_full_answer
+from corianderdoor.platform.store_answers import read_full_answer
 
 # A second or so, as the operators say, with a margin.
 PAUSE_MS = 1_800
--- a/tests/test_http1_kept_connections.py
+++ b/tests/test_http1_kept_connections.py
@@ -17,7 +17,7 @@
     ServerConnection,
 )
 from corianderdoor.core.entry.routing import CallerLimits
-from corianderdoor.platform.store import read_full_answer
+from corianderdoor.platform.store_answers import read_full_answer
 from corianderdoor.standins.platform_caller import write_request
 
 WAIT_S = 5.0
