Apply the limits in force at the first bytes of a request

Cause: read_request took the limits as an argument and then waited for the request, so the limits of the time before the wait counted. Now it asks for them when the first bytes arrive; a longer idle time counts for connections that wait already, as before.

--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -80,7 +80,7 @@
     async def read_request(
         self,
         limits: CallerLimits,
-        current_idle_ms: Callable[[], float] | None = None,
+        current_limits: Callable[[], CallerLimits] | None = None,
     ) -> ReceivedRequest | UnreadableRequest | None:
         """Returns the next request, or None once the connection ends.
 
@@ -88,15 +88,18 @@
 
         Args:
             limits: Limits of size and time.
-            current_idle_ms: Returns how long a connection may be idle by
-                now, in ms; a longer time than that of `limits` counts for a
+            current_limits: Returns the limits in force by now. Those that
+                are in force when the first bytes arrive count for the
+                request, and a longer idle time than that of `limits` for a
                 connection that waits already.
         """
         self.busy = self.protocol.h11.trailing_data[0] != b""
         if not self.busy and not await self._wait_while_idle(
-            limits.idle_ms, current_idle_ms
+            limits.idle_ms, current_limits
         ):
             return None
+        if current_limits is not None:
+            limits = current_limits()
         if self.protocol.lost or (
             self.protocol.eof and not self.protocol.bytes_received
         ):
@@ -116,19 +119,21 @@
         return await self._read_body(event, limits)
 
     async def _wait_while_idle(
-        self, idle_ms: float, current_idle_ms: Callable[[], float] | None
+        self,
+        idle_ms: float,
+        current_limits: Callable[[], CallerLimits] | None,
     ) -> bool:
         """Waits for the first bytes of a request, or for the end.
 
         Returns:
-            False if no byte came for `idle_ms`, or for what
-            `current_idle_ms` returns by then if that is longer.
+            False if no byte came for `idle_ms`, or for the idle time that
+            `current_limits` allow by then if that is longer.
         """
         waited_ms = 0.0
         while not await self._wait_for_bytes(idle_ms - waited_ms):
             waited_ms = idle_ms
-            if current_idle_ms is not None:
-                idle_ms = current_idle_ms()
+            if current_limits is not None:
+                idle_ms = current_limits().idle_ms
             if idle_ms <= waited_ms:
                 return False
         return True
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -151,9 +151,7 @@
         received = None
         with anyio.CancelScope() as reading:
             self._scopes[conn] = reading
-            received = await conn.read_request(
-                self._limits(), lambda: self._limits().idle_ms
-            )
+            received = await conn.read_request(self._limits(), self._limits)
         conn.closing = self.draining
         if reading.cancelled_caught and conn.busy:
             await self._end_request(conn, 503, None, SHUTDOWN_RETRY_MS)
--- a/tests/test_entry_idle_limit_changes.py
+++ b/tests/test_entry_idle_limit_changes.py
@@ -1,12 +1,21 @@
-"""Changes of the time for which callers' connections may be idle."""
+"""Changes of the limits that hold for idle connections of callers."""
 
 from __future__ import annotations
 
 import anyio
+import h11
 import msgspec
+import pytest
 from test_entry_path import run, wait_for
 
+from corianderdoor.adapters.http1 import H11Protocol
 from corianderdoor.adapters.http1_connect import connect
+from corianderdoor.adapters.http1_server import (
+    ReceivedRequest,
+    ServerConnection,
+    UnreadableRequest,
+)
+from corianderdoor.core.entry.routing import CallerLimits
 from corianderdoor.standins.platform_caller import read_answer, write_request
 from corianderdoor.standins.platform_fleet import (
     build_config,
@@ -69,3 +78,33 @@
         await wait_for(lambda: protocol.eof)
 
     run(scenario, engines=0, plain=1, hosts=1)
+
+
+# Guards against DENIED: the next request on a connection that was idle when
+# the limit rose got 413.
+@pytest.mark.parametrize(
+    ("before", "after", "kind"),
+    [(10, 100, ReceivedRequest), (100, 10, UnreadableRequest)],
+)
+def test_limit_in_force_at_the_first_bytes_holds(before, after, kind):
+    async def scenario():
+        in_force = CallerLimits(16_384, before, 1_000, 1_000)
+        protocol = H11Protocol(h11.SERVER)
+        received = []
+
+        async def read():
+            conn = ServerConnection(protocol)
+            received.append(
+                await conn.read_request(in_force, lambda: in_force)
+            )
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read)
+                await anyio.wait_all_tasks_blocked()
+                in_force = CallerLimits(16_384, after, 1_000, 1_000)
+                head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50"
+                protocol.data_received(head + b"\r\n\r\n" + 50 * b"x")
+        assert isinstance(received[0], kind)
+
+    anyio.run(scenario)
