Keep the pauses that servers ask for whole

Cause: the decoder takes a value of up to an hour as meant, and ServerPauses cut it to 60 s. There is one bound now, an hour; what is longer counts as a mistake, as before.

--- a/corianderdoor/core/entry/server_pauses.py
+++ b/corianderdoor/core/entry/server_pauses.py
@@ -10,8 +10,8 @@
 
 from .servers import BackendServer
 
-# Longest pause that one answer can ask for.
-MAX_PAUSE_MS: Final = 60_000
+# Longest pause that one answer can ask for; a longer one is a mistake.
+MAX_PAUSE_MS: Final = 3_600_000
 
 
 class ServerPauses:
--- a/corianderdoor/platform/answer_head.py
+++ b/corianderdoor/platform/answer_head.py
@@ -10,6 +10,7 @@
 from ..adapters.http1 import Headers
 from ..core.clock import MS_PER_SECOND
 from ..core.entry.server_limits import StatedLimit
+from ..core.entry.server_pauses import MAX_PAUSE_MS
 from ..core.records import Record
 from .headers import ATTEMPT_ID, get_values, HEADERS_NOT_FORWARDED
 
@@ -29,7 +30,7 @@
 LIMIT_PER_S: Final = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,9})?")
 SECONDS: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # A longer time that a server asks for is a mistake.
-MAX_RETRY_AFTER_S: Final = 3_600
+MAX_RETRY_AFTER_S: Final = MAX_PAUSE_MS // MS_PER_SECOND
 
 _Value = TypeVar("_Value")
 
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -182,6 +182,16 @@
     assert step.fetch_from is None
 
 
+# Guards against BUDGET: requests came after 60 s of a longer pause.
+def test_pause_of_minutes_is_kept_whole():
+    planner = build_planner(servers=2)
+    for name in ("s0", "s1"):
+        planner.pauses.record(planner.servers.get(name), 90_000, 0)
+    for now_ms, kind in ((89_999, Refuse), (90_000, Send)):
+        flight = admit(planner, build_request(), now_ms)
+        assert isinstance(planner.choose(flight, now_ms), kind)
+
+
 def test_a_pause_is_bounded_and_dropped_when_over():
     pauses = ServerPauses()
     server = build_server("s0")
