Keep what is in force besides a copy through a second restore

Cause: hosts pass on what they have in force in place of a copy's items, and dropped that list at each new era, to decide anew about each change. After the second restore the item is the same older one, so there is no change, and nothing was listed any more. What differs from neither copy stays on the list now; the other keys are decided anew as before.

Evidence: test_desired_state_is_passed_on_after_a_second_restore fails without the change (a started host goes by version 20 in place of 30).

--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -109,6 +109,11 @@
         self.full = full
 
 
+def _value_of(items: dict[str, Change], key: str) -> bytes | None:
+    item = items.get(key)
+    return None if item is None else item.value
+
+
 class Replica:
     """Items by key, each at its newest known revision.
 
@@ -193,12 +198,17 @@
             that are missing.
         """
         former = self._items
-        self.overrides = {}
         self._items = {
             change.key: change
             for change in page.changes
             if change.value is not None
         }
+        # The others are decided anew, as their items differ.
+        self.overrides = {
+            key: override
+            for key, override in self.overrides.items()
+            if _value_of(former, key) == _value_of(self._items, key)
+        }
         merged = [
             change
             for key, change in self._items.items()
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -186,6 +186,15 @@
         self.planner.tick(self.clock.now_ms())
         self.applier.tick(self.clock.now_ms())
 
+    def started_by_it(self) -> Host:
+        """Returns a host that lists the store and copies from this one."""
+        started = Host()
+        page = self.applier.replica.changes_since(0)
+        listing = (page.changes, page.revision, True, page.era, page.revision)
+        started.applier.apply(Page(*listing), "store", 0)
+        started.applier.apply(decode_page(encode_page(page)), "peer", 0)
+        return started
+
     def usable(self) -> list[str]:
         """Returns the ids of the plain servers that get requests."""
         return [s.id for s in self.planner.servers.usable("plain")]
@@ -323,6 +332,18 @@
     assert host.planner.desired.version == 40
 
 
+# Guards against CONFIG: after a second restore no host passed the newer
+# desired state on.
+def test_desired_state_is_passed_on_after_a_second_restore():
+    host = Host()
+    host.list(9, 1, op_config=(encode_config(30), 8))
+    for era in (2, 3):
+        host.list(5, era, op_config=(encode_config(20), 4))
+        assert host.started_by_it().planner.desired.version == 30
+    host.write("op/config", encode_config(40), 6, 3)
+    assert host.started_by_it().planner.desired.version == 40
+
+
 # Guards against requests to a data centre whose evacuation the copy lacks.
 def test_evacuation_missing_in_the_copy_stays_until_it_is_written_again():
     host = Host()
