Take one cut watch for what it is, not for an outage of the store

Cause: any failed call began the grace time that entries which expired in an outage need. The store may cut a waiting watch at any time. The first cut since the last answer is now followed by a short watch at once, and the outage begins only if that fails too.

--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -13,7 +13,13 @@
 from ..core.entry.peers import Peers
 from ..core.entry.replica import Change, Page
 from ..platform.records import CACHES_KEY
-from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
+from ..platform.store import (
+    HistoryGoneError,
+    Item,
+    StoreClient,
+    StoreError,
+    WATCH_CALL,
+)
 from ..platform.store_era import StoreEra
 from ..platform.stream_records import BEGUN_PREFIX
 from .peering import Peering
@@ -64,6 +70,7 @@
         "_confirming",
         "_start_delay_ms",
         "_next_watch_ms",
+        "_watch_cut",
     )
 
     def __init__(
@@ -88,6 +95,8 @@
         self._era = era or StoreEra(Counters())
         self._start_delay_ms = start_delay_ms
         self._next_watch_ms = 0
+        # Whether a watch was cut since the store last answered.
+        self._watch_cut = False
         self._store = store
         self._applier = applier
         self._peers = peers
@@ -153,6 +162,9 @@
             except StoreRestoredError:
                 relist = await self._needs_listing()
             except StoreError as exc:
+                if self._is_first_cut(exc):
+                    self._watch_cut = self._confirming = True
+                    continue
                 self._confirming = False
                 self._record_failure(exc)
                 await self._pull_from_peer()
@@ -180,6 +192,20 @@
             return self._era.known > replica.era
         return True
 
+    def _is_first_cut(self, exc: StoreError) -> bool:
+        """Returns whether the store has cut a watch that waited.
+
+        It may do so at any time, which alone shows no outage: the next
+        watch, which is answered soon, does.
+        """
+        return (
+            exc.step == WATCH_CALL
+            and exc.reason == "cut"
+            and not exc.not_applied
+            and self._contact_at_ms is not None
+            and not self._watch_cut
+        )
+
     def _record_failure(self, exc: StoreError) -> None:
         """Records that the store does not answer and notifies peers at once.
 
@@ -205,6 +231,7 @@
             if now_ms - self._contact_at_ms > expected_ms + WATCH_LATE_MS:
                 self._outage_at_ms = now_ms
         self._contact_at_ms = now_ms
+        self._watch_cut = False
         if not self._store_reached:
             self._store_reached = True
             self._outage_at_ms = now_ms
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -28,6 +28,7 @@
 )
 
 PATH: Final = "/corianderdoor"
+WATCH_CALL: Final = "kv-watch"
 CONNECT_TIMEOUT_MS: Final = 600
 # Answers normally take milliseconds; this allows for a slow store.
 CALL_TIMEOUT_MS: Final = 1_500
@@ -162,7 +163,7 @@
             "after": str(after),
             "wait_ms": str(wait_ms),
         }
-        page = await self._page("kv-watch", query, wait_ms + WATCH_MARGIN_MS)
+        page = await self._page(WATCH_CALL, query, wait_ms + WATCH_MARGIN_MS)
         return [_decode_item(raw) for raw in page.events], page.at
 
     async def _page(
--- a/tests/test_entry_watchers.py
+++ b/tests/test_entry_watchers.py
@@ -10,13 +10,14 @@
 
 import anyio
 from entry_builders import build_planner, build_pool
+import pytest
 
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peers import MAX_CONTACT_AGE_MS, Peers
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.state_sync import StateSync, WATCH_WAIT_MS
-from corianderdoor.platform.store import StoreError
+from corianderdoor.platform.store import Item, StoreError
 
 APPLY_MS = 2_000
 HEARTBEAT_AND_POLL_MS = 300
@@ -76,3 +77,61 @@
                 Heartbeat(name, 1, 1, MAX_CONTACT_AGE_MS, False, ()), 0
             )
     assert peers.should_watch(10)
+
+
+SERVER = (
+    b'{"service":"llm","address":"10.0.0.1:80","zone":"a","slots":1,'
+    b'"state":"available","cold_remaining_ms":0,"sequence_number":1}'
+)
+
+
+class CuttingStore:
+    """Fails watches in turn, then returns the removal of the server."""
+
+    def __init__(self, errors):
+        self.errors = errors
+
+    async def read_all(self, prefix):
+        return [Item("servers/i-1", SERVER, 1)], 1
+
+    async def watch(self, prefix, after, wait_ms):
+        if self.errors:
+            raise self.errors.pop(0)
+        if after >= 2:
+            await anyio.sleep_forever()
+        return [Item("servers/i-1", None, 2)], 2
+
+
+def cut_watch():
+    return StoreError("kv-watch", "cut", False)
+
+
+# Guards against DRAIN: after each watch that was cut, a server whose entry
+# was removed stayed in use for 2.3 s.
+@pytest.mark.parametrize(
+    ("errors", "kept"),
+    [
+        ([cut_watch()], False),
+        ([cut_watch(), StoreError("kv-watch", "unreached", True)], True),
+        ([cut_watch(), cut_watch()], True),
+        ([StoreError("kv-watch", "silent", False)], True),
+    ],
+)
+def test_removed_server_is_kept_after_an_outage_alone(errors, kept):
+    planner = build_planner(servers=0)
+    peers = Peers("h0")
+    clock = ManualClock(1_000)
+    pool = build_pool(clock, planner.counters)
+    applier = StateApplier(planner, peers, pool, clock)
+    sync = StateSync(CuttingStore(errors), applier, peers, clock)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(sync.run)
+            with anyio.fail_after(5):
+                while applier.replica.revision < 2:
+                    await anyio.sleep(0.001)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert ("i-1" in planner.servers.ids()) is kept
