Pass an evacuation on that a restored store has lost

Cause: hosts keep such an evacuation for 30 s, but only desired states and servers that had left were passed on to starting hosts. It is on the same list now (Replica.overrides), with the time that is left, so that it ends everywhere at once, however many hosts pass it on.

--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -28,7 +28,7 @@
     ServerRemoved,
     UnusableRecord,
 )
-from ..platform.records import SERVER_PREFIX
+from ..platform.records import EVACUATION_PREFIX, SERVER_PREFIX
 from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
@@ -137,6 +137,10 @@
         self.replica.overrides_era = self.replica.era
         for override in overrides:
             item = self.replica.get(override.key)
+            decoded = decode_change(override)
+            if item is None and isinstance(decoded, Evacuation):
+                self._apply_evacuation(decoded, override)
+                continue
             if item is None or item.revision > self.replica.restored_revision:
                 # Written again, or removed, since the restore.
                 continue
@@ -147,6 +151,15 @@
                 self._apply_change(override, "override", False)
             self.replica.overrides.setdefault(override.key, override)
 
+    def _apply_evacuation(
+        self, decoded: Evacuation, override: Change
+    ) -> None:
+        """Takes over an evacuation that a restored store has lost."""
+        evacuated = self._planner.servers.evacuated
+        if decoded.active and decoded.data_centre not in evacuated:
+            self._apply_change(override, "override", False)
+            self._keep_evacuation(decoded.data_centre, override.grace_ms)
+
     def _hold_back(self, item: Change) -> None:
         """Stops using a server that left before the store was restored."""
         decoded = decode_change(item)
@@ -197,6 +210,8 @@
             if until_ms <= now_ms:
                 log_event("evacuation_expired", "WARNING", data_centre=name)
                 self._end_evacuation(name)
+            else:
+                self._pass_evacuation_on(name, until_ms - now_ms)
 
     def _apply_change(
         self, change: Change, source: str, from_copy: bool
@@ -280,21 +295,30 @@
             self._kept_evacuations.pop(name, None)
             servers.set_evacuated(servers.evacuated | {name})
         elif from_copy:
-            until_ms = self._clock.now_ms() + EVACUATION_GRACE_MS
-            self._kept_evacuations[name] = until_ms
-            log_event(
-                "evacuation_kept",
-                "WARNING",
-                data_centre=name,
-                grace_ms=EVACUATION_GRACE_MS,
-            )
+            self._keep_evacuation(name, EVACUATION_GRACE_MS)
         else:
             self._end_evacuation(name)
 
+    def _keep_evacuation(self, data_centre: str, grace_ms: int) -> None:
+        until_ms = self._clock.now_ms() + grace_ms
+        self._kept_evacuations[data_centre] = until_ms
+        self._pass_evacuation_on(data_centre, grace_ms)
+        log_event(
+            "evacuation_kept",
+            "WARNING",
+            data_centre=data_centre,
+            grace_ms=grace_ms,
+        )
+
+    def _pass_evacuation_on(self, data_centre: str, left_ms: int) -> None:
+        key = EVACUATION_PREFIX + data_centre
+        self.replica.overrides[key] = Change(key, b"", 0, left_ms)
+
     def _end_evacuation(self, data_centre: str) -> None:
         servers = self._planner.servers
         now_ms = self._clock.now_ms()
         self._kept_evacuations.pop(data_centre, None)
+        self.replica.overrides.pop(EVACUATION_PREFIX + data_centre, None)
         servers.set_evacuated(servers.evacuated - {data_centre})
         for server_id in servers.ids():
             server = servers.get(server_id)
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -359,6 +359,40 @@
     assert host.usable() == ["s1"]
 
 
+# Guards against EVAC: a host that starts after the restore sends there.
+@pytest.mark.parametrize("restores", [1, 2])
+def test_evacuation_is_passed_on_while_the_store_lacks_it(restores):
+    host = Host()
+    entry = (encode_entry(), 3)
+    host.list(9, 1, servers_s1=entry, op_evacuate_a=(b"{}", 8))
+    for era in range(2, 2 + restores):
+        host.list(5, era, servers_s1=entry)
+    host.wait(EVACUATION_GRACE_MS - 10)
+    started = host.started_by_it()
+    assert started.usable() == []
+    second = started.started_by_it()
+    assert second.usable() == []
+    for each in (started, second):
+        each.wait(9)
+        assert each.usable() == []
+        each.wait(1)
+        assert each.usable() == ["s1"]
+
+
+@pytest.mark.parametrize("again", [True, False])
+def test_evacuation_that_ended_is_not_passed_on(again):
+    host = Host()
+    entry = (encode_entry(), 3)
+    host.list(9, 1, servers_s1=entry, op_evacuate_a=(b"{}", 8))
+    host.list(5, 2, servers_s1=entry)
+    if again:
+        host.write("op/evacuate/a", b"{}", 6, 2)
+        host.write("op/evacuate/a", None, 7, 2)
+    else:
+        host.wait(EVACUATION_GRACE_MS)
+    assert host.started_by_it().usable() == ["s1"]
+
+
 def test_evacuation_that_is_not_written_again_ends_after_its_grace_time():
     host = Host()
     entry = (encode_entry(), 3)
