Let hosts that started lately ask a peer after a restore

Cause: a host that saw the restore itself counted as one that knows what the copy gets wrong. It does so only if it has run for as long as departures are remembered; until then it copies from a peer, as a host that starts after the restore does, and from the one that started first.

--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -9,6 +9,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock
 from ..core.entry.crashing_requests import CrashCause
+from ..core.entry.departed_servers import REMEMBERED_MS
 from ..core.entry.peer import WATCHER_GRACE_MS
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -63,6 +64,7 @@
         "_rollouts",
         "_kept_evacuations",
         "_desired",
+        "_started_ms",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         self._peers = peers
         self._pool = pool
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._rollouts = rollouts
         self._kept_evacuations: dict[str, int] = {}
         # The item with the desired state in force.
@@ -108,7 +111,7 @@
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
         changes = self.replica.apply(page, grace_ms)
-        if restored:
+        if restored and not self._is_new():
             self.replica.overrides_era = self.replica.era
         if restored:
             changes += self._list_rollouts_kept(changes)
@@ -132,6 +135,13 @@
             self._apply_overrides(page.overrides)
         return len(changes)
 
+    def _is_new(self) -> bool:
+        """Returns whether this host may not know of recent departures.
+
+        It then copies from a peer what a restored store may list wrongly.
+        """
+        return self._clock.now_ms() - self._started_ms < REMEMBERED_MS
+
     def _apply_overrides(self, overrides: Iterable[Change]) -> None:
         """Takes over what a peer has in force in place of a copy's items."""
         self.replica.overrides_era = self.replica.era
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -359,16 +359,18 @@
         """Returns a peer that does not use all items of a restored store.
 
         Returns:
-            The peer; None if this host knows what it has to know of them.
+            The one that started first, as it knows most of what was before;
+            None if this host knows what it has to know of them.
         """
         replica = self._applier.replica
         if not replica.misses(replica.era):
             return None
+        found: list[tuple[int, Peer]] = []
         for peer in self._peers.all():
             heartbeat = peer.last_heartbeat
             if heartbeat is None or now_ms > peer.alive_until_ms:
                 continue
             if heartbeat.has_overrides and peer.address is not None:
                 if heartbeat.era == replica.era:
-                    return peer
-        return None
+                    found.append((heartbeat.boot, peer))
+        return min(found, key=lambda pair: pair[0])[1] if found else None
--- a/tests/test_entry_restart_in_outage.py
+++ b/tests/test_entry_restart_in_outage.py
@@ -77,6 +77,21 @@
             await anyio.sleep(0.001)
 
 
+def test_overrides_come_from_the_peer_that_started_first():
+    sync, _ = build_sync(SlowStore())
+    for name, boot in (("h2", 30), ("h3", 10), ("h4", 20), ("h5", 5)):
+        sync._peers.add_listed(name, ("x", 1), ("x", 2), "a", 0)
+        has_overrides = name != "h5"
+        heartbeat = Heartbeat(
+            name, boot, 7, 0, False, (), era=1, has_overrides=has_overrides
+        )
+        peer = sync._peers.record_heartbeat(heartbeat, 1_000)
+        assert peer is not None
+        peer.address = ("x", 2)
+    sync._applier.replica.era = 1
+    assert sync._find_overriding_peer(1_000).name == "h3"
+
+
 @pytest.mark.parametrize(
     "error", [None, StoreError("kv-range", "silent", True), HistoryGoneError()]
 )
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -269,6 +269,26 @@
     assert host.usable() == ["s1"]
 
 
+# Guards against DRAIN: a host that started between a departure and a
+# restore sent to the server, and asked no peer.
+@pytest.mark.parametrize("age_ms", [0, REMEMBERED_MS - 1])
+def test_host_that_started_after_a_departure_learns_of_it(age_ms):
+    host, started = Host(), Host()
+    host.list(7, 1, servers_s1=(encode_entry(), 5))
+    host.write("servers/s1", None, 9, 1)
+    started.list(9, 1)
+    host.wait(age_ms)
+    started.wait(age_ms)
+    for each in (host, started):
+        each.list(7, 2, servers_s1=(encode_entry(), 5))
+    assert started.usable() == ["s1"]
+    page = decode_page(encode_page(host.applier.replica.changes_since(7)))
+    started.applier.apply(page, "peer", 0)
+    assert started.usable() == []
+    started.write("servers/s1", encode_entry(born=200), 8, 2)
+    assert started.usable() == ["s1"]
+
+
 # Guards against losing a sound server for good: its entry does not change.
 def test_held_back_server_is_used_again_if_the_store_goes_on_listing_it():
     host = Host()
