Begin a restarted host's retry budget empty

Cause: a budget began full, as if the host had had no process before. Now, unless all hosts start for the first time, the ratio of the requests counts in proportion to the time since the start, up to one window, and the fixed part only after it, as the process before may have used that whole.

--- a/corianderdoor/core/entry/windows.py
+++ b/corianderdoor/core/entry/windows.py
@@ -131,14 +131,41 @@
 
     The budget of a host is its share of a fixed number for the fleet, plus a
     ratio of the requests that the host received itself.
+
+    After a restart it is empty and fills over one window, as the process
+    before may have used all of it. The fixed part, which that process had
+    whole, counts only after the window.
     """
 
-    __slots__ = ("_ratio", "_slack", "_window_ms", "_requests", "_retries")
+    __slots__ = (
+        "_ratio",
+        "_slack",
+        "_window_ms",
+        "_restarted_ms",
+        "_requests",
+        "_retries",
+    )
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_ms: int,
+        restarted_ms: int | None = None,
+    ) -> None:
+        """Creates the budget.
 
-    def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
+        Args:
+            ratio: Retries for each request of a caller.
+            slack: Retries of all hosts besides.
+            window_ms: Window over which both are counted.
+            restarted_ms: When this process started; None if no process of
+                the host can have used retries before.
+        """
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
+        self._restarted_ms = restarted_ms
         self._requests: dict[str, SlidingCount] = {}
         self._retries: dict[str, SlidingCount] = {}
 
@@ -159,16 +186,20 @@
         """
         requests = self._count(self._requests, service).count(now_ms)
         retries = self._count(self._retries, service)
-        fixed = self._slack * SAFE_SHARE / max(1, hosts)
-        if (
-            retries.count(now_ms) + count
-            > fixed + SAFE_SHARE * self._ratio * requests
-        ):
+        filled = self._filled_share(now_ms)
+        fixed = self._slack / max(1, hosts) if filled == 1 else 0
+        allowed = SAFE_SHARE * (fixed + filled * self._ratio * requests)
+        if retries.count(now_ms) + count > allowed:
             return False
         for _ in range(count):
             retries.add(now_ms)
         return True
 
+    def _filled_share(self, now_ms: int) -> float:
+        if self._restarted_ms is None:
+            return 1
+        return min(1, (now_ms - self._restarted_ms) / self._window_ms)
+
     def give_back(self, service: str, count: int) -> None:
         """Returns retries that were taken and not used."""
         for _ in range(count):
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -119,6 +119,7 @@
                 settings.repeat_ratio,
                 settings.repeat_slack,
                 settings.repeat_window_ms,
+                None if settings.first_start else clock.now_ms(),
             ),
             rng,
             settings.exposure_share,
--- a/tests/test_entry_cold_fleet.py
+++ b/tests/test_entry_cold_fleet.py
@@ -94,6 +94,38 @@
         assert spent <= 0.2 * count + 56
 
 
+# Guards against BUDGET: hosts forgot in a kill of all what they had used.
+@pytest.mark.parametrize("killed_ms", [5_000, 12_000, 17_000, 19_900])
+@pytest.mark.parametrize("trouble_ms", [0, 10_000])
+def test_restarted_hosts_keep_the_budget_in_any_window(killed_ms, trouble_ms):
+    rng = random.Random(killed_ms)
+    hosts, window_ms = 8, 10_000
+    budgets = [RetryBudget(0.2, 56, window_ms) for _ in range(hosts)]
+    requests: list[int] = []
+    retries: list[int] = []
+    for now_ms in range(0, 40_000, 40):
+        if now_ms == killed_ms:
+            budgets = [
+                RetryBudget(0.2, 56, window_ms, now_ms) for _ in range(hosts)
+            ]
+        budget = rng.choice(budgets)
+        budget.record_request("llm", now_ms)
+        requests.append(now_ms)
+        wanted = now_ms >= trouble_ms and rng.random() < 0.6
+        if wanted and budget.take("llm", hosts, now_ms):
+            retries.append(now_ms)
+
+    def count(times: list[int], start: int) -> int:
+        return sum(start <= at_ms < start + window_ms for at_ms in times)
+
+    for start in range(0, 30_000, 500):
+        earlier = (start, start - window_ms // 2, start - window_ms)
+        base = max(count(requests, at_ms) for at_ms in earlier)
+        assert count(retries, start) <= 0.2 * base + 56
+    assert count(retries, killed_ms) > 0
+    assert count(retries, 30_000) > 60
+
+
 def test_sliding_count_drops_events_that_left_the_window():
     count = SlidingCount(1_000)
     count.add(0)
