--- a/corianderdoor/entry/rollout_feed.py
+++ b/corianderdoor/entry/rollout_feed.py
@@ -8,12 +8,14 @@
 from ..core.clock import Clock
 from ..core.entry.counters import Counters
 from ..core.entry.peers import Peers
+from ..core.entry.replica import Change, Replica
 from ..core.entry.rollout_changes import RolloutChange
 from ..core.entry.rollout_contact import find_contact
 from ..core.entry.rollout_records import RolloutReport
 from ..core.entry.rollouts import Rollouts
 from ..core.entry.servers import digest_id
 from ..platform.changes import RolloutOrderChange, RolloutRecordChange
+from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
 
 # An order that is missing after a restore of the store stays in force for
 # this long, in which the operators write it again.
@@ -23,6 +25,23 @@
 NO_ANSWERS: Final = (0, 0, 0, 0)
 
 
+def list_rollouts_kept(
+    replica: Replica, changes: list[Change]
+) -> list[Change]:
+    """Returns the items about rollouts that are not in `changes`.
+
+    In a new era they may have other revisions with the same values, and an
+    order with another revision is another order.
+    """
+    changed = {change.key for change in changes}
+    return [
+        item
+        for item in replica.items()
+        if item.key.startswith((ORDER_PREFIX, ROLLOUT_PREFIX))
+        and item.key not in changed
+    ]
+
+
 class RolloutFeed:
     """Feeds the decisions about rollouts and logs what they decide.
 
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -30,11 +30,10 @@
     UnusableRecord,
 )
 from ..platform.records import EVACUATION_PREFIX, SERVER_PREFIX
-from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
-from .rollout_feed import RolloutFeed
+from .rollout_feed import list_rollouts_kept, RolloutFeed
 
 # Servers of a data centre that takes requests again may be cold, which their
 # entries show only after their next heartbeat; until then they count as cold.
@@ -114,7 +113,7 @@
         if restored and not self._is_new():
             self.replica.overrides_era = self.replica.era
         if restored:
-            changes += self._list_rollouts_kept(changes)
+            changes += list_rollouts_kept(self.replica, changes)
         for change in changes:
             from_copy = restored and (
                 change.value is None
@@ -161,9 +160,7 @@
                 self._apply_change(override, "override", False)
             self.replica.overrides.setdefault(override.key, override)
 
-    def _apply_evacuation(
-        self, decoded: Evacuation, override: Change
-    ) -> None:
+    def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
         """Takes over an evacuation that a restored store has lost."""
         evacuated = self._planner.servers.evacuated
         if decoded.active and decoded.data_centre not in evacuated:
@@ -181,20 +178,6 @@
             servers.departed.hold_back(decoded.server, now_ms)
             log_event("server_copy_ignored", server=decoded.server.id)
 
-    def _list_rollouts_kept(self, changes: list[Change]) -> list[Change]:
-        """Returns the items about rollouts that are not in `changes`.
-
-        In a new era they may have other revisions with the same values, and
-        an order with another revision is another order.
-        """
-        changed = {change.key for change in changes}
-        return [
-            item
-            for item in self.replica.items()
-            if item.key.startswith((ORDER_PREFIX, ROLLOUT_PREFIX))
-            and item.key not in changed
-        ]
-
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
