Let every host ask a peer once after a restore

A host that had run for long, and had missed the last write before the store was lost, went by the copy although its peers knew better.

Cause: who asks was decided by how long a host had run. Each host asks now, once in each era. So that a peer's older knowledge does no harm, the newer of two desired states stays in force and is passed on, and a later start of a server stays in use though a peer saw the former one leave.

--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -33,6 +33,30 @@
     return page_era == held_era or (page_era > held_era and full)
 
 
+def keeps_override(former: bytes | None, now: bytes | None) -> bool:
+    """Returns whether what is in force in place of an item stays listed.
+
+    An item that is the same in one more copy is no change, by which a host
+    would decide anew.
+
+    Args:
+        former: The item's value in the era before; None without an item.
+        now: The same in the new era.
+    """
+    return former == now
+
+
+def misses_overrides(copied_era: int, era: int, peer_era: int) -> bool:
+    """Returns whether a host has to copy the overrides of a peer.
+
+    Args:
+        copied_era: Era of those that it knows.
+        era: Era of its replica.
+        peer_era: Era of the peer's.
+    """
+    return copied_era < peer_era == era
+
+
 def owns_lease(lease_era: int, known_era: int) -> bool:
     """Returns whether a lease is still the one that was granted.
 
@@ -207,7 +231,9 @@
         self.overrides = {
             key: override
             for key, override in self.overrides.items()
-            if _value_of(former, key) == _value_of(self._items, key)
+            if keeps_override(
+                _value_of(former, key), _value_of(self._items, key)
+            )
         }
         merged = [
             change
@@ -288,7 +314,7 @@
         Args:
             overrides_era: Era to which they belong.
         """
-        return self.overrides_era < overrides_era == self.era
+        return misses_overrides(self.overrides_era, self.era, overrides_era)
 
     def values_in_force(self) -> dict[str, bytes | None]:
         """Returns the values of the items, or what is in force in place."""
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -9,7 +9,6 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock
 from ..core.entry.crashing_requests import CrashCause
-from ..core.entry.departed_servers import REMEMBERED_MS
 from ..core.entry.peer import WATCHER_GRACE_MS
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -63,7 +62,6 @@
         "_rollouts",
         "_kept_evacuations",
         "_desired",
-        "_started_ms",
         "_former",
     )
 
@@ -80,7 +78,6 @@
         self._peers = peers
         self._pool = pool
         self._clock = clock
-        self._started_ms = clock.now_ms()
         self._rollouts = rollouts
         self._kept_evacuations: dict[str, int] = {}
         # Values in force before a restore, while its page is applied.
@@ -114,8 +111,6 @@
             self._begin_era(page, source)
             self._former = self.replica.values_in_force()
         changes = self.replica.apply(page, grace_ms)
-        if restored and not self._is_new():
-            self.replica.overrides_era = self.replica.era
         if restored:
             changes += list_rollouts_kept(self.replica, changes)
         for change in changes:
@@ -139,13 +134,6 @@
             self._apply_overrides(page.overrides)
         return len(changes)
 
-    def _is_new(self) -> bool:
-        """Returns whether this host may not know of recent departures.
-
-        It then copies from a peer what a restored store may list wrongly.
-        """
-        return self._clock.now_ms() - self._started_ms < REMEMBERED_MS
-
     def _apply_overrides(self, overrides: Iterable[Change]) -> None:
         """Takes over what a peer has in force in place of a copy's items."""
         self.replica.overrides_era = self.replica.era
@@ -158,11 +146,12 @@
             if item is None or item.revision > self.replica.restored_revision:
                 # Written again, or removed, since the restore.
                 continue
-            known = self.replica.overrides.get(override.key)
-            if known is None and override.value is None:
+            if override.value is not None:
+                self._apply_change(override, "override", True)
+                if self._desired is override:
+                    self.replica.overrides[override.key] = override
+            elif override.key not in self.replica.overrides:
                 self._hold_back(item)
-            elif known is None:
-                self._apply_change(override, "override", False)
             self.replica.overrides.setdefault(override.key, override)
 
     def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
@@ -178,6 +167,9 @@
         if isinstance(decoded, ServerListed):
             now_ms = self._clock.now_ms()
             servers = self._planner.servers
+            known = servers.get(decoded.server.id)
+            if known and not known.is_no_newer_than(decoded.server):
+                return
             servers.remove(decoded.server.id, now_ms)
             servers.departed.record(decoded.server, now_ms)
             servers.departed.hold_back(decoded.server, now_ms)
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -186,6 +186,14 @@
         self.planner.tick(self.clock.now_ms())
         self.applier.tick(self.clock.now_ms())
 
+    def copy_from(self, peer: Host) -> None:
+        """Applies the page of a peer with the same revision."""
+        replica = peer.applier.replica
+        page = decode_page(
+            encode_page(replica.changes_since(replica.revision))
+        )
+        self.applier.apply(page, "peer", 0)
+
     def started_by_it(self) -> Host:
         """Returns a host that lists the store and copies from this one."""
         started = Host()
@@ -282,8 +290,7 @@
     for each in (host, started):
         each.list(7, 2, servers_s1=(encode_entry(), 5))
     assert started.usable() == ["s1"]
-    page = decode_page(encode_page(host.applier.replica.changes_since(7)))
-    started.applier.apply(page, "peer", 0)
+    started.copy_from(host)
     assert started.usable() == []
     started.write("servers/s1", encode_entry(born=200), 8, 2)
     assert started.usable() == ["s1"]
@@ -382,6 +389,32 @@
     assert host.started_by_it().planner.desired.version == 40
 
 
+# Guards against CONFIG: a host that had missed the last write before the
+# restore asked no peer; found by the model check.
+@pytest.mark.parametrize(("mine", "peers"), [(20, 30), (30, 20)])
+def test_the_newest_desired_state_of_two_hosts_is_in_force(mine, peers):
+    host, peer = Host(), Host()
+    for each, version in ((host, mine), (peer, peers)):
+        each.list(9, 1, op_config=(encode_config(version), 8))
+        each.list(5, 2, op_config=(encode_config(10), 4))
+    host.copy_from(peer)
+    for each in (host, host.started_by_it()):
+        assert each.planner.desired.version == 30
+
+
+# Guards against a peer's older knowledge that ends the use of a server.
+def test_later_start_of_a_server_stays_in_use_though_a_peer_saw_it_leave():
+    host, peer = Host(), Host()
+    for each in (host, peer):
+        each.list(7, 1, servers_s1=(encode_entry(), 5))
+    peer.write("servers/s1", None, 8, 1)
+    host.write("servers/s1", encode_entry(born=200), 9, 1)
+    for each in (host, peer):
+        each.list(7, 2, servers_s1=(encode_entry(), 5))
+    host.copy_from(peer)
+    assert host.usable() == ["s1"]
+
+
 # Guards against requests to a data centre whose evacuation the copy lacks.
 def test_evacuation_missing_in_the_copy_stays_until_it_is_written_again():
     host = Host()
