--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -33,6 +33,30 @@
     return page_era == held_era or (page_era > held_era and full)
 
 
+def keeps_override(former: bytes | None, now: bytes | None) -> bool:
+    """Returns whether what is in force in place of an item stays listed.
+
+    An item that is the same in one more copy is no change, by which a host
+    would decide anew.
+
+    Args:
+        former: The item's value in the era before; None without an item.
+        now: The same in the new era.
+    """
+    return former == now
+
+
+def misses_overrides(copied_era: int, era: int, peer_era: int) -> bool:
+    """Returns whether a host has to copy the overrides of a peer.
+
+    Args:
+        copied_era: Era of those that it knows.
+        era: Era of its replica.
+        peer_era: Era of the peer's.
+    """
+    return copied_era < peer_era == era
+
+
 def owns_lease(lease_era: int, known_era: int) -> bool:
     """Returns whether a lease is still the one that was granted.
 
@@ -109,6 +133,11 @@
         self.full = full
 
 
+def _value_of(items: dict[str, Change], key: str) -> bytes | None:
+    item = items.get(key)
+    return None if item is None else item.value
+
+
 class Replica:
     """Items by key, each at its newest known revision.
 
@@ -193,12 +222,19 @@
             that are missing.
         """
         former = self._items
-        self.overrides = {}
         self._items = {
             change.key: change
             for change in page.changes
             if change.value is not None
         }
+        # The others are decided anew, as their items differ.
+        self.overrides = {
+            key: override
+            for key, override in self.overrides.items()
+            if keeps_override(
+                _value_of(former, key), _value_of(self._items, key)
+            )
+        }
         merged = [
             change
             for key, change in self._items.items()
@@ -278,7 +314,15 @@
         Args:
             overrides_era: Era to which they belong.
         """
-        return self.overrides_era < overrides_era == self.era
+        return misses_overrides(self.overrides_era, self.era, overrides_era)
+
+    def values_in_force(self) -> dict[str, bytes | None]:
+        """Returns the values of the items, or what is in force in place."""
+        return {
+            change.key: change.value
+            for part in (self._items, self.overrides)
+            for change in part.values()
+        }
 
     def get(self, key: str) -> Change | None:
         """Returns the item `key`; None if it does not exist."""
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -28,13 +28,12 @@
     ServerRemoved,
     UnusableRecord,
 )
-from ..platform.records import SERVER_PREFIX
-from ..platform.rollouts import ORDER_PREFIX, ROLLOUT_PREFIX
+from ..platform.records import EVACUATION_PREFIX, SERVER_PREFIX
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
-from .rollout_feed import RolloutFeed
+from .rollout_feed import list_rollouts_kept, RolloutFeed
 
 # Servers of a data centre that takes requests again may be cold, which their
 # entries show only after their next heartbeat; until then they count as cold.
@@ -68,6 +67,7 @@
         "_desired",
         "_refused",
         "_silence_ms",
+        "_former",
     )
 
     def __init__(
@@ -98,6 +98,8 @@
         self._clock = clock
         self._rollouts = rollouts
         self._kept_evacuations: dict[str, int] = {}
+        # Values in force before a restore, while its page is applied.
+        self._former: dict[str, bytes | None] = {}
         # The item with the desired state in force.
         self._desired: Change | None = None
 
@@ -125,11 +127,10 @@
         if restored and page.full:
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
+            self._former = self.replica.values_in_force()
         changes = self.replica.apply(page, grace_ms)
         if restored:
-            self.replica.overrides_era = self.replica.era
-        if restored:
-            changes += self._list_rollouts_kept(changes)
+            changes += list_rollouts_kept(self.replica, changes)
         for change in changes:
             from_copy = restored and (
                 change.value is None
@@ -146,6 +147,7 @@
                     detail=repr(exc),
                 )
                 self._planner.counters.add("invalid_messages", kind="record")
+        self._former = {}
         if page.overrides and self.replica.misses(page.era):
             self._apply_overrides(page.overrides)
         return len(changes)
@@ -155,41 +157,42 @@
         self.replica.overrides_era = self.replica.era
         for override in overrides:
             item = self.replica.get(override.key)
+            decoded = decode_change(override)
+            if item is None and isinstance(decoded, Evacuation):
+                self._apply_evacuation(decoded, override)
+                continue
             if item is None or item.revision > self.replica.restored_revision:
                 # Written again, or removed, since the restore.
                 continue
-            known = self.replica.overrides.get(override.key)
-            if known is None and override.value is None:
+            if override.value is not None:
+                self._apply_change(override, "override", True)
+                if self._desired is override:
+                    self.replica.overrides[override.key] = override
+            elif override.key not in self.replica.overrides:
                 self._hold_back(item)
-            elif known is None:
-                self._apply_change(override, "override", False)
             self.replica.overrides.setdefault(override.key, override)
 
+    def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
+        """Takes over an evacuation that a restored store has lost."""
+        evacuated = self._planner.servers.evacuated
+        if decoded.active and decoded.data_centre not in evacuated:
+            self._apply_change(override, "override", False)
+            self._keep_evacuation(decoded.data_centre, override.grace_ms)
+
     def _hold_back(self, item: Change) -> None:
         """Stops using a server that left before the store was restored."""
         decoded = decode_change(item)
         if isinstance(decoded, ServerListed):
             now_ms = self._clock.now_ms()
             servers = self._planner.servers
+            known = servers.get(decoded.server.id)
+            if known and not known.is_no_newer_than(decoded.server):
+                return
             servers.remove(decoded.server.id, now_ms)
             servers.departed.record(decoded.server, now_ms)
             servers.departed.hold_back(decoded.server, now_ms)
             log_event("server_copy_ignored", server=decoded.server.id)
 
-    def _list_rollouts_kept(self, changes: list[Change]) -> list[Change]:
-        """Returns the items about rollouts that are not in `changes`.
-
-        In a new era they may have other revisions with the same values, and
-        an order with another revision is another order.
-        """
-        changed = {change.key for change in changes}
-        return [
-            item
-            for item in self.replica.items()
-            if item.key.startswith((ORDER_PREFIX, ROLLOUT_PREFIX))
-            and item.key not in changed
-        ]
-
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
@@ -215,6 +218,8 @@
             if until_ms <= now_ms:
                 log_event("evacuation_expired", "WARNING", data_centre=name)
                 self._end_evacuation(name)
+            else:
+                self._pass_evacuation_on(name, until_ms - now_ms)
 
     def _apply_change(
         self, change: Change, source: str, from_copy: bool
@@ -273,9 +278,7 @@
             server, now_ms, OUTAGE_GRACE_MS
         ):
             log_event("server_copy_ignored", server=server.id)
-            if self._planner.servers.get(server.id) is None:
-                key = SERVER_PREFIX + server.id
-                self.replica.overrides[key] = Change(key, None, 0)
+            self._pass_server_on(server.id)
             return
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
@@ -286,6 +289,15 @@
             )
             self._planner.caches.remove(server.id)
 
+    def _pass_server_on(self, server_id: str) -> None:
+        """Lists a server that left, or drains, in place of a copy's item."""
+        key = SERVER_PREFIX + server_id
+        known = self._planner.servers.get(server_id)
+        if known is None:
+            self.replica.overrides[key] = Change(key, None, 0)
+        elif not known.available and key in self._former:
+            self.replica.overrides[key] = Change(key, self._former[key], 0)
+
     @_apply_decoded.register
     def _(self, decoded: ServerRemoved, from_copy: bool) -> None:
         self._planner.servers.remove(
@@ -306,21 +318,30 @@
             self._kept_evacuations.pop(name, None)
             servers.set_evacuated(servers.evacuated | {name})
         elif from_copy:
-            until_ms = self._clock.now_ms() + EVACUATION_GRACE_MS
-            self._kept_evacuations[name] = until_ms
-            log_event(
-                "evacuation_kept",
-                "WARNING",
-                data_centre=name,
-                grace_ms=EVACUATION_GRACE_MS,
-            )
+            self._keep_evacuation(name, EVACUATION_GRACE_MS)
         else:
             self._end_evacuation(name)
 
+    def _keep_evacuation(self, data_centre: str, grace_ms: int) -> None:
+        until_ms = self._clock.now_ms() + grace_ms
+        self._kept_evacuations[data_centre] = until_ms
+        self._pass_evacuation_on(data_centre, grace_ms)
+        log_event(
+            "evacuation_kept",
+            "WARNING",
+            data_centre=data_centre,
+            grace_ms=grace_ms,
+        )
+
+    def _pass_evacuation_on(self, data_centre: str, left_ms: int) -> None:
+        key = EVACUATION_PREFIX + data_centre
+        self.replica.overrides[key] = Change(key, b"", 0, left_ms)
+
     def _end_evacuation(self, data_centre: str) -> None:
         servers = self._planner.servers
         now_ms = self._clock.now_ms()
         self._kept_evacuations.pop(data_centre, None)
+        self.replica.overrides.pop(EVACUATION_PREFIX + data_centre, None)
         servers.set_evacuated(servers.evacuated - {data_centre})
         for server_id in servers.ids():
             server = servers.get(server_id)
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -13,7 +13,13 @@
 from ..core.entry.peers import Peers
 from ..core.entry.replica import Change, Page
 from ..platform.records import CACHES_KEY
-from ..platform.store import HistoryGoneError, Item, StoreClient, StoreError
+from ..platform.store import (
+    HistoryGoneError,
+    Item,
+    StoreClient,
+    StoreError,
+    WATCH_CALL,
+)
 from ..platform.store_era import StoreEra
 from ..platform.stream_records import BEGUN_PREFIX
 from .peering import Peering
@@ -73,6 +79,7 @@
         "_next_watch_ms",
         "_counters",
         "_behind_since_ms",
+        "_watch_cut",
     )
 
     def __init__(
@@ -101,6 +108,8 @@
         self._era = era or StoreEra(self._counters)
         self._start_delay_ms = start_delay_ms
         self._next_watch_ms = 0
+        # Whether a watch was cut since the store last answered.
+        self._watch_cut = False
         self._store = store
         self._applier = applier
         self._peers = peers
@@ -170,6 +179,9 @@
                 self._record_behind(LISTING_REASONS[type(exc)])
                 relist = await self._needs_listing()
             except StoreError as exc:
+                if self._is_first_cut(exc):
+                    self._watch_cut = self._confirming = True
+                    continue
                 self._confirming = False
                 if not relist and exc.begun:
                     # The same answer would come again; pages are bounded.
@@ -209,6 +221,20 @@
         if self._behind_since_ms is None:
             self._behind_since_ms = self._clock.now_ms()
 
+    def _is_first_cut(self, exc: StoreError) -> bool:
+        """Returns whether the store has cut a watch that waited.
+
+        It may do so at any time, which alone shows no outage: the next
+        watch, which is answered soon, does.
+        """
+        return (
+            exc.step == WATCH_CALL
+            and exc.reason == "cut"
+            and not exc.not_applied
+            and self._contact_at_ms is not None
+            and not self._watch_cut
+        )
+
     def _record_failure(self, exc: StoreError) -> None:
         """Records that the store does not answer and notifies peers at once.
 
@@ -234,6 +260,7 @@
             if now_ms - self._contact_at_ms > expected_ms + WATCH_LATE_MS:
                 self._outage_at_ms = now_ms
         self._contact_at_ms = now_ms
+        self._watch_cut = False
         if not self._store_reached:
             self._store_reached = True
             self._outage_at_ms = now_ms
@@ -367,16 +394,18 @@
         """Returns a peer that does not use all items of a restored store.
 
         Returns:
-            The peer; None if this host knows what it has to know of them.
+            The one that started first, as it knows most of what was before;
+            None if this host knows what it has to know of them.
         """
         replica = self._applier.replica
         if not replica.misses(replica.era):
             return None
+        found: list[tuple[int, Peer]] = []
         for peer in self._peers.all():
             heartbeat = peer.last_heartbeat
             if heartbeat is None or now_ms > peer.alive_until_ms:
                 continue
             if heartbeat.has_overrides and peer.address is not None:
                 if heartbeat.era == replica.era:
-                    return peer
-        return None
+                    found.append((heartbeat.boot, peer))
+        return min(found, key=lambda pair: pair[0])[1] if found else None
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -189,6 +189,23 @@
         self.planner.tick(self.clock.now_ms())
         self.applier.tick(self.clock.now_ms())
 
+    def copy_from(self, peer: Host) -> None:
+        """Applies the page of a peer with the same revision."""
+        replica = peer.applier.replica
+        page = decode_page(
+            encode_page(replica.changes_since(replica.revision))
+        )
+        self.applier.apply(page, "peer", 0)
+
+    def started_by_it(self) -> Host:
+        """Returns a host that lists the store and copies from this one."""
+        started = Host()
+        page = self.applier.replica.changes_since(0)
+        listing = (page.changes, page.revision, True, page.era, page.revision)
+        started.applier.apply(Page(*listing), "store", 0)
+        started.applier.apply(decode_page(encode_page(page)), "peer", 0)
+        return started
+
     def usable(self) -> list[str]:
         """Returns the ids of the plain servers that get requests."""
         return [s.id for s in self.planner.servers.usable("plain")]
@@ -263,6 +280,25 @@
     assert host.usable() == ["s1"]
 
 
+# Guards against DRAIN: a host that started between a departure and a
+# restore sent to the server, and asked no peer.
+@pytest.mark.parametrize("age_ms", [0, REMEMBERED_MS - 1])
+def test_host_that_started_after_a_departure_learns_of_it(age_ms):
+    host, started = Host(), Host()
+    host.list(7, 1, servers_s1=(encode_entry(), 5))
+    host.write("servers/s1", None, 9, 1)
+    started.list(9, 1)
+    host.wait(age_ms)
+    started.wait(age_ms)
+    for each in (host, started):
+        each.list(7, 2, servers_s1=(encode_entry(), 5))
+    assert started.usable() == ["s1"]
+    started.copy_from(host)
+    assert started.usable() == []
+    started.write("servers/s1", encode_entry(born=200), 8, 2)
+    assert started.usable() == ["s1"]
+
+
 # Guards against losing a sound server for good: its entry does not change.
 def test_held_back_server_is_used_again_if_the_store_goes_on_listing_it():
     host = Host()
@@ -294,6 +330,24 @@
     assert host.usable() == ["s1"]
 
 
+# Guards against DRAIN: a host that starts after the restore, or saw neither
+# the drain nor its end, sends to the server.
+@pytest.mark.parametrize("restores", [1, 2])
+def test_draining_server_is_passed_on_while_the_copy_says_otherwise(restores):
+    host = Host()
+    host.list(7, 1, servers_s1=(encode_entry(state="draining"), 7))
+    for era in range(2, 2 + restores):
+        # Each copy differs from the one before.
+        entry = encode_entry(sequence_number=era)
+        host.list(6, era, servers_s1=(entry, 5))
+    started = host.started_by_it()
+    assert started.usable() == []
+    assert started.started_by_it().usable() == []
+    for each in (host, started):
+        each.write("servers/s1", encode_entry(), 7, 1 + restores)
+        assert each.started_by_it().usable() == ["s1"]
+
+
 def test_draining_server_of_the_copy_is_not_used():
     host = Host()
     host.list(7, 1, servers_s1=(encode_entry(), 7))
@@ -326,6 +380,44 @@
     assert host.planner.desired.version == 40
 
 
+# Guards against CONFIG: after a second restore no host passed the newer
+# desired state on.
+def test_desired_state_is_passed_on_after_a_second_restore():
+    host = Host()
+    host.list(9, 1, op_config=(encode_config(30), 8))
+    for era in (2, 3):
+        host.list(5, era, op_config=(encode_config(20), 4))
+        assert host.started_by_it().planner.desired.version == 30
+    host.write("op/config", encode_config(40), 6, 3)
+    assert host.started_by_it().planner.desired.version == 40
+
+
+# Guards against CONFIG: a host that had missed the last write before the
+# restore asked no peer; found by the model check.
+@pytest.mark.parametrize(("mine", "peers"), [(20, 30), (30, 20)])
+def test_the_newest_desired_state_of_two_hosts_is_in_force(mine, peers):
+    host, peer = Host(), Host()
+    for each, version in ((host, mine), (peer, peers)):
+        each.list(9, 1, op_config=(encode_config(version), 8))
+        each.list(5, 2, op_config=(encode_config(10), 4))
+    host.copy_from(peer)
+    for each in (host, host.started_by_it()):
+        assert each.planner.desired.version == 30
+
+
+# Guards against a peer's older knowledge that ends the use of a server.
+def test_later_start_of_a_server_stays_in_use_though_a_peer_saw_it_leave():
+    host, peer = Host(), Host()
+    for each in (host, peer):
+        each.list(7, 1, servers_s1=(encode_entry(), 5))
+    peer.write("servers/s1", None, 8, 1)
+    host.write("servers/s1", encode_entry(born=200), 9, 1)
+    for each in (host, peer):
+        each.list(7, 2, servers_s1=(encode_entry(), 5))
+    host.copy_from(peer)
+    assert host.usable() == ["s1"]
+
+
 # Guards against requests to a data centre whose evacuation the copy lacks.
 def test_evacuation_missing_in_the_copy_stays_until_it_is_written_again():
     host = Host()
@@ -341,6 +433,40 @@
     assert host.usable() == ["s1"]
 
 
+# Guards against EVAC: a host that starts after the restore sends there.
+@pytest.mark.parametrize("restores", [1, 2])
+def test_evacuation_is_passed_on_while_the_store_lacks_it(restores):
+    host = Host()
+    entry = (encode_entry(), 3)
+    host.list(9, 1, servers_s1=entry, op_evacuate_a=(b"{}", 8))
+    for era in range(2, 2 + restores):
+        host.list(5, era, servers_s1=entry)
+    host.wait(EVACUATION_GRACE_MS - 10)
+    started = host.started_by_it()
+    assert started.usable() == []
+    second = started.started_by_it()
+    assert second.usable() == []
+    for each in (started, second):
+        each.wait(9)
+        assert each.usable() == []
+        each.wait(1)
+        assert each.usable() == ["s1"]
+
+
+@pytest.mark.parametrize("again", [True, False])
+def test_evacuation_that_ended_is_not_passed_on(again):
+    host = Host()
+    entry = (encode_entry(), 3)
+    host.list(9, 1, servers_s1=entry, op_evacuate_a=(b"{}", 8))
+    host.list(5, 2, servers_s1=entry)
+    if again:
+        host.write("op/evacuate/a", b"{}", 6, 2)
+        host.write("op/evacuate/a", None, 7, 2)
+    else:
+        host.wait(EVACUATION_GRACE_MS)
+    assert host.started_by_it().usable() == ["s1"]
+
+
 def test_evacuation_that_is_not_written_again_ends_after_its_grace_time():
     host = Host()
     entry = (encode_entry(), 3)
