Judge requests that crash servers by all their runs, and end it by trials

A host that started knew nothing of it.

Cause: coincidence taken for blame. Each crash was judged by itself, while what runs beside a crashing request changes from crash to crash.

A request is now refused after three crashes within an hour with no answer between, also beside answers that had begun, unless one of these was in progress under more crashes. Requests and prompt parts share one kind of verdict (crash_verdicts), which an answer or a trial ends and which peers repeat to hosts that start; blame is decided in request_blame and part_blame. The special set of refused requests and its forgetting are gone. The log event prompt_part becomes crash_suspect, and the metrics follow, as they tell of both.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -23,7 +23,7 @@
     "tunnels": "Connections to backend servers that peers asked for.",
     "leaving_servers": "Servers found to be leaving, by who said so.",
     "server_crashes": "Crashes of servers under requests of this host.",
-    "prompt_part_changes": "Quarantines of prompt parts and their ends.",
+    "crash_suspect_changes": "Verdicts on crashing requests and parts.",
     "server_limit_changes": "Changes of the limits that servers named.",
     "server_pauses": "Pauses that servers asked this host for.",
     "ignored_marks": "Unusable marks in servers' answers, by kind.",
--- a/corianderdoor/core/entry/answered_parts.py
+++ b/corianderdoor/core/entry/answered_parts.py
@@ -31,9 +31,10 @@
     def record(self, part: int, at_ms: int) -> None:
         """Records an answer of this host that began at `at_ms`."""
         self.has_own = True
-        self._add(part, at_ms)
+        self.add(part, at_ms)
 
-    def _add(self, part: int, at_ms: int) -> None:
+    def add(self, part: int, at_ms: int) -> None:
+        """Records an answer that began at `at_ms`."""
         if at_ms > self._answered.get(part, NEVER_MS):
             self._answered[part] = at_ms
         self._answered.move_to_end(part)
@@ -43,7 +44,7 @@
 
     def merge(self, part: int, at_ms: int) -> None:
         """Records an answer that a peer told of."""
-        self._add(part, at_ms)
+        self.add(part, at_ms)
         self._told[part] = max(at_ms, self._told.get(part, NEVER_MS))
 
     def last_ms(self, part: int) -> int:
--- a/corianderdoor/core/entry/crash_evidence.py
+++ b/corianderdoor/core/entry/crash_evidence.py
@@ -1,19 +1,20 @@
 """What ran on backend servers when they crashed, over all hosts.
 
 Each interrupted attempt names the request and the shared parts of its prompt.
-Which of them is to blame is decided by `PartQuarantine` and
-`CrashingRequests`.
+Which of them is to blame is decided by `PartBlame` and `RequestBlame`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+import itertools
 from typing import Final
 
 from ..records import Record
 
-# How long a crash counts.
-CRASH_TTL_MS: Final = 60_000
+# How long a crash counts. A request that comes once in many minutes, and
+# crashes a server each time, is found as well.
+CRASH_TTL_MS: Final = 3_600_000
 # Attempts at one server whose interruptions are this close together were
 # interrupted by one crash; a server is away for longer.
 SAME_CRASH_MS: Final = 1_500
@@ -111,9 +112,19 @@
         These are the ones that the server had begun to answer, if any: a
         crashing request ends its server when it begins to run.
         """
-        left = [a for a in self.attempts if a.request not in self.cleared]
+        left = self.left()
         return [a for a in left if a.begun] or left
 
+    def left(self) -> list[InterruptedAttempt]:
+        """Returns the attempts at requests that may not be sound."""
+        if not self.cleared:
+            return self.attempts
+        return [a for a in self.attempts if a.request not in self.cleared]
+
+    def includes(self, request: int) -> bool:
+        """Returns whether a request that may not be sound was interrupted."""
+        return any(attempt.request == request for attempt in self.left())
+
 
 class CrashEvidence:
     """The crashes of the last `CRASH_TTL_MS`, with indexes.
@@ -174,32 +185,46 @@
         """Returns the crashes that interrupted requests with a part."""
         return self._by_part.get(part, [])
 
-    def is_common_outage(self, crash: Crash, part: int) -> bool:
-        """Returns whether more servers ended at the time without a part.
+    def count(self, request: int) -> int:
+        """Returns the number of crashes that interrupted a request.
+
+        Those before it was found to be sound do not count.
+        """
+        crashes = self._by_request.get(request, ())
+        return sum(request not in crash.cleared for crash in crashes)
+
+    def is_common_outage(
+        self, crash: Crash, has_suspect: Callable[[Crash], bool]
+    ) -> bool:
+        """Returns whether more servers ended at the time without a suspect.
 
         Whatever ended them all is more likely to be the cause.
+
+        Args:
+            crash: One of the crashes.
+            has_suspect: Whether a crash interrupted the suspect.
         """
         others = [
             other
             for other in self._crashes
             if abs(other.at_ms - crash.at_ms) < SAME_OUTAGE_MS
         ]
-        having = sum(
-            any(part in attempt.parts for attempt in other.suspects())
-            for other in others
-        )
-        return len(others) > 2 * having
+        return len(others) > 2 * sum(map(has_suspect, others))
+
+    def suspects(self) -> Iterable[int]:
+        """Returns the requests and parts of all interrupted attempts."""
+        return itertools.chain(self._by_part, self._by_request)
 
-    def parts(self) -> Iterable[int]:
-        """Returns the parts of all interrupted attempts."""
-        return self._by_part
+    def knows_request(self, request: int) -> bool:
+        """Returns whether a crash interrupted a request."""
+        return request in self._by_request
 
     def forget_request(self, request: int) -> None:
         """Clears a request that is sound after all of its crashes.
 
         Reports of them that arrive later are ignored as known.
         """
-        for crash in self._by_request.pop(request, []):
+        for crash in self._by_request.get(request, ()):
             crash.cleared.add(request)
 
     def drop_expired(self, now_ms: int) -> None:
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -10,7 +10,6 @@
 from typing import Final
 
 from .counters import Counters
-from .crash_evidence import CRASH_TTL_MS
 from .crashing_requests import CrashingRequests
 from .flights import (
     Again,
@@ -26,6 +25,7 @@
 from .moves import Moves
 from .prompt_counts import count_prompt
 from .refusals import Refusals
+from .request_blame import FIRST_VERDICT_MS
 from .requests import CallerRequest
 from .retries import MIN_LEFT_MS, Retries
 from .routing import DesiredState
@@ -179,7 +179,9 @@
             flight, self.hosts, now_ms
         )
         if reason is not None:
-            return self._refusals.refuse(flight, reason, now_ms, CRASH_TTL_MS)
+            return self._refusals.refuse(
+                flight, reason, now_ms, FIRST_VERDICT_MS
+            )
         usable = self.selection.list_usable(flight, now_ms)
         if not usable:
             return self._refusals.wait_for_pause(
--- a/corianderdoor/entry/crash_codec.py
+++ b/corianderdoor/entry/crash_codec.py
@@ -6,9 +6,9 @@
 from typing import Any, Final
 
 from ..core.entry.crash_evidence import AttemptReport
+from ..core.entry.crash_verdicts import MAX_REPORTS
 from ..core.entry.crashing_requests import MAX_PARTS
 from ..core.entry.crashing_requests import MAX_REPORTS as MAX_ATTEMPTS
-from ..core.entry.part_quarantine import MAX_REPORTS
 from ..core.entry.part_reports import PartReport
 
 # Highest age that a field can hold; higher ones are sent as this.
--- a/corianderdoor/entry/crash_reports.py
+++ b/corianderdoor/entry/crash_reports.py
@@ -30,7 +30,7 @@
     crashing.on_crash = functools.partial(
         _record_crash, planner.counters, send_soon
     )
-    crashing.parts.on_change = functools.partial(
+    crashing.verdicts.on_change = functools.partial(
         _record_change, planner.counters
     )
 
@@ -50,12 +50,14 @@
     )
 
 
-def _record_change(counters: Counters, part: int, change: PartChange) -> None:
-    counters.add("prompt_part_changes", change=change.value)
+def _record_change(
+    counters: Counters, suspect: int, change: PartChange
+) -> None:
+    counters.add("crash_suspect_changes", change=change.value)
     log_event(
-        "prompt_part",
+        "crash_suspect",
         "WARNING",
-        part=format_digests((part,)),
+        suspect=format_digests((suspect,)),
         change=change.value,
     )
 
@@ -72,7 +74,7 @@
     crashing = planner.crashing_requests
     crashing.merge(heartbeat.attempts, now_ms)
     for part in heartbeat.parts:
-        crashing.parts.merge(part, now_ms)
+        crashing.verdicts.merge(part, now_ms)
     if heartbeat.attempts:
         return
     # A host of an earlier release reports only these.
--- a/corianderdoor/entry/gauges.py
+++ b/corianderdoor/entry/gauges.py
@@ -47,8 +47,8 @@
         ),
         "highest_load_share": read_highest_load_share,
         "brittle_servers": lambda: float(planner.rooms.count()),
-        "quarantined_parts": lambda: float(
-            len(planner.crashing_requests.parts)
+        "crash_suspects": lambda: float(
+            len(planner.crashing_requests.verdicts)
         ),
         "limited_servers": lambda: float(planner.selection.limits.count()),
         "lowest_room": planner.rooms.lowest_room,
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -161,7 +161,7 @@
             return
         if peer.heartbeats == 1:
             log_event("peer_discovered", peer=peer.name, boot=heartbeat.boot)
-            if self._planner.crashing_requests.parts.repeat_soon():
+            if self._planner.crashing_requests.verdicts.repeat_soon():
                 self.send_soon()
         if peer.address is None:
             peer.address = (addr[0], addr[1])
@@ -244,7 +244,7 @@
         limits = self._planner.selection.limits
         announced = Announcements(
             tuple(crashing.take_updates(now_ms)),
-            tuple(crashing.parts.take_reports(self._planner.hosts, now_ms)),
+            tuple(crashing.take_reports(self._planner.hosts, now_ms)),
             tuple(limits.take_reports(now_ms)),
         )
         interval_ms = self._peers.heartbeat_interval_ms()
