--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import Final
 
 from .active_hosts import ActiveHosts, Candidate, rank_host, SLOW_LINK_MBPS
 from .addresses import Address
+from .copy_sources import find_ahead
 from .heartbeat import get_interval_ms, Heartbeat, HEARTBEAT_MS
 from .peer import MISSED_HEARTBEATS, NOT_WATCHING_MS, Peer
-from .replica import is_ahead
+from .tunnel_helpers import order_helpers
 
 # Interval per host of the fleet at which a reserve host sends heartbeats, so
 # that it sends at most 50 per second.
@@ -218,38 +218,10 @@
         return found
 
     def list_helpers(self, server_id: str, now_ms: int) -> list[Address]:
-        """Returns the peers to ask for a connection to a server, best first.
-
-        Peers that reach servers themselves come first, the data centres in
-        turn, in an order of this host and the server. Peers that shut down
-        come later, as they end their tunnels. Peers that are listed and have
-        sent no heartbeat yet come last: this host may just have started.
-        """
-        live = [
-            peer
-            for peer in self._peers.values()
-            if peer.address is not None
-            and (
-                now_ms <= peer.named_until_ms
-                or peer.listed
-                and peer.last_heartbeat is None
-            )
-        ]
-        live.sort(key=lambda p: rank_host(f"{self._own} {server_id} {p.name}"))
-        seen: Counter[str] = Counter()
-        turns: dict[str, int] = {}
-        for peer in live:
-            turns[peer.name] = seen[peer.data_centre]
-            seen[peer.data_centre] += 1
-        live.sort(
-            key=lambda p: (
-                p.last_heartbeat is None,
-                p.leaving,
-                p.links_cut,
-                turns[p.name],
-            )
+        """Returns the peers to ask for a server, best first."""
+        return order_helpers(
+            self._own, self._peers.values(), server_id, now_ms
         )
-        return [peer.address for peer in live if peer.address is not None]
 
     def is_leaving(self, address: Address) -> bool:
         """Returns whether the peer at an address shuts down, or is gone."""
@@ -418,33 +390,7 @@
     def find_peer_ahead(
         self, revision: int, now_ms: int, era: int = 0
     ) -> Peer | None:
-        """Returns the peer with the highest revision above `revision`.
-
-        Hosts break ties differently, so that no peer has to send copies to
-        all of them.
-
-        Returns:
-            The peer; None if no reachable peer is ahead.
-        """
-        ahead = [
-            peer
-            for peer in self._peers.values()
-            if peer.last_heartbeat is not None
-            and peer.address is not None
-            and is_ahead(
-                peer.last_heartbeat.era,
-                peer.last_heartbeat.revision,
-                era,
-                revision,
-            )
-            and now_ms <= peer.alive_until_ms
-        ]
-        return max(
-            ahead,
-            key=lambda peer: (
-                peer.last_heartbeat.era if peer.last_heartbeat else 0,
-                peer.last_heartbeat.revision if peer.last_heartbeat else 0,
-                rank_host(f"{self._own} {peer.name}"),
-            ),
-            default=None,
+        """Returns the reachable peer that is ahead most; None without one."""
+        return find_ahead(
+            self._own, self._peers.values(), (era, revision), now_ms
         )
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -177,19 +177,6 @@
             return None
         return self.desired.services.get(name)
 
-    def names_other_service(self, server: BackendServer) -> bool:
-        """Returns whether `server` has an unknown service, and had another.
-
-        A process has one service all its life, so the entry is not its own.
-        """
-        known = self.servers.get(server.id)
-        return (
-            known is not None
-            and known.same_incarnation(server)
-            and known.service != server.service
-            and self.find_service(server.service) is None
-        )
-
     def max_backlog(self, service: str, gaps: float, now_ms: int) -> int:
         """Returns a bound on the tokens to prefill at a server.
 
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import xxhash
 
@@ -209,6 +209,25 @@
         """Returns the id of the listed server with the id digest `digest`."""
         return self._digests.get(digest)
 
+    def names_other_service(
+        self, server: BackendServer, services: Container[str]
+    ) -> bool:
+        """Returns whether `server` has an unknown service, and had another.
+
+        A process has one service all its life, so the entry is not its own.
+
+        Args:
+            server: The server as an entry describes it.
+            services: Names of the services of the desired state.
+        """
+        known = self.get(server.id)
+        return (
+            known is not None
+            and known.same_incarnation(server)
+            and known.service != server.service
+            and server.service not in services
+        )
+
     def get(self, server_id: str) -> BackendServer | None:
         """Returns the listed server `server_id`; None if it is not listed."""
         return self._listed.get(server_id)
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -7,7 +7,6 @@
 import gc
 import pathlib
 import random
-from typing import Final
 
 import anyio
 import anyio.abc
@@ -48,7 +47,7 @@
 from .rollout_writer import RolloutWriter
 from .server_links import ServerLinks
 from .server_marks import ServerMarks
-from .state_applier import StateApplier
+from .state_applier import MISSED_HEARTBEATS, StateApplier
 from .state_sync import FIRST_START_DELAY_MS, StateSync
 from .stored_streams import StoredStreams
 from .stream_registry import PORT_OFFSET, StreamRegistry
@@ -56,9 +55,6 @@
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
-# Heartbeats that a server misses before the platform removes its entry.
-HEARTBEATS_MISSED: Final = 3
-
 
 class EntryHost:
     """One entry host and its tasks."""
@@ -157,7 +153,7 @@
             self._pool,
             clock,
             self._rollouts,
-            int(HEARTBEATS_MISSED * settings.heartbeat_ms),
+            int(MISSED_HEARTBEATS * settings.heartbeat_ms),
         )
         self._era = StoreEra(self._planner.counters)
         self._sync = StateSync(
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -28,24 +28,21 @@
     ServerRemoved,
     UnusableRecord,
 )
-from ..platform.records import EVACUATION_PREFIX, SERVER_PREFIX
+from ..platform.records import SERVER_PREFIX
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
+from .kept_evacuations import KeptEvacuations
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
 from .rollout_feed import list_rollouts_kept, RolloutFeed
 
-# Servers of a data centre that takes requests again may be cold, which their
-# entries show only after their next heartbeat; until then they count as cold.
-READMITTED_COLD_MS: Final = 2_500
 # Servers whose entries expired in an outage of the store or are missing after
 # its restore are listed again within this time after it ends if they still
 # run (the operators specify two seconds).
 OUTAGE_GRACE_MS: Final = 2_300
-# An evacuation that is missing after a restore stays in force for this long,
-# in which the operators write it again.
-EVACUATION_GRACE_MS: Final = 30_000
-# Silence after which the platform removes the entry of a server.
+# Heartbeats that a server misses before the platform removes its entry, and
+# the usual time for them.
+MISSED_HEARTBEATS: Final = 3
 SILENCE_MS: Final = 3_600
 
 
@@ -63,7 +60,7 @@
         "_pool",
         "_clock",
         "_rollouts",
-        "_kept_evacuations",
+        "_evacuations",
         "_desired",
         "_refused",
         "_silence_ms",
@@ -97,7 +94,9 @@
         self._pool = pool
         self._clock = clock
         self._rollouts = rollouts
-        self._kept_evacuations: dict[str, int] = {}
+        self._evacuations = KeptEvacuations(
+            planner.servers, self.replica, clock
+        )
         # Values in force before a restore, while its page is applied.
         self._former: dict[str, bytes | None] = {}
         # The item with the desired state in force.
@@ -177,7 +176,7 @@
         evacuated = self._planner.servers.evacuated
         if decoded.active and decoded.data_centre not in evacuated:
             self._apply_change(override, "override", False)
-            self._keep_evacuation(decoded.data_centre, override.grace_ms)
+            self._evacuations.keep(decoded.data_centre, override.grace_ms)
 
     def _hold_back(self, item: Change) -> None:
         """Stops using a server that left before the store was restored."""
@@ -205,8 +204,7 @@
         )
         now_ms = self._clock.now_ms()
         self._planner.servers.extend_grace(now_ms + OUTAGE_GRACE_MS)
-        for name in self._kept_evacuations:
-            self._kept_evacuations[name] = now_ms + EVACUATION_GRACE_MS
+        self._evacuations.begin_era()
 
     def tick(self, now_ms: int) -> None:
         """Ends what was kept for a time after a restore of the store."""
@@ -214,12 +212,7 @@
             log_event("server_readmitted", server=server.id)
             self.replica.overrides.pop(SERVER_PREFIX + server.id, None)
             self._planner.servers.put(server, now_ms)
-        for name, until_ms in list(self._kept_evacuations.items()):
-            if until_ms <= now_ms:
-                log_event("evacuation_expired", "WARNING", data_centre=name)
-                self._end_evacuation(name)
-            else:
-                self._pass_evacuation_on(name, until_ms - now_ms)
+        self._evacuations.tick(now_ms)
 
     def _apply_change(
         self, change: Change, source: str, from_copy: bool
@@ -268,7 +261,9 @@
     def _(self, decoded: ServerListed, from_copy: bool) -> None:
         now_ms = self._clock.now_ms()
         server = decoded.server
-        if self._planner.selection.names_other_service(server):
+        desired = self._planner.desired
+        services = desired.services if desired is not None else ()
+        if self._planner.servers.names_other_service(server, services):
             self._refused.record(
                 SERVER_PREFIX + server.id, "service", "not the server's own"
             )
@@ -312,41 +307,12 @@
 
     @_apply_decoded.register
     def _(self, decoded: Evacuation, from_copy: bool) -> None:
-        servers = self._planner.servers
-        name = decoded.data_centre
         if decoded.active:
-            self._kept_evacuations.pop(name, None)
-            servers.set_evacuated(servers.evacuated | {name})
+            self._evacuations.start(decoded.data_centre)
         elif from_copy:
-            self._keep_evacuation(name, EVACUATION_GRACE_MS)
+            self._evacuations.keep(decoded.data_centre)
         else:
-            self._end_evacuation(name)
-
-    def _keep_evacuation(self, data_centre: str, grace_ms: int) -> None:
-        until_ms = self._clock.now_ms() + grace_ms
-        self._kept_evacuations[data_centre] = until_ms
-        self._pass_evacuation_on(data_centre, grace_ms)
-        log_event(
-            "evacuation_kept",
-            "WARNING",
-            data_centre=data_centre,
-            grace_ms=grace_ms,
-        )
-
-    def _pass_evacuation_on(self, data_centre: str, left_ms: int) -> None:
-        key = EVACUATION_PREFIX + data_centre
-        self.replica.overrides[key] = Change(key, b"", 0, left_ms)
-
-    def _end_evacuation(self, data_centre: str) -> None:
-        servers = self._planner.servers
-        now_ms = self._clock.now_ms()
-        self._kept_evacuations.pop(data_centre, None)
-        self.replica.overrides.pop(EVACUATION_PREFIX + data_centre, None)
-        servers.set_evacuated(servers.evacuated - {data_centre})
-        for server_id in servers.ids():
-            server = servers.get(server_id)
-            if server and server.data_centre == data_centre:
-                servers.mark_cold(server_id, now_ms + READMITTED_COLD_MS)
+            self._evacuations.end(decoded.data_centre)
 
     @_apply_decoded.register
     def _(self, decoded: DesiredStateChange, from_copy: bool) -> None:
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -8,6 +8,7 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.copy_sources import find_overriding_peer
 from ..core.entry.counters import Counters
 from ..core.entry.peer import NOT_WATCHING_MS, Peer
 from ..core.entry.peers import Peers
@@ -171,7 +172,7 @@
                 with anyio.CancelScope() as scope:
                     self._scope = scope
                     await self._read_store(relist)
-                    if self._find_overriding_peer(self._clock.now_ms()):
+                    if self._find_overriding_peer():
                         await self._pull_from_peer()
                     relist = False
                     retry_ms = FIRST_RETRY_MS
@@ -379,7 +380,7 @@
             replica.revision, now_ms, replica.era
         )
         if ahead is None:
-            ahead = self._find_overriding_peer(now_ms)
+            ahead = self._find_overriding_peer()
         if ahead is None or self._peering is None:
             return True
         page = await self._peering.pull(ahead)
@@ -390,22 +391,7 @@
             self._era.observe(page.era)
         return page is not None
 
-    def _find_overriding_peer(self, now_ms: int) -> Peer | None:
-        """Returns a peer that does not use all items of a restored store.
-
-        Returns:
-            The one that started first, as it knows most of what was before;
-            None if this host knows what it has to know of them.
-        """
+    def _find_overriding_peer(self) -> Peer | None:
+        now_ms = self._clock.now_ms()
         replica = self._applier.replica
-        if not replica.misses(replica.era):
-            return None
-        found: list[tuple[int, Peer]] = []
-        for peer in self._peers.all():
-            heartbeat = peer.last_heartbeat
-            if heartbeat is None or now_ms > peer.alive_until_ms:
-                continue
-            if heartbeat.has_overrides and peer.address is not None:
-                if heartbeat.era == replica.era:
-                    found.append((heartbeat.boot, peer))
-        return min(found, key=lambda pair: pair[0])[1] if found else None
+        return find_overriding_peer(self._peers.all(), replica, now_ms)
--- a/tests/test_entry_store_restore.py
+++ b/tests/test_entry_store_restore.py
@@ -22,17 +22,14 @@
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.replica import Change, Page, Replica
 from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry.kept_evacuations import EVACUATION_GRACE_MS
 from corianderdoor.entry.peer_codec import (
     decode_heartbeat,
     decode_page,
     encode_heartbeat,
     encode_page,
 )
-from corianderdoor.entry.state_applier import (
-    EVACUATION_GRACE_MS,
-    OUTAGE_GRACE_MS,
-    StateApplier,
-)
+from corianderdoor.entry.state_applier import OUTAGE_GRACE_MS, StateApplier
 
 ITEMS = st.dictionaries(st.sampled_from("abcd"), st.binary(max_size=2))
 
