--- a/tests/test_entry_watchers.py
+++ b/tests/test_entry_watchers.py
@@ -80,8 +80,9 @@
 
 
 SERVER = (
-    b'{"service":"llm","address":"10.0.0.1:80","zone":"a","slots":1,'
-    b'"state":"available","cold_remaining_ms":0,"sequence_number":1}'
+    b'{"service":"llm","address":"10.0.0.1:80","zone":"a","version":"v1",'
+    b'"slots":1,"state":"available","cold_remaining_ms":0,'
+    b'"sequence_number":1,"born":1}'
 )
 
 
