Let no stream go on at a server whose version is not proven

An entry speaks of the process that wrote it, and is replaced up to 0.8 s after the next one listens. Hosts had seen the connections break and new ones refused, but counted that for cold starts, and for versions only without the store.

After a sign that a server has restarted its version counts as unproven until the entry of a later process is here, or would be; streams that begin there are recorded with a version that no server has. A server that breaks a connection and takes another one at once has not restarted, so that single broken connections keep no stream away; they are not reported to peers either.

The pool of a test in test_entry_server_pauses.py has the new method.

--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -219,16 +219,10 @@
         return [s for s in listed if s.id not in flight.excluded]
 
     def _continues(self, flight: Flight, server: BackendServer) -> bool:
-        """Returns whether a stream may go on at `server`.
-
-        Without contact to the store, a server that failed may have started
-        again with another version.
-        """
+        """Returns whether a stream may go on at `server`."""
         if server.version != flight.version:
             return False
-        return self.restarts.in_contact or not self.restarts.may_include(
-            server.id
-        )
+        return self.restarts.proves_version(server.id)
 
     def list_usable(self, flight: Flight, now_ms: int) -> list[BackendServer]:
         """Returns the servers that may get the request now."""
--- a/corianderdoor/core/entry/stream_versions.py
+++ b/corianderdoor/core/entry/stream_versions.py
@@ -21,6 +21,9 @@
 RESUME_MARGIN_MS: Final = 2_000
 # A longer time is a mistake of a peer or a caller.
 MAX_STREAM_MS: Final = 60_000
+# Version of streams that began at a server whose own is not proven. No server
+# has it, so that they go on nowhere.
+UNPROVEN: Final = "(unproven)"
 # Another host may know the version, and callers choose another one.
 RETRY_MS: Final = 100
 
@@ -107,10 +110,15 @@
             del self._origins[stream]
 
     def record_begun(
-        self, flight: Flight, now_ms: int
+        self, flight: Flight, is_proven: bool, now_ms: int
     ) -> tuple[int, StreamOrigin, int] | None:
         """Records that the first event of a stream goes out to its caller.
 
+        Args:
+            flight: The request.
+            is_proven: Whether its server has the version that is listed.
+            now_ms: Monotonic time in ms.
+
         Returns:
             The digest of the stream, its origin and how long its caller may
             resume it; None if the stream had begun before, or its callers
@@ -118,7 +126,7 @@
         """
         if flight.version is not None or flight.server is None:
             return None
-        flight.version = flight.server.version
+        flight.version = flight.server.version if is_proven else UNPROVEN
         if not flight.route.resumable:
             return None
         allowed_ms = flight.req.deadline_ms or flight.route.timeout_ms
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from .peers import MAX_CONTACT_AGE_MS
+from .version_proofs import TOLD_MS, VersionProofs
 
 # Time after which the record of a server that restarted has arrived here if
 # the store is in contact with the hosts.
@@ -21,6 +22,9 @@
 # A contact this long after a pause of this process shows what happened in it;
 # an earlier one may have waited here unread.
 CONFIRM_PAUSE_MS: Final = 50
+# Time after the return of the store in which servers begin to write their
+# entries again.
+RETURN_MS: Final = 1_000
 # Time before the first contact to the store.
 NEVER_MS: Final = -(2**31)
 # How long a server that this host could not reach is reported to peers;
@@ -43,11 +47,14 @@
     Attributes:
         in_contact: Whether this host, or a peer that it hears, has contact
             to the store.
+        proofs: Servers whose version is not proven.
     """
 
     __slots__ = (
         "in_contact",
+        "proofs",
         "_contact_ms",
+        "_regained_ms",
         "_resumed_ms",
         "_failed",
         "_unreached",
@@ -60,8 +67,10 @@
 
     def __init__(self) -> None:
         self.in_contact = True
+        self.proofs = VersionProofs()
         self._contact_ms = NEVER_MS
-        self._resumed_ms = NEVER_MS - CONFIRM_PAUSE_MS
+        self._regained_ms = NEVER_MS
+        self._resumed_ms = NEVER_MS - TOLD_MS
         # Servers with a sign of any kind.
         self._failed: set[str] = set()
         self._unreached: dict[str, int] = {}
@@ -75,7 +84,10 @@
 
     def update_contact(self, contact_ms: int, now_ms: int) -> None:
         """Sets when this host or a peer last had contact to the store."""
+        was_in_contact = self.in_contact
         self.in_contact = now_ms - contact_ms < MAX_CONTACT_AGE_MS
+        if self.in_contact and not was_in_contact:
+            self._regained_ms = now_ms
         self._contact_ms = max(self._contact_ms, contact_ms)
 
     def record_pause(self, now_ms: int) -> None:
@@ -90,6 +102,7 @@
         """Records that this host could not reach a server."""
         self._failed.add(server_id)
         self._unreached[server_id] = now_ms
+        self.proofs.record_unreachable(server_id, now_ms)
 
     def record_broken(self, server_id: str, now_ms: int) -> None:
         """Records that a server broke a connection before its answer."""
@@ -99,6 +112,7 @@
             self._confirmed[server_id] = now_ms
         self._failed.add(server_id)
         self._broken[server_id] = now_ms
+        self.proofs.record_broken(server_id, now_ms)
 
     def add_report(self, server_id: str, now_ms: int) -> None:
         """Records that a peer could not reach a server."""
@@ -118,6 +132,7 @@
 
     def record_answer(self, server_id: str, now_ms: int) -> None:
         """Records that a server has begun to answer a request."""
+        self.proofs.record_answer(server_id, now_ms)
         self._newest_answer[server_id] = now_ms
         failed_ms = max(
             times.get(server_id, -1)
@@ -127,11 +142,14 @@
             self._answered[server_id] = now_ms
 
     def recent(self, now_ms: int) -> list[str]:
-        """Returns the servers to report to peers."""
+        """Returns the servers to report to peers.
+
+        One that took a connection right after it broke one has not restarted.
+        """
         return [
             server_id
             for server_id, at_ms in (self._broken | self._unreached).items()
-            if now_ms - at_ms < REPORT_MS
+            if now_ms - at_ms < REPORT_MS and self.proofs.has_sign(server_id)
         ]
 
     def may_include(self, server_id: str) -> bool:
@@ -141,6 +159,20 @@
             or self._contact_ms < self._resumed_ms + CONFIRM_PAUSE_MS
         )
 
+    def proves_version(self, server_id: str) -> bool:
+        """Returns whether a server has the version that its entry names.
+
+        Without contact to the store, a server that failed at any time may
+        have started again with another version; after a pause of this
+        process, any server may.
+        """
+        if self._contact_ms < self._resumed_ms + TOLD_MS:
+            return False
+        if not self.in_contact:
+            return server_id not in self._failed
+        since_ms = self._regained_ms + RETURN_MS
+        return self.proofs.is_proven(server_id, self._contact_ms, since_ms)
+
     def includes(self, server_id: str, cold_ms: int, now_ms: int) -> bool:
         """Returns whether a server may have restarted and be cold.
 
@@ -179,6 +211,7 @@
     def retain(self, ids: frozenset[str]) -> None:
         """Drops the records of all servers but `ids`."""
         self._failed &= ids
+        self.proofs.retain(ids)
         for times in (
             self._unreached,
             self._broken,
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 from typing import Final
 
+import anyio
+
 from ..adapters.http1 import H11Protocol
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.answer_memory import AnswerMemory
 from ..core.entry.answered_ids import AnsweredIds
+from ..core.entry.flights import Ending
 from ..core.entry.servers import BackendServer
 from .server_links import ServerLinks
 
@@ -19,6 +22,8 @@
 # A request that must not be sent twice uses a connection that has been idle
 # for at most this fraction of the idle timeout, or a new one.
 FRESH_SHARE: Final = 0.5
+# Longest wait for a connection that shows that a server is still there.
+CHECK_MS: Final = 50
 
 
 class _IdleConnection:
@@ -41,12 +46,15 @@
         memory: Bytes of answers that are held.
         on_unexpected_bytes: Called with the id of a server that sent bytes
             after an answer, before another request.
+        on_accepted: Called with the id of a server that has broken a
+            connection, and takes another one right after.
     """
 
     __slots__ = (
         "answered",
         "memory",
         "on_unexpected_bytes",
+        "on_accepted",
         "_links",
         "_clock",
         "_idle",
@@ -61,6 +69,7 @@
         self.answered = AnsweredIds()
         self.memory = memory or AnswerMemory()
         self.on_unexpected_bytes: Callable[[str], None] = lambda id: None
+        self.on_accepted: Callable[[str], None] = lambda id: None
         self._links = links
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
@@ -87,6 +96,15 @@
             self.close_idle(server.id)
         return protocol
 
+    async def check_ending(
+        self, server: BackendServer, ending: Ending
+    ) -> None:
+        """Finds out whether a server that broke a connection has crashed."""
+        if ending is Ending.BROKEN:
+            with anyio.move_on_after(CHECK_MS / MS_PER_SECOND):
+                if await self._links.accepts(server):
+                    self.on_accepted(server.id)
+
     def record_received(self, server_id: str, protocol: H11Protocol) -> None:
         """Records that bytes of a server arrived."""
         if not protocol.via_peer:
--- a/corianderdoor/entry/crash_reports.py
+++ b/corianderdoor/entry/crash_reports.py
@@ -78,3 +78,17 @@
     # A host of an earlier release reports only these.
     for fingerprint, digest in heartbeat.crashes:
         crashing.add_crash(fingerprint, digest, now_ms)
+
+
+def merge_unreached(
+    planner: Planner, heartbeat: Heartbeat, now_ms: int
+) -> None:
+    """Merges the servers that a peer could not reach, or that cut it off."""
+    for server_id in map(planner.servers.find, heartbeat.unreached):
+        if server_id is None:
+            continue
+        planner.restarts.add_report(server_id, now_ms)
+        if not heartbeat.links_cut:
+            planner.restarts.proofs.record_report(
+                server_id, heartbeat.sender, now_ms
+            )
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -145,6 +145,7 @@
                 self._planner.counters,
             )
         self._pool.on_unexpected_bytes = self._record_unexpected_bytes
+        self._pool.on_accepted = self._record_accepted
         self._applier = StateApplier(
             self._planner, self._peers, self._pool, clock, self._rollouts
         )
@@ -280,6 +281,10 @@
         self._planner.counters.add("unexpected_bytes")
         self._planner.ejections.record_failure(server_id, self._clock.now_ms())
 
+    def _record_accepted(self, server_id: str) -> None:
+        proofs = self._planner.restarts.proofs
+        proofs.record_accepted(server_id, self._clock.now_ms())
+
     def _list_waiting(self) -> list[str]:
         return list(self._planner.loads.own)
 
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -33,7 +33,7 @@
 from ..core.records import Record
 from ..platform.store import read_full_answer
 from .answer_signs import merge_limit_reports, merge_room_reports
-from .crash_reports import merge_crash_reports
+from .crash_reports import merge_crash_reports, merge_unreached
 from .peer_codec import (
     decode_heartbeat,
     decode_page,
@@ -194,9 +194,7 @@
             if server_id is not None
         )
         self._planner.ejections.update_peer(heartbeat.sender, ejected, now_ms)
-        for server_id in map(find_server, heartbeat.unreached):
-            if server_id is not None:
-                self._planner.restarts.add_report(server_id, now_ms)
+        merge_unreached(self._planner, heartbeat, now_ms)
         merge_room_reports(self._planner, heartbeat, now_ms)
         merge_crash_reports(self._planner, heartbeat, now_ms)
         merge_limit_reports(self._planner, heartbeat, now_ms)
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -189,6 +189,7 @@
             self._record_ending(flight, step.server, ending)
             if ending is None:
                 return None
+            await self._pool.check_ending(step.server, ending)
             next_step = self._planner.handle_failure(
                 flight, step.server, ending, self._clock.now_ms()
             )
--- a/corianderdoor/entry/server_links.py
+++ b/corianderdoor/entry/server_links.py
@@ -97,6 +97,14 @@
         self._record(server, protocol)
         return protocol
 
+    async def accepts(self, server: BackendServer) -> bool:
+        """Returns whether a server takes a connection of this host."""
+        protocol = await self._open_direct(server)
+        if protocol is None:
+            return False
+        protocol.abort()
+        return True
+
     async def _open_direct(self, server: BackendServer) -> H11Protocol | None:
         return await self._connect(
             (server.host, server.port), CONNECT_TIMEOUT_MS, UNACKED_TIMEOUT_MS
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -253,6 +253,7 @@
             return
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
+            self._planner.restarts.proofs.record_told(server.id)
             self._planner.ejections.remove(server.id)
             self._planner.selection.limits.remove(server.id)
             self._planner.crashing_requests.confirm_crash(
--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -124,7 +124,10 @@
     def record_begun(self, flight: Flight) -> None:
         """Tells peers of a stream whose first event is about to go out."""
         now_ms = self._clock.now_ms()
-        begun = self._versions.record_begun(flight, now_ms)
+        is_proven = flight.server is None or (
+            self._planner.restarts.proves_version(flight.server.id)
+        )
+        begun = self._versions.record_begun(flight, is_proven, now_ms)
         if begun is None:
             return
         stream, origin, left_ms = begun
--- a/tests/test_entry_server_pauses.py
+++ b/tests/test_entry_server_pauses.py
@@ -238,6 +238,9 @@
         self.opened: list[str] = []
         self._on_open = on_open
 
+    async def check_ending(self, server, ending) -> None:
+        """Opens no connection; no server breaks one here."""
+
     async def acquire(
         self, server, fresh: bool, request_id: str
     ) -> FakeProtocol | None:
--- a/tests/test_entry_stream_copies.py
+++ b/tests/test_entry_stream_copies.py
@@ -312,6 +312,8 @@
     others = [s for s in planner.selection.list_usable(flight, 0)]
     assert {s.version for s in others} == {server.version}
     for other in others:
+        # Each takes another connection at once, so it has not restarted yet.
+        planner.restarts.proofs.record_accepted(other.id, 0)
         planner.restarts.record_broken(other.id, 0)
     assert planner.selection.list_usable(flight, 0)
     planner.restarts.update_contact(0, 60_000)
--- /dev/null
+++ b/tests/test_version_proofs.py
@@ -0,0 +1,148 @@
+"""What shows that a server may have other software than its entry says."""
+
+from __future__ import annotations
+
+from entry_builders import build_planner, build_request, build_server
+import pytest
+
+from corianderdoor.core.entry.flights import Ending
+from corianderdoor.core.entry.stream_versions import StreamVersions, UNPROVEN
+from corianderdoor.core.entry.suspected_restarts import (
+    RETURN_MS,
+    SuspectedRestarts,
+)
+from corianderdoor.core.entry.version_proofs import (
+    BUFFERED_MS,
+    REPORTERS_MS,
+    RESTART_MS,
+    SILENT_MS,
+    TOLD_MS,
+    VersionProofs,
+)
+
+BACK_MS = 2_000
+# The store was never away.
+NEVER_MS = -(2**31)
+
+
+def crash(proofs, sign):
+    """Records at time 0 that a server broke off or could not be reached."""
+    if sign == "broken":
+        proofs.record_broken("s", 0)
+    elif sign == "unreachable":
+        proofs.record_unreachable("s", 0)
+    else:
+        proofs.record_report("s", "h1", 0)
+        proofs.record_report("s", "h2", 0)
+
+
+# Guards against ORDER: servers that were back under their ids, with an entry
+# of before, got streams of the version that the entry named (review/5).
+@pytest.mark.parametrize("sign", ["broken", "unreachable", "reported"])
+def test_version_is_unproven_until_the_process_that_is_back_tells_it(sign):
+    proofs = VersionProofs()
+    crash(proofs, sign)
+    assert not proofs.is_proven("s", BACK_MS, NEVER_MS)
+    # It answers before its entry has arrived.
+    proofs.record_answer("s", BACK_MS)
+    assert not proofs.is_proven("s", BACK_MS + TOLD_MS - 1, NEVER_MS)
+    assert proofs.is_proven("s", BACK_MS + TOLD_MS, NEVER_MS)
+    crash(proofs, sign)
+    proofs.record_told("s")
+    assert proofs.is_proven("s", 0, NEVER_MS)
+
+
+def test_bytes_sent_before_a_crash_do_not_show_the_return():
+    proofs = VersionProofs()
+    crash(proofs, "broken")
+    proofs.record_answer("s", BUFFERED_MS - 1)
+    assert not proofs.is_proven("s", BACK_MS + TOLD_MS, NEVER_MS)
+
+
+def test_entry_that_is_still_there_after_a_long_time_counts_again():
+    proofs = VersionProofs()
+    crash(proofs, "unreachable")
+    assert not proofs.is_proven("s", SILENT_MS - 1, NEVER_MS)
+    assert proofs.is_proven("s", SILENT_MS, NEVER_MS)
+
+
+# Guards against LOST: servers that run well break single connections.
+def test_server_that_takes_a_connection_at_once_has_not_restarted():
+    restarts = SuspectedRestarts()
+    restarts.proofs.record_accepted("s", 0)
+    restarts.record_broken("s", 1)
+    assert restarts.proofs.is_proven("s", 1, NEVER_MS)
+    assert restarts.recent(1) == []
+    restarts.record_broken("s", 2)
+    assert not restarts.proofs.is_proven("s", 2, NEVER_MS)
+    assert restarts.recent(2) == ["s"]
+    restarts.proofs.record_accepted("t", 0)
+    restarts.record_broken("t", RESTART_MS)
+    assert not restarts.proofs.is_proven("t", RESTART_MS, NEVER_MS)
+
+
+def test_report_of_one_peer_is_no_sign():
+    proofs = VersionProofs()
+    for now_ms in (0, 100, 200):
+        proofs.record_report("s", "h1", now_ms)
+    proofs.record_report("s", "h2", 200 + REPORTERS_MS)
+    assert proofs.is_proven("s", 0, NEVER_MS)
+    proofs.record_report("s", "h1", 201 + REPORTERS_MS)
+    assert not proofs.is_proven("s", 201 + REPORTERS_MS, NEVER_MS)
+
+
+# Guards against servers that restarted while this process was suspended.
+def test_no_version_is_proven_until_a_contact_long_after_a_pause():
+    restarts = SuspectedRestarts()
+    restarts.update_contact(0, 0)
+    assert restarts.proves_version("s")
+    restarts.record_pause(5_000)
+    restarts.update_contact(4_999 + TOLD_MS, 5_000 + TOLD_MS)
+    assert not restarts.proves_version("s")
+    restarts.update_contact(5_000 + TOLD_MS, 5_000 + TOLD_MS)
+    assert restarts.proves_version("s")
+
+
+# Guards against entries that the servers could not write in the meantime.
+def test_servers_have_to_tell_their_versions_after_the_return_of_the_store():
+    restarts = SuspectedRestarts()
+    restarts.update_contact(0, 0)
+    restarts.record_unreachable("s", 100)
+    restarts.record_answer("s", 1_000)
+    restarts.update_contact(0, 10_000)
+    assert not restarts.proves_version("s")
+    told_ms = 20_000 + RETURN_MS + TOLD_MS
+    for now_ms, proven in ((20_000, False), (told_ms, True)):
+        restarts.update_contact(now_ms, now_ms)
+        assert restarts.proves_version("s") is proven
+
+
+def begin(planner):
+    """Returns a stream in progress, and its server."""
+    flight = planner.admit(build_request(parts=()), 0)
+    step = planner.choose(flight, 0)
+    planner.record_sent(flight, step.server, 0)
+    return flight, step.server
+
+
+def test_stream_does_not_go_on_at_a_server_that_is_just_back():
+    planner = build_planner(servers=0)
+    for number in range(3):
+        planner.servers.put(build_server(f"s{number}", version="v1"), 0)
+    planner.restarts.update_contact(0, 0)
+    flight, server = begin(planner)
+    StreamVersions().record_begun(flight, True, 0)
+    others = planner.servers.listed(flight.service)
+    back, stays = (other for other in others if other.id != server.id)
+    planner.restarts.record_unreachable(back.id, 0)
+    planner.handle_failure(flight, server, Ending.BROKEN, 100)
+    listed = planner.selection.list_staying(flight)
+    assert [s.id for s in listed] == [stays.id]
+
+
+def test_stream_that_begins_at_an_unproven_server_goes_on_nowhere():
+    planner = build_planner(servers=2)
+    flight, _ = begin(planner)
+    begun = StreamVersions().record_begun(flight, False, 0)
+    assert begun[1].version == flight.version == UNPROVEN
+    assert planner.selection.list_staying(flight) == []
