Let one state machine own a connection to a server

Callers were answered 503, "not run", for payments that a server had run (REFUSED), payments ran at a second server (TWICE), and answers had the status of another one (MIXED), after a faulty server wrote a part of an earlier answer, or a rejection without an id, on a kept connection.

Cause: a statement was taken from bytes whose owner was not known. The parser reads "HTTP/1.1 503 Service UnaHTTP/1.1 200 OK" as a status line and "Not-Executed: HTTP/1.1 200 OK" as a header, the id of such a head is the own one, and a missing id counted as the right one.

A head that holds a second status line is no answer; the outcome is unknown (502). A rejection without an id counts on a new connection, or for a request that may run twice; on a kept one the own answer is awaited. 408, 429 and 503 without Not-Executed are not passed on for a request that may run once. A connection on which bytes arrived before its first request is not used.

What went away: the special case of the first rejection without an id and that of rejections after strays in read_head, and the loop that counted strays there. relay.py loses the checks of complete answers to answer_status.py.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -15,6 +15,7 @@
 import h11
 
 from ..core.entry.addresses import Address
+from ..core.entry.server_exchange import ServerExchange
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -57,6 +58,7 @@
         peer: Address of the peer that passes the bytes on, which hides
             whether the other end closed the connection or reset it; None
             without one.
+        exchange: What a connection to a backend server is doing.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.on_peer_closed: Callable[[], None] | None = None
         self.bytes_received = 0
         self.peer: Address | None = None
+        self.exchange = ServerExchange()
         self._pass_to: H11Protocol | None = None
         self._role = role
         self._max_head_bytes = max_head_bytes
@@ -266,6 +269,7 @@
         )
         self.bytes_received = 0
         self.peer = peer
+        self.exchange = ServerExchange()
 
     def pass_to(self, other: H11Protocol, on_end: Callable[[], None]) -> None:
         """Passes all bytes that arrive from now on to `other`.
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -15,21 +15,24 @@
 from ..core.entry.answer_memory import HeldAnswers
 from ..core.entry.flights import Flight, Send
 from ..core.entry.planner import Planner
+from ..core.entry.server_exchange import (
+    BAD_REQUEST,
+    HeadVerdict,
+    is_spliced,
+)
 from ..platform.answer_head import AnswerHead
 from ..platform.headers import ATTEMPT_ID
 from .backends import ConnectionPool
 from .server_marks import ServerMarks
+from .server_request import HEAD
 
-# Answers to other requests that are skipped before the own one. A server may
-# repeat the answers of the last seconds one after the other.
-MAX_STRAY_ANSWERS: Final = 16
 # Bytes of such answers, and of informational heads, in one attempt.
 MAX_SKIPPED_BYTES: Final = 16_777_216
 # Interval at which a request whose server is silent looks for another one.
 MOVE_POLL_MS: Final = 200
 MAX_ANSWER_BYTES: Final = 16_777_216
-HEAD: Final = "HEAD"
 TRUNCATED: Final = "connection closed before the end of the answer"
+TWO_ANSWERS: Final = "an answer begins inside another one"
 TOO_MANY_HELD: Final = "incomplete answers take too much memory"
 
 
@@ -183,19 +186,38 @@
         """Records that `event` arrived and returns it.
 
         Raises:
-            ConnectionBrokenError: The trailers belong to another answer.
+            ConnectionBrokenError: Bytes belong to another answer.
         """
-        if isinstance(event, h11.EndOfMessage) and self._own_id is not None:
-            for name, value in event.headers:
-                if name == ATTEMPT_ID and value != self._own_id:
-                    raise ConnectionBrokenError(
-                        "trailers of another answer", True
-                    )
+        if not isinstance(event, h11.Data):
+            self._check_framing(event)
         self.received_ms = self._clock.now_ms()
         if self._flight.server is not None:
             self._pool.record_received(self._flight.server.id, self._protocol)
         return event
 
+    def _check_framing(self, event: h11.Event | type[h11.PAUSED]) -> None:
+        """Checks a head, or the end of an answer.
+
+        Raises:
+            ConnectionBrokenError: Bytes of it belong to another answer.
+        """
+        exchange = self._protocol.exchange
+        if isinstance(event, h11.EndOfMessage):
+            if is_spliced(b"", event.headers):
+                exchange.record_unusable()
+                raise ConnectionBrokenError(TWO_ANSWERS, True)
+            for name, value in event.headers:
+                if name == ATTEMPT_ID and self._own_id not in (None, value):
+                    exchange.record_unusable()
+                    raise ConnectionBrokenError(
+                        "trailers of another answer", True
+                    )
+            exchange.record_end()
+        elif isinstance(event, (h11.Response, h11.InformationalResponse)):
+            if is_spliced(event.reason, event.headers):
+                exchange.record_unusable()
+                raise ConnectionBrokenError(TWO_ANSWERS, True)
+
     async def _look_for_other_server(self, received_bytes: int | None) -> None:
         """Moves the request from its silent server if another takes it.
 
@@ -263,8 +285,8 @@
             ConnectionBrokenError: The connection broke.
         """
         req = self._flight.req
-        own_id = req.id.encode("latin-1")
-        for strays in range(MAX_STRAY_ANSWERS + 1):
+        exchange = self._protocol.exchange
+        while True:
             event = await self.next_event(send.silence_ms)
             while isinstance(event, h11.InformationalResponse):
                 event = await self.next_event(send.silence_ms)
@@ -276,22 +298,29 @@
             # A repeated answer would not be recognised on a connection where
             # answers have no id, or where the lengths of bodies depend on
             # the request that they answer.
-            if strays or head.request_id is None or req.method == HEAD:
+            if (
+                exchange.strays
+                or head.request_id is None
+                or req.method == HEAD
+            ):
                 head.closes = True
-            if head.request_id == own_id:
-                self._own_id = own_id
-                self._pool.answered.record(req.id, self._clock.now_ms())
-                return head
-            refused = head.not_run or head.wrong_server
-            if head.request_id is None and refused and not strays:
-                return head
-            if head.request_id is None and refused or req.method == HEAD:
+            verdict = exchange.judge_head(
+                head.request_id, head.status, head.not_run or head.wrong_server
+            )
+            if head.request_id is None and head.status != BAD_REQUEST:
+                if head.not_run or head.wrong_server:
+                    self._pool.record_unidentified(send.server.id)
+            if verdict is HeadVerdict.UNKNOWN:
                 return None
+            if verdict is HeadVerdict.OWN:
+                if head.request_id is not None:
+                    self._own_id = head.request_id
+                    self._pool.answered.record(req.id, self._clock.now_ms())
+                return head
             log_event("stray_answer", request_id=req.id)
             self._planner.counters.add("stray_answers")
             await self._skip_body(send.silence_ms)
             self._protocol.restart_reading(sent, req.body)
-        return None
 
     async def _skip_body(self, silence_ms: float | None) -> None:
         """Reads past the body of an answer to another request.
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -19,6 +19,9 @@
 # A request that must not be sent twice uses a connection that has been idle
 # for at most this fraction of the idle timeout, or a new one.
 FRESH_SHARE: Final = 0.5
+# How long such requests use new connections to a server that turned a request
+# away without its id, which can only be attributed on a new connection.
+UNIDENTIFIED_MS: Final = 10_000
 
 
 class _IdleConnection:
@@ -50,6 +53,7 @@
         "_links",
         "_clock",
         "_idle",
+        "_unidentified_ms",
     )
 
     def __init__(
@@ -64,6 +68,7 @@
         self._links = links
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
+        self._unidentified_ms: dict[str, int] = {}
 
     async def acquire(
         self, server: BackendServer, fresh: bool, request_id: str = ""
@@ -76,8 +81,13 @@
             request_id: Id of the request; one that was answered recently
                 gets a new connection.
         """
-        if self.answered.is_recent(request_id, self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        if self.answered.is_recent(request_id, now_ms):
             return await self.open(server)
+        if fresh and server.id in self._unidentified_ms:
+            if now_ms < self._unidentified_ms[server.id]:
+                return await self.open(server)
+            del self._unidentified_ms[server.id]
         return self._pop_idle(server, fresh) or await self.open(server)
 
     async def open(self, server: BackendServer) -> H11Protocol | None:
@@ -87,6 +97,11 @@
             self.close_idle(server.id)
         return protocol
 
+    def record_unidentified(self, server_id: str) -> None:
+        """Records that a server turned a request away without its id."""
+        until_ms = self._clock.now_ms() + UNIDENTIFIED_MS
+        self._unidentified_ms[server_id] = until_ms
+
     def record_received(self, server_id: str, protocol: H11Protocol) -> None:
         """Records that bytes of a server arrived."""
         if not protocol.via_peer:
@@ -155,6 +170,7 @@
         if (
             idle_ms <= 0
             or protocol.unsent_bytes()
+            or not protocol.exchange.release()
             or not protocol.reset_cycle()
         ):
             if protocol.h11.trailing_data[0]:
@@ -178,6 +194,11 @@
     def evict_expired(self) -> None:
         """Closes idle connections that expired or can't be reused."""
         now_ms = self._clock.now_ms()
+        self._unidentified_ms = {
+            server_id: until_ms
+            for server_id, until_ms in self._unidentified_ms.items()
+            if now_ms < until_ms
+        }
         for server_id, connections in list(self._idle.items()):
             open_connections = []
             for idle in connections:
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -28,19 +28,16 @@
 from ..platform.answer_head import AnswerHead
 from .answer_reader import AnswerReader, Move, MovedError, ServerAnswer
 from .answer_signs import record_answer_signs
+from .answer_status import find_failure, SUCCESS_STATUSES
 from .answer_timing import AnswerTiming, record_rollout_answer
 from .backends import ConnectionPool
 from .event_forwarder import EventForwarder
 from .refusal_answer import send_refusal
 from .relay_log import log_done, log_failed_send, record_unanswered
 from .server_marks import ServerMarks
-from .server_request import send_request
+from .server_request import begin_exchange, send_request
 from .stream_registry import StreamRegistry
 
-# Failures that suggest that the request did not run. Without the server's
-# signature they don't prove it and are not passed on to the caller.
-UNPROVEN_STATUSES: Final = frozenset({408, 421, 429, 503})
-SUCCESS_STATUSES: Final = range(200, 300)
 MIN_SERVER_ERROR_STATUS: Final = 500
 # Silence after which a server whose request ended may have crashed.
 SUSPICIOUS_SILENCE_MS: Final = 1_000
@@ -234,6 +231,9 @@
         if not self._planner.selection.may_send(server, self._clock.now_ms()):
             protocol.abort()
             return Ending.WITHDRAWN
+        if not begin_exchange(protocol, flight):
+            protocol.abort()
+            return Ending.UNREACHED
         now_ms = self._clock.now_ms()
         self._planner.record_sent(flight, server, now_ms)
         self._head = None
@@ -312,16 +312,10 @@
     ) -> Ending | None:
         body = await reader.read_body(send.silence_ms)
         self._timing.record(1, reader.received_ms)
-        if head.wrong_server:
-            return Ending.WRONG_SERVER
-        if head.not_run:
-            return Ending.NOT_RUN
-        if head.status in SUCCESS_STATUSES and (
-            not head.signed or head.encoded
-        ):
-            return Ending.INVALID_ANSWER
-        if not head.signed and head.status in UNPROVEN_STATUSES:
-            return Ending.SERVER_ERROR
+        assert self._flight is not None
+        failure = find_failure(head, self._flight.route.may_retry())
+        if failure is not None:
+            return failure
         self._last_answer = ServerAnswer(head.status, head.headers, body)
         if head.status in RETRYABLE_STATUSES:
             return Ending.SERVER_ERROR
--- a/corianderdoor/entry/server_request.py
+++ b/corianderdoor/entry/server_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import h11
 
 from ..adapters.http1 import H11Protocol
@@ -10,6 +12,22 @@
 from ..core.entry.loads import Loads
 from ..platform.headers import build_server_headers
 
+HEAD: Final = "HEAD"
+
+
+def begin_exchange(protocol: H11Protocol, flight: Flight) -> bool:
+    """Returns whether a connection can take a request.
+
+    It can't if bytes have arrived there, as they belong to no request.
+    """
+    req = flight.req
+    return protocol.exchange.begin(
+        req.id.encode("latin-1"),
+        once=not flight.route.may_retry(),
+        framed=req.method != HEAD,
+        unread=protocol.bytes_received,
+    )
+
 
 def send_request(
     protocol: H11Protocol,
@@ -47,6 +65,7 @@
     if req.body:
         protocol.write(h11.Data(data=req.body))
     protocol.write(h11.EndOfMessage())
+    protocol.exchange.record_sent()
     log_event(
         "request_sent",
         request_id=req.id,
--- a/tests/test_entry_repeated_answers.py
+++ b/tests/test_entry_repeated_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import anyio
 import pytest
 from test_entry_path import run, wait_for
@@ -114,6 +116,62 @@
     assert not ids.is_recent("r5", REPEATED_ANSWER_MS + 1)
 
 
+STRAYS = {
+    "bad request, no id": b"HTTP/1.1 400 X\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    "refusal, no id": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    "cut reason": b"HTTP/1.1 503 Service Una",
+    "cut statement": b"HTTP/1.1 503 Busy\r\nNot-Executed: ",
+    "cut load": b"HTTP/1.1 429 Busy\r\nInstance-Load: 3,0",
+    "cut failure": b"HTTP/1.1 500 Int",
+}
+
+
+class StrayServer(RawServer):
+    """Sends bytes of no request before answers on kept connections."""
+
+    def __init__(self, stray: bytes) -> None:
+        super().__init__()
+        self.strays = 0
+        self._stray = stray
+        self._used: set[asyncio.StreamWriter] = set()
+
+    async def answer(self, req, writer) -> None:
+        """Answers correctly, with other bytes before."""
+        if writer in self._used:
+            self.strays += 1
+            writer.write(self._stray)
+        self._used.add(writer)
+        writer.write(b"".join(build_answer(req)))
+
+
+# Guards against REFUSED, TWICE and MIXED: a payment that a server ran is
+# answered "not run", or runs again, as a part of another answer came first.
+@pytest.mark.parametrize("hosts", [1, 2])
+@pytest.mark.parametrize("stray", STRAYS)
+def test_payment_is_not_refused_or_repeated_after_stray_bytes(stray, hosts):
+    async def scenario(fleet):
+        servers = [StrayServer(STRAYS[stray]) for _ in range(2)]
+        for number, server in enumerate(servers):
+            await add_raw_server(fleet, f"raw-{number}", False, server)
+        await anyio.sleep(0.6)
+        if hosts == 2:
+            fleet.links["host-0"].cut("refuse")
+        for number in range(2 * REQUESTS):
+            id = f"id-{number}"
+            reply = await fleet.chat("host-0", id, "/pay/x")
+            runs = sum(server.runs.count(id.encode()) for server in servers)
+            assert runs == 1
+            if reply.status == 200:
+                assert reply.body == expect(id, "/pay/x")
+            else:
+                assert reply.status == 502 and "cut" in stray
+        assert sum(server.strays for server in servers)
+
+    run(scenario, engines=0, plain=0, hosts=hosts)
+
+
 # Guards against MIXED: the end of another answer ends this one.
 def test_answer_that_ends_with_the_trailers_of_another_is_not_delivered():
     async def script(req, writer):
