--- a/corianderdoor/core/entry/server_exchange.py
+++ b/corianderdoor/core/entry/server_exchange.py
@@ -156,7 +156,5 @@
     """
     if b"HTTP/" in reason:
         return True
-    for _, value in headers:
-        if b"HTTP/" in value and SPLICED_STATUS_LINE.search(value):
-            return True
-    return False
+    values = b"\n".join([pair[1] for pair in headers])
+    return b"HTTP/" in values and bool(SPLICED_STATUS_LINE.search(values))
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -203,7 +203,7 @@
         """
         exchange = self._protocol.exchange
         if isinstance(event, h11.EndOfMessage):
-            if is_spliced(b"", event.headers):
+            if event.headers and is_spliced(b"", list(event.headers)):
                 exchange.record_unusable()
                 raise ConnectionBrokenError(TWO_ANSWERS, True)
             for name, value in event.headers:
@@ -214,7 +214,9 @@
                     )
             exchange.record_end()
         elif isinstance(event, (h11.Response, h11.InformationalResponse)):
-            if is_spliced(event.reason, event.headers):
+            # Iterating over the headers takes longer than this copy.
+            pairs = event.headers.raw_items()
+            if is_spliced(event.reason, pairs):
                 exchange.record_unusable()
                 raise ConnectionBrokenError(TWO_ANSWERS, True)
 
