--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -250,7 +250,11 @@
             self._planner, self._pool, self._marks, self._streams, clock
         )
         self._directory = DirectoryService(
-            settings, self._planner, self._peers, clock, self._store_reached
+            settings,
+            self._planner,
+            self._peers,
+            clock,
+            lambda: self._registration.reached,
         )
         self._ticks = HostTicks(
             self._planner,
@@ -265,7 +269,7 @@
             self._streams,
             clock,
             settings.processor_share,
-            self._store_reached,
+            lambda: self._registration.reached,
         )
         self._stop = HostStop(
             settings.grace_ms,
@@ -302,9 +306,6 @@
             self._settings.store, self._planner.counters, self._era
         )
 
-    def _store_reached(self) -> bool:
-        return self._registration.reached
-
     async def run(self, stop: anyio.Event) -> None:
         """Serves until `stop` is set, then finishes requests in progress."""
         settings = self._settings
