--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -23,6 +23,7 @@
 from corianderdoor.entry import answer_reader
 from corianderdoor.entry.answer_reader import AnswerReader
 from corianderdoor.entry.answer_status import find_failure
+from corianderdoor.entry.backends import ConnectionPool, UNIDENTIFIED_MS
 from corianderdoor.entry.server_request import begin_exchange
 from corianderdoor.platform.answer_head import AnswerHead
 
@@ -357,3 +358,32 @@
         exchange.record_end()
     assert exchange.judge_head(b"b", 200, False) is HeadVerdict.UNKNOWN
     assert exchange.state is ExchangeState.UNUSABLE
+
+
+# Guards against lost retries: rejections without ids count on a new
+# connection, and against a new connection for each request.
+def test_server_that_rejects_without_ids_gets_new_connections_for_a_while(
+    monkeypatch,
+):
+    now_ms = 0
+
+    async def open_link(server: Any) -> str:
+        return "new"
+
+    links: Any = SimpleNamespace(open=open_link)
+    clock: Any = SimpleNamespace(now_ms=lambda: now_ms)
+    pool = ConnectionPool(clock, links)
+    monkeypatch.setattr(
+        ConnectionPool, "_pop_idle", lambda self, server, fresh: "kept"
+    )
+    server: Any = SimpleNamespace(id="s-1")
+
+    def acquire(once: bool) -> Any:
+        return asyncio.run(pool.acquire(server, once))
+
+    assert acquire(True) == "kept"
+    pool.record_unidentified("s-1")
+    assert acquire(True) == "new"
+    assert acquire(False) == "kept"
+    now_ms = UNIDENTIFIED_MS
+    assert acquire(True) == "kept"
