--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -298,9 +298,6 @@
         proofs = self._planner.restarts.proofs
         proofs.record_accepted(server_id, self._clock.now_ms())
 
-    def _list_waiting(self) -> list[str]:
-        return list(self._planner.loads.own)
-
     def _connect_store(self) -> StoreClient:
         return StoreClient(
             self._settings.store, self._planner.counters, self._era
@@ -353,7 +350,7 @@
             "links": functools.partial(
                 self._links.run_checks,
                 self._planner.servers.get,
-                self._list_waiting,
+                lambda: list(self._planner.loads.own),
             ),
             "streams": self._streams.run,
             "stream-saver": self._stream_saver.run,
