Bind the version of a stream's start to the process that got the request

A server crashes, is back with newer software, gets a stream, and its new entry arrives before the first event: the stream was recorded under the version of the entry at the send, and went on at servers of that version (ORDER). Besides, one peer that lost its own link to a server kept it unproven here for as long as it reported it, however often it answered.

The start counts as unproven now if the listed process is another one than the request was sent to; a report of a single peer renews no sign once the server has answered this host.

test_stream_that_the_next_process_began_goes_on_nowhere and test_report_of_one_peer_does_not_outweigh_own_answers failed before and pass.

--- a/corianderdoor/core/entry/version_proofs.py
+++ b/corianderdoor/core/entry/version_proofs.py
@@ -67,7 +67,9 @@
         for name, at_ms in list(reporters.items()):
             if now_ms - at_ms >= REPORTERS_MS:
                 del reporters[name]
-        if len(reporters) >= MIN_REPORTERS or server_id in self._signs:
+        # A single peer may have lost its own link to a server that answers.
+        is_down = server_id in self._signs and server_id not in self._answered
+        if len(reporters) >= MIN_REPORTERS or is_down:
             self._add(server_id, now_ms)
 
     def record_answer(self, server_id: str, now_ms: int) -> None:
--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -16,6 +16,7 @@
 from ..core.entry.peer import Peer
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
+from ..core.entry.servers import BackendServer
 from ..core.entry.stream_homes import StreamHomes
 from ..core.entry.stream_versions import (
     digest_stream,
@@ -124,10 +125,9 @@
     def record_begun(self, flight: Flight) -> None:
         """Tells peers of a stream whose first event is about to go out."""
         now_ms = self._clock.now_ms()
-        is_proven = flight.server is None or (
-            self._planner.restarts.proves_version(flight.server.id)
+        begun = self._versions.record_begun(
+            flight, self._is_proven(flight.server), now_ms
         )
-        begun = self._versions.record_begun(flight, is_proven, now_ms)
         if begun is None:
             return
         stream, origin, left_ms = begun
@@ -139,6 +139,19 @@
         for peer in self._homes.find_copied(stream, now_ms):
             self._send(data, _locate(peer))
 
+    def _is_proven(self, server: BackendServer | None) -> bool:
+        """Returns whether what began an answer has the version of `server`.
+
+        An entry of a later process may have arrived since the request was
+        sent.
+        """
+        if server is None:
+            return True
+        listed = self._planner.servers.get(server.id)
+        if listed is not None and not listed.same_incarnation(server):
+            return False
+        return self._planner.restarts.proves_version(server.id)
+
     def record_complete(self, flight: Flight) -> None:
         """Records that the caller has all of a request's answer."""
         if flight.version is not None:
--- a/tests/test_version_proofs.py
+++ b/tests/test_version_proofs.py
@@ -5,7 +5,9 @@
 from entry_builders import build_planner, build_request, build_server
 import pytest
 
+from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.flights import Ending
+from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.stream_versions import StreamVersions, UNPROVEN
 from corianderdoor.core.entry.suspected_restarts import (
     RETURN_MS,
@@ -20,6 +22,8 @@
     VersionProofs,
 )
 
+from corianderdoor.entry.stream_registry import StreamRegistry
+
 BACK_MS = 2_000
 # The store was never away.
 NEVER_MS = -(2**31)
@@ -91,6 +95,17 @@
     assert not proofs.is_proven("s", 201 + REPORTERS_MS, NEVER_MS)
 
 
+# Guards against LOST: a single peer that lost its link to a server kept its
+# streams from going on for as long as it reported it.
+def test_report_of_one_peer_does_not_outweigh_own_answers():
+    proofs = VersionProofs()
+    crash(proofs, "unreachable")
+    proofs.record_answer("s", BACK_MS)
+    for now_ms in range(BACK_MS, BACK_MS + TOLD_MS + 1, 300):
+        proofs.record_report("s", "h1", now_ms)
+    assert proofs.is_proven("s", BACK_MS + TOLD_MS, NEVER_MS)
+
+
 # Guards against servers that restarted while this process was suspended.
 def test_no_version_is_proven_until_a_contact_long_after_a_pause():
     restarts = SuspectedRestarts()
@@ -140,6 +155,21 @@
     assert [s.id for s in listed] == [stays.id]
 
 
+# Guards against ORDER: the entry of the next process came between the send and
+# the first event, which was recorded under the version of the process before.
+def test_stream_that_the_next_process_began_goes_on_nowhere():
+    planner = build_planner(servers=0)
+    planner.servers.put(build_server("s0", version="v1", started_ms=1), 0)
+    planner.restarts.update_contact(0, 0)
+    registry = StreamRegistry(planner, Peers("own"), ManualClock())
+    flight, server = begin(planner)
+    newer = build_server("s0", version="v2", started_ms=2)
+    planner.servers.put(newer, 10)
+    planner.restarts.proofs.record_told("s0")
+    registry.record_begun(flight)
+    assert flight.version == UNPROVEN
+
+
 def test_stream_that_begins_at_an_unproven_server_goes_on_nowhere():
     planner = build_planner(servers=2)
     flight, _ = begin(planner)
