Take no ended verdict from a peer, and end one by any answer below 500

And an answer with a status from 400 to 499 ended a verdict at this host only until a peer repeated it a second later.

Reports of verdicts past their end are ignored, and each complete answer below 500 is recorded as one for the request.

test_verdict_that_has_ended_is_not_taken_from_a_peer and test_answer_with_any_status_below_500_ends_the_refusal failed before and pass.

--- a/corianderdoor/core/entry/crash_verdicts.py
+++ b/corianderdoor/core/entry/crash_verdicts.py
@@ -244,6 +244,9 @@
         if found is not None and at_ms - found.at_ms < SAME_VERDICT_MS:
             return
         period_ms = min(MAX_VERDICT_MS, report.period_ms)
+        if now_ms >= at_ms + period_ms + KEEP_MS:
+            # This host may have dropped it before its peer does.
+            return
         self._add(suspect, Verdict(at_ms, period_ms))
         self.on_change(
             suspect, PartChange.RENEWED if found else PartChange.QUARANTINED
--- a/corianderdoor/core/entry/crashing_requests.py
+++ b/corianderdoor/core/entry/crashing_requests.py
@@ -230,11 +230,18 @@
         attempt = InterruptedAttempt(id, fingerprint, server, now_ms)
         self._add([attempt], now_ms)
 
-    def record_complete_answer(self, req: CallerRequest) -> None:
-        """Clears `req` of its crashes, as it got a complete answer."""
+    def record_complete_answer(
+        self, req: CallerRequest, sent_ms: int = 0
+    ) -> None:
+        """Clears `req` of its crashes, as it got a complete answer.
+
+        Args:
+            req: The request.
+            sent_ms: When it was sent, on the monotonic clock.
+        """
         if self._knows_crashes():
             fingerprint = compute_fingerprint(req)
-            self._evidence.forget_request(fingerprint)
+            self._clear(fingerprint, sent_ms)
             self.verdicts.release(fingerprint)
 
     def _knows_crashes(self) -> bool:
--- a/corianderdoor/core/entry/planner.py
+++ b/corianderdoor/core/entry/planner.py
@@ -308,7 +308,9 @@
     def record_complete_answer(self, flight: Flight) -> None:
         """Records that the server answered completely."""
         self.counters.add("sends", ending="whole")
-        self.crashing_requests.record_complete_answer(flight.req)
+        self.crashing_requests.record_complete_answer(
+            flight.req, flight.sent_ms
+        )
         if flight.server is not None:
             self.ejections.record_success(flight.server.id)
         self.record_end(flight)
@@ -394,7 +396,3 @@
         """Records that the request stays where it is after all."""
         self.rooms.release(flight)
         self._retries.cancel_move(flight)
-
-    def record_silence(self, server: BackendServer, now_ms: int) -> None:
-        """Records that a server has been silent for too long."""
-        self.ejections.record_failure(server.id, now_ms)
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -239,7 +239,7 @@
         now_ms = self._clock.now_ms()
         if not self._silence_recorded:
             self._silence_recorded = True
-            self._planner.record_silence(flight.server, now_ms)
+            self._planner.ejections.record_failure(flight.server.id, now_ms)
         send = self._planner.find_move(flight, now_ms)
         if send is None:
             return
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -14,11 +14,13 @@
     MAX_ATTEMPTS_PER_CRASH,
     MAX_CRASHES,
 )
+from corianderdoor.core.entry.crash_verdicts import KEEP_MS
 from corianderdoor.core.entry.crashing_requests import (
     CONFIRM_MS,
     CrashingRequests,
 )
 from corianderdoor.core.entry.flights import Ending, Flight, Refuse, Send
+from corianderdoor.core.entry.request_blame import FIRST_VERDICT_MS
 
 PARTS = (("t", 2_500), ("s", 6_000), ("own", 500))
 
@@ -257,6 +259,39 @@
     )
 
 
+# Guards against a refusal that peers restore after a server has answered the
+# request, with an error of the caller's.
+def test_answer_with_any_status_below_500_ends_the_refusal():
+    fleet = Fleet()
+    for number in range(3):
+        fleet.send(number, f"s{number}", 1_000 * number)
+    host = fleet.hosts["h3"]
+    host.record_complete_answer(request(9, parts=()), 2_500)
+    for now_ms in (3_500, 4_600):
+        fleet.share(now_ms)
+    assert not host.should_refuse(request(9, parts=()))
+
+
+# Guards against verdicts that hosts tell each other for ever, as one drops
+# them a moment before another does.
+def test_verdict_that_has_ended_is_not_taken_from_a_peer():
+    fleet = Fleet()
+    for number in range(3):
+        fleet.send(number, f"s{number}", 1_000 * number)
+    fleet.share(3_000)
+    end_ms = 2_000 + FIRST_VERDICT_MS + KEEP_MS
+    hosts = list(fleet.hosts.values())
+    for now_ms in range(end_ms, end_ms + 20_000, 100):
+        for number, host in enumerate(hosts):
+            host.tick(frozenset(), now_ms)
+            later = hosts[(number + 1) % len(hosts)]
+            for report in later.take_reports(fleet.names, now_ms):
+                for other in hosts:
+                    if other is not later:
+                        other.verdicts.merge(report, now_ms)
+    assert not any(len(h.verdicts) for h in fleet.hosts.values())
+
+
 # Guards against hosts that forget a crashing request when they restart.
 def test_restarted_host_learns_of_a_refused_request():
     fleet = Fleet()
