Count bytes before any request as a failure, not as a lost server

A new connection on which bytes arrived before its first request was recorded as a server that can't be reached: a crash of its requests, a suspected restart and an unproven version, though it is up. It is recorded as a plain failure now, and the next server is tried.

--- a/corianderdoor/core/entry/flights.py
+++ b/corianderdoor/core/entry/flights.py
@@ -15,7 +15,7 @@
 
     UNREACHED: No connection could be made; no byte of the request was sent.
     WITHDRAWN: Nothing was sent, as the server asked for no requests while
-        the connection was opened.
+        the connection was opened, or sent bytes before any request.
     NOT_RUN: The server answered that it did not run the request.
     WRONG_SERVER: Another server has the address; it did not run the request.
     BROKEN: The connection ended before the answer was complete.
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -234,7 +234,10 @@
             return Ending.WITHDRAWN
         if not begin_exchange(protocol, flight):
             protocol.abort()
-            return Ending.UNREACHED
+            flight.excluded.add(server.id)
+            now_ms = self._clock.now_ms()
+            self._planner.ejections.record_failure(server.id, now_ms)
+            return Ending.WITHDRAWN
         now_ms = self._clock.now_ms()
         self._planner.record_sent(flight, server, now_ms)
         self._head = None
