--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -186,7 +186,7 @@
                 if brittle.reject(self._brittle_ms()):
                     for scope in self._scopes:
                         scope.cancel()
-                await self._decline(conn, False)
+                await self._decline(conn, None)
             finally:
                 self.active += 1
             return
@@ -205,7 +205,7 @@
         declined = moved or self.mode == "decline"
         self.on_request(self, req, not declined)
         if declined:
-            await self._decline(conn, moved)
+            await self._decline(conn, request_id if moved else None)
             return
         self.runs[request_id.decode()] += 1
         if self.mode == "drop":
@@ -287,10 +287,20 @@
         leaving = [(b"Server-Leaving", b"1")] if self.leaving else []
         return leaving + self.extra_headers
 
-    async def _decline(self, conn: ServerConnection, moved: bool) -> None:
+    async def _decline(
+        self, conn: ServerConnection, moved_id: bytes | None
+    ) -> None:
+        """Turns a request away.
+
+        Args:
+            conn: Connection of the request.
+            moved_id: Id of the request, which another worker gets as it has
+                the address now; None if this one has no room.
+        """
         marks = self._marks()
-        if moved:
-            await conn.respond(421, [(b"Instance-Id", b"other"), *marks])
+        if moved_id is not None:
+            moved = [(b"Instance-Id", b"other"), (b"Attempt-Id", moved_id)]
+            await conn.respond(421, [*moved, *marks])
             return
         if self.retry_after_s is not None:
             seconds = b"%g" % self.retry_after_s
--- a/tests/test_entry_restart_in_outage.py
+++ b/tests/test_entry_restart_in_outage.py
@@ -11,6 +11,7 @@
 import pytest
 
 from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.entry.copy_sources import find_overriding_peer
 from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peer import NOT_WATCHING_MS
 from corianderdoor.core.entry.peers import Peers
@@ -88,8 +89,10 @@
         peer = sync._peers.record_heartbeat(heartbeat, 1_000)
         assert peer is not None
         peer.address = ("x", 2)
-    sync._applier.replica.era = 1
-    assert sync._find_overriding_peer(1_000).name == "h3"
+    replica = sync._applier.replica
+    replica.era = 1
+    found = find_overriding_peer(sync._peers.all(), replica, 1_000)
+    assert found.name == "h3"
 
 
 @pytest.mark.parametrize(
