Refuse entries with bytes that can't be read in a field that isn't named

An entry of another writer with invalid UTF-8 in an unknown field, or in its name, named a server: the decoder skips unknown fields unread.

test_entry_with_bytes_that_can_not_be_read_is_refused failed before and passes.

--- a/corianderdoor/platform/decoding.py
+++ b/corianderdoor/platform/decoding.py
@@ -36,6 +36,11 @@
     Raises:
         RecordError: A field is missing or has another type or range.
     """
+    try:
+        # The decoder skips the bytes of unknown fields unread.
+        value.decode()
+    except UnicodeDecodeError as exc:
+        raise RecordError(f"{name}: {exc}") from exc
     try:
         return msgspec.json.decode(value, type=schema)
     except UNDECODABLE as exc:
--- a/tests/test_entry_foreign_entries.py
+++ b/tests/test_entry_foreign_entries.py
@@ -105,6 +105,11 @@
     assert is_refused(entry(address=text))
 
 
+def test_entry_with_bytes_that_can_not_be_read_is_refused():
+    for where in (b'{"note":"\xff",', b'{"\xff":1,'):
+        assert is_refused(entry().replace(b"{", where, 1))
+
+
 @pytest.mark.parametrize("host", NOWHERE)
 def test_address_of_no_host_is_refused(host):
     assert parse_address(f"{host}:80")
