--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -25,7 +25,7 @@
 PARTS = (("t", 2_500), ("s", 6_000), ("own", 500))
 
 
-def request(number: int, body: bytes = b"lethal", parts=PARTS):
+def request(number: int, body: bytes = b"crashing", parts=PARTS):
     """Returns a request with the given body."""
     req = build_request("/once/x", f"r{number}", parts)
     req.body = body
@@ -152,7 +152,7 @@
         self.runs = []
         self.refused = []
 
-    def send(self, number, server, now_ms, begun_beside=(), body=b"lethal"):
+    def send(self, number, server, now_ms, begun_beside=(), body=b"crashing"):
         """Sends the request once, beside others whose answers have begun."""
         name = self.names[number % len(self.names)]
         host = self.hosts[name]
