--- a/bench/brittle.py
+++ b/bench/brittle.py
@@ -12,7 +12,8 @@
 
 from driver import write_result
 
-from corianderdoor.standins.brittle_fleet import BrittleFleet, Scenario
+from corianderdoor.standins.brittle_fleet import BrittleFleet
+from corianderdoor.standins.brittle_scenario import Scenario
 
 # Hosts and servers of the small, grown and large deployments.
 SIZES: Final = ((8, 5), (66, 24), (195, 24))
--- a/corianderdoor/specs/lease.py
+++ b/corianderdoor/specs/lease.py
@@ -11,22 +11,31 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-import enum
-from typing import Final, NamedTuple
+from typing import Final
 
 import minicheck
 
 from ..core.lease import lease_end_ms, lease_holds, owns_record
 from ..core.orders import accepts_fence, settle_end_ms
 from ..core.records import Record
+from .lease_state import (
+    advance_clocks,
+    Controller,
+    lease_of,
+    NO_OWNER,
+    Phase,
+    replace_controller,
+    reset_to_standby,
+    set_lease,
+    State,
+    UNSET,
+)
 
 TTL_TICKS: Final = 3
 MARGIN_TICKS: Final = 1
 MAX_ORDER_TICKS: Final = 1
 MAX_VERSION: Final = 2
-NO_OWNER: Final = ""
 NAMES: Final = ("a", "b")
-UNSET: Final = -1
 
 
 class Guards(Record):
@@ -79,85 +88,6 @@
         self.raise_first = True
 
 
-class Phase(enum.IntEnum):
-    """Phase of a controller in the acquisition of the lease."""
-
-    STANDBY = 0
-    GRANTING = 1  # the grant was sent
-    GRANTED = 2  # the service granted; its answer may still be under way
-    UNKNOWN = 3  # the answer to the claim was lost; it may have been written
-    LEADING = 4
-
-
-class Controller(NamedTuple):
-    """State of one controller; times are remaining ticks by its own clock.
-
-    Attributes:
-        phase: Its phase.
-        left: Time until the lease may no longer be relied on.
-        renewal: The new `left` if the renewal under way is answered; `UNSET`
-            without a renewal.
-        slack: Ticks by which its clock may still lag in this lease period.
-        fence: Its fencing token.
-        settle: Time until it may read an engine that does not check fencing
-            tokens.
-        raised: Whether the engine has received its fencing token.
-        read: Whether it has read the engine.
-        checked: Whether it has decided on an order that is not written yet.
-        network: Time that its order may stay in the network, by the
-            service's clock; `UNSET` without one.
-        network_fence: Fencing token of that order.
-    """
-
-    phase: Phase = Phase.STANDBY
-    left: int = 0
-    renewal: int = UNSET
-    slack: int = 0
-    fence: int = 0
-    settle: int = 0
-    raised: bool = False
-    read: bool = False
-    checked: bool = False
-    network: int = UNSET
-    network_fence: int = 0
-
-
-class State(NamedTuple):
-    """State of the whole model; a tuple, as the checker requires.
-
-    Attributes:
-        a: The first controller.
-        b: The second controller.
-        owner: Controller in the leader record; empty without a record.
-        version: Version of the leader record; 0 without a record.
-        last_version: Highest version written so far.
-        lease_a: Ticks until the service ends the lease of `a`.
-        lease_b: Ticks until the service ends the lease of `b`.
-        seen: Highest fencing token that the engine has accepted.
-        read_fence: Highest fencing token of a leader that read the engine.
-        last_leader: Highest fencing token of a leader so far.
-        fence_fell: Whether a leader's token was not above all before it.
-        late_order: Whether an order was written by a controller that no
-            longer had the leader record.
-        read_broken: Whether the engine applied an order of an earlier
-            leader after a later one had read it.
-    """
-
-    a: Controller = Controller()
-    b: Controller = Controller()
-    owner: str = NO_OWNER
-    version: int = 0
-    last_version: int = 0
-    lease_a: int = 0
-    lease_b: int = 0
-    seen: int = 0
-    read_fence: int = 0
-    last_leader: int = 0
-    fence_fell: bool = False
-    late_order: bool = False
-    read_broken: bool = False
-
-
 Transitions = Iterator[tuple[str, State]]
 
 
@@ -208,7 +138,7 @@
             for lag_b in (False, True):
                 if lag_a > state.a.slack or lag_b > state.b.slack:
                     continue
-                yield f"tick lag={int(lag_a)}{int(lag_b)}", _advance_clocks(
+                yield f"tick lag={int(lag_a)}{int(lag_b)}", advance_clocks(
                     state, lag_a, lag_b
                 )
 
@@ -223,12 +153,12 @@
                     new = ctl._replace(
                         phase=Phase.GRANTING, left=left, slack=MARGIN_TICKS
                     )
-                    yield f"{name} asks", _replace_controller(state, name, new)
+                    yield f"{name} asks", replace_controller(state, name, new)
             case Phase.GRANTING:
                 new = ctl._replace(phase=Phase.GRANTED, slack=MARGIN_TICKS)
-                after = _replace_controller(state, name, new)
-                yield f"{name} granted", _set_lease(after, name, TTL_TICKS)
-                yield f"{name} not granted", _reset_to_standby(state, name)
+                after = replace_controller(state, name, new)
+                yield f"{name} granted", set_lease(after, name, TTL_TICKS)
+                yield f"{name} not granted", reset_to_standby(state, name)
             case Phase.GRANTED:
                 yield from self._list_claim_steps(state, name)
             case Phase.UNKNOWN:
@@ -241,13 +171,13 @@
         if not self._guards.from_sending:
             left = self._guards.lease_end(0, TTL_TICKS, MARGIN_TICKS)
             ctl = ctl._replace(left=left)
-            state = _replace_controller(state, name, ctl)
+            state = replace_controller(state, name, ctl)
         if not self._guards.lease_holds(0, ctl.left):
-            yield f"{name} gives up", _reset_to_standby(state, name)
+            yield f"{name} gives up", reset_to_standby(state, name)
             return
         free = state.owner == NO_OWNER or not self._guards.compare
-        if not free or not _lease_of(state, name):
-            yield f"{name} is beaten", _reset_to_standby(state, name)
+        if not free or not lease_of(state, name):
+            yield f"{name} is beaten", reset_to_standby(state, name)
             yield f"{name} claim unknown", self._lose_claim_answer(state, name)
             return
         if state.last_version >= MAX_VERSION:
@@ -263,7 +193,7 @@
         if not self._guards.read_unknown:
             return self._start_leading(state, name, state.last_version)
         ctl: Controller = getattr(state, name)
-        return _replace_controller(
+        return replace_controller(
             state, name, ctl._replace(phase=Phase.UNKNOWN)
         )
 
@@ -275,7 +205,7 @@
                 state, name, state.version
             )
         else:
-            yield f"{name} stands by", _reset_to_standby(state, name)
+            yield f"{name} stands by", reset_to_standby(state, name)
 
     def _start_leading(self, state: State, name: str, fence: int) -> State:
         ctl: Controller = getattr(state, name)
@@ -283,7 +213,7 @@
             0, MAX_ORDER_TICKS, self._checks_fence
         )
         new = ctl._replace(phase=Phase.LEADING, fence=fence, settle=settle)
-        return _replace_controller(state, name, new)._replace(
+        return replace_controller(state, name, new)._replace(
             last_leader=max(fence, state.last_leader),
             fence_fell=state.fence_fell or fence <= state.last_leader,
         )
@@ -291,27 +221,25 @@
     def _list_renewal_steps(self, state: State, name: str) -> Transitions:
         ctl: Controller = getattr(state, name)
         if not self._guards.lease_holds(0, ctl.left):
-            yield f"{name} lease expires", _reset_to_standby(state, name)
+            yield f"{name} lease expires", reset_to_standby(state, name)
             return
         renewed = self._guards.lease_end(0, TTL_TICKS, MARGIN_TICKS)
         if ctl.renewal != UNSET:
             left = ctl.renewal if self._guards.from_sending else renewed
             new = ctl._replace(left=left, renewal=UNSET)
-            yield f"{name} renewal answered", _replace_controller(
+            yield f"{name} renewal answered", replace_controller(
                 state, name, new
             )
             lost = ctl._replace(renewal=UNSET)
-            yield f"{name} renewal lost", _replace_controller(
-                state, name, lost
-            )
-        elif _lease_of(state, name):
+            yield f"{name} renewal lost", replace_controller(state, name, lost)
+        elif lease_of(state, name):
             new = ctl._replace(renewal=renewed, slack=MARGIN_TICKS)
-            after = _replace_controller(state, name, new)
-            yield f"{name} renews", _set_lease(after, name, TTL_TICKS)
+            after = replace_controller(state, name, new)
+            yield f"{name} renews", set_lease(after, name, TTL_TICKS)
         if not self._guards.answer_only:
             # The service never received the call.
             new = ctl._replace(left=renewed)
-            yield f"{name} assumes renewal", _replace_controller(
+            yield f"{name} assumes renewal", replace_controller(
                 state, name, new
             )
 
@@ -329,17 +257,17 @@
             if self._guards.accepts_fence(state.seen, ctl.fence):
                 new = ctl._replace(raised=True)
                 raised = max(state.seen, ctl.fence)
-                after = _replace_controller(state, name, new)._replace(
+                after = replace_controller(state, name, new)._replace(
                     seen=raised
                 )
                 yield f"{name} raises", after
         if not ctl.read and self._may_read(ctl):
             fence = max(ctl.fence, state.read_fence)
-            after = _replace_controller(state, name, ctl._replace(read=True))
+            after = replace_controller(state, name, ctl._replace(read=True))
             yield f"{name} reads", after._replace(read_fence=fence)
         if ctl.read and not ctl.checked and ctl.network == UNSET:
             new = ctl._replace(checked=True)
-            yield f"{name} decides", _replace_controller(state, name, new)
+            yield f"{name} decides", replace_controller(state, name, new)
 
     def _may_read(self, ctl: Controller) -> bool:
         if self._checks_fence and self._guards.raise_first:
@@ -355,14 +283,14 @@
         )
         current = state.owner == name and state.version == ctl.fence
         late = state.late_order or not current
-        yield f"{name} writes", _replace_controller(state, name, new)._replace(
+        yield f"{name} writes", replace_controller(state, name, new)._replace(
             late_order=late
         )
 
     def _list_delivery_steps(self, state: State, name: str) -> Transitions:
         ctl: Controller = getattr(state, name)
         fence = ctl.network_fence
-        new = _replace_controller(
+        new = replace_controller(
             state, name, ctl._replace(network=UNSET, network_fence=0)
         )
         if not self._checks_fence:
@@ -375,52 +303,3 @@
             )
         else:
             yield f"{name} order refused", new
-
-
-def _replace_controller(state: State, name: str, ctl: Controller) -> State:
-    if name == "a":
-        return state._replace(a=ctl)
-    return state._replace(b=ctl)
-
-
-def _reset_to_standby(state: State, name: str) -> State:
-    ctl: Controller = getattr(state, name)
-    new = Controller(network=ctl.network, network_fence=ctl.network_fence)
-    return _replace_controller(state, name, new)
-
-
-def _lease_of(state: State, name: str) -> int:
-    return state.lease_a if name == "a" else state.lease_b
-
-
-def _set_lease(state: State, name: str, ticks: int) -> State:
-    if name == "a":
-        return state._replace(lease_a=ticks)
-    return state._replace(lease_b=ticks)
-
-
-def _advance_clocks(state: State, lag_a: bool, lag_b: bool) -> State:
-    new = state._replace(
-        a=_advance_controller(state.a, lag_a),
-        b=_advance_controller(state.b, lag_b),
-        lease_a=max(0, state.lease_a - 1),
-        lease_b=max(0, state.lease_b - 1),
-    )
-    if new.owner != NO_OWNER and not _lease_of(new, new.owner):
-        new = new._replace(owner=NO_OWNER, version=0)
-    return new
-
-
-def _advance_controller(ctl: Controller, lags: bool) -> Controller:
-    order_expired = ctl.network == 0
-    ctl = ctl._replace(
-        network=max(UNSET, ctl.network - 1),
-        network_fence=0 if order_expired else ctl.network_fence,
-    )
-    if lags:
-        return ctl._replace(slack=ctl.slack - 1)
-    return ctl._replace(
-        left=max(0, ctl.left - 1),
-        renewal=max(0, ctl.renewal - 1) if ctl.renewal != UNSET else UNSET,
-        settle=max(0, ctl.settle - 1),
-    )
--- a/tests/test_entry_brittle_servers.py
+++ b/tests/test_entry_brittle_servers.py
@@ -16,7 +16,8 @@
 )
 from corianderdoor.core.entry.servers import digest_id
 from corianderdoor.entry.peer_codec import decode_heartbeat, encode_heartbeat
-from corianderdoor.standins.brittle_fleet import BrittleFleet, Scenario
+from corianderdoor.standins.brittle_fleet import BrittleFleet
+from corianderdoor.standins.brittle_scenario import Scenario
 
 READ = "/read/x"
 LIMIT = 6
