Drop what is known of a server at every end of its process

Callers saw prompts that were read again, and copies of prompt parts from servers that had lost them, after a server had come back under its id.

Cause: an entry speaks of one process, but each place that handled an end of it dropped other facts. Reports of the caches of the former process still went to peers. The room of a brittle server kept the slots of the former process, so that one back with fewer slots got as much as the one before had room for.

Change: Servers tells of each end of a process, whichever way it came (core.entry.process_facts). Caches, ejections, limits and statements of waiting requests are dropped there, and idle connections are closed. The room is cut to the slots of the next process.

--- a/corianderdoor/core/entry/cache_map.py
+++ b/corianderdoor/core/entry/cache_map.py
@@ -117,3 +117,5 @@
             holders.pop(server_id, None)
         for pair in [pair for pair in self._reported if pair[1] == server_id]:
             del self._reported[pair]
+        kept = [pair for pair in self._updates if pair[1] != server_id]
+        self._updates = deque(kept, maxlen=MAX_UPDATES)
--- /dev/null
+++ b/corianderdoor/core/entry/process_facts.py
@@ -0,0 +1,27 @@
+"""Drops what is known of a server's process once that process has ended.
+
+A server may start again under its id, with nothing of what it held before.
+The table of all that is kept is in docs/design/server_facts.md.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .server_selection import ServerSelection
+
+
+def drop_at_ends(selection: ServerSelection) -> None:
+    """Lets the list of servers drop the facts of processes that have ended.
+
+    Facts that hold the incarnation with them (pauses, leaving servers) and
+    counts of this host's own requests do not need it.
+    """
+    selection.servers.on_ended += [
+        selection.caches.remove,
+        selection.ejections.remove,
+        selection.limits.remove,
+        selection.rooms.begin_process,
+        selection.waiting.remove,
+    ]
--- a/corianderdoor/core/entry/server_room.py
+++ b/corianderdoor/core/entry/server_room.py
@@ -248,6 +248,18 @@
         room.room = max(1.0, min(room.room, float(fitting)))
         return room
 
+    def begin_process(self, server_id: str) -> None:
+        """Fits the room of a server that has started anew to its slots.
+
+        It counts as brittle like the process before, until its answers say
+        otherwise: it would fall over again if hosts sent without a bound.
+        """
+        room = self._rooms.get(server_id)
+        server = self._servers.get(server_id)
+        if room is not None and server is not None:
+            room.slots = max(1, server.slots)
+            room.room = min(room.room, float(room.slots))
+
     def limit_of(self, server_id: str) -> int | None:
         """Returns the rejections in a second that a brittle server bears."""
         room = self._rooms.get(server_id)
--- a/corianderdoor/core/entry/server_selection.py
+++ b/corianderdoor/core/entry/server_selection.py
@@ -27,6 +27,7 @@
     rank_by_weight,
 )
 from .prefill_rates import PrefillRates, REFERENCE_RATE
+from .process_facts import drop_at_ends
 from .process_pauses import ProcessPauses
 from .requests import CallerRequest
 from .rollouts import RolloutBounds, Rollouts
@@ -135,6 +136,7 @@
         self.on_pause: Callable[[int], None] = lambda gap_ms: None
         self._name = name
         self._data_centre = data_centre
+        drop_at_ends(self)
 
     def tick(self, now_ms: int) -> list[str]:
         """Removes expired servers and the records of unlisted ones.
--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Container, Iterable
 
 import xxhash
 
@@ -90,10 +90,14 @@
 
     Attributes:
         departed: Servers that left.
+        on_ended: Called with the id of a server whose process has ended or
+            left, for whichever reason, so that what is known of that process
+            is dropped.
     """
 
     __slots__ = (
         "departed",
+        "on_ended",
         "_listed",
         "_cold_until",
         "_expiring",
@@ -104,6 +108,7 @@
 
     def __init__(self) -> None:
         self.departed = DepartedServers()
+        self.on_ended: list[Callable[[str], None]] = []
         self._listed: dict[str, BackendServer] = {}
         self._cold_until: dict[str, int] = {}
         self._expiring: dict[str, int] = {}
@@ -130,7 +135,14 @@
         elif fresh:
             self._cold_until.pop(server.id, None)
         self._usable.clear()
-        return fresh and old is not None
+        if not fresh or old is None:
+            return False
+        self._tell_ended(server.id)
+        return True
+
+    def _tell_ended(self, server_id: str) -> None:
+        for drop in self.on_ended:
+            drop(server_id)
 
     def accepts_copy(
         self, server: BackendServer, now_ms: int, grace_ms: int
@@ -183,6 +195,8 @@
         self._cold_until.pop(server_id, None)
         self._expiring.pop(server_id, None)
         self._usable.clear()
+        if server is not None:
+            self._tell_ended(server_id)
 
     def remove_expired(self, now_ms: int) -> list[str]:
         """Removes the servers whose entries did not come back in time.
--- a/corianderdoor/core/entry/waiting_requests.py
+++ b/corianderdoor/core/entry/waiting_requests.py
@@ -35,6 +35,10 @@
                 if now_ms - at_ms > STATEMENT_TTL_MS:
                     del self._stated_ms[name]
 
+    def remove(self, server_id: str) -> None:
+        """Drops the statement of a server that has started anew."""
+        self._stated_ms.pop(server_id, None)
+
     def any_at(self, servers: Iterable[BackendServer], now_ms: int) -> bool:
         """Returns whether requests wait at one of `servers`."""
         never_ms = now_ms - STATEMENT_TTL_MS - 1
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -57,7 +57,6 @@
         "replica",
         "_planner",
         "_peers",
-        "_pool",
         "_clock",
         "_rollouts",
         "_evacuations",
@@ -90,8 +89,8 @@
         self._silence_ms = silence_ms
         self.replica = Replica()
         self._planner = planner
+        self._planner.servers.on_ended.append(pool.close_idle)
         self._peers = peers
-        self._pool = pool
         self._clock = clock
         self._rollouts = rollouts
         self._evacuations = KeptEvacuations(
@@ -276,14 +275,10 @@
             self._pass_server_on(server.id)
             return
         if self._planner.servers.put(server, now_ms):
-            self._pool.close_idle(server.id)
             self._planner.restarts.proofs.record_told(server.id)
-            self._planner.ejections.remove(server.id)
-            self._planner.selection.limits.remove(server.id)
             self._planner.crashing_requests.confirm_crash(
                 server.id, now_ms, CrashCause.RESTARTED
             )
-            self._planner.caches.remove(server.id)
 
     def _pass_server_on(self, server_id: str) -> None:
         """Lists a server that left, or drains, in place of a copy's item."""
@@ -303,8 +298,6 @@
             self._planner.crashing_requests.confirm_crash(
                 decoded.id, self._clock.now_ms(), CrashCause.REMOVED
             )
-            self._pool.close_idle(decoded.id)
-            self._planner.caches.remove(decoded.id)
 
     @_apply_decoded.register
     def _(self, decoded: Evacuation, from_copy: bool) -> None:
--- /dev/null
+++ b/tests/test_server_facts.py
@@ -0,0 +1,58 @@
+"""What is known of a server's process does not outlive that process."""
+
+from __future__ import annotations
+
+from entry_builders import build_request
+import pytest
+from test_entry_store_restore import encode_entry, Host
+
+from corianderdoor.core.entry.requests import PromptPart
+from corianderdoor.entry.state_applier import OUTAGE_GRACE_MS
+
+PART = PromptPart("chat", 500)
+REQUEST = build_request(parts=(("chat", 500), ("own", 10)))
+
+
+def know_cache(host: Host) -> None:
+    """Records that the server s1 has a part cached."""
+    host.planner.caches.record(REQUEST, "s1", host.clock.now_ms())
+
+
+def holders(host: Host) -> list[str]:
+    """Returns the servers that count as having the part."""
+    return list(host.planner.caches.holders(PART, host.clock.now_ms()))
+
+
+# Guards against prompts that are sent and copied from where they are lost: a
+# server that expired came back as another process with the caches of before.
+@pytest.mark.parametrize("way", ["removed", "expired", "replaced"])
+def test_next_process_of_a_server_has_no_caches_of_the_one_before(way):
+    host = Host()
+    host.write("servers/s1", encode_entry(), 8, 0)
+    know_cache(host)
+    assert holders(host) == ["s1"]
+    if way == "removed":
+        host.write("servers/s1", None, 9, 0)
+    if way == "expired":
+        host.planner.servers.remove("s1", host.clock.now_ms(), 1_000)
+        host.wait(OUTAGE_GRACE_MS)
+        assert host.usable() == []
+    host.write("servers/s1", encode_entry(born=200), 10, 0)
+    assert host.usable() == ["s1"]
+    assert holders(host) == []
+    assert host.planner.caches.take_updates(9) == []
+
+
+# Guards against LIMIT: a brittle server that was back with fewer slots got as
+# many requests as the process before had room for.
+def test_room_of_a_brittle_server_fits_the_slots_of_its_next_process():
+    host = Host()
+    host.write("servers/s1", encode_entry(slots=8), 8, 0)
+    rooms = host.planner.rooms
+    host.planner.loads.own["s1"] = 8
+    rooms.record_answer("s1", 6, False, None, host.clock.now_ms())
+    assert rooms.room_of("s1") == 8
+    host.write("servers/s1", encode_entry(slots=3, born=200), 9, 0)
+    assert rooms.room_of("s1") == 3
+    rooms.tick(host.clock.now_ms() + 1_000)
+    assert rooms.room_of("s1") == 3
