Use no caches of a server that may have restarted

Callers of chats whose server crashed waited for prompts that were read again, behind requests that were placed as if the server that was back still had its parts; other servers copied parts from it in vain.

Cause: the caches of a process counted until the entry of its successor arrived, about a second after the return, and without the store for two minutes. The signs that the process had ended were known.

Change: CacheMap leaves out what a server got before the last sign of a restart (core.entry.version_proofs), until the entry of a later process would be here: then the server ran on, and its caches count again. What it gets after the sign counts at once.

test_caches_of_a_process_do_not_count_after_a_sign_that_it_has_ended failed before, and passes; the test that they count again if the server ran on passes before and after.

--- a/corianderdoor/core/entry/cache_map.py
+++ b/corianderdoor/core/entry/cache_map.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from .requests import CallerRequest, PromptPart
+from .suspected_restarts import SuspectedRestarts
 
 # A part takes about 300 bytes.
 MAX_PARTS: Final = 20_000
@@ -31,12 +32,19 @@
 class CacheMap:
     """Servers by the prompt part that they have cached.
 
-    Keeps the `MAX_PARTS` most recently used parts.
+    Keeps the `MAX_PARTS` most recently used parts. What a server got before
+    a sign of its restart does not count until it is known to run on.
     """
 
-    __slots__ = ("_parts", "_reported", "_updates")
+    __slots__ = ("_parts", "_reported", "_updates", "_restarts")
 
-    def __init__(self) -> None:
+    def __init__(self, restarts: SuspectedRestarts | None = None) -> None:
+        """Creates an empty map.
+
+        Args:
+            restarts: Servers that may have restarted; None for none.
+        """
+        self._restarts = restarts or SuspectedRestarts()
         self._parts: OrderedDict[int, dict[str, int]] = OrderedDict()
         self._reported: OrderedDict[tuple[int, str], int] = OrderedDict()
         self._updates: deque[tuple[int, str]] = deque(maxlen=MAX_UPDATES)
@@ -88,11 +96,22 @@
 
     def holders(self, part: PromptPart, now_ms: int) -> dict[str, int]:
         """Returns the time of last use of `part` by server id."""
-        found = self._parts.get(digest_part(part), {})
+        return self._select(self._parts.get(digest_part(part), {}), now_ms)
+
+    def _select(self, holders: dict[str, int], now_ms: int) -> dict[str, int]:
+        """Returns those of `holders` that count."""
+        found = {
+            server_id: used_ms
+            for server_id, used_ms in holders.items()
+            if now_ms - used_ms < HOLDER_TTL_MS
+        }
+        if not self._restarts.proofs.has_signs():
+            return found
+        may_have_lost = self._restarts.may_have_lost
         return {
             server_id: used_ms
             for server_id, used_ms in found.items()
-            if now_ms - used_ms < HOLDER_TTL_MS
+            if not may_have_lost(server_id, used_ms)
         }
 
     def snapshot(self, now_ms: int) -> list[tuple[int, str]]:
@@ -100,8 +119,7 @@
         return [
             (digest, server_id)
             for digest, holders in self._parts.items()
-            for server_id, used_ms in holders.items()
-            if now_ms - used_ms < HOLDER_TTL_MS
+            for server_id in self._select(holders, now_ms)
         ]
 
     def restore(self, pairs: list[tuple[int, str]], now_ms: int) -> None:
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -170,6 +170,21 @@
             return False
         if not self.in_contact:
             return server_id not in self._failed
+        return self._is_told(server_id)
+
+    def may_have_lost(self, server_id: str, used_ms: int) -> bool:
+        """Returns whether a server may have lost what it had at a time.
+
+        What it got after the last sign of a restart went to the process that
+        runs there now.
+        """
+        sign_ms = self.proofs.sign_ms(server_id)
+        if sign_ms is None or sign_ms < used_ms:
+            return False
+        return not (self.in_contact and self._is_told(server_id))
+
+    def _is_told(self, server_id: str) -> bool:
+        """Returns whether the entry of a later process would be here."""
         since_ms = self._regained_ms + RETURN_MS
         return self.proofs.is_proven(server_id, self._contact_ms, since_ms)
 
--- a/corianderdoor/core/entry/version_proofs.py
+++ b/corianderdoor/core/entry/version_proofs.py
@@ -83,6 +83,14 @@
         self._signs.pop(server_id, None)
         self._answered.pop(server_id, None)
 
+    def sign_ms(self, server_id: str) -> int | None:
+        """Returns when the last sign of a restart came; None without one."""
+        return self._signs.get(server_id)
+
+    def has_signs(self) -> bool:
+        """Returns whether any server has a sign."""
+        return bool(self._signs)
+
     def has_sign(self, server_id: str) -> bool:
         """Returns whether anything shows that a server has restarted."""
         return server_id in self._signs
--- a/tests/test_server_facts.py
+++ b/tests/test_server_facts.py
@@ -7,6 +7,7 @@
 from test_entry_store_restore import encode_entry, Host
 
 from corianderdoor.core.entry.requests import PromptPart
+from corianderdoor.core.entry.version_proofs import TOLD_MS
 from corianderdoor.entry.state_applier import OUTAGE_GRACE_MS
 
 PART = PromptPart("chat", 500)
@@ -56,3 +57,42 @@
     assert rooms.room_of("s1") == 3
     rooms.tick(host.clock.now_ms() + 1_000)
     assert rooms.room_of("s1") == 3
+
+
+def touch(host: Host) -> None:
+    """Lets the host be in contact with the store now."""
+    now_ms = host.clock.now_ms()
+    host.planner.restarts.update_contact(now_ms, now_ms)
+
+
+# Guards against prompts that are sent to, and copied from, servers that have
+# lost them: until the next entry the caches of the process before counted.
+def test_caches_of_a_process_do_not_count_after_a_sign_that_it_has_ended():
+    host = Host()
+    host.write("servers/s1", encode_entry(), 8, 0)
+    know_cache(host)
+    host.wait(10)
+    restarts = host.planner.restarts
+    restarts.record_unreachable("s1", host.clock.now_ms())
+    touch(host)
+    assert holders(host) == []
+    assert host.planner.caches.snapshot(host.clock.now_ms()) == []
+    # What it gets after the sign is with the process that runs now.
+    host.wait(500)
+    know_cache(host)
+    assert holders(host) == ["s1"]
+
+
+# Guards against prompts that are read again at a server that ran on.
+def test_caches_count_again_if_the_server_has_not_restarted():
+    host = Host()
+    host.write("servers/s1", encode_entry(), 8, 0)
+    know_cache(host)
+    host.wait(10)
+    restarts = host.planner.restarts
+    restarts.record_unreachable("s1", host.clock.now_ms())
+    host.wait(500)
+    restarts.record_answer("s1", host.clock.now_ms())
+    host.wait(TOLD_MS)
+    touch(host)
+    assert holders(host) == ["s1"]
