Drop peers' reports of a process when its successor has told

Callers that took up streams were refused for 1.5 s more than needed, or longer, although the server that was back had told its version.

Cause: the reports that peers had made of the former process stayed after the entry of the next one. One late report of a single host then counted as the second of two, and was a new sign of a restart.

Change: they are dropped with the sign.

test_late_report_of_the_process_before_is_no_sign failed before.

--- a/corianderdoor/core/entry/version_proofs.py
+++ b/corianderdoor/core/entry/version_proofs.py
@@ -82,6 +82,8 @@
         """Records that the entry of a later process has arrived."""
         self._signs.pop(server_id, None)
         self._answered.pop(server_id, None)
+        # They spoke of the process before.
+        self._reporters.pop(server_id, None)
 
     def sign_ms(self, server_id: str) -> int | None:
         """Returns when the last sign of a restart came; None without one."""
--- a/tests/test_version_proofs.py
+++ b/tests/test_version_proofs.py
@@ -95,6 +95,16 @@
     assert not proofs.is_proven("s", 201 + REPORTERS_MS, NEVER_MS)
 
 
+# Guards against LOST: a late report of one peer, of the process before, made
+# a server unproven whose next process had just told its version.
+def test_late_report_of_the_process_before_is_no_sign():
+    proofs = VersionProofs()
+    crash(proofs, "reported")
+    proofs.record_told("s")
+    proofs.record_report("s", "h1", 100)
+    assert proofs.is_proven("s", 100, NEVER_MS)
+
+
 # Guards against LOST: a single peer that lost its link to a server kept its
 # streams from going on for as long as it reported it.
 def test_report_of_one_peer_does_not_outweigh_own_answers():
