Count a server that was away as cold until its next entry is due

Callers lost requests at servers that crashed again during their slow start: servers that had been away for more than a second, and whose next entry was not here yet, got as much as warm ones (FAILBACK).

Cause: a failure to reach a server counted until the store had been in contact for 1 s after the failure. That supposed that the server had come back at once. One that is away for 1.4 s, is tried 0.5 s after the crash and writes its entry 0.8 s after its return is used as a warm one in between.

Change: in contact with the store, the failure counts until the entry of a later process is here or would be, which version_proofs tells: 1.5 s after the first answer, or 10 s without one. The server stays in use meanwhile, at the rate of a cold one.

test_servers_that_are_back_before_their_entry_get_what_they_can_bear: 100 requests of one host reached a server in a second before, 18.5 are allowed.

test_failures_count_until_a_contact_that_shows_the_restart asked for the fault: it took a contact 1 s after the failure for proof, though nothing shows that the server was back by then. It now asks for a suspicion until the server has answered and its entry would be here, to the millisecond.

--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -38,11 +38,13 @@
 class SuspectedRestarts:
     """Servers that could not be reached lately, by this host or by peers.
 
-    A failure counts until the store has been in contact for
-    `RECORD_DELAY_MS` after it. Until the loss of contact is noticed, a single
-    broken connection or report of a peer does not count: servers that run
-    well break some connections, and a peer may have lost its own links. Holds
-    at most one time of each kind for each listed server.
+    In contact with the store, a failure counts until the entry of a later
+    process would be here (see `VersionProofs`); a contact lost later than
+    `RECORD_DELAY_MS` after it has shown what became of it. Until the loss of
+    contact is noticed, a single broken connection or report of a peer does
+    not count: servers that run well break some connections, and a peer may
+    have lost its own links. Holds at most one time of each kind for each
+    listed server.
 
     Attributes:
         in_contact: Whether this host, or a peer that it hears, has contact
@@ -210,15 +212,18 @@
             )
         if failed_ms < 0 or cold_ms <= 0:
             return False
-        if self._contact_ms - failed_ms >= RECORD_DELAY_MS:
-            return False
-        # A contact that is not too old has then shown what became of it.
-        shown_ms = failed_ms + RECORD_DELAY_MS + MAX_CONTACT_AGE_MS
-        if self.in_contact and now_ms >= shown_ms:
+        answered_ms = self._answered.get(server_id, -1)
+        if self.in_contact:
+            if self._is_told(server_id):
+                return False
+            # A contact that is not too old has then shown what became of it.
+            shown_ms = answered_ms + TOLD_MS + MAX_CONTACT_AGE_MS
+            if answered_ms >= failed_ms and now_ms >= shown_ms:
+                return False
+        elif self._contact_ms - failed_ms >= RECORD_DELAY_MS:
             return False
         # The server may have come back at any time since it failed; its
         # first answer is the latest time of its return.
-        answered_ms = self._answered.get(server_id, -1)
         if answered_ms < failed_ms:
             return now_ms - failed_ms < max(cold_ms, MAX_UNANSWERED_MS)
         return now_ms - answered_ms < cold_ms
--- a/tests/test_entry_cold_unnoticed.py
+++ b/tests/test_entry_cold_unnoticed.py
@@ -22,10 +22,10 @@
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.core.entry.suspected_restarts import (
     CONFIRM_MS,
-    RECORD_DELAY_MS,
     REPORT_MS,
     SuspectedRestarts,
 )
+from corianderdoor.core.entry.version_proofs import TOLD_MS
 from corianderdoor.core.entry.windows import COLD_WINDOW_MS
 
 # What the platform allows to a cold server in any second: 9 x 1.5 + 5.
@@ -164,10 +164,33 @@
 def test_failures_count_until_a_contact_that_shows_the_restart():
     restarts = SuspectedRestarts()
     restarts.record_unreachable("s", 1_000)
-    restarts.update_contact(1_999, 2_100)
-    assert restarts.includes("s", COLD_MS, 2_100)
-    restarts.update_contact(1_000 + RECORD_DELAY_MS, 2_200)
-    assert not restarts.includes("s", COLD_MS, 2_200)
+    # It may be back at any time until it answers.
+    restarts.update_contact(1_000 + 2 * TOLD_MS, 1_000 + 2 * TOLD_MS)
+    assert restarts.includes("s", COLD_MS, 1_000 + 2 * TOLD_MS)
+    back_ms = 5_000
+    told_ms = back_ms + TOLD_MS
+    restarts.record_answer("s", back_ms)
+    restarts.update_contact(told_ms - 1, told_ms + 100)
+    assert restarts.includes("s", COLD_MS, told_ms + 100)
+    restarts.update_contact(told_ms, told_ms + 100)
+    assert not restarts.includes("s", COLD_MS, told_ms + 100)
+
+
+# Guards against FAILBACK: a server that was back 1.4 s after it had crashed
+# got 100 requests in a second, as its entry of before does not say so.
+def test_servers_that_are_back_before_their_entry_get_what_they_can_bear():
+    planner = build_planner(servers=2)
+    fail_everywhere(planner, 1_000)
+    back_ms = 2_400
+    planner.restarts.update_contact(back_ms, back_ms)
+    for times in send_burst(planner, back_ms).values():
+        assert 5 <= len(times)
+        assert most_in_a_second(times) <= COLD_BOUND
+    # Their entries would be here by now: they have not restarted.
+    told_ms = back_ms + TOLD_MS + 100
+    planner.restarts.update_contact(told_ms, told_ms)
+    sent = send_burst(planner, told_ms)
+    assert sum(map(len, sent.values())) == 100
 
 
 # Guards against a contact counted as fresh as the heartbeat that stated it.
