Count a peer's contact to the store only for changes that are here

Cause: a host without contact of its own takes the last contact of a peer. After a sign of a restart the server counted as proven 1.5 s after its first answer, by when its next entry was at the peer, but not yet here.

Change: what this host concludes from a contact uses the contacts of peers whose revision it has reached (Peer.is_ahead_of). Whether the store is in contact at all is decided as before.

test_contact_of_a_peer_proves_nothing_that_is_not_here_yet passes; with the revision left out of the call it fails.

--- a/corianderdoor/core/entry/peer.py
+++ b/corianderdoor/core/entry/peer.py
@@ -111,6 +111,18 @@
             self.last_heartbeat is not None and self.last_heartbeat.links_cut
         )
 
+    def is_ahead_of(self, known: tuple[int, int] | None) -> bool:
+        """Returns whether the peer told of changes beyond what is known.
+
+        Args:
+            known: Era and revision; None to compare with nothing. What a
+                peer knows of another era does not compare either.
+        """
+        beat = self.last_heartbeat
+        if beat is None or known is None:
+            return False
+        return beat.era != known[0] or beat.revision > known[1]
+
     def is_starting(self, now_ms: int) -> bool:
         """Returns whether the peer may not have read the store yet."""
         if not self.listed or now_ms - self.listed_ms >= WATCHER_GRACE_MS:
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -344,10 +344,13 @@
         count = max(MIN_WATCHERS, len(order) // HOSTS_PER_WATCHER)
         return order[: min(MAX_WATCHERS, count)]
 
-    def latest_contact_ms(self, now_ms: int) -> int:
+    def latest_contact_ms(
+        self, now_ms: int, known: tuple[int, int] | None = None
+    ) -> int:
         """Returns when a live peer last had contact to the store.
 
-        The age that a heartbeat states grows until the next one.
+        The age that a heartbeat states grows until the next one. With the
+        era and revision `known`, peers with changes beyond it do not count.
         """
         contacts = [now_ms - NOT_WATCHING_MS]
         # The watchers come first, as one of them is enough.
@@ -355,9 +358,9 @@
             peer = self._peers.get(name)
             if peer is None or peer.last_heartbeat_ms is None:
                 continue
-            if peer.last_heartbeat is not None:
-                age_ms = peer.last_heartbeat.contact_age_ms
-                contacts.append(peer.last_heartbeat_ms - age_ms)
+            beat = peer.last_heartbeat
+            if beat is not None and not peer.is_ahead_of(known):
+                contacts.append(peer.last_heartbeat_ms - beat.contact_age_ms)
                 if now_ms - contacts[-1] < MAX_CONTACT_AGE_MS:
                     break
         return max(contacts)
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -84,13 +84,24 @@
         self._answered: dict[str, int] = {}
         self._newest_answer: dict[str, int] = {}
 
-    def update_contact(self, contact_ms: int, now_ms: int) -> None:
-        """Sets when this host or a peer last had contact to the store."""
+    def update_contact(
+        self, contact_ms: int, now_ms: int, shown_ms: int | None = None
+    ) -> None:
+        """Sets when this host or a peer last had contact to the store.
+
+        Args:
+            contact_ms: Time of the contact.
+            now_ms: Monotonic time in ms.
+            shown_ms: Time up to which this host has the changes that the
+                contact showed; None if it has all of them.
+        """
         was_in_contact = self.in_contact
         self.in_contact = now_ms - contact_ms < MAX_CONTACT_AGE_MS
         if self.in_contact and not was_in_contact:
             self._regained_ms = now_ms
-        self._contact_ms = max(self._contact_ms, contact_ms)
+        if shown_ms is None:
+            shown_ms = contact_ms
+        self._contact_ms = max(self._contact_ms, shown_ms)
 
     def record_pause(self, now_ms: int) -> None:
         """Records that this process was suspended until now.
--- a/corianderdoor/entry/host_ticks.py
+++ b/corianderdoor/entry/host_ticks.py
@@ -106,11 +106,7 @@
             selection.check_pause(now_ms)
             selection.process_pauses.record_tick(now_ms)
             ticks += 1
-            contact_ms = max(
-                now_ms - self._sync.contact_age_ms(),
-                self._peers.latest_contact_ms(now_ms),
-            )
-            self._planner.restarts.update_contact(contact_ms, now_ms)
+            self.update_contact(now_ms)
             for server_id in self._planner.tick(now_ms):
                 log_event("server_expired", server=server_id)
             self._applier.tick(now_ms)
@@ -140,6 +136,20 @@
                     cpu_percent if ticks > CPU_TICKS else 0
                 )
 
+    def update_contact(self, now_ms: int) -> None:
+        """Updates how old what is known of the servers may be.
+
+        What a peer knows and this host lacks proves nothing here.
+        """
+        own_ms = now_ms - self._sync.contact_age_ms()
+        replica = self._applier.replica
+        known = replica.era, replica.revision
+        self._planner.restarts.update_contact(
+            max(own_ms, self._peers.latest_contact_ms(now_ms)),
+            now_ms,
+            max(own_ms, self._peers.latest_contact_ms(now_ms, known)),
+        )
+
     def _update_links_cut(self, now_ms: int) -> None:
         """Tells peers at once when the links to the servers are gone."""
         cut = self._links.paths.is_cut(now_ms)
--- a/tests/test_version_proofs.py
+++ b/tests/test_version_proofs.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from entry_builders import build_planner, build_request, build_server
 import pytest
 
 from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.flights import Ending
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.peer import NOT_WATCHING_MS
 from corianderdoor.core.entry.peers import Peers
 from corianderdoor.core.entry.stream_versions import StreamVersions, UNPROVEN
 from corianderdoor.core.entry.suspected_restarts import (
@@ -21,7 +25,7 @@
     TOLD_MS,
     VersionProofs,
 )
-
+from corianderdoor.entry.host_ticks import HostTicks
 from corianderdoor.entry.stream_registry import StreamRegistry
 
 BACK_MS = 2_000
@@ -142,6 +146,38 @@
         assert restarts.proves_version("s") is proven
 
 
+# Guards against ORDER: a host that lagged behind its peers took their contact
+# to the store for its own, and went on at a server whose next entry they had.
+def test_contact_of_a_peer_proves_nothing_that_is_not_here_yet():
+    planner = build_planner(servers=0)
+    planner.servers.put(build_server("s0", version="v1", started_ms=1), 0)
+    peers = Peers("own")
+    peers.add_listed("h1", ("x", 1), ("x", 2), "a", 0)
+    sync = SimpleNamespace(contact_age_ms=lambda: NOT_WATCHING_MS)
+    replica = SimpleNamespace(era=1, revision=8)
+    applier = SimpleNamespace(replica=replica)
+    others = (None,) * 5
+    ticks = HostTicks(
+        *(planner, peers, None, None, applier, sync),
+        *(*others, 1.0, None),
+    )
+    restarts = planner.restarts
+    for now_ms, revision in ((0, 8), (BACK_MS + TOLD_MS, 9)):
+        beat = Heartbeat("h1", 1, revision, 0, False, (), era=1)
+        peers.record_heartbeat(beat, now_ms)
+        ticks.update_contact(now_ms)
+        if now_ms == 0:
+            assert restarts.proves_version("s0")
+            restarts.record_unreachable("s0", 10)
+            restarts.record_answer("s0", BACK_MS)
+    assert restarts.in_contact
+    assert not restarts.proves_version("s0")
+    # The changes are here, and name no later process.
+    replica.revision = 9
+    ticks.update_contact(BACK_MS + TOLD_MS)
+    assert restarts.proves_version("s0")
+
+
 def begin(planner):
     """Returns a stream in progress, and its server."""
     flight = planner.admit(build_request(parts=()), 0)
