Take no late entry of a former process for that of a later one

Cause: an entry of any other start counted as that of a later process. A write of the process before that the store executes late names its version, which counted as proven, and a server that is warm.

Change: an entry of an earlier start than the known one is a sign of a restart, until the server writes again, and does not end its slow start.

test_late_entry_of_the_process_before_proves_nothing failed before.

--- a/corianderdoor/core/entry/servers.py
+++ b/corianderdoor/core/entry/servers.py
@@ -132,7 +132,7 @@
             until_ms = now_ms + int(server.cold_ms)
             if fresh or until_ms > self._cold_until.get(server.id, 0):
                 self._cold_until[server.id] = until_ms
-        elif fresh:
+        elif fresh and not (old and old.started_ms > server.started_ms):
             self._cold_until.pop(server.id, None)
         self._usable.clear()
         if not fresh or old is None:
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -274,8 +274,14 @@
             log_event("server_copy_ignored", server=server.id)
             self._pass_server_on(server.id)
             return
-        if self._planner.servers.put(server, now_ms):
-            self._planner.restarts.proofs.record_told(server.id)
+        known = self._planner.servers.get(server.id)
+        if self._planner.servers.put(server, now_ms) and known:
+            proofs = self._planner.restarts.proofs
+            if server.started_ms < known.started_ms:
+                # A call of the process before that was executed late.
+                proofs.record_unreachable(server.id, now_ms)
+            else:
+                proofs.record_told(server.id)
             self._planner.crashing_requests.confirm_crash(
                 server.id, now_ms, CrashCause.RESTARTED
             )
--- a/tests/test_server_facts.py
+++ b/tests/test_server_facts.py
@@ -96,3 +96,20 @@
     host.wait(TOLD_MS)
     touch(host)
     assert holders(host) == ["s1"]
+
+
+# Guards against ORDER and FAILBACK: a write of the process before that the
+# store executed late counted as the entry of a later one, with its version,
+# and as warm.
+def test_late_entry_of_the_process_before_proves_nothing():
+    host = Host()
+    host.write("servers/s1", encode_entry(), 8, 0)
+    newer = encode_entry(born=200, version="v2", cold_remaining_ms=3_000)
+    host.write("servers/s1", newer, 9, 0)
+    touch(host)
+    assert host.planner.restarts.proves_version("s1")
+    host.write("servers/s1", encode_entry(), 10, 0)
+    assert not host.planner.restarts.proves_version("s1")
+    assert host.planner.servers.is_cold("s1", host.clock.now_ms())
+    host.write("servers/s1", newer, 11, 0)
+    assert host.planner.restarts.proves_version("s1")
