--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -38,11 +38,13 @@
 class SuspectedRestarts:
     """Servers that could not be reached lately, by this host or by peers.
 
-    A failure counts until the store has been in contact for
-    `RECORD_DELAY_MS` after it. Until the loss of contact is noticed, a single
-    broken connection or report of a peer does not count: servers that run
-    well break some connections, and a peer may have lost its own links. Holds
-    at most one time of each kind for each listed server.
+    In contact with the store, a failure counts until the entry of a later
+    process would be here (see `VersionProofs`); a contact lost later than
+    `RECORD_DELAY_MS` after it has shown what became of it. Until the loss of
+    contact is noticed, a single broken connection or report of a peer does
+    not count: servers that run well break some connections, and a peer may
+    have lost its own links. Holds at most one time of each kind for each
+    listed server.
 
     Attributes:
         in_contact: Whether this host, or a peer that it hears, has contact
@@ -82,13 +84,24 @@
         self._answered: dict[str, int] = {}
         self._newest_answer: dict[str, int] = {}
 
-    def update_contact(self, contact_ms: int, now_ms: int) -> None:
-        """Sets when this host or a peer last had contact to the store."""
+    def update_contact(
+        self, contact_ms: int, now_ms: int, shown_ms: int | None = None
+    ) -> None:
+        """Sets when this host or a peer last had contact to the store.
+
+        Args:
+            contact_ms: Time of the contact.
+            now_ms: Monotonic time in ms.
+            shown_ms: Time up to which this host has the changes that the
+                contact showed; None if it has all of them.
+        """
         was_in_contact = self.in_contact
         self.in_contact = now_ms - contact_ms < MAX_CONTACT_AGE_MS
         if self.in_contact and not was_in_contact:
             self._regained_ms = now_ms
-        self._contact_ms = max(self._contact_ms, contact_ms)
+        if shown_ms is None:
+            shown_ms = contact_ms
+        self._contact_ms = max(self._contact_ms, shown_ms)
 
     def record_pause(self, now_ms: int) -> None:
         """Records that this process was suspended until now.
@@ -170,6 +183,21 @@
             return False
         if not self.in_contact:
             return server_id not in self._failed
+        return self._is_told(server_id)
+
+    def may_have_lost(self, server_id: str, used_ms: int) -> bool:
+        """Returns whether a server may have lost what it had at a time.
+
+        What it got after the last sign of a restart went to the process that
+        runs there now.
+        """
+        sign_ms = self.proofs.sign_ms(server_id)
+        if sign_ms is None or sign_ms < used_ms:
+            return False
+        return not (self.in_contact and self._is_told(server_id))
+
+    def _is_told(self, server_id: str) -> bool:
+        """Returns whether the entry of a later process would be here."""
         since_ms = self._regained_ms + RETURN_MS
         return self.proofs.is_proven(server_id, self._contact_ms, since_ms)
 
@@ -195,15 +223,18 @@
             )
         if failed_ms < 0 or cold_ms <= 0:
             return False
-        if self._contact_ms - failed_ms >= RECORD_DELAY_MS:
-            return False
-        # A contact that is not too old has then shown what became of it.
-        shown_ms = failed_ms + RECORD_DELAY_MS + MAX_CONTACT_AGE_MS
-        if self.in_contact and now_ms >= shown_ms:
+        answered_ms = self._answered.get(server_id, -1)
+        if self.in_contact:
+            if self._is_told(server_id):
+                return False
+            # A contact that is not too old has then shown what became of it.
+            shown_ms = answered_ms + TOLD_MS + MAX_CONTACT_AGE_MS
+            if answered_ms >= failed_ms and now_ms >= shown_ms:
+                return False
+        elif self._contact_ms - failed_ms >= RECORD_DELAY_MS:
             return False
         # The server may have come back at any time since it failed; its
         # first answer is the latest time of its return.
-        answered_ms = self._answered.get(server_id, -1)
         if answered_ms < failed_ms:
             return now_ms - failed_ms < max(cold_ms, MAX_UNANSWERED_MS)
         return now_ms - answered_ms < cold_ms
