Move the store's outages out of the host's synchronization

When the store last answered and since when it is away are now StoreContact in store_contact.py. No change of behaviour: the tests of synchronization pass as they are.

--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -10,7 +10,7 @@
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.copy_sources import find_overriding_peer
 from ..core.entry.counters import Counters
-from ..core.entry.peer import NOT_WATCHING_MS, Peer
+from ..core.entry.peer import Peer
 from ..core.entry.peers import Peers
 from ..core.entry.replica import Change, Page
 from ..platform.records import CACHES_KEY
@@ -19,12 +19,12 @@
     Item,
     StoreClient,
     StoreError,
-    WATCH_CALL,
 )
 from ..platform.store_era import StoreEra
 from ..platform.stream_records import BEGUN_PREFIX
 from .peering import Peering
-from .state_applier import OUTAGE_GRACE_MS, StateApplier
+from .state_applier import StateApplier
+from .store_contact import StoreContact
 
 # The store answers a watch without changes after this time, which shows that
 # the connection is alive.
@@ -38,9 +38,6 @@
 # When all hosts start for the first time, they read the store after this
 # delay, so that they find the records of all others at once.
 FIRST_START_DELAY_MS: Final = 700
-# An answer to a watch that is late by more than this shows an outage of the
-# store.
-WATCH_LATE_MS: Final = 500
 FIRST_RETRY_MS: Final = 100
 MAX_RETRY_MS: Final = 800
 FOLLOW_POLL_MS: Final = 100
@@ -70,9 +67,7 @@
         "_peers",
         "_peering",
         "_clock",
-        "_contact_at_ms",
-        "_outage_at_ms",
-        "_store_reached",
+        "_contact",
         "_wake",
         "_scope",
         "_confirming",
@@ -80,7 +75,6 @@
         "_next_watch_ms",
         "_counters",
         "_behind_since_ms",
-        "_watch_cut",
     )
 
     def __init__(
@@ -109,16 +103,12 @@
         self._era = era or StoreEra(self._counters)
         self._start_delay_ms = start_delay_ms
         self._next_watch_ms = 0
-        # Whether a watch was cut since the store last answered.
-        self._watch_cut = False
         self._store = store
         self._applier = applier
         self._peers = peers
         self._peering: Peering | None = None
         self._clock = clock
-        self._contact_at_ms: int | None = None
-        self._outage_at_ms: int | None = None
-        self._store_reached = True
+        self._contact = StoreContact(clock)
         self._wake = anyio.Event()
         self._scope: anyio.CancelScope | None = None
         self._confirming = False
@@ -133,9 +123,7 @@
         It is `NOT_WATCHING_MS` if this host does not watch the store or gets
         no answer.
         """
-        if self._contact_at_ms is None:
-            return NOT_WATCHING_MS
-        return self._clock.now_ms() - self._contact_at_ms
+        return self._contact.age_ms()
 
     def behind_ms(self) -> int:
         """Returns for how long changes are known to lack here, in ms."""
@@ -180,8 +168,8 @@
                 self._record_behind(LISTING_REASONS[type(exc)])
                 relist = await self._needs_listing()
             except StoreError as exc:
-                if self._is_first_cut(exc):
-                    self._watch_cut = self._confirming = True
+                if self._contact.take_first_cut(exc):
+                    self._confirming = True
                     continue
                 self._confirming = False
                 if not relist and exc.begun:
@@ -207,7 +195,7 @@
         replica = self._applier.replica
         now_ms = self._clock.now_ms()
         if self._era.reported > replica.era:
-            self._outage_at_ms = now_ms
+            self._contact.begin_outage()
             delay_ms = self._peers.relist_delay_ms(now_ms)
             with anyio.move_on_after(delay_ms / MS_PER_SECOND):
                 while self._era.reported > replica.era and delay_ms:
@@ -224,50 +212,14 @@
         if self._behind_since_ms is None:
             self._behind_since_ms = self._clock.now_ms()
 
-    def _is_first_cut(self, exc: StoreError) -> bool:
-        """Returns whether the store has cut a watch that waited.
-
-        It may do so at any time, which alone shows no outage: the next
-        watch, which is answered soon, does.
-        """
-        return (
-            exc.step == WATCH_CALL
-            and exc.reason == "cut"
-            and not exc.not_applied
-            and self._contact_at_ms is not None
-            and not self._watch_cut
-        )
-
     def _record_failure(self, exc: StoreError) -> None:
         """Records that the store does not answer and notifies peers at once.
 
         They then watch the store themselves, as it may refuse this host
         alone.
         """
-        self._outage_at_ms = self._clock.now_ms()
-        self._contact_at_ms = None
-        if self._store_reached:
-            self._store_reached = False
-            log_event(
-                "store_lost",
-                "WARNING",
-                step=exc.step,
-                reason=exc.reason,
-            )
-            if self._peering is not None:
-                self._peering.send_heartbeats()
-
-    def _record_contact(self, expected_ms: int) -> None:
-        now_ms = self._clock.now_ms()
-        if self._contact_at_ms is not None:
-            if now_ms - self._contact_at_ms > expected_ms + WATCH_LATE_MS:
-                self._outage_at_ms = now_ms
-        self._contact_at_ms = now_ms
-        self._watch_cut = False
-        if not self._store_reached:
-            self._store_reached = True
-            self._outage_at_ms = now_ms
-            log_event("store_regained")
+        if self._contact.record_failure(exc) and self._peering is not None:
+            self._peering.send_heartbeats()
 
     async def _read_store(self, relist: bool) -> None:
         replica = self._applier.replica
@@ -284,9 +236,9 @@
             # The revision asked for belongs to the era of that moment, even
             # if the replica has a newer one by now.
             if era != asked_era:
-                self._record_contact(WATCH_WAIT_MS)
+                self._contact.record_answer(WATCH_WAIT_MS)
                 raise StoreRestoredError
-        self._record_contact(WATCH_WAIT_MS)
+        self._contact.record_answer(WATCH_WAIT_MS)
         self._confirming = False
         if era < replica.era:
             # A peer has learnt of a restore in the meantime.
@@ -330,7 +282,7 @@
             await self._pull_from_peer()
 
     def _apply(self, items: list[Item], at: int, full: bool, era: int) -> None:
-        grace_ms = self._removal_grace_ms()
+        grace_ms = self._contact.removal_grace_ms()
         changes = tuple(
             Change(item.key, item.value, item.revision, grace_ms)
             for item in items
@@ -348,20 +300,13 @@
         if (count or restored) and self._peering is not None:
             self._peering.send_heartbeats()
 
-    def _removal_grace_ms(self) -> int:
-        """Returns what is left of the grace time after the last outage."""
-        if self._outage_at_ms is None:
-            return 0
-        since_ms = self._clock.now_ms() - self._outage_at_ms
-        return max(0, OUTAGE_GRACE_MS - since_ms)
-
     async def _follow_peers(self) -> bool:
         """Waits for a peer with a newer revision and pulls from it.
 
         Returns:
             False if the pull failed, so that the store has to be read.
         """
-        self._contact_at_ms = None
+        self._contact.end()
         with anyio.move_on_after(FOLLOW_POLL_MS / MS_PER_SECOND):
             await self._wake.wait()
         self._wake = anyio.Event()
@@ -389,7 +334,9 @@
         if page is None:
             self._behind_since_ms = self._behind_since_ms or now_ms
         else:
-            self._applier.apply(page, ahead.name, self._removal_grace_ms())
+            self._applier.apply(
+                page, ahead.name, self._contact.removal_grace_ms()
+            )
             self._era.observe(page.era)
         return page is not None
 
