Move what heartbeats report out of the exchange of heartbeats

What hosts learn from the heartbeats of their peers is merged by peer_reports.py. No change of behaviour: the tests of the exchange between hosts pass as they are.

--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -19,10 +19,8 @@
 from ..core.entry.addresses import Address
 from ..core.entry.crash_evidence import AttemptReport
 from ..core.entry.heartbeat import Heartbeat
-from ..core.entry.leaving_servers import digest_incarnation
-from ..core.entry.loads import PeerLoads
 from ..core.entry.part_reports import PartReport
-from ..core.entry.peer import MISSED_HEARTBEATS, Peer, PEER_TIMEOUT_MS
+from ..core.entry.peer import Peer
 from ..core.entry.peers import Peers, RESERVE_HEARTBEAT_EVERY
 from ..core.entry.planner import Planner
 from ..core.entry.replica import is_ahead, Page, Replica
@@ -32,8 +30,6 @@
 from ..core.entry.servers import digest_id
 from ..core.records import Record
 from ..platform.store_answers import read_full_answer
-from .answer_signs import merge_limit_reports, merge_room_reports
-from .crash_reports import merge_crash_reports, merge_unreached
 from .peer_codec import (
     decode_heartbeat,
     decode_page,
@@ -41,6 +37,7 @@
     encode_page,
     MessageError,
 )
+from .peer_reports import merge_reports
 from .tunnels import TunnelService
 
 PULL_TIMEOUT_MS: Final = 500
@@ -165,7 +162,7 @@
                 self.send_soon()
         if peer.address is None:
             peer.address = (addr[0], addr[1])
-        self._merge_reports(heartbeat, now_ms)
+        merge_reports(self._planner, self._rollouts, heartbeat, now_ms)
         replica = self._replica
         missing = heartbeat.has_overrides and replica.misses(heartbeat.era)
         if missing or is_ahead(
@@ -176,55 +173,6 @@
         ):
             self._on_newer_revision()
 
-    def _merge_reports(self, heartbeat: Heartbeat, now_ms: int) -> None:
-        find_server = self._planner.servers.find
-        valid_ms = max(
-            PEER_TIMEOUT_MS, MISSED_HEARTBEATS * heartbeat.interval_ms
-        )
-        loads = PeerLoads(now_ms + valid_ms, {}, {})
-        for digest, count, unread in heartbeat.loads:
-            server_id = find_server(digest)
-            if server_id is not None:
-                loads.requests[server_id] = count
-                loads.unread[server_id] = unread
-        self._planner.loads.update_peer(heartbeat.sender, loads, now_ms)
-        ejected = frozenset(
-            server_id
-            for server_id in map(find_server, heartbeat.ejected)
-            if server_id is not None
-        )
-        self._planner.ejections.update_peer(heartbeat.sender, ejected, now_ms)
-        merge_unreached(self._planner, heartbeat, now_ms)
-        merge_room_reports(self._planner, heartbeat, now_ms)
-        merge_crash_reports(self._planner, heartbeat, now_ms)
-        merge_limit_reports(self._planner, heartbeat, now_ms)
-        for part, digest in heartbeat.cached_parts:
-            server_id = find_server(digest)
-            if server_id is not None:
-                self._planner.caches.add_holder(part, server_id, now_ms)
-        self._merge_leaving(heartbeat, now_ms)
-        if self._rollouts is not None:
-            # Merged even without reports: it shows that the peer is alive.
-            self._rollouts.merge(
-                heartbeat.sender, heartbeat.boot, heartbeat.rollouts, now_ms
-            )
-
-    def _merge_leaving(self, heartbeat: Heartbeat, now_ms: int) -> None:
-        leaving = self._planner.leaving
-        for digest in heartbeat.leaving_servers:
-            if leaving.add_report(digest, now_ms):
-                names = [
-                    server.id
-                    for server in self._planner.servers.all()
-                    if digest_incarnation(server) == digest
-                ]
-                log_event(
-                    "server_leaving",
-                    server=names[0] if names else "",
-                    source=heartbeat.sender,
-                )
-                self._planner.counters.add("leaving_servers", source="peer")
-
     def send_heartbeats(self, to_reserve: bool = True) -> None:
         """Sends the state of this host to its peers.
 
