Read the head of an answer with fewer passes over its headers

Cause: the check for a second status line iterates over the headers, as did the sum of their sizes and the decoding, and iterating over the parser's headers costs a call for each of them. The end of an answer without trailers iterated over them, too.

All checks stay. The size of a head is summed up only if the connection has received more than a head may have, as a head can't be larger than what arrived. The pairs are copied before they are iterated over. Trailers are looked at if there are any. find() replaces "in", which tries the bytes as a number first.

--- a/corianderdoor/adapters/answer_meter.py
+++ b/corianderdoor/adapters/answer_meter.py
@@ -79,12 +79,15 @@
     ) -> str:
         if self._informational > MAX_INFORMATIONAL:
             return "too many informational heads"
-        if isinstance(event, h11.Response):
-            size = sum(len(name) + len(value) for name, value in event.headers)
-            if size > MAX_HEAD_BYTES:
-                return "head is larger than 64 KiB"
         body_bytes = self._body_bytes
-        framing = self._protocol.bytes_received - body_bytes
+        received_bytes = self._protocol.bytes_received
+        if received_bytes > MAX_HEAD_BYTES and isinstance(event, h11.Response):
+            pairs = event.headers.raw_items()
+            if sum([len(pair[0]) + len(pair[1]) for pair in pairs]) > (
+                MAX_HEAD_BYTES
+            ):
+                return "head is larger than 64 KiB"
+        framing = received_bytes - body_bytes
         if framing > MAX_FRAMING_BYTES + FRAMING_PER_BYTE * body_bytes:
             return "more framing than body"
         if not is_stream:
--- a/corianderdoor/core/entry/server_exchange.py
+++ b/corianderdoor/core/entry/server_exchange.py
@@ -154,7 +154,10 @@
     A parser takes the cut start of one answer and the whole of the next as
     a single head with a long reason, or a long value of a header.
     """
-    if b"HTTP/" in reason:
+    # `find` takes half as long as `in`.
+    if reason.find(b"HTTP/") >= 0:
         return True
-    values = b"\n".join([pair[1] for pair in headers])
-    return b"HTTP/" in values and bool(SPLICED_STATUS_LINE.search(values))
+    values = b"\n".join([value for _, value in headers])
+    return values.find(b"HTTP/") >= 0 and bool(
+        SPLICED_STATUS_LINE.search(values)
+    )
--- a/corianderdoor/entry/answer_reader.py
+++ b/corianderdoor/entry/answer_reader.py
@@ -203,15 +203,8 @@
         """
         exchange = self._protocol.exchange
         if isinstance(event, h11.EndOfMessage):
-            if event.headers and is_spliced(b"", list(event.headers)):
-                exchange.record_unusable()
-                raise ConnectionBrokenError(TWO_ANSWERS, True)
-            for name, value in event.headers:
-                if name == ATTEMPT_ID and self._own_id not in (None, value):
-                    exchange.record_unusable()
-                    raise ConnectionBrokenError(
-                        "trailers of another answer", True
-                    )
+            if event.headers:
+                self._check_trailers(event.headers.raw_items())
             exchange.record_end()
         elif isinstance(event, (h11.Response, h11.InformationalResponse)):
             # Iterating over the headers takes longer than this copy.
@@ -220,6 +213,23 @@
                 exchange.record_unusable()
                 raise ConnectionBrokenError(TWO_ANSWERS, True)
 
+    def _check_trailers(self, trailers: Headers) -> None:
+        """Checks what follows the body of an answer.
+
+        Raises:
+            ConnectionBrokenError: It belongs to another answer.
+        """
+        exchange = self._protocol.exchange
+        if is_spliced(b"", trailers):
+            exchange.record_unusable()
+            raise ConnectionBrokenError(TWO_ANSWERS, True)
+        if self._own_id is None:
+            return
+        for name, value in trailers:
+            if name.lower() == ATTEMPT_ID and value != self._own_id:
+                exchange.record_unusable()
+                raise ConnectionBrokenError("trailers of another answer", True)
+
     async def _look_for_other_server(self, received_bytes: int | None) -> None:
         """Moves the request from its silent server if another takes it.
 
@@ -294,7 +304,8 @@
                 event = await self.next_event(send.silence_ms)
             if not isinstance(event, h11.Response):
                 return None
-            pairs = [(name, value) for name, value in event.headers]
+            raw = event.headers.raw_items()
+            pairs = [(name.lower(), value) for name, value in raw]
             head = AnswerHead(event.status_code, pairs)
             marks.observe(send.server, head)
             # A repeated answer would not be recognised on a connection where
