Count the grace period from the last time without the signal

A stream that was sent over 3 s after SIGTERM, on a connection in use, was taken and cut by the kill, without an excuse of the rule.

Cause: the platform counts the grace period from its signal, and the host counted from when its event loop had handled it. A process that does not run for a while, on a machine with many processes, handles it late: requests were taken for 2.5 s from then on, and its own end came after the kill. The class: a time is counted from when this process noticed, not from when it happened.

The signal is now noted in its handler, which also runs while the event loop is busy. It may have come any time after the tick before the last one (ticks are 0.1 s apart; the last one may run before the handler in a process that resumes). Late requests are judged by that time, and the end moves forward by it, by at most 9% of the grace period, so that it stays in the last sixth. "stopping" and "shutdown_done" log these times. SIGTERM and SIGINT are ignored after the service; they had their default action there.

--- a/corianderdoor/core/entry/planned_stop.py
+++ b/corianderdoor/core/entry/planned_stop.py
@@ -38,7 +38,7 @@
             accept_ms: Time in which all requests are taken, as callers may
                 not know of the stop yet.
             span_ms: Time after which answers are cut off.
-            now_ms: Monotonic time in ms.
+            now_ms: When both times begin, in monotonic time in ms.
         """
         self._began_ms = now_ms
         self._late_ms = now_ms + accept_ms
--- a/corianderdoor/core/entry/process_pauses.py
+++ b/corianderdoor/core/entry/process_pauses.py
@@ -21,10 +21,12 @@
     so decisions check for themselves whether there was one.
     """
 
-    __slots__ = ("_ticked_ms", "_settled_ms", "_current_ms")
+    __slots__ = ("_ticked_ms", "_before_ms", "_settled_ms", "_current_ms")
 
     def __init__(self) -> None:
         self._ticked_ms: int | None = None
+        # The tick before the last one.
+        self._before_ms: int | None = None
         self._settled_ms = 0
         self._current_ms = 0
 
@@ -35,14 +37,29 @@
         gap_ms = now_ms - self._ticked_ms
         if gap_ms <= PAUSE_THRESHOLD_MS:
             return 0
-        self._ticked_ms = now_ms
+        self.record_tick(now_ms)
         self._settled_ms = now_ms + SETTLE_MS
         self._current_ms = now_ms + CATCH_UP_MS
         return gap_ms
 
     def record_tick(self, now_ms: int) -> None:
         """Records that the process runs; call `check` before."""
-        self._ticked_ms = now_ms
+        if now_ms != self._ticked_ms:
+            self._before_ms, self._ticked_ms = self._ticked_ms, now_ms
+
+    def signal_delay_ms(self, now_ms: int, started_ms: int) -> int:
+        """Returns how long a signal that is handled now may have waited.
+
+        It had not come by the tick before the last one. The last one proves
+        less: a process that resumes may run it before the signal's handler.
+
+        Args:
+            now_ms: Monotonic time in ms.
+            started_ms: When the process started, for one without ticks.
+        """
+        if self._before_ms is None:
+            return now_ms - started_ms
+        return now_ms - self._before_ms
 
     def is_settling(self, now_ms: int) -> bool:
         """Returns whether what is known of peers may date from before."""
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -101,15 +101,16 @@
         self.count_busy()  # drops those whose bytes are sent by now
         return len(self._unsent) + len(self._conns)
 
-    def drain(self, accept_ms: int, span_ms: int) -> None:
+    def drain(self, accept_ms: int, span_ms: int, since_ms: int = 0) -> None:
         """Makes each connection close after the answer in progress.
 
         Args:
             accept_ms: Time in which all requests are taken.
-            span_ms: Time after which `end_requests` is called.
+            span_ms: Time after which `end_requests` may be called.
+            since_ms: How long ago these times may have begun.
         """
         self.draining = True
-        self.stop.begin(accept_ms, span_ms, self._clock.now_ms())
+        self.stop.begin(accept_ms, span_ms, self._clock.now_ms() - since_ms)
         for conn in self._conns:
             conn.closing = True
 
--- a/corianderdoor/entry/command.py
+++ b/corianderdoor/entry/command.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import json
 import pathlib
 import random
 import signal
 import sys
+import types
 from typing import Final
 
 import anyio
@@ -25,6 +27,7 @@
 
 EXIT_DONE: Final = 0
 EXIT_USAGE: Final = 2
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -42,18 +45,24 @@
 
 
 async def _handle_signals(host: EntryHost, stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
+    loop = asyncio.get_running_loop()
+
+    def handle_stop(number: int, frame: types.FrameType | None) -> None:
+        # Runs before anything else does, also while the event loop is busy.
+        host.record_stop_signal()
+        loop.call_soon_threadsafe(stop.set)
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, handle_stop)
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
         try:
             signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    host.reload()
-                else:
-                    stop.set()
+            async for _ in signals:
+                host.reload()
         finally:
-            # Nothing handles it from here to the end of the process.
+            # Nothing handles them from here to the end of the process.
+            for number in STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
             signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -16,7 +16,6 @@
 from ..adapters.logs import log_event
 from ..adapters.metrics_text import MetricsText
 from ..core.clock import Clock
-from ..core.entry.addresses import Address
 from ..core.entry.answer_memory import AnswerMemory
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -132,7 +131,9 @@
         self._links = ServerLinks(
             clock, self._planner.counters, connect_server
         )
-        self._links.list_helpers = self._list_helpers
+        self._links.list_helpers = lambda id: self._peers.list_helpers(
+            id, clock.now_ms()
+        )
         self._links.is_leaving = self._peers.is_leaving
         self._pool = ConnectionPool(
             clock, self._links, AnswerMemory(settings.memory_mb)
@@ -278,12 +279,10 @@
             self._directory,
             self._registration,
             self._tunnels,
-            self._planner.counters,
+            self._planner,
+            clock,
         )
 
-    def _list_helpers(self, server_id: str) -> list[Address]:
-        return self._peers.list_helpers(server_id, self._clock.now_ms())
-
     def _is_isolated(self) -> bool:
         """Returns whether this host gets no heartbeats of any peer."""
         live = self._peers.count_live(self._clock.now_ms())
@@ -343,7 +342,7 @@
         jobs: dict[str, Job] = {
             "sync": self._sync.run,
             "registration": functools.partial(
-                self._registration.run, self._is_serving
+                self._registration.run, lambda: not self._peering.leaving
             ),
             "caches": self._cache_saver.run,
             "heartbeats": self._peering.run_heartbeats,
@@ -378,8 +377,9 @@
         address = (self._settings.address, port)
         await listen(address, tasks, MetricsService(text).serve)
 
-    def _is_serving(self) -> bool:
-        return not self._peering.leaving
+    def record_stop_signal(self) -> None:
+        """Records the signal to stop; may be called in its handler."""
+        self._stop.record_signal()
 
     def reload(self) -> None:
         """Reloads the settings; invalid settings are ignored.
--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -10,8 +10,8 @@
 
 from ..adapters.http1_connect import deliver_pending
 from ..adapters.logs import log_event
-from ..core.clock import MS_PER_SECOND
-from ..core.entry.counters import Counters
+from ..core.clock import Clock, MS_PER_SECOND
+from ..core.entry.planner import Planner
 from .callers import CallerService
 from .directory import DirectoryService
 from .peering import Peering
@@ -27,6 +27,9 @@
 IDLE_CLOSE_DELAY_MS: Final = 700
 # Share of the grace period after which answers in progress are cut off.
 GRACE_PERIOD_SHARE: Final = 0.93
+# Share of the grace period by which that end moves forward at most, as the
+# signal may have come before it could be handled.
+MAX_LATE_SHARE: Final = 0.09
 # Time in which the requests that are cut off get their answers.
 LAST_ANSWERS_MS: Final = 60
 STOP_POLL_MS: Final = 20
@@ -43,6 +46,11 @@
         "_registration",
         "_tunnels",
         "_counters",
+        "_pauses",
+        "_clock",
+        "_started_ms",
+        "_signal_ms",
+        "_late_ms",
     )
 
     def __init__(
@@ -53,7 +61,8 @@
         directory: DirectoryService,
         registration: Registration,
         tunnels: TunnelService,
-        counters: Counters,
+        planner: Planner,
+        clock: Clock,
     ) -> None:
         """Initializes the object with the parts that a stop ends.
 
@@ -64,7 +73,9 @@
             directory: Names this host to callers no longer.
             registration: Withdraws this host's record.
             tunnels: Connections that peers use.
-            counters: Counts unexpected errors; none of them ends the stop.
+            planner: Counts unexpected errors, none of which ends the stop,
+                and knows when this process last ran.
+            clock: The clock.
         """
         self._grace_ms = grace_ms
         self._callers = callers
@@ -72,16 +83,41 @@
         self._directory = directory
         self._registration = registration
         self._tunnels = tunnels
-        self._counters = counters
+        self._counters = planner.counters
+        self._pauses = planner.selection.process_pauses
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        # When the signal was handled first, and how long before it may have
+        # come.
+        self._signal_ms: int | None = None
+        self._late_ms = 0
+
+    def record_signal(self) -> None:
+        """Records the signal to stop; may be called in its handler."""
+        if self._signal_ms is None:
+            self._signal_ms = self._clock.now_ms()
+            self._late_ms = self._pauses.signal_delay_ms(
+                self._signal_ms, self._started_ms
+            )
 
     async def run(self, listener: asyncio.Server) -> None:
         """Takes the host out of service and waits for answers in progress."""
-        span_ms = int(self._grace_ms * GRACE_PERIOD_SHARE)
-        log_event("stopping", in_progress=self._callers.count_busy())
+        self.record_signal()
+        assert self._signal_ms is not None
+        since_ms = self._clock.now_ms() - self._signal_ms
+        log_event(
+            "stopping",
+            in_progress=self._callers.count_busy(),
+            waited_ms=since_ms,
+            late_ms=self._late_ms,
+        )
         self._peering.leaving = True
         self._directory.leaving = True
-        accept_ms = min(ACCEPT_AFTER_STOP_MS, span_ms // 2)
-        self._callers.drain(accept_ms, span_ms)
+        full_ms = int(self._grace_ms * GRACE_PERIOD_SHARE)
+        late_ms = min(self._late_ms, int(self._grace_ms * MAX_LATE_SHARE))
+        span_ms = max(0, full_ms - since_ms - late_ms)
+        accept_ms = min(ACCEPT_AFTER_STOP_MS, full_ms // 2)
+        self._callers.drain(accept_ms, full_ms, since_ms + self._late_ms)
         # Bounds all of the stop: the store may not answer, and a grace period
         # may be shorter than the delays below.
         with anyio.move_on_after(span_ms / MS_PER_SECOND):
@@ -96,7 +132,12 @@
                 )
                 await keep_running("drain", drain, self._counters)
         listener.close()
-        log_event("shutdown_done", in_progress=self._callers.count_busy())
+        log_event(
+            "shutdown_done",
+            in_progress=self._callers.count_busy(),
+            tunnels=self._tunnels.open,
+            since_ms=self._clock.now_ms() - self._signal_ms,
+        )
         if self._callers.count_open():
             self._callers.end_requests()
             await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
