--- a/tests/test_entry_delayed_signals.py
+++ b/tests/test_entry_delayed_signals.py
@@ -21,6 +21,7 @@
     build_settings,
     ENGINE_SERVICE,
     GRACE_PERIOD_S,
+    PLAIN_SERVICE,
     PORT,
     run_fleet,
 )
@@ -34,6 +35,9 @@
     timeout_ms=LONG_MS,
     stream_resumption=False,
 )
+ORDER_ROUTE = build_route(
+    "/order/", "idempotent", PLAIN_SERVICE, timeout_ms=LONG_MS
+)
 # The rule leaves out requests that are sent up to this long after the signal
 # and last for as long as the grace period does.
 EXCUSED_S = 3.0
@@ -43,11 +47,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_host(tmp_path):
+async def run_host(tmp_path, engines=1, plain=0):
     """Runs a deployment whose host is a process of its own."""
     with anyio.fail_after(60):
-        async with run_fleet(engines=1, plain=0, hosts=0) as fleet:
-            fleet.store.state.put("op/config", build_config(2, [LONG_ROUTE]))
+        async with run_fleet(engines=engines, plain=plain, hosts=0) as fleet:
+            fleet.store.state.put(
+                "op/config", build_config(2, [LONG_ROUTE, ORDER_ROUTE])
+            )
             address = fleet.allocate_address()
             path = tmp_path / "settings.json"
             path.write_bytes(build_settings("h", address, fleet.store_address))
