Send no request that may run once through a peer that shuts down

A stream or payment that had been sent through a peer late in the peer's stop was cut with the tunnel, and answered 502 where it had not begun.

Cause: kept such requests off the idle tunnels of a peer that shuts down, and asked such peers last, but not off new tunnels: when the own connection fails and all other peers are gone, the last peer is asked although it ends its tunnels at once, whatever they carry. Judged was how a connection had been found, not what it goes through.

A request that may run once now goes to another server, or is refused with 503, "not run", when only a peer that shuts down passes its bytes on. Requests that may run again still go there.

--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -125,6 +125,14 @@
         if not protocol.via_peer:
             self._links.paths.record_received(server_id, self._clock.now_ms())
 
+    def may_be_cut(self, protocol: H11Protocol) -> bool:
+        """Returns whether a peer that shuts down passes the bytes on.
+
+        It ends its tunnels, whatever they carry.
+        """
+        peer = protocol.peer
+        return peer is not None and self._links.is_leaving(peer)
+
     def is_connected(self, server_id: str) -> bool:
         """Returns whether a connection to the server was used recently."""
         idle = self._idle.get(server_id)
@@ -159,13 +167,11 @@
         if not idle.protocol.reusable or now_ms >= idle.expires_ms:
             return False
         paths = self._links.paths
-        peer = idle.protocol.peer
-        if peer is None:
+        if not idle.protocol.via_peer:
             return paths.trusts(server_id, idle.used_ms)
-        # A peer that shuts down ends its tunnels, whatever they carry.
-        return paths.is_relayed(
-            server_id, now_ms
-        ) and not self._links.is_leaving(peer)
+        return paths.is_relayed(server_id, now_ms) and not self.may_be_cut(
+            idle.protocol
+        )
 
     def release(
         self,
--- a/corianderdoor/entry/relay.py
+++ b/corianderdoor/entry/relay.py
@@ -145,8 +145,7 @@
         log_done(flight, self._clock.now_ms())
 
     def _count_outcome(self, outcome: str) -> None:
-        flight = self._flight
-        kind = flight.route.kind.value if flight else "none"
+        kind = self._flight.route.kind.value if self._flight else "none"
         self._planner.counters.add("requests", kind=kind, outcome=outcome)
 
     def _record_interruption(
@@ -232,6 +231,10 @@
         if not self._planner.selection.may_send(server, self._clock.now_ms()):
             protocol.abort()
             return Ending.WITHDRAWN
+        if not flight.route.may_retry() and self._pool.may_be_cut(protocol):
+            protocol.abort()
+            flight.excluded.add(server.id)
+            return Ending.WITHDRAWN
         if not begin_exchange(protocol, flight):
             protocol.abort()
             flight.excluded.add(server.id)
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -137,6 +137,27 @@
     run(scenario, engines=0, plain=1, hosts=3)
 
 
+# Guards against LOST: a payment is sent through a new tunnel of a peer that
+# shuts down, as no other way is left, and is cut with the tunnel.
+def test_payment_takes_no_new_tunnel_of_a_peer_that_shuts_down(monkeypatch):
+    monkeypatch.setattr(host_stop, "GRACE_PERIOD_SHARE", 0.2)
+
+    async def scenario(fleet):
+        cut(fleet)
+        (worker,) = fleet.workers.values()
+        worker.work_ms = 1_500
+        fleet.stop_host("host-1")
+        await anyio.sleep(0.3)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x")
+        assert (reply.status, worker.runs["id-1"]) == (503, 0)
+        # What may run twice still goes there, as nothing else is left.
+        worker.work_ms = 5
+        reply = await fleet.chat("host-0", "id-2", "/read/x")
+        assert (reply.status, worker.runs["id-2"]) == (200, 1)
+
+    run(scenario, engines=0, plain=1, hosts=2)
+
+
 # Guards against LOST: requests that go through a peer that shuts down though
 # this host reaches the server itself.
 @pytest.mark.anyio
