Test that bytes before any request are a failure of the server alone

test_server_with_early_bytes_fails_and_is_not_lost has a server send a rejection, a cut one, or a byte that is no answer as soon as a connection is open.

--- /dev/null
+++ b/tests/test_early_bytes.py
@@ -0,0 +1,87 @@
+"""Bytes that a server sends on a new connection before any request."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+from test_entry_path import run
+
+from corianderdoor.core.entry.planner import Planner
+from corianderdoor.entry.server_links import ServerLinks
+from corianderdoor.standins.raw_server import (
+    add_raw_server,
+    build_answer,
+    RawServer,
+)
+
+REFUSAL = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+EARLY = {"refusal": REFUSAL, "cut": REFUSAL[:9], "no answer": b"\0"}
+
+
+async def answer(req, writer) -> None:
+    """Answers correctly."""
+    writer.write(b"".join(build_answer(req)))
+
+
+class EarlyServer(RawServer):
+    """Sends bytes as soon as a connection is open."""
+
+    def __init__(self, early: bytes) -> None:
+        super().__init__(answer)
+        self._early = early
+
+    async def serve(self, reader, writer) -> None:
+        """Serves one connection until it ends."""
+        writer.write(self._early)
+        await super().serve(reader, writer)
+
+
+@pytest.fixture
+def unreached(monkeypatch) -> list[str]:
+    """Has hosts see early bytes before they send, and returns lost servers.
+
+    Without the wait the bytes and the request may cross.
+    """
+    open_link = ServerLinks.open
+    servers: list[str] = []
+
+    async def open_and_wait(links: ServerLinks, server: Any) -> Any:
+        protocol = await open_link(links, server)
+        if protocol is not None and server.id.startswith("early"):
+            with anyio.fail_after(5):
+                await protocol.wait_for_bytes()
+        return protocol
+
+    monkeypatch.setattr(ServerLinks, "open", open_and_wait)
+    monkeypatch.setattr(
+        Planner,
+        "record_unreached",
+        lambda planner, flight, server, now_ms: servers.append(server.id),
+    )
+    return servers
+
+
+# Guards against a server that counts as lost or crashed though it is up, and
+# against REFUSED: its early bytes are no answer to a payment.
+@pytest.mark.parametrize("hosts", [1])
+@pytest.mark.parametrize("early", EARLY)
+def test_server_with_early_bytes_fails_and_is_not_lost(
+    early, hosts, unreached
+):
+    async def scenario(fleet):
+        faulty, sound = EarlyServer(EARLY[early]), RawServer(answer)
+        await add_raw_server(fleet, "early-0", False, faulty)
+        await anyio.sleep(0.6)
+        if hosts == 2:
+            fleet.links["host-0"].cut("refuse")
+        alone = await fleet.chat("host-0", "id-0", "/pay/x")
+        assert faulty.opened and alone.status == 503
+        await add_raw_server(fleet, "raw-0", False, sound)
+        await anyio.sleep(0.6)
+        reply = await fleet.chat("host-0", "id-1", "/pay/x")
+        assert (reply.status, sound.runs) == (200, [b"id-1"])
+        assert not faulty.runs and not unreached
+
+    run(scenario, engines=0, plain=0, hosts=hosts)
