Take early bytes behind a peer as a failure, not as a lost server

A host that reaches a server through a peer recorded the server as one that can't be reached, though it is up, when the server sent bytes before any request: a crash of its requests, a suspected restart and an unproven version. Its requests were sent nowhere or elsewhere.

open_tunnel returns the connection with the number of these bytes. Its exchange takes no request then, as on a connection of the host's own, and the attempt counts as a plain failure.

Evidence: test_server_with_early_bytes_fails_and_is_not_lost with a peer between failed in 3 of 3 cases before, as did the 3 cases of test_tunnel_with_early_bytes_is_open_and_takes_no_request; all pass now, as do tests/test_entry_tunnels.py and tests/test_server_exchange.py.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -262,12 +262,17 @@
         """Whether a peer passes the bytes on."""
         return self.peer is not None
 
-    def restart_as_tunnel(self, peer: Address) -> None:
-        """Prepares a connection through a peer for its first request."""
+    def restart_as_tunnel(self, peer: Address, early_bytes: int = 0) -> None:
+        """Prepares a connection through a peer for its first request.
+
+        Args:
+            peer: Address of the peer.
+            early_bytes: Number of bytes that the server sent before it.
+        """
         self.h11 = h11.Connection(
             self._role, max_incomplete_event_size=self._max_head_bytes
         )
-        self.bytes_received = 0
+        self.bytes_received = early_bytes
         self.peer = peer
         self.exchange = ServerExchange()
 
--- a/corianderdoor/adapters/tunnel.py
+++ b/corianderdoor/adapters/tunnel.py
@@ -24,8 +24,8 @@
     """Opens a connection to `target` through the peer at `peer`.
 
     Returns:
-        The connection, ready for requests to `target`; None if the peer or
-        the target could not be reached.
+        The connection to `target`, which takes no request if the target sent
+        bytes before any; None if the peer or the target could not be reached.
     """
     protocol = await connect(peer, timeout_ms, unacked_timeout_ms)
     if protocol is None:
@@ -40,11 +40,9 @@
         )
         protocol.write(h11.EndOfMessage())
         event = await protocol.next_event()
-        # Bytes of the server before a request are no answer to it.
         early = protocol.h11.trailing_data[0]
-        opened = isinstance(event, h11.Response) and event.status_code == OK
-        if opened and not early:
-            protocol.restart_as_tunnel(peer)
+        if isinstance(event, h11.Response) and event.status_code == OK:
+            protocol.restart_as_tunnel(peer, len(early))
             passed_on = True
     except ConnectionBrokenError:
         # The peer ended; the caller of this function asks another one.
--- a/tests/test_early_bytes.py
+++ b/tests/test_early_bytes.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import anyio
+import h11
 import pytest
 from test_entry_path import run
+from test_server_exchange import build_flight, Transport
 
+from corianderdoor.adapters.http1 import H11Protocol
+from corianderdoor.adapters.tunnel import open_tunnel
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.entry.server_links import ServerLinks
+from corianderdoor.entry.server_request import begin_exchange
 from corianderdoor.standins.raw_server import (
     add_raw_server,
     build_answer,
     RawServer,
 )
 
+TARGET = ("127.0.0.9", 80)
+PEER = ("127.0.0.2", 7340)
 REFUSAL = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 EARLY = {"refusal": REFUSAL, "cut": REFUSAL[:9], "no answer": b"\0"}
 
@@ -65,7 +73,7 @@
 
 # Guards against a server that counts as lost or crashed though it is up, and
 # against REFUSED: its early bytes are no answer to a payment.
-@pytest.mark.parametrize("hosts", [1])
+@pytest.mark.parametrize("hosts", [1, 2])
 @pytest.mark.parametrize("early", EARLY)
 def test_server_with_early_bytes_fails_and_is_not_lost(
     early, hosts, unreached
@@ -85,3 +93,55 @@
         assert not faulty.runs and not unreached
 
     run(scenario, engines=0, plain=0, hosts=hosts)
+
+
+class RecordingTransport(Transport):
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        """Appends `data`."""
+        self.written += data
+
+    def close(self) -> None:
+        """Closes nothing."""
+
+
+def open_protocol(role: Any = h11.CLIENT) -> H11Protocol:
+    protocol = H11Protocol(role)
+    protocol.connection_made(RecordingTransport())  # type: ignore[arg-type]
+    return protocol
+
+
+# Guards against the same behind a peer, whose answer and the server's bytes
+# may arrive in one read.
+@pytest.mark.parametrize("early", EARLY)
+def test_tunnel_with_early_bytes_is_open_and_takes_no_request(early):
+    async def connect(*args: Any) -> H11Protocol:
+        protocol = open_protocol()
+        protocol.data_received(b"HTTP/1.1 200 \r\n\r\n" + EARLY[early])
+        return protocol
+
+    async def open_one() -> H11Protocol | None:
+        return await open_tunnel(connect, PEER, TARGET, 1_000, 1_000)
+
+    protocol = asyncio.run(open_one())
+    assert protocol is not None and protocol.via_peer
+    assert not protocol.reusable
+    assert not begin_exchange(protocol, build_flight(False))
+
+
+def test_tunnel_without_early_bytes_takes_a_request():
+    async def connect(*args: Any) -> H11Protocol:
+        protocol = open_protocol()
+        protocol.data_received(b"HTTP/1.1 200 \r\n\r\n")
+        return protocol
+
+    async def open_one() -> H11Protocol | None:
+        return await open_tunnel(connect, PEER, TARGET, 1_000, 1_000)
+
+    protocol = asyncio.run(open_one())
+    assert protocol is not None
+    assert begin_exchange(protocol, build_flight(False))
