Pass on to a peer what a server sent before its tunnel was open

A host behind a peer could get the rest of what a server sent before any request, without its start, and so bytes of which it can't be told whose they are. No caller was seen to get a wrong answer by it.

Cause: the peer's connection to the server gave bytes that arrived between its opening and pass_on to its own parser, and never passed them on.

pass_on sends them first. The host at the other end then sees that bytes came before a request, and sends none there.

Evidence: test_peer_passes_on_what_arrived_before_the_tunnel_was_open failed before ("head more" in place of "head HTTP/1.1 more") and passes now.

--- a/corianderdoor/adapters/tunnel.py
+++ b/corianderdoor/adapters/tunnel.py
@@ -76,6 +76,10 @@
 
     try:
         conn.start(OK, [])
+        # The rest of them alone could pass for an answer.
+        early = target.h11.trailing_data[0]
+        if early:
+            near.write_raw(early)
         near.pass_to(target, end_at_near)
         target.pass_to(near, end_at_target)
         await ended.wait()
--- a/tests/test_early_bytes.py
+++ b/tests/test_early_bytes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -12,7 +13,7 @@
 from test_server_exchange import build_flight, Transport
 
 from corianderdoor.adapters.http1 import H11Protocol
-from corianderdoor.adapters.tunnel import open_tunnel
+from corianderdoor.adapters.tunnel import open_tunnel, pass_on
 from corianderdoor.core.entry.planner import Planner
 from corianderdoor.entry.server_links import ServerLinks
 from corianderdoor.entry.server_request import begin_exchange
@@ -145,3 +146,23 @@
     protocol = asyncio.run(open_one())
     assert protocol is not None
     assert begin_exchange(protocol, build_flight(False))
+
+
+# Guards against REFUSED: a peer keeps the start of what a server sends, and
+# the rest passes for a whole answer.
+def test_peer_passes_on_what_arrived_before_the_tunnel_was_open():
+    async def serve() -> bytes:
+        near, target = open_protocol(h11.SERVER), open_protocol()
+        target.data_received(EARLY["cut"])
+        conn: Any = SimpleNamespace(
+            protocol=near, start=lambda *args: near.write_raw(b"head ")
+        )
+        task = asyncio.ensure_future(pass_on(conn, target))
+        await asyncio.sleep(0)
+        target.data_received(b" more")
+        target.eof = True
+        target.connection_lost(None)
+        await task
+        return near._transport.written  # type: ignore[union-attr]
+
+    assert asyncio.run(serve()) == b"head " + EARLY["cut"] + b" more"
