Keep the pause that a server asks for before its next entry comes

Cause: a pause is kept with the process that the entry names. A process that asks for one before its own entry is here was taken for the one before, and the pause ended when its entry came.

test_pause_that_the_next_process_asks_for_outlasts_its_entry failed before, and passes.

--- a/corianderdoor/core/entry/cache_map.py
+++ b/corianderdoor/core/entry/cache_map.py
@@ -36,7 +36,7 @@
     a sign of its restart does not count until it is known to run on.
     """
 
-    __slots__ = ("_parts", "_reported", "_updates", "_restarts")
+    __slots__ = ("_parts", "_reported", "_updates", "_restarts", "_proofs")
 
     def __init__(self, restarts: SuspectedRestarts | None = None) -> None:
         """Creates an empty map.
@@ -45,6 +45,7 @@
             restarts: Servers that may have restarted; None for none.
         """
         self._restarts = restarts or SuspectedRestarts()
+        self._proofs = self._restarts.proofs
         self._parts: OrderedDict[int, dict[str, int]] = OrderedDict()
         self._reported: OrderedDict[tuple[int, str], int] = OrderedDict()
         self._updates: deque[tuple[int, str]] = deque(maxlen=MAX_UPDATES)
@@ -105,7 +106,7 @@
             for server_id, used_ms in holders.items()
             if now_ms - used_ms < HOLDER_TTL_MS
         }
-        if not self._restarts.proofs.has_signs():
+        if not self._proofs.has_signs():
             return found
         may_have_lost = self._restarts.may_have_lost
         return {
--- a/corianderdoor/core/entry/process_facts.py
+++ b/corianderdoor/core/entry/process_facts.py
@@ -15,13 +15,15 @@
 def drop_at_ends(selection: ServerSelection) -> None:
     """Lets the list of servers drop the facts of processes that have ended.
 
-    Facts that hold the incarnation with them (pauses, leaving servers) and
-    counts of this host's own requests do not need it.
+    Servers that leave are kept by incarnation, and counts of this host's own
+    requests end with them.
     """
-    selection.servers.on_ended += [
+    servers, pauses = selection.servers, selection.pauses
+    servers.on_ended += [
         selection.caches.remove,
         selection.ejections.remove,
         selection.limits.remove,
         selection.rooms.begin_process,
         selection.waiting.remove,
+        lambda server_id: pauses.begin_process(servers.get(server_id)),
     ]
--- a/corianderdoor/core/entry/version_proofs.py
+++ b/corianderdoor/core/entry/version_proofs.py
@@ -74,10 +74,14 @@
 
     def record_answer(self, server_id: str, now_ms: int) -> None:
         """Records that a server has begun to answer a request."""
-        sign_ms = self._signs.get(server_id)
-        if sign_ms is not None and now_ms - sign_ms >= BUFFERED_MS:
+        if self.may_be_next(server_id, now_ms):
             self._answered.setdefault(server_id, now_ms)
 
+    def may_be_next(self, server_id: str, now_ms: int) -> bool:
+        """Returns whether an answer may be of a process after the sign."""
+        sign_ms = self._signs.get(server_id)
+        return sign_ms is not None and now_ms - sign_ms >= BUFFERED_MS
+
     def record_told(self, server_id: str) -> None:
         """Records that the entry of a later process has arrived."""
         self._signs.pop(server_id, None)
--- a/tests/test_server_facts.py
+++ b/tests/test_server_facts.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from entry_builders import build_request
 import pytest
 from test_entry_store_restore import encode_entry, Host
 
 from corianderdoor.core.entry.requests import PromptPart
 from corianderdoor.core.entry.version_proofs import TOLD_MS
+from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry.server_marks import ServerMarks
 from corianderdoor.entry.state_applier import OUTAGE_GRACE_MS
 
 PART = PromptPart("chat", 500)
@@ -98,6 +102,33 @@
     assert holders(host) == ["s1"]
 
 
+# Guards against BUDGET: a server that was back asked for a pause before its
+# entry came, and the pause ended with the entry.
+def test_pause_that_the_next_process_asks_for_outlasts_its_entry():
+    host = Host()
+    host.write("servers/s1", encode_entry(), 8, 0)
+    servers, pauses = host.planner.servers, host.planner.pauses
+    pool = ConnectionPool(host.clock, host.planner.counters)
+    marks = ServerMarks(host.planner, pool, host.clock, lambda: None)
+    former, head = servers.get("s1"), SimpleNamespace(
+        ignored_marks=(), wrong_server=False, leaving=False, pause_ms=60_000
+    )
+    marks.observe(former, head)
+    host.planner.restarts.record_unreachable("s1", host.clock.now_ms())
+    host.wait(2_000)
+    head.pause_ms = 5_000
+    marks.observe(former, head)
+    # Until the entry comes, either process may be there.
+    assert pauses.left_ms(former, host.clock.now_ms()) == 58_000
+    host.write("servers/s1", encode_entry(born=200), 9, 0)
+    now = servers.get("s1")
+    assert pauses.left_ms(now, host.clock.now_ms()) == 5_000
+    host.wait(5_000)
+    assert pauses.left_ms(now, host.clock.now_ms()) == 0
+    host.write("servers/s1", encode_entry(born=300), 10, 0)
+    assert pauses.left_ms(servers.get("s1"), host.clock.now_ms()) == 0
+
+
 # Guards against ORDER and FAILBACK: a write of the process before that the
 # store executed late counted as the entry of a later one, with its version,
 # and as warm.
