Copy each list of overrides that differs from one's own

Callers saw: nothing yet; the model check with three versions was broken. A host that started after a restore may go by the second newest desired state, or use a server that only one peer had seen leave.

Cause: each host copied one list in each era, from the peer that had started first. That peer may have missed a write that another host knows.

Change: heartbeats have a digest of 32 bits of all that was on the list in this era, and pages the digests of all its entries. A host copies each list whose digest is neither its own nor one that it has copied, and takes over the digests of its entries. It does not change when an entry leaves the list, so writes after a restore make nobody ask, and hosts with the same list, among them watchers that saw the restore, no longer copy it from each other. Of hosts that tell no digest (the release before) each host asks one an era, the one that started first. The field takes at most eight bytes of a heartbeat, none once the list is empty.

--- a/corianderdoor/core/entry/copy_sources.py
+++ b/corianderdoor/core/entry/copy_sources.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from .active_hosts import rank_host
+from .overrides import UNTOLD_DIGEST
 from .peer import Peer
 from .replica import is_ahead, Replica
 
@@ -37,27 +38,31 @@
 
 
 def find_overriding_peer(
-    peers: Iterable[Peer], replica: Replica, now_ms: int
+    own: str, peers: Iterable[Peer], replica: Replica, now_ms: int
 ) -> Peer | None:
     """Returns a peer that does not use all items of a restored store.
 
     Args:
+        own: Name of this host.
         peers: The other hosts.
         replica: This host's replica of the store.
         now_ms: Monotonic time in ms.
 
     Returns:
-        The one that started first, as it knows most of what was before; None
-        if this host knows what it has to know of them.
+        One whose list is not known here; None without one. Hosts break ties
+        differently. Of those of an earlier release, which do not tell what is
+        on their lists, the one that started first knows most.
     """
-    if not replica.misses(replica.era):
-        return None
-    found: list[tuple[int, Peer]] = []
+    found: list[tuple[bool, int, Peer]] = []
     for peer in peers:
         heartbeat = peer.last_heartbeat
         if heartbeat is None or now_ms > peer.alive_until_ms:
             continue
-        if heartbeat.has_overrides and peer.address is not None:
-            if heartbeat.era == replica.era:
-                found.append((heartbeat.boot, peer))
-    return min(found, key=lambda pair: pair[0])[1] if found else None
+        told = heartbeat.told_overrides
+        if peer.address is None or not replica.misses(heartbeat.era, told):
+            continue
+        if told == UNTOLD_DIGEST:
+            found.append((True, heartbeat.boot, peer))
+        else:
+            found.append((False, rank_host(f"{own} {peer.name}"), peer))
+    return min(found, key=lambda one: one[:2])[2] if found else None
--- a/corianderdoor/core/entry/heartbeat.py
+++ b/corianderdoor/core/entry/heartbeat.py
@@ -7,6 +7,7 @@
 from ..records import Record
 from .brittle_room import RoomReport
 from .crash_evidence import AttemptReport
+from .overrides import UNTOLD_DIGEST
 from .part_reports import PartReport
 from .rollout_records import RolloutReport
 from .server_limits import LimitReport
@@ -61,6 +62,8 @@
         limits: Rates that servers in need have named.
         has_overrides: Whether the host has something in force in place of
             items of the copy from which the store was restored.
+        overrides_digest: Digest of that; 0 without any, or from a host of an
+            earlier release.
     """
 
     __slots__ = (
@@ -86,6 +89,7 @@
         "parts",
         "limits",
         "has_overrides",
+        "overrides_digest",
     )
 
     def __init__(
@@ -112,7 +116,9 @@
         parts: tuple[PartReport, ...] = (),
         limits: tuple[LimitReport, ...] = (),
         has_overrides: bool = False,
+        overrides_digest: int = 0,
     ) -> None:
+        self.overrides_digest = overrides_digest
         self.has_overrides = has_overrides
         self.limits = limits
         self.attempts = attempts
@@ -135,3 +141,10 @@
         self.contact_age_ms = contact_age_ms
         self.leaving = leaving
         self.loads = loads
+
+    @property
+    def told_overrides(self) -> int:
+        """The digest by which a host finds out whether to copy them."""
+        if not self.has_overrides:
+            return 0
+        return self.overrides_digest or UNTOLD_DIGEST
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -46,13 +46,14 @@
         active: The active hosts, to which callers are sent.
         cpu_percent: CPU use of this host in percent.
         links_cut: Whether this host reaches servers only through peers.
+        own: Name of this host.
     """
 
     __slots__ = (
         "active",
         "cpu_percent",
         "links_cut",
-        "_own",
+        "own",
         "_own_link",
         "_data_centre",
         "_peers",
@@ -74,7 +75,7 @@
         self.active = ActiveHosts()
         self.cpu_percent = 0
         self.links_cut = False
-        self._own = own
+        self.own = own
         self._own_link = link_mbps
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
@@ -93,12 +94,12 @@
         link_mbps: float = 0.0,
     ) -> None:
         """Adds or updates a peer from its record in the store."""
-        if name == self._own:
+        if name == self.own:
             return
         peer = self._peers.setdefault(name, Peer(name))
         if not peer.listed:
             peer.listed_ms = now_ms
-            if self.active.names == {self._own}:
+            if self.active.names == {self.own}:
                 # The choice was made before any peer was known, and would
                 # make every host of a starting fleet a watcher.
                 self.active.reset()
@@ -127,7 +128,7 @@
         Returns:
             The sender, or None if the heartbeat was dropped.
         """
-        if heartbeat.sender == self._own:
+        if heartbeat.sender == self.own:
             return None
         peer = self._peers.setdefault(heartbeat.sender, Peer(heartbeat.sender))
         if peer.last_heartbeat is not None:
@@ -160,7 +161,7 @@
         ]
         return sorted(
             active or candidates,
-            key=lambda peer: rank_host(f"{self._own} {peer.name}"),
+            key=lambda peer: rank_host(f"{self.own} {peer.name}"),
         )
 
     def choose_active(
@@ -180,7 +181,7 @@
         ]
         if not leaving and not (self.links_cut and hosts):
             own = Candidate(
-                self._own, self._data_centre, self._own_link, self.cpu_percent
+                self.own, self._data_centre, self._own_link, self.cpu_percent
             )
             hosts.append(own)
         return self.active.choose(hosts, now_ms)
@@ -219,9 +220,7 @@
 
     def list_helpers(self, server_id: str, now_ms: int) -> list[Address]:
         """Returns the peers to ask for a server, best first."""
-        return order_helpers(
-            self._own, self._peers.values(), server_id, now_ms
-        )
+        return order_helpers(self.own, self._peers.values(), server_id, now_ms)
 
     def is_leaving(self, address: Address) -> bool:
         """Returns whether the peer at an address shuts down, or is gone."""
@@ -233,7 +232,7 @@
     @property
     def is_active(self) -> bool:
         """Whether callers are sent to this host."""
-        return self.active.includes(self._own)
+        return self.active.includes(self.own)
 
     def split_by_active(self) -> tuple[list[Peer], list[Peer]]:
         """Returns the active and the reserve peers."""
@@ -275,7 +274,7 @@
             for peer in self._peers.values()
             if peer.listed or now_ms <= peer.alive_until_ms
         ]
-        return sorted([*names, self._own])
+        return sorted([*names, self.own])
 
     def remove_expired(self, now_ms: int) -> list[str]:
         """Removes peers that are not listed and have timed out.
@@ -297,7 +296,7 @@
 
         During a change two hosts can both be first.
         """
-        return self._order(now_ms)[0] == self._own
+        return self._order(now_ms)[0] == self.own
 
     def _order(self, now_ms: int) -> list[str]:
         """Returns the live hosts in an order that all of them share."""
@@ -310,7 +309,7 @@
                 or peer.is_starting(now_ms)
             )
         }
-        links[self._own] = self._own_link
+        links[self.own] = self._own_link
         active = self.active.names
         # Sorting costs far more than the comparison, and hosts rarely change.
         if links != self._ordered_links or active != self._ordered_active:
@@ -333,7 +332,7 @@
         that knows no watcher with contact to the store.
         """
         watching = self._watchers(now_ms)
-        if self._own in watching:
+        if self.own in watching:
             return True
         return not any(
             self._has_contact(self._peers[name], now_ms) for name in watching
@@ -378,19 +377,19 @@
         get no copy, one after the other.
         """
         order = self._order(now_ms)
-        position = order.index(self._own)
+        position = order.index(self.own)
         if position < len(self._watchers(now_ms)):
             return 0
         return RELIST_WAIT_MS + RELIST_STEP_MS * position
 
     def rewrite_delay_ms(self, now_ms: int) -> int:
         """Returns when to write this host's record after a restore."""
-        return REWRITE_STEP_MS * self._order(now_ms).index(self._own)
+        return REWRITE_STEP_MS * self._order(now_ms).index(self.own)
 
     def find_peer_ahead(
         self, revision: int, now_ms: int, era: int = 0
     ) -> Peer | None:
         """Returns the reachable peer that is ahead most; None without one."""
         return find_ahead(
-            self._own, self._peers.values(), (era, revision), now_ms
+            self.own, self._peers.values(), (era, revision), now_ms
         )
--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from ..records import Record
+from .overrides import Overrides
 
 # Tombstones that are kept for peers that are behind; a peer that is further
 # behind gets a full page.
@@ -46,17 +47,6 @@
     return former == now
 
 
-def misses_overrides(copied_era: int, era: int, peer_era: int) -> bool:
-    """Returns whether a host has to copy the overrides of a peer.
-
-    Args:
-        copied_era: Era of those that it knows.
-        era: Era of its replica.
-        peer_era: Era of the peer's.
-    """
-    return copied_era < peer_era == era
-
-
 def owns_lease(lease_era: int, known_era: int) -> bool:
     """Returns whether a lease is still the one that was granted.
 
@@ -105,6 +95,8 @@
             from which the store was restored; 0 if none is known to.
         overrides: What the sender has in force in place of items of that
             copy; without a value, an item that it does not use.
+        listed: Digests of all that it has had listed there in this era; none
+            from a sender of an earlier release.
     """
 
     __slots__ = (
@@ -114,6 +106,7 @@
         "era",
         "restored_revision",
         "overrides",
+        "listed",
     )
 
     def __init__(
@@ -124,7 +117,9 @@
         era: int = 0,
         restored_revision: int = 0,
         overrides: tuple[Change, ...] = (),
+        listed: tuple[int, ...] = (),
     ) -> None:
+        self.listed = listed
         self.overrides = overrides
         self.era = era
         self.restored_revision = restored_revision
@@ -151,10 +146,7 @@
             from which the store was restored.
         revision: Newest revision up to which all changes are known.
         changed_revision: Newest revision at which an item here changed.
-        overrides: What is in force in place of items of that copy, by key;
-            without a value, an item that is not used.
-        overrides_era: Era whose overrides this host knows, as it has seen
-            the restore or has got them from a peer.
+        overrides: What is in force in place of items of that copy.
     """
 
     __slots__ = (
@@ -163,7 +155,6 @@
         "revision",
         "changed_revision",
         "overrides",
-        "overrides_era",
         "_items",
         "_tombstones",
         "_tombstone_order",
@@ -175,8 +166,7 @@
         self.restored_revision = 0
         self.revision = 0
         self.changed_revision = 0
-        self.overrides: dict[str, Change] = {}
-        self.overrides_era = 0
+        self.overrides = Overrides()
         self._items: dict[str, Change] = {}
         self._tombstones: dict[str, Change] = {}
         self._tombstone_order: deque[tuple[int, str]] = deque()
@@ -228,13 +218,11 @@
             if change.value is not None
         }
         # The others are decided anew, as their items differ.
-        self.overrides = {
-            key: override
-            for key, override in self.overrides.items()
-            if keeps_override(
+        self.overrides.begin_era(
+            lambda key: keeps_override(
                 _value_of(former, key), _value_of(self._items, key)
             )
-        }
+        )
         merged = [
             change
             for key, change in self._items.items()
@@ -306,15 +294,17 @@
             self.era,
             self.restored_revision,
             tuple(self.overrides.values()),
+            self.overrides.listed,
         )
 
-    def misses(self, overrides_era: int) -> bool:
-        """Returns whether the overrides of a peer are not known here.
+    def misses(self, era: int, told: int) -> bool:
+        """Returns whether the overrides of a peer are to be copied.
 
         Args:
-            overrides_era: Era to which they belong.
+            era: Era of the peer's replica.
+            told: Digest of its overrides; 0 if it has none.
         """
-        return misses_overrides(self.overrides_era, self.era, overrides_era)
+        return era == self.era and self.overrides.misses(told)
 
     def values_in_force(self) -> dict[str, bytes | None]:
         """Returns the values of the items, or what is in force in place."""
--- a/corianderdoor/entry/entry.capnp
+++ b/corianderdoor/entry/entry.capnp
@@ -29,6 +29,7 @@
   parts @19 :List(SuspectPart);
   limits @20 :List(Limit);
   hasOverrides @21 :Bool;  # pages of the sender have overrides
+  overridesDigest @22 :UInt32;  # of those, 0: not told
 }
 
 # What hosts tell each other of the origin of a stream.
@@ -140,6 +141,8 @@
   era @3 :UInt64;  # era of the store
   restoredRevision @4 :UInt64;  # items up to it may come from a copy
   overrides @5 :List(Change);  # in force in place of items of the copy
+  # Digests of all that was listed there in this era; none: not told.
+  listed @6 :List(UInt64);
 }
 
 struct Change {
--- a/corianderdoor/entry/kept_evacuations.py
+++ b/corianderdoor/entry/kept_evacuations.py
@@ -74,14 +74,14 @@
 
     def _pass_on(self, data_centre: str, left_ms: int) -> None:
         key = EVACUATION_PREFIX + data_centre
-        self._replica.overrides[key] = Change(key, b"", 0, left_ms)
+        self._replica.overrides.put(Change(key, b"", 0, left_ms))
 
     def end(self, data_centre: str) -> None:
         """Ends an evacuation; the servers may be cold."""
         servers = self._servers
         now_ms = self._clock.now_ms()
         self._until_ms.pop(data_centre, None)
-        self._replica.overrides.pop(EVACUATION_PREFIX + data_centre, None)
+        self._replica.overrides.remove(EVACUATION_PREFIX + data_centre)
         servers.set_evacuated(servers.evacuated - {data_centre})
         for server_id in servers.ids():
             server = servers.get(server_id)
--- a/corianderdoor/entry/peer_codec.py
+++ b/corianderdoor/entry/peer_codec.py
@@ -9,11 +9,11 @@
 
 import capnp
 
+from ..core.entry.brittle_room import RoomReport
 from ..core.entry.heartbeat import Heartbeat
 from ..core.entry.replica import Change, Page
 from ..core.entry.rollout_evidence import MAX_ROUTES, MAX_SERVERS
 from ..core.entry.rollout_records import RolloutReport, RouteCounts
-from ..core.entry.brittle_room import RoomReport
 from .crash_codec import (
     decode_attempts,
     decode_parts,
@@ -93,6 +93,7 @@
         parts=encode_parts(heartbeat.parts),
         limits=encode_limits(heartbeat.limits),
         hasOverrides=heartbeat.has_overrides,
+        overridesDigest=heartbeat.overrides_digest,
     )
     return bytes(message.to_bytes_packed())
 
@@ -197,6 +198,7 @@
             decode_parts(raw.parts),
             decode_limits(raw.limits),
             raw.hasOverrides,
+            raw.overridesDigest,
         )
     except (capnp.KjException, ValueError) as exc:
         raise MessageError(str(exc)) from exc
@@ -211,6 +213,7 @@
         restoredRevision=page.restored_revision,
         changes=_encode_changes(page.changes),
         overrides=_encode_changes(page.overrides),
+        listed=list(page.listed),
     )
     return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
@@ -258,6 +261,7 @@
                 raw.era,
                 raw.restoredRevision,
                 _decode_changes(raw.overrides),
+                tuple(raw.listed),
             )
     except (capnp.KjException, ValueError, zlib.error) as exc:
         raise MessageError(str(exc)) from exc
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -164,8 +164,8 @@
             peer.address = (addr[0], addr[1])
         merge_reports(self._planner, self._rollouts, heartbeat, now_ms)
         replica = self._replica
-        missing = heartbeat.has_overrides and replica.misses(heartbeat.era)
-        if missing or is_ahead(
+        told = heartbeat.told_overrides
+        if replica.misses(heartbeat.era, told) or is_ahead(
             heartbeat.era,
             heartbeat.revision,
             replica.era,
@@ -264,6 +264,7 @@
             announced.parts,
             announced.limits,
             bool(self._replica.overrides),
+            self._replica.overrides.digest,
         )
 
     def send_soon(self) -> None:
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -8,6 +8,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock
 from ..core.entry.crashing_requests import CrashCause
+from ..core.entry.overrides import digest_list, UNTOLD_DIGEST
 from ..core.entry.peer import WATCHER_GRACE_MS
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -153,9 +154,10 @@
     def _copy_overrides(self, page: Page) -> None:
         """Takes over what a peer has in force in place of a copy's items."""
         replica = self.replica
-        if not page.overrides or not replica.misses(page.era):
+        told = digest_list(page.listed) or UNTOLD_DIGEST
+        if not page.overrides or not replica.misses(page.era, told):
             return
-        replica.overrides_era = replica.era
+        replica.overrides.record_copy(page.overrides, page.listed)
         copy_revision = min(
             replica.restored_revision,
             page.restored_revision or replica.restored_revision,
@@ -173,10 +175,11 @@
             if override.value is not None:
                 self._apply_change(override, "override", True)
                 if self._desired is override:
-                    self.replica.overrides[override.key] = override
-            elif override.key not in self.replica.overrides:
+                    replica.overrides.put(override)
+            elif override.key not in replica.overrides:
                 self._hold_back(item)
-            self.replica.overrides.setdefault(override.key, override)
+            if override.key not in replica.overrides:
+                replica.overrides.put(override)
 
     def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
         """Takes over an evacuation that a restored store has lost."""
@@ -217,7 +220,7 @@
         """Ends what was kept for a time after a restore of the store."""
         for server in self._planner.servers.departed.release(now_ms):
             log_event("server_readmitted", server=server.id)
-            self.replica.overrides.pop(SERVER_PREFIX + server.id, None)
+            self.replica.overrides.remove(SERVER_PREFIX + server.id)
             self._planner.servers.put(server, now_ms)
         self._evacuations.tick(now_ms)
 
@@ -236,7 +239,7 @@
             source=source,
         )
         if not from_copy:
-            self.replica.overrides.pop(change.key, None)
+            self.replica.overrides.remove(change.key)
         if not isinstance(decoded, UnusableRecord):
             self._refused.forget(change.key)
         self._apply_decoded(decoded, from_copy)
@@ -251,7 +254,7 @@
             self._desired = change
         elif from_copy and self._desired is not None:
             override = Change(change.key, self._desired.value, 0)
-            self.replica.overrides[change.key] = override
+            self.replica.overrides.put(override)
 
     @singledispatchmethod
     def _apply_decoded(self, decoded: DecodedChange, from_copy: bool) -> None:
@@ -297,9 +300,9 @@
         key = SERVER_PREFIX + server_id
         known = self._planner.servers.get(server_id)
         if known is None:
-            self.replica.overrides[key] = Change(key, None, 0)
+            self.replica.overrides.put(Change(key, None, 0))
         elif not known.available and key in self._former:
-            self.replica.overrides[key] = Change(key, self._former[key], 0)
+            self.replica.overrides.put(Change(key, self._former[key], 0))
 
     @_apply_decoded.register
     def _(self, decoded: ServerRemoved, from_copy: bool) -> None:
--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -343,4 +343,6 @@
     def _find_overriding_peer(self) -> Peer | None:
         now_ms = self._clock.now_ms()
         replica = self._applier.replica
-        return find_overriding_peer(self._peers.all(), replica, now_ms)
+        return find_overriding_peer(
+            self._peers.own, self._peers.all(), replica, now_ms
+        )
--- a/corianderdoor/specs/restored_records.py
+++ b/corianderdoor/specs/restored_records.py
@@ -1,9 +1,9 @@
 """Specifications: hosts that start learn what a restored store has lost.
 
 One record of the store gets versions, and the store may go back to any older
-one in a new era. Hosts start, stop, read the store and copy from the peer
-that started first what it has in force in place of the store's version. They
-decide by `keeps_override` and `misses_overrides` of the core.
+one in a new era. Hosts start, stop, read the store and copy from peers what
+these have in force in place of the store's version. They decide by
+`keeps_override` and `misses_list` of the core.
 
 A record may be one of which a listing shows the newest version (a desired
 state), or one of which a listing shows nothing once it has ended, as of a
@@ -12,18 +12,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
 from minicheck import Protocol
 
-from ..core.entry.replica import keeps_override, misses_overrides
+from ..core.entry.overrides import digest_list, misses_list
+from ..core.entry.replica import keeps_override
 
 MAX_ERA: Final = 3
-MAX_VERSION: Final = 2
+MAX_VERSION: Final = 3
 MAX_HOSTS: Final = 3
 
+# The digests of all lists that there may be.
+ALL_LISTS: Final = frozenset(
+    digest_list(listed) for listed in ({2}, {3}, {2, 3})
+)
+
 Keeps = Callable[[bytes | None, bytes | None], bool]
+Misses = Callable[[int, Container[int], int], bool]
 Transition = tuple[str, tuple[Any, ...]]
 
 
@@ -50,20 +57,27 @@
         known: Newest version that it knows of.
         passed_on: Version that it has in force in place of the store's; 0 if
             it uses the store's.
-        copied_era: Era in which it knows what peers have in place.
+        listed: Versions that were listed in its era, here or by peers.
+        copied: Digests of the lists that it has copied in its era.
     """
 
     era: int = 0
     held: int = 0
     known: int = 0
     passed_on: int = 0
-    copied_era: int = 0
+    listed: frozenset[int] = frozenset()
+    copied: frozenset[int] = frozenset()
 
     @property
     def used(self) -> int:
         """The version by which the host goes."""
         return max(self.held, self.known)
 
+    @property
+    def told(self) -> int:
+        """The digest that its heartbeats tell."""
+        return digest_list(self.listed) if self.passed_on else 0
+
 
 # In the order in which they started.
 Hosts = tuple[Host, ...]
@@ -74,13 +88,15 @@
 
     Attributes:
         keeps: Whether an entry stays listed over one more restore.
-        asks: Whether a host asks a peer also after a restore that it saw
+        asks: Whether a host asks peers also after a restore that it saw
             itself.
+        misses: Whether a host asks a peer.
         is_shown: Whether a listing shows the newest version.
     """
 
     keeps: Keeps
     asks: bool
+    misses: Misses
     is_shown: bool
 
 
@@ -88,16 +104,18 @@
     is_shown: bool = True,
     keeps: Keeps = keeps_override,
     asks: bool = True,
+    misses: Misses = misses_list,
 ) -> Protocol:
     """Returns the protocol of up to three hosts that start and stop.
 
     Args:
         is_shown: Whether a listing shows the newest version.
         keeps: Whether an entry stays listed over one more restore.
-        asks: Whether a host asks a peer also after a restore that it saw
+        asks: Whether a host asks peers also after a restore that it saw
             itself.
+        misses: Whether a host asks a peer.
     """
-    rules = Rules(keeps, asks, is_shown)
+    rules = Rules(keeps, asks, misses, is_shown)
     return Protocol(
         name="hosts that start learn what the store has lost",
         candidate=False,
@@ -107,17 +125,19 @@
             *_list_store_steps(*state),
             *_list_starts_and_stops(*state),
             *_list_reads(state[0], state[1], rules),
-            *_list_copies(*state),
+            *_list_copies(state[0], state[1], rules),
         ],
         invariants={
             "a host goes by what a peer knows, or can ask for it": (
-                lambda state: _is_settled(state["store"], state["hosts"])
+                lambda state: _is_settled(
+                    state["store"], state["hosts"], rules
+                )
             )
         },
     )
 
 
-def _is_settled(store: Store, hosts: Hosts) -> bool:
+def _is_settled(store: Store, hosts: Hosts, rules: Rules) -> bool:
     current = [
         host
         for host in hosts
@@ -126,8 +146,7 @@
     newest = max((host.used for host in current), default=0)
     # Hosts that have yet to read the store may be the ones that know it.
     return len(current) < len(hosts) or all(
-        host.used == newest
-        or _copy(host, _without(hosts, number)).used == newest
+        _copy_all(host, _without(hosts, number), rules).used == newest
         for number, host in enumerate(hosts)
     )
 
@@ -171,46 +190,56 @@
         return read._replace(passed_on=0)
     if not saw_change:
         return read
-    if not rules.asks:
-        read = read._replace(copied_era=store.era)
+    passed_on = known if known > version else 0
     if host.held == version:
         kept = rules.keeps(_encode(host.held), _encode(version))
-        return read if kept else read._replace(passed_on=0)
-    return read._replace(passed_on=known if known > version else 0)
+        passed_on = host.passed_on if kept else 0
+    return read._replace(
+        passed_on=passed_on,
+        listed=frozenset({passed_on} - {0}),
+        copied=frozenset() if rules.asks else ALL_LISTS,
+    )
 
 
 def _encode(version: int) -> bytes:
     return bytes((version,))
 
 
-def _find_peer(host: Host, peers: Iterable[Host]) -> Host | None:
-    """Returns the peer that a host would ask; None if it asks none."""
-    if not misses_overrides(host.copied_era, host.era, host.era):
-        return None
-    for peer in peers:
-        if peer.era == host.era and peer.passed_on:
-            return peer
-    return None
+def _list_copies(
+    store: Store, hosts: Hosts, rules: Rules
+) -> Iterator[Transition]:
+    for number, host in enumerate(hosts):
+        for source, peer in enumerate(hosts):
+            if source != number and _asks(host, peer, rules):
+                copied = _replace(hosts, number, _copy(host, peer))
+                yield f"copy-{number}-{source}", (store, copied)
 
 
-def _list_copies(store: Store, hosts: Hosts) -> Iterator[Transition]:
-    for number, host in enumerate(hosts):
-        copied = _copy(host, _without(hosts, number))
-        if copied != host:
-            yield f"copy-{number}", (store, _replace(hosts, number, copied))
+def _asks(host: Host, peer: Host, rules: Rules) -> bool:
+    """Returns whether a host asks a peer for its list."""
+    if not 0 < host.era == peer.era:
+        return False
+    return rules.misses(digest_list(host.listed), host.copied, peer.told)
 
 
-def _copy(host: Host, peers: Iterable[Host]) -> Host:
-    """Returns the host after it has copied from the peer that it asks."""
-    peer = _find_peer(host, peers)
-    if peer is None:
-        return host
-    copied = host._replace(copied_era=host.era)
+def _copy(host: Host, peer: Host) -> Host:
+    """Returns the host after it has copied the list of a peer."""
+    copied = host._replace(
+        listed=host.listed | peer.listed, copied=host.copied | {peer.told}
+    )
     if peer.passed_on <= host.used:
         return copied
     return copied._replace(known=peer.passed_on, passed_on=peer.passed_on)
 
 
+def _copy_all(host: Host, peers: Iterable[Host], rules: Rules) -> Host:
+    """Returns the host after it has copied from all that it asks."""
+    for peer in peers:
+        if _asks(host, peer, rules):
+            host = _copy(host, peer)
+    return host
+
+
 def _without(hosts: Hosts, number: int) -> Hosts:
     return hosts[:number] + hosts[number + 1 :]
 
--- a/tests/test_entry_restart_in_outage.py
+++ b/tests/test_entry_restart_in_outage.py
@@ -91,7 +91,7 @@
         peer.address = ("x", 2)
     replica = sync._applier.replica
     replica.era = 1
-    found = find_overriding_peer(sync._peers.all(), replica, 1_000)
+    found = find_overriding_peer("h0", sync._peers.all(), replica, 1_000)
     assert found.name == "h3"
 
 
--- a/tests/test_spec_restored_records.py
+++ b/tests/test_spec_restored_records.py
@@ -24,6 +24,10 @@
         {"keeps": lambda former, now: False},
         {"asks": False},
         {"is_shown": False, "asks": False},
+        # Each host copies one list in each era.
+        {"misses": lambda known, copied, told: told and not copied},
+        # A digest that tells only whether a list is empty.
+        {"misses": lambda known, copied, told: told and not known},
     ],
 )
 def test_hosts_go_by_the_copy_without_any_one_guard(without):
