Copy a peer's overrides while a watch of the store waits

Callers saw: a host that had just started and watches the store itself answered by the desired state of the store's copy until the store next answered, up to a second after the first heartbeat of a peer with a list.

Cause: the task that reads the store was also the one that asks peers, and it waits for the store for up to 1 s at a time.

--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -69,6 +69,7 @@
         "_clock",
         "_contact",
         "_wake",
+        "_list_told",
         "_scope",
         "_confirming",
         "_start_delay_ms",
@@ -110,6 +111,8 @@
         self._clock = clock
         self._contact = StoreContact(clock)
         self._wake = anyio.Event()
+        # Set if a peer's list may be missing here.
+        self._list_told = anyio.Event()
         self._scope: anyio.CancelScope | None = None
         self._confirming = False
 
@@ -132,8 +135,9 @@
         return self._clock.now_ms() - self._behind_since_ms
 
     def wake(self) -> None:
-        """Makes a host that follows peers check them at once."""
+        """Makes this host check its peers at once."""
         self._wake.set()
+        self._list_told.set()
 
     def confirm_contact(self) -> None:
         """Asks the store at once, after a pause of this process.
@@ -147,6 +151,11 @@
 
     async def run(self) -> None:
         """Keeps the replica up to date until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._copy_overrides)
+            await self._follow_store()
+
+    async def _follow_store(self) -> None:
         await anyio.sleep(self._start_delay_ms / MS_PER_SECOND)
         retry_ms = FIRST_RETRY_MS
         relist = True
@@ -160,8 +169,6 @@
                 with anyio.CancelScope() as scope:
                     self._scope = scope
                     await self._read_store(relist)
-                    if self._find_overriding_peer():
-                        await self._pull_from_peer()
                     relist = False
                     retry_ms = FIRST_RETRY_MS
             except (HistoryGoneError, StoreRestoredError) as exc:
@@ -297,6 +304,8 @@
         page = Page(changes, at, full, era, restored_revision)
         self._behind_since_ms = None
         count = self._applier.apply(page, "store", grace_ms)
+        if restored:
+            self._list_told.set()
         if (count or restored) and self._peering is not None:
             self._peering.send_heartbeats()
 
@@ -327,22 +336,43 @@
             replica.revision, now_ms, replica.era
         )
         if ahead is None:
-            ahead = self._find_overriding_peer()
-        if ahead is None or self._peering is None:
             return True
-        page = await self._peering.pull(ahead)
-        if page is None:
+        pulled = await self._pull(ahead)
+        if not pulled:
             self._behind_since_ms = self._behind_since_ms or now_ms
-        else:
-            self._applier.apply(
-                page, ahead.name, self._contact.removal_grace_ms()
-            )
-            self._era.observe(page.era)
-        return page is not None
+        return pulled
 
-    def _find_overriding_peer(self) -> Peer | None:
-        now_ms = self._clock.now_ms()
-        replica = self._applier.replica
-        return find_overriding_peer(
-            self._peers.own, self._peers.all(), replica, now_ms
-        )
+    async def _pull(self, peer: Peer) -> bool:
+        """Copies the changes and the overrides of a peer.
+
+        Returns:
+            False if it did not answer.
+        """
+        if self._peering is None:
+            return True
+        page = await self._peering.pull(peer)
+        if page is None:
+            return False
+        self._applier.apply(page, peer.name, self._contact.removal_grace_ms())
+        self._era.observe(page.era)
+        # The peers of a new era may have lists.
+        self._list_told.set()
+        return True
+
+    async def _copy_overrides(self) -> None:
+        """Copies the overrides of peers until cancelled.
+
+        A watcher does so too while the store answers nothing.
+        """
+        while True:
+            await self._list_told.wait()
+            self._list_told = anyio.Event()
+            peer = find_overriding_peer(
+                self._peers.own,
+                self._peers.all(),
+                self._applier.replica,
+                self._clock.now_ms(),
+            )
+            if peer is not None:
+                await self._pull(peer)
+                await anyio.sleep(FIRST_RETRY_MS / MS_PER_SECOND)
