Move servers of a copy out of the applier of changes

What hosts keep of servers that a restored store lists otherwise is in kept_servers.py, beside the evacuations. No change of behaviour: the tests of restores pass as they are.

--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -32,6 +32,7 @@
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .kept_evacuations import KeptEvacuations
+from .kept_servers import KeptServers
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
 from .rollout_feed import list_rollouts_kept, RolloutFeed
@@ -61,6 +62,7 @@
         "_clock",
         "_rollouts",
         "_evacuations",
+        "_kept_servers",
         "_desired",
         "_refused",
         "_silence_ms",
@@ -97,6 +99,7 @@
         self._evacuations = KeptEvacuations(
             planner.servers, self.replica, clock
         )
+        self._kept_servers = KeptServers(planner.servers, self.replica, clock)
         # Values in force before a restore, while its page is applied.
         self._former: dict[str, bytes | None] = {}
         # The item with the desired state in force.
@@ -177,7 +180,7 @@
                 if self._desired is override:
                     replica.overrides.put(override)
             elif override.key not in replica.overrides:
-                self._hold_back(item)
+                self._kept_servers.hold_back(item)
             if override.key not in replica.overrides:
                 replica.overrides.put(override)
 
@@ -188,20 +191,6 @@
             self._apply_change(override, "override", False)
             self._evacuations.keep(decoded.data_centre, override.grace_ms)
 
-    def _hold_back(self, item: Change) -> None:
-        """Stops using a server that left before the store was restored."""
-        decoded = decode_change(item)
-        if isinstance(decoded, ServerListed):
-            now_ms = self._clock.now_ms()
-            servers = self._planner.servers
-            known = servers.get(decoded.server.id)
-            if known and not known.is_no_newer_than(decoded.server):
-                return
-            servers.remove(decoded.server.id, now_ms)
-            servers.departed.record(decoded.server, now_ms)
-            servers.departed.hold_back(decoded.server, now_ms)
-            log_event("server_copy_ignored", server=decoded.server.id)
-
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
@@ -218,10 +207,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Ends what was kept for a time after a restore of the store."""
-        for server in self._planner.servers.departed.release(now_ms):
-            log_event("server_readmitted", server=server.id)
-            self.replica.overrides.remove(SERVER_PREFIX + server.id)
-            self._planner.servers.put(server, now_ms)
+        self._kept_servers.tick(now_ms)
         self._evacuations.tick(now_ms)
 
     def _apply_change(
@@ -283,7 +269,7 @@
             server, now_ms, OUTAGE_GRACE_MS
         ):
             log_event("server_copy_ignored", server=server.id)
-            self._pass_server_on(server.id)
+            self._kept_servers.pass_on(server.id, self._former)
             return
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
@@ -295,15 +281,6 @@
             )
             self._planner.caches.remove(server.id)
 
-    def _pass_server_on(self, server_id: str) -> None:
-        """Lists a server that left, or drains, in place of a copy's item."""
-        key = SERVER_PREFIX + server_id
-        known = self._planner.servers.get(server_id)
-        if known is None:
-            self.replica.overrides.put(Change(key, None, 0))
-        elif not known.available and key in self._former:
-            self.replica.overrides.put(Change(key, self._former[key], 0))
-
     @_apply_decoded.register
     def _(self, decoded: ServerRemoved, from_copy: bool) -> None:
         self._planner.servers.remove(
