--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -8,6 +8,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock
 from ..core.entry.crashing_requests import CrashCause
+from ..core.entry.overrides import digest_list, UNTOLD_DIGEST
 from ..core.entry.peer import WATCHER_GRACE_MS
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
@@ -31,6 +32,7 @@
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .kept_evacuations import KeptEvacuations
+from .kept_servers import KeptServers
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
 from .rollout_feed import list_rollouts_kept, RolloutFeed
@@ -59,6 +61,7 @@
         "_clock",
         "_rollouts",
         "_evacuations",
+        "_kept_servers",
         "_desired",
         "_refused",
         "_silence_ms",
@@ -95,6 +98,7 @@
         self._evacuations = KeptEvacuations(
             planner.servers, self.replica, clock
         )
+        self._kept_servers = KeptServers(planner.servers, self.replica, clock)
         # Values in force before a restore, while its page is applied.
         self._former: dict[str, bytes | None] = {}
         # The item with the desired state in force.
@@ -152,9 +156,10 @@
     def _copy_overrides(self, page: Page) -> None:
         """Takes over what a peer has in force in place of a copy's items."""
         replica = self.replica
-        if not page.overrides or not replica.misses(page.era):
+        told = digest_list(page.listed) or UNTOLD_DIGEST
+        if not page.overrides or not replica.misses(page.era, told):
             return
-        replica.overrides_era = replica.era
+        replica.overrides.record_copy(page.overrides, page.listed)
         copy_revision = min(
             replica.restored_revision,
             page.restored_revision or replica.restored_revision,
@@ -172,10 +177,11 @@
             if override.value is not None:
                 self._apply_change(override, "override", True)
                 if self._desired is override:
-                    self.replica.overrides[override.key] = override
-            elif override.key not in self.replica.overrides:
-                self._hold_back(item)
-            self.replica.overrides.setdefault(override.key, override)
+                    replica.overrides.put(override)
+            elif override.key not in replica.overrides:
+                self._kept_servers.hold_back(item)
+            if override.key not in replica.overrides:
+                replica.overrides.put(override)
 
     def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
         """Takes over an evacuation that a restored store has lost."""
@@ -184,20 +190,6 @@
             self._apply_change(override, "override", False)
             self._evacuations.keep(decoded.data_centre, override.grace_ms)
 
-    def _hold_back(self, item: Change) -> None:
-        """Stops using a server that left before the store was restored."""
-        decoded = decode_change(item)
-        if isinstance(decoded, ServerListed):
-            now_ms = self._clock.now_ms()
-            servers = self._planner.servers
-            known = servers.get(decoded.server.id)
-            if known and not known.is_no_newer_than(decoded.server):
-                return
-            servers.remove(decoded.server.id, now_ms)
-            servers.departed.record(decoded.server, now_ms)
-            servers.departed.hold_back(decoded.server, now_ms)
-            log_event("server_copy_ignored", server=decoded.server.id)
-
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
@@ -214,10 +206,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Ends what was kept for a time after a restore of the store."""
-        for server in self._planner.servers.departed.release(now_ms):
-            log_event("server_readmitted", server=server.id)
-            self.replica.overrides.pop(SERVER_PREFIX + server.id, None)
-            self._planner.servers.put(server, now_ms)
+        self._kept_servers.tick(now_ms)
         self._evacuations.tick(now_ms)
 
     def _apply_change(
@@ -235,7 +224,7 @@
             source=source,
         )
         if not from_copy:
-            self.replica.overrides.pop(change.key, None)
+            self.replica.overrides.remove(change.key)
         if not isinstance(decoded, UnusableRecord):
             self._refused.forget(change.key)
         self._apply_decoded(decoded, from_copy)
@@ -250,7 +239,7 @@
             self._desired = change
         elif from_copy and self._desired is not None:
             override = Change(change.key, self._desired.value, 0)
-            self.replica.overrides[change.key] = override
+            self.replica.overrides.put(override)
 
     @singledispatchmethod
     def _apply_decoded(self, decoded: DecodedChange, from_copy: bool) -> None:
@@ -279,7 +268,7 @@
             server, now_ms, OUTAGE_GRACE_MS
         ):
             log_event("server_copy_ignored", server=server.id)
-            self._pass_server_on(server.id)
+            self._kept_servers.pass_on(server.id, self._former)
             return
         known = self._planner.servers.get(server.id)
         if self._planner.servers.put(server, now_ms) and known:
@@ -293,15 +282,6 @@
                 server.id, now_ms, CrashCause.RESTARTED
             )
 
-    def _pass_server_on(self, server_id: str) -> None:
-        """Lists a server that left, or drains, in place of a copy's item."""
-        key = SERVER_PREFIX + server_id
-        known = self._planner.servers.get(server_id)
-        if known is None:
-            self.replica.overrides[key] = Change(key, None, 0)
-        elif not known.available and key in self._former:
-            self.replica.overrides[key] = Change(key, self._former[key], 0)
-
     @_apply_decoded.register
     def _(self, decoded: ServerRemoved, from_copy: bool) -> None:
         self._planner.servers.remove(
