Move the lease of saved streams to a class of its own

Verdicts on crashing requests need a lease that is kept in the same way: it is granted with the first write, renewed after half of its time, and replaced if it has ended or the store was restored. Nothing changes for streams.

Evidence: tests/test_entry_streams_after_loss.py passes as before.

--- a/corianderdoor/entry/stream_saver.py
+++ b/corianderdoor/entry/stream_saver.py
@@ -11,10 +11,9 @@
 from ..core.entry.begun_streams import BegunStreams
 from ..core.entry.peers import Peers
 from ..core.entry.planner import Planner
-from ..core.entry.replica import owns_lease
 from ..platform.store import StoreClient, StoreError
-from ..platform.store_era import NO_ERA
 from ..platform.stream_records import BEGUN_PREFIX, encode_begun
+from .store_lease import StoreLease
 
 # Shortest time between two calls. Streams that begin in the last of these
 # intervals are unknown when all hosts are lost at once.
@@ -43,8 +42,6 @@
         "_key",
         "_writes_per_s",
         "_lease",
-        "_lease_era",
-        "_renew_at_ms",
         "_saved",
     )
 
@@ -77,9 +74,7 @@
         # A host that starts again must not replace what it saved before.
         self._key = f"{BEGUN_PREFIX}{name}/{clock.wall_ms()}"
         self._writes_per_s = max(1.0, writes_per_s)
-        self._lease = 0
-        self._lease_era = NO_ERA
-        self._renew_at_ms = 0
+        self._lease = StoreLease(store, clock, LEASE_MS)
         # What was saved: the revision of the streams, and the services.
         self._saved: tuple[int, frozenset[str]] = (0, frozenset())
 
@@ -108,12 +103,12 @@
         self._begun.drop_expired(self._clock.now_ms())
         services = self._find_mixed()
         wanted = self._begun.revision, services
-        if not services or wanted == self._saved and self._owns_lease():
+        if not services or wanted == self._saved and self._lease.is_owned:
             return
         value = encode_begun(self._begun.group(services))
-        await self._keep_lease()
-        if not await self._store.write(self._key, value, self._lease):
-            self._lease = 0
+        lease = await self._lease.keep()
+        if not await self._store.write(self._key, value, lease):
+            self._lease.drop()
             raise StoreError("streams", "lease gone", True)
         self._saved = wanted
         self._planner.counters.add("stream_saves")
@@ -128,17 +123,3 @@
             if selection.ledger.find_only(service, selection.servers, era)
             is None
         )
-
-    async def _keep_lease(self) -> None:
-        now_ms = self._clock.now_ms()
-        if self._owns_lease() and now_ms < self._renew_at_ms:
-            return
-        if not self._owns_lease() or not await self._store.renew(self._lease):
-            self._lease = await self._store.grant(LEASE_MS)
-            self._lease_era = self._store.era.known
-        self._renew_at_ms = now_ms + LEASE_MS // 2
-
-    def _owns_lease(self) -> bool:
-        return bool(self._lease) and owns_lease(
-            self._lease_era, self._store.era.known
-        )
