Tell peers of an answer that ends a verdict without known crashes

A host that had started after the crashes got an answer to a request under verdict and ended the verdict; its peers went on refusing the request until their trial.

Cause: a host told peers only of answers to requests and parts of crashes that it knows, and a host that has learnt a verdict from its peers knows none.

Change: an answer that ends a verdict is told once in any case.

Evidence: test_answer_at_a_restarted_host_ends_the_refusal_at_all fails before (1 run) and passes with it.

--- a/corianderdoor/core/entry/crash_verdicts.py
+++ b/corianderdoor/core/entry/crash_verdicts.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+import itertools
 from typing import Final
 
 from .active_hosts import rank_host
@@ -71,7 +72,7 @@
         on_change: Called with the digest of a suspect and what became of it.
     """
 
-    __slots__ = ("answered", "on_change", "_name", "_verdicts")
+    __slots__ = ("answered", "on_change", "_name", "_verdicts", "_ended")
 
     def __init__(self, name: str) -> None:
         """Creates the verdicts of the host `name`, without any."""
@@ -81,6 +82,8 @@
         )
         self._name = name
         self._verdicts: dict[int, Verdict] = {}
+        # Suspects whose verdicts ended by answers that peers may not know.
+        self._ended: set[int] = set()
 
     def __len__(self) -> int:
         """Returns the number of verdicts."""
@@ -123,6 +126,7 @@
     def _release_answered(self, suspect: int) -> None:
         found = self._verdicts.get(suspect)
         if found is not None and self.answered.last_ms(suspect) > found.at_ms:
+            self._ended.add(suspect)
             self.release(suspect)
 
     def may_send(
@@ -221,7 +225,8 @@
                 reports.append(
                     PartReport(suspect, None, age_ms, found.period_ms)
                 )
-        for suspect in suspects:
+        ended, self._ended = self._ended, set()
+        for suspect in itertools.chain(ended, suspects):
             if len(reports) >= MAX_REPORTS:
                 return reports
             at_ms = self.answered.take_untold(suspect)
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -302,6 +302,25 @@
     assert fleet.hosts["h0"].should_refuse(request(9, parts=()))
 
 
+# Guards against peers that go on refusing a request which a restarted host,
+# that knows no crash under it, has got an answer to.
+def test_answer_at_a_restarted_host_ends_the_refusal_at_all():
+    fleet = Fleet()
+    for number in range(3):
+        fleet.send(number, f"s{number}", 1_000 * number)
+    for now_ms in (3_000, 4_000, 5_000):
+        fleet.share(now_ms)
+    fleet.hosts["h0"] = CrashingRequests("h0")
+    fleet.share(10_000)
+    fleet.hosts["h0"].record_sound_answer(
+        build_flight(request(9, parts=())), 70_000
+    )
+    fleet.share(70_100)
+    assert not any(
+        h.should_refuse(request(9, parts=())) for h in fleet.hosts.values()
+    )
+
+
 def test_many_crashes_of_one_server_count_once():
     crashing = CrashingRequests()
     for number in range(9):
