Keep the verdicts on crashing requests in the store

When all hosts were killed at once, nobody knew which requests and prompt parts were under verdict: each had to crash three more servers before it was refused again.

Cause: verdicts lived with the hosts, and passed from one to the other only.

Change: one host writes them, all in one record with ages and periods, when one is new, renewed or ended, and every ten seconds for the ages; other watchers write in its place. Hosts that start take them over with the page that brings the desired state, so that nothing is sent before and nothing waits longer.

--- a/corianderdoor/core/entry/crash_verdicts.py
+++ b/corianderdoor/core/entry/crash_verdicts.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 import itertools
 from typing import Final
 
@@ -47,13 +47,25 @@
         trial: Id of the request that is let through as a trial.
         trial_ms: Since when.
         reported_ms: When peers were last told.
+        stored: Whether only the store has told of it. Its age is then too
+            low by the time since it was written, so that peers are not told.
     """
 
-    __slots__ = ("at_ms", "period_ms", "trial", "trial_ms", "reported_ms")
-
-    def __init__(self, at_ms: int, period_ms: int) -> None:
+    __slots__ = (
+        "at_ms",
+        "period_ms",
+        "trial",
+        "trial_ms",
+        "reported_ms",
+        "stored",
+    )
+
+    def __init__(
+        self, at_ms: int, period_ms: int, stored: bool = False
+    ) -> None:
         self.at_ms = at_ms
         self.period_ms = period_ms
+        self.stored = stored
         self.trial = ""
         self.trial_ms = NEVER_MS
         self.reported_ms = NEVER_MS
@@ -216,7 +228,7 @@
         for suspect, found in self._verdicts.items():
             if len(reports) >= MAX_REPORTS:
                 return reports
-            if now_ms - found.reported_ms < REPEAT_MS:
+            if found.stored or now_ms - found.reported_ms < REPEAT_MS:
                 continue
             is_new = found.reported_ms == NEVER_MS
             found.reported_ms = now_ms
@@ -246,6 +258,9 @@
         if at_ms - self.answered.last_ms(suspect) < RECENT_ANSWER_MS:
             return
         found = self._verdicts.get(suspect)
+        if found is not None and found.stored:
+            self._correct(suspect, found, report, at_ms)
+            return
         if found is not None and at_ms - found.at_ms < SAME_VERDICT_MS:
             return
         period_ms = min(MAX_VERDICT_MS, report.period_ms)
@@ -256,3 +271,45 @@
         self.on_change(
             suspect, PartChange.RENEWED if found else PartChange.QUARANTINED
         )
+
+    def _correct(
+        self, suspect: int, found: Verdict, report: PartReport, at_ms: int
+    ) -> None:
+        """Takes the time of a stored verdict from a peer, which knows it."""
+        found.stored = False
+        found.at_ms = at_ms
+        period_ms = min(MAX_VERDICT_MS, report.period_ms)
+        if period_ms != found.period_ms:
+            found.period_ms = period_ms
+            self.on_change(suspect, PartChange.RENEWED)
+
+    def list_all(self, now_ms: int) -> tuple[PartReport, ...]:
+        """Returns all verdicts, with their ages."""
+        return tuple(
+            PartReport(
+                suspect, None, max(0, now_ms - found.at_ms), found.period_ms
+            )
+            for suspect, found in self._verdicts.items()
+        )
+
+    def restore(self, stored: Iterable[PartReport], now_ms: int) -> None:
+        """Takes over verdicts from the store that this host does not know.
+
+        The time since they were written is unknown and does not count.
+        """
+        for report in stored:
+            age_ms = report.quarantined_age_ms
+            if report.part in self._verdicts or age_ms is None:
+                continue
+            period_ms = min(MAX_VERDICT_MS, report.period_ms)
+            if age_ms < period_ms + KEEP_MS:
+                self._add(
+                    report.part, Verdict(now_ms - age_ms, period_ms, True)
+                )
+                self.on_change(report.part, PartChange.RESTORED)
+
+    def drop_stored(self, kept: Collection[int]) -> None:
+        """Ends the verdicts that only the store told of, but for `kept`."""
+        for suspect, found in list(self._verdicts.items()):
+            if found.stored and suspect not in kept:
+                self.release(suspect)
--- a/corianderdoor/core/entry/crashing_requests.py
+++ b/corianderdoor/core/entry/crashing_requests.py
@@ -28,6 +28,7 @@
 from .request_blame import CRASHES_TO_REFUSE, RequestBlame
 from .requests import CallerRequest
 from .servers import digest_id
+from .stored_verdicts import VerdictKeeper
 
 # A broken connection counts as a crash if the server is found to be
 # unreachable or gone within this time.
@@ -101,6 +102,7 @@
 
     Attributes:
         verdicts: Requests and prompt parts that are kept away from servers.
+        keeper: Tells which of them the store lacks.
         on_crash: Called with each crash that interrupted a request of this
             host.
         on_interrupted: Called with the id of a server that may have crashed.
@@ -108,6 +110,7 @@
 
     __slots__ = (
         "verdicts",
+        "keeper",
         "on_crash",
         "on_interrupted",
         "_evidence",
@@ -121,6 +124,7 @@
         """Creates the records of the host `name`, without any crash."""
         self._evidence = CrashEvidence()
         self.verdicts = CrashVerdicts(name)
+        self.keeper = VerdictKeeper(self.verdicts)
         self._requests = RequestBlame(self._evidence, self.verdicts)
         self._parts = PartBlame(self._evidence, self.verdicts)
         self.on_crash: Callable[[ServerCrash], None] = lambda crash: None
--- a/corianderdoor/core/entry/part_reports.py
+++ b/corianderdoor/core/entry/part_reports.py
@@ -14,6 +14,7 @@
     RENEWED = "renewed"
     TRIED = "tried"
     RELEASED = "released"
+    RESTORED = "restored"
 
 
 class PartReport(Record):
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -39,7 +39,6 @@
 from .gauges import build_gauges
 from .host_stop import HostStop
 from .host_ticks import HostTicks
-from .ledger_writer import LedgerWriter
 from .metrics import MetricsService
 from .peering import Peering
 from .registration import Registration
@@ -49,9 +48,9 @@
 from .server_marks import ServerMarks
 from .state_applier import MISSED_HEARTBEATS, StateApplier
 from .state_sync import FIRST_START_DELAY_MS, StateSync
+from .store_writers import StoreWriters
 from .stored_streams import StoredStreams
 from .stream_registry import PORT_OFFSET, StreamRegistry
-from .stream_saver import StreamSaver
 from .tunnels import TunnelService
 from .upkeep import Job, keep_running
 
@@ -78,8 +77,7 @@
         "_rollout_writer",
         "_marks",
         "_streams",
-        "_stream_saver",
-        "_ledger_writer",
+        "_writers",
         "_crash_checks",
         "_callers",
         "_directory",
@@ -228,23 +226,14 @@
             clock,
             StoredStreams(self._connect_store(), self._planner.servers, clock),
         )
-        self._stream_saver = StreamSaver(
-            self._connect_store(),
-            self._planner,
-            self._peers,
-            self._streams.begun,
-            clock,
-            settings.name,
-            settings.store_writes_per_s,
-        )
-        self._ledger_writer = LedgerWriter(
-            self._connect_store(),
+        self._writers = StoreWriters(
+            settings,
+            self._connect_store,
             self._planner,
             self._peers,
             self._applier.replica,
-            self._streams.history,
+            self._streams,
             clock,
-            settings.first_start,
         )
         self._callers = CallerService(
             self._planner, self._pool, self._marks, self._streams, clock
@@ -353,8 +342,7 @@
                 lambda: list(self._planner.loads.own),
             ),
             "streams": self._streams.run,
-            "stream-saver": self._stream_saver.run,
-            "stream-ledger": self._ledger_writer.run,
+            **self._writers.list_jobs(),
             "crash-checks": self._crash_checks.run,
             "ticks": self._ticks.run,
         }
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -27,9 +27,11 @@
     ServerListed,
     ServerRemoved,
     UnusableRecord,
+    VerdictsChange,
 )
 from ..platform.records import SERVER_PREFIX
 from ..platform.stream_records import LEDGER_KEY
+from ..platform.verdict_records import VERDICTS_KEY
 from .backends import ConnectionPool
 from .kept_evacuations import KeptEvacuations
 from .peer_codec import decode_caches, MessageError
@@ -147,6 +149,7 @@
                 )
                 self._planner.counters.add("invalid_messages", kind="record")
         self._former = {}
+        self._planner.crashing_requests.keeper.end_start()
         if page.overrides and self.replica.misses(page.era):
             self._apply_overrides(page.overrides)
         return len(changes)
@@ -367,10 +370,21 @@
     def _(self, decoded: LedgerChange, from_copy: bool) -> None:
         self._planner.selection.ledger.record(decoded.ledger, self.replica.era)
 
+    @_apply_decoded.register
+    def _(self, decoded: VerdictsChange, from_copy: bool) -> None:
+        stored = decoded.stored
+        self._planner.crashing_requests.keeper.record(
+            stored,
+            stored is not None and stored.era == self.replica.era,
+            self._clock.now_ms(),
+        )
+
     @_apply_decoded.register
     def _(self, decoded: UnusableRecord, from_copy: bool) -> None:
         if decoded.key == LEDGER_KEY:
             self._planner.selection.ledger.record(None, self.replica.era)
+        if decoded.key == VERDICTS_KEY:
+            self._apply_decoded(VerdictsChange(None), from_copy)
         self._refused.record(decoded.key, decoded.field, decoded.detail)
         if decoded.key.startswith(SERVER_PREFIX):
             self._keep_overwritten(decoded.key[len(SERVER_PREFIX) :])
--- a/corianderdoor/platform/changes.py
+++ b/corianderdoor/platform/changes.py
@@ -9,6 +9,7 @@
 from ..core.entry.rollout_records import RolloutOrder, RolloutRecord
 from ..core.entry.routing import DesiredState
 from ..core.entry.servers import BackendServer
+from ..core.entry.stored_verdicts import StoredVerdicts
 from ..core.entry.version_ledger import VersionLedger
 from ..core.records import Record
 from .decoding import RecordError
@@ -29,6 +30,7 @@
 )
 from .server_records import decode_server
 from .stream_records import decode_ledger, LEDGER_KEY
+from .verdict_records import decode_verdicts, VERDICTS_KEY
 
 
 class ServerListed(Record):
@@ -156,6 +158,19 @@
         self.ledger = ledger
 
 
+class VerdictsChange(Record):
+    """The hosts' verdicts on crashing requests were written or removed.
+
+    Attributes:
+        stored: The verdicts; None if they were removed.
+    """
+
+    __slots__ = ("stored",)
+
+    def __init__(self, stored: StoredVerdicts | None) -> None:
+        self.stored = stored
+
+
 class UnusableRecord(Record):
     """A value in the store that can't be decoded.
 
@@ -184,6 +199,7 @@
     | RolloutOrderChange
     | RolloutRecordChange
     | LedgerChange
+    | VerdictsChange
     | UnusableRecord
 )
 
@@ -216,6 +232,10 @@
         return LedgerChange(
             None if change.value is None else decode_ledger(change.value)
         )
+    if key == VERDICTS_KEY:
+        return VerdictsChange(
+            None if change.value is None else decode_verdicts(change.value)
+        )
     if key == DESIRED_KEY and change.value is not None:
         return DesiredStateChange(decode_desired(change.value))
     if key == CACHES_KEY and change.value is not None:
--- a/corianderdoor/platform/store.py
+++ b/corianderdoor/platform/store.py
@@ -233,6 +233,7 @@
         expected: Mapping[str, int],
         writes: Mapping[str, bytes],
         may_send: Callable[[], bool] = lambda: True,
+        lease_id: int = 0,
     ) -> bool:
         """Writes keys if others still have the expected revisions.
 
@@ -245,6 +246,7 @@
             writes: New values by key.
             may_send: Called right before the call is sent; if it returns
                 False, nothing is sent.
+            lease_id: Lease of the written keys; 0 for none.
 
         Returns:
             False if a key has another revision, so that nothing was written.
@@ -252,7 +254,9 @@
         Raises:
             StoreError: The call failed.
         """
-        status, answer = await self._commit(expected, writes, 0, may_send)
+        status, answer = await self._commit(
+            expected, writes, lease_id, may_send
+        )
         if status == 412:
             return False
         _decode("kv-txn", status, answer, RawDone)
--- /dev/null
+++ b/tests/test_entry_stored_verdicts.py
@@ -0,0 +1,513 @@
+"""Tests of the verdicts on crashing requests that the store keeps."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+from entry_builders import build_planner, build_request, build_route
+from loguru import logger
+import pytest
+
+from corianderdoor.core.clock import ManualClock
+from corianderdoor.core.entry.crash_verdicts import (
+    KEEP_MS,
+    MAX_VERDICT_MS,
+    MAX_VERDICTS,
+)
+from corianderdoor.core.entry.flights import Flight
+from corianderdoor.core.entry.heartbeat import Heartbeat
+from corianderdoor.core.entry.part_blame import NEW_PART_MS
+from corianderdoor.core.entry.part_reports import PartReport
+from corianderdoor.core.entry.peers import Peers
+from corianderdoor.core.entry.replica import Change, Page
+from corianderdoor.core.entry.request_blame import FIRST_VERDICT_MS
+from corianderdoor.core.entry.stored_verdicts import (
+    REFRESH_MS,
+    StoredVerdicts,
+)
+from corianderdoor.entry.backends import ConnectionPool
+from corianderdoor.entry.state_applier import StateApplier
+from corianderdoor.entry.verdict_writer import (
+    BACKUP_MS,
+    LEASE_MS,
+    VerdictWriter,
+)
+from corianderdoor.platform.decoding import RecordError
+from corianderdoor.platform.store import StoreError
+from corianderdoor.platform.store_era import StoreEra
+from corianderdoor.platform.verdict_records import (
+    decode_verdicts,
+    encode_verdicts,
+    VERDICTS_KEY,
+)
+from corianderdoor.standins.platform_store import StoreState
+
+STEP_MS = 500
+NAMES = ["h0", "h1", "h2"]
+KINDS = ["request", "part"]
+
+
+def finish(coro):
+    """Runs a coroutine that never waits."""
+    try:
+        coro.send(None)
+    except StopIteration as exc:
+        return exc.value
+    raise AssertionError("it waits")
+
+
+class Client:
+    """A host's client of the store, which may refuse the host."""
+
+    def __init__(self, fleet, era) -> None:
+        self.fleet = fleet
+        self.era = era
+        self.refused = False
+        self.calls: list[str] = []
+
+    def call(self, name) -> None:
+        self.calls.append(name)
+        if self.refused or self.fleet.away:
+            raise StoreError(name, "503", True)
+
+    async def grant(self, ttl_ms):
+        self.call("grant")
+        return self.fleet.state.grant(ttl_ms)[1]["lease_id"]
+
+    async def renew(self, lease):
+        self.call("renew")
+        return self.fleet.state.renew(lease)[0] == 200
+
+    async def compare_and_set(self, expected, writes, may_send, lease_id):
+        self.call("write")
+        assert may_send()
+        rows = [{"key": k, "revision": r} for k, r in expected.items()]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "lease_id": lease_id,
+            }
+            for key, value in writes.items()
+        ]
+        change = {"expected_revision": rows, "write": items}
+        status, _ = self.fleet.state.commit(change)
+        if status == 404:
+            raise StoreError("kv-txn", "404", False)
+        return status == 200
+
+
+class Host:
+    """A host that has just started; its clock is its own."""
+
+    def __init__(self, fleet, name, now_ms) -> None:
+        self.name = name
+        self.clock = ManualClock(now_ms, 7 * now_ms)
+        self.planner = build_planner(servers=8, name=name)
+        self.crashing = self.planner.crashing_requests
+        self.peers = Peers(name)
+        pool = ConnectionPool(self.clock, self.planner.counters)
+        self.applier = StateApplier(self.planner, self.peers, pool, self.clock)
+        self.client = Client(fleet, StoreEra(self.planner.counters))
+        self.writer = VerdictWriter(
+            self.client,
+            self.planner,
+            self.peers,
+            self.applier.replica,
+            self.clock,
+        )
+
+    @property
+    def now_ms(self) -> int:
+        return self.clock.now_ms()
+
+
+class Fleet:
+    """Hosts with clocks of their own, their store, and a caller."""
+
+    def __init__(self, names=NAMES) -> None:
+        self.clock = ManualClock()
+        self.state = StoreState(self.clock)
+        self.state.put("op/other", b"1")
+        self.away = False
+        self.names = names
+        self.hosts: dict[str, Host] = {}
+        self.sent = 0
+        self.runs = 0
+        self.start_all()
+
+    def start_all(self) -> None:
+        """Starts all hosts; those that ran were killed before."""
+        self.hosts = {}
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name) -> Host:
+        # Monotonic clocks begin anywhere.
+        now_ms = 1_000_003 * (self.sent + len(self.hosts) + 1)
+        host = self.hosts[name] = Host(self, name, now_ms)
+        self.deliver(host)
+        return host
+
+    def deliver(self, host) -> None:
+        """Brings the store's items to a host."""
+        if self.away:
+            return
+        changes = tuple(
+            Change(key, self.state.read_value(key), item["revision"])
+            for key, item in self.state._items.items()
+        )
+        replica = host.applier.replica
+        if (self.state.era, self.state.revision) > (
+            replica.era,
+            replica.revision,
+        ):
+            page = Page(changes, self.state.revision, True, self.state.era)
+            host.applier.apply(page, "store", 0)
+            host.client.era.observe(self.state.era)
+
+    def step(self, delta_ms=STEP_MS) -> None:
+        """Lets time pass; all hosts tell each other and the store."""
+        while delta_ms > 0:
+            passed_ms = min(STEP_MS, delta_ms)
+            delta_ms -= passed_ms
+            self.clock.advance(passed_ms)
+            self.state.expire_leases()
+            for host in self.hosts.values():
+                host.clock.advance(passed_ms)
+            self.share()
+            for host in list(self.hosts.values()):
+                self.tick(host)
+
+    def tick(self, host) -> None:
+        host.planner.tick(host.now_ms)
+        host.planner.selection.process_pauses.record_tick(host.now_ms)
+        host.planner.restarts.update_contact(host.now_ms, host.now_ms)
+        for name in self.hosts:
+            if name != host.name:
+                host.peers.add_listed(name, ("x", 1), ("x", 2), "a", 0)
+                host.peers.record_heartbeat(
+                    Heartbeat(name, 1, 1, 0, False, ()), host.now_ms
+                )
+        self.deliver(host)
+        finish(host.writer.write_due())
+        self.deliver(host)
+
+    def share(self) -> None:
+        """Has every host receive what each has to report."""
+        for host in self.hosts.values():
+            attempts = host.crashing.take_updates(host.now_ms)
+            reports = host.crashing.take_reports(self.names, host.now_ms)
+            for other in self.hosts.values():
+                if other is not host:
+                    other.crashing.merge(attempts, other.now_ms)
+                    for report in reports:
+                        other.crashing.verdicts.merge(report, other.now_ms)
+
+    def build_flight(self, kind) -> Flight:
+        self.sent += 1
+        own = "own" if kind == "request" else f"own{self.sent}"
+        parts = [("own", 9)] if kind == "request" else [("p", 9), (own, 9)]
+        req = build_request("/once/x", f"r{self.sent}", parts)
+        req.body = own.encode()
+        return Flight(req, build_route("/once/"), "llm", None, 0, 6_000)
+
+    def send(self, kind, name) -> bool:
+        """Sends a request that crashes its server, unless it is refused."""
+        host = self.hosts[name]
+        flight = self.build_flight(kind)
+        if host.crashing.find_refusal(flight, self.names, host.now_ms):
+            return False
+        self.runs += 1
+        server = f"s{self.runs}"
+        host.crashing.record_interruption(flight, server, host.now_ms)
+        host.crashing.confirm_crash(server, host.now_ms)
+        return True
+
+    def send_everywhere(self, kind) -> int:
+        """Sends one request at each host; returns how many ran."""
+        ran = 0
+        for name in self.hosts:
+            ran += self.send(kind, name)
+            self.step(20)
+        return ran
+
+    def answer(self, kind, name) -> None:
+        """Has a request that was under way answered at a host."""
+        host = self.hosts[name]
+        host.crashing.record_sound_answer(self.build_flight(kind), host.now_ms)
+
+    def convict(self, kind) -> None:
+        for number in range(3):
+            assert self.send(kind, self.names[number % len(self.names)])
+            self.step(1_500)
+        assert self.send_everywhere(kind) == 0
+
+    def stored(self) -> StoredVerdicts | None:
+        value = self.state.read_value(VERDICTS_KEY)
+        return None if value is None else decode_verdicts(value)
+
+    def count_calls(self) -> int:
+        return sum(len(h.client.calls) for h in self.hosts.values())
+
+    def count_verdicts(self) -> list[int]:
+        return [len(h.crashing.verdicts) for h in self.hosts.values()]
+
+
+# Guards against hosts that are all killed at once and know no verdict then:
+# the request, or the part, crashed three more servers.
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("restarts", [1, 3])
+def test_restart_of_all_hosts_keeps_a_verdict(kind, restarts):
+    fleet = Fleet()
+    fleet.convict(kind)
+    for _ in range(restarts):
+        fleet.start_all()
+        assert fleet.send_everywhere(kind) == 0
+    assert fleet.runs == 3
+
+
+# Guards against more trials after a restart than without one.
+@pytest.mark.parametrize("kind", KINDS)
+def test_trials_go_on_as_before_after_a_restart(kind):
+    fleet = Fleet()
+    fleet.convict(kind)
+    fleet.step(30_000)
+    fleet.start_all()
+    for _ in range(180):
+        fleet.step(20_000)
+        fleet.send_everywhere(kind)
+        if fleet.sent % 100 == 0:
+            fleet.start_all()
+    # Trials at 1, 5 and 21 minutes.
+    assert fleet.runs <= 3 + 3
+
+
+# Guards against ages that are compared over clocks of different hosts, or
+# that begin anew with each restart.
+def test_age_of_a_verdict_goes_on_after_a_restart():
+    fleet = Fleet()
+    fleet.convict("request")
+    fleet.step(FIRST_VERDICT_MS - 3 * REFRESH_MS)
+    fleet.start_all()
+    fleet.step(REFRESH_MS)
+    assert fleet.send_everywhere("request") == 0
+    fleet.step(2 * REFRESH_MS + STEP_MS * len(NAMES))
+    assert fleet.send_everywhere("request") == 1
+
+
+# Guards against a verdict that comes back from the store after its end.
+@pytest.mark.parametrize("kind", KINDS)
+def test_verdict_that_has_ended_stays_ended_after_a_restart(kind):
+    fleet = Fleet()
+    fleet.convict(kind)
+    fleet.answer(kind, "h1")
+    fleet.step(2 * STEP_MS)
+    assert fleet.stored().verdicts == ()
+    fleet.start_all()
+    assert fleet.send(kind, "h0")
+    assert fleet.count_verdicts() == [0, 0, 0]
+
+
+# Guards against an answer that ends a verdict at one host only, as the
+# others have no crashes left that tell them to report it.
+def test_answer_after_a_restart_ends_the_verdict_at_all_hosts():
+    fleet = Fleet()
+    fleet.convict("request")
+    fleet.start_all()
+    fleet.step()
+    fleet.answer("request", "h1")
+    fleet.share()
+    fleet.share()
+    assert fleet.count_verdicts() == [0, 0, 0]
+
+
+# Guards against a restored store that brings back a verdict which has ended,
+# to hosts that ran all the while and to those that start then.
+def test_older_copy_of_the_store_brings_no_verdict_back():
+    fleet = Fleet()
+    fleet.convict("request")
+    copy = fleet.state.take_snapshot()
+    fleet.answer("request", "h1")
+    fleet.step(2 * STEP_MS)
+    fleet.state.restore(copy)
+    late = fleet.start("h9")
+    assert len(late.crashing.verdicts) == 1
+    fleet.step(2 * STEP_MS)
+    assert fleet.count_verdicts() == [0, 0, 0, 0]
+    assert fleet.stored() == StoredVerdicts(fleet.state.era, ())
+
+
+# Guards against a verdict that a restored store has lost, and that nobody
+# writes again.
+def test_verdict_is_written_again_after_a_restore_that_lost_it():
+    fleet = Fleet()
+    copy = fleet.state.take_snapshot()
+    fleet.convict("request")
+    fleet.state.restore(copy)
+    assert fleet.stored() is None
+    fleet.step(2 * STEP_MS)
+    fleet.start_all()
+    assert fleet.send_everywhere("request") == 0
+
+
+# Guards against hosts that need the store for a verdict. If it is away until
+# all hosts were killed, the request has to crash three more servers.
+def test_store_that_is_away_leaves_the_verdict_with_the_hosts():
+    fleet = Fleet()
+    fleet.away = True
+    fleet.convict("request")
+    fleet.start("h1")
+    fleet.step(2_000)
+    assert fleet.send_everywhere("request") == 0
+    fleet.start_all()
+    fleet.away = False
+    fleet.step()
+    fleet.convict("request")
+    assert fleet.runs == 6
+
+
+# Guards against verdicts of an outage that are not written after it.
+def test_verdict_of_an_outage_is_written_after_it():
+    fleet = Fleet()
+    fleet.away = True
+    fleet.convict("request")
+    fleet.away = False
+    fleet.step(2 * STEP_MS)
+    fleet.start_all()
+    assert fleet.send_everywhere("request") == 0
+
+
+# Guards against a record that only the first host can write, which the store
+# may refuse, or which was killed.
+@pytest.mark.parametrize("killed", [False, True])
+def test_another_host_writes_in_place_of_the_first(killed):
+    fleet = Fleet()
+    fleet.step()
+    first = min(
+        fleet.hosts.values(), key=lambda h: not h.peers.is_first(h.now_ms)
+    )
+    if killed:
+        del fleet.hosts[first.name]
+        fleet.names = [name for name in NAMES if name != first.name]
+    first.client.refused = True
+    fleet.convict("request")
+    fleet.step(BACKUP_MS + STEP_MS)
+    fleet.names = NAMES
+    fleet.start_all()
+    assert fleet.send_everywhere("request") == 0
+
+
+# Guards against a host that starts alone, takes a verdict for younger than
+# it is, and has its peers put the trial off.
+def test_host_that_starts_learns_the_age_from_its_peers():
+    fleet = Fleet()
+    fleet.convict("request")
+    for _ in range(5):
+        fleet.step(9_000)
+        fleet.start("h1")
+    fleet.step(FIRST_VERDICT_MS - 5 * 9_000 + STEP_MS * len(NAMES))
+    assert fleet.send_everywhere("request") == 1
+
+
+# Guards against calls to the store while no request crashes servers.
+def test_hosts_make_no_calls_without_a_verdict():
+    fleet = Fleet()
+    fleet.step(30_000)
+    assert fleet.count_calls() == 0
+
+
+# Guards against calls for each of many verdicts, and against records that
+# stay in the store, or are written, for ever.
+def test_calls_and_size_are_bounded_and_the_record_goes():
+    fleet = Fleet()
+    for number in range(2 * MAX_VERDICTS):
+        for host in fleet.hosts.values():
+            host.crashing.verdicts.convict(
+                2**64 - 1 - number, host.now_ms, MAX_VERDICT_MS
+            )
+    fleet.step(60_000)
+    stored = fleet.stored()
+    assert stored is not None and len(stored.verdicts) == MAX_VERDICTS
+    assert len(encode_verdicts(stored)) <= 80 * MAX_VERDICTS
+    # One lease, the verdicts at once, and their ages.
+    assert fleet.count_calls() <= 2 + 60_000 // REFRESH_MS
+    fleet.step(MAX_VERDICT_MS + KEEP_MS)
+    calls = fleet.count_calls()
+    assert fleet.stored() == StoredVerdicts(fleet.state.era, ())
+    fleet.step(LEASE_MS)
+    assert fleet.stored() is None
+    assert fleet.count_calls() == calls
+
+
+# Guards against a record that outlives hosts which don't come back.
+def test_record_ends_when_all_hosts_are_gone():
+    fleet = Fleet()
+    fleet.convict("request")
+    fleet.hosts.clear()
+    fleet.step(LEASE_MS)
+    assert fleet.stored() is None
+
+
+# Guards against a record of another writer that stops hosts, is logged again
+# and again, or stays in place of verdicts.
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff",
+        b"[]",
+        b'{"era": 1}',
+        b'{"era": 1, "verdicts": [{"suspect": -1, "age_ms": 0}]}',
+    ],
+)
+def test_unreadable_record_is_refused_and_written_again(value):
+    fleet = Fleet()
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    for _ in range(2):
+        fleet.state.put(VERDICTS_KEY, value)
+        fleet.step()
+    logger.remove(sink)
+    assert sum("record_invalid" in line for line in lines) == len(NAMES)
+    for host in fleet.hosts.values():
+        counted = host.planner.counters.read("refused_records")
+        assert sum(count for _, count in counted) == 2
+    assert fleet.count_calls() == 0
+    fleet.convict("request")
+    fleet.start_all()
+    assert fleet.send_everywhere("request") == 0
+
+
+# Guards against values that a host can't hold or pass on.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"suspect": 2**64},
+        {"suspect": -1},
+        {"age_ms": -1},
+        {"period_ms": 0},
+        {"period_ms": MAX_VERDICT_MS + 1},
+        {"period_ms": True},
+    ],
+)
+def test_verdict_out_of_range_is_refused(fields):
+    verdict = {"suspect": 1, "age_ms": 1, "period_ms": NEW_PART_MS, **fields}
+    with pytest.raises(RecordError):
+        decode_verdicts(json.dumps({"era": 1, "verdicts": [verdict]}).encode())
+
+
+def test_too_many_verdicts_are_refused():
+    verdict = {"suspect": 1, "age_ms": 1, "period_ms": 1}
+    value = {"era": 1, "verdicts": [verdict] * (MAX_VERDICTS + 1)}
+    with pytest.raises(RecordError):
+        decode_verdicts(json.dumps(value).encode())
+
+
+# Guards against a record of a later release that hosts can't read.
+def test_fields_of_a_later_release_are_ignored():
+    verdict = {"suspect": 1, "age_ms": 2, "period_ms": 3, "cause": "x"}
+    value = json.dumps({"era": 4, "verdicts": [verdict], "new": []}).encode()
+    assert decode_verdicts(value) == StoredVerdicts(
+        4, (PartReport(1, None, 2, 3),)
+    )
