Keep the tunnels of peers when the own requests have ended

A request that had been sent through a peer before the peer's SIGTERM was cut with the peer's own requests, at 93% of its grace period.

Cause: one end for both. The rest of the grace period is for the answers that own requests get at the end; a tunnel needs none.

Tunnels are kept until 97%, which is 0.3 s more of 8 s.

--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -30,6 +30,9 @@
 # Share of the grace period by which that end moves forward at most, as the
 # signal may have come before it could be handled.
 MAX_LATE_SHARE: Final = 0.09
+# Share of the grace period after which tunnels of peers are cut off. A peer
+# needs no answer then, so that they may last longer.
+TUNNEL_SHARE: Final = 0.97
 # Time in which the requests that are cut off get their answers.
 LAST_ANSWERS_MS: Final = 60
 STOP_POLL_MS: Final = 20
@@ -141,6 +144,12 @@
         if self._callers.count_open():
             self._callers.end_requests()
             await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
+        tunnels_ms = int(self._grace_ms * TUNNEL_SHARE) - late_ms
+        await self._wait_for_tunnels(self._signal_ms + tunnels_ms)
+
+    async def _wait_for_tunnels(self, until_ms: int) -> None:
+        while self._tunnels.open and self._clock.now_ms() < until_ms:
+            await anyio.sleep(STOP_POLL_MS / MS_PER_SECOND)
 
     async def _announce(self) -> None:
         self._peering.send_heartbeats()
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -120,6 +120,7 @@
 # that shuts down, and cut with it.
 def test_kept_tunnel_of_a_peer_that_shuts_down_takes_no_request(monkeypatch):
     monkeypatch.setattr(host_stop, "GRACE_PERIOD_SHARE", 0.2)
+    monkeypatch.setattr(host_stop, "TUNNEL_SHARE", 0.2)
 
     async def scenario(fleet):
         cut(fleet)
@@ -137,10 +138,34 @@
     run(scenario, engines=0, plain=1, hosts=3)
 
 
+# Guards against LOST: a payment that was sent before its peer's stop is cut as
+# soon as the peer has ended its own requests.
+def test_tunnels_outlast_the_requests_of_a_peer_that_shuts_down(monkeypatch):
+    monkeypatch.setattr(host_stop, "GRACE_PERIOD_SHARE", 0.1)
+
+    async def scenario(fleet):
+        cut(fleet)
+        (worker,) = fleet.workers.values()
+        worker.work_ms = 2_000
+        replies = []
+
+        async def pay() -> None:
+            replies.append(await fleet.chat("host-0", "id-1", "/pay/x"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pay)
+            await wait_for(lambda: worker.active > 0)
+            fleet.stop_host("host-1")
+        assert [reply.status for reply in replies] == [200]
+
+    run(scenario, engines=0, plain=1, hosts=2)
+
+
 # Guards against LOST: a payment is sent through a new tunnel of a peer that
 # shuts down, as no other way is left, and is cut with the tunnel.
 def test_payment_takes_no_new_tunnel_of_a_peer_that_shuts_down(monkeypatch):
     monkeypatch.setattr(host_stop, "GRACE_PERIOD_SHARE", 0.2)
+    monkeypatch.setattr(host_stop, "TUNNEL_SHARE", 0.2)
 
     async def scenario(fleet):
         cut(fleet)
