--- a/scripts/stop_check.py
+++ b/scripts/stop_check.py
@@ -73,7 +73,7 @@
         """Stops hosts under load, `stops` times in all."""
         async with anyio.create_task_group() as tasks:
             self._fleet = PlatformFleet(tasks)
-            self.callers = Callers(self._fleet, self._rng)
+            self.callers = Callers(self._fleet, self._rng, self._args.think)
             try:
                 await self._start(tasks)
                 for host in self._hosts:
@@ -112,9 +112,10 @@
             await listen((address, PORT), tasks, worker.serve)
             fleet.register_worker(id, address, slots=SLOTS)
         command = ENTRY_COMMAND
-        if self._args.slow_links:
+        args = self._args
+        if args.slow_links or args.busy:
             script = str(ROOT / "scripts" / "stop_check_host.py")
-            command = (script, str(self._args.slow_links))
+            command = (script, str(args.slow_links), str(args.busy))
         for number in range(self._args.hosts):
             name = f"host-{number}"
             address = fleet.allocate_address()
@@ -264,6 +265,18 @@
         default=0.0,
         help="share of the hosts' connections to servers that fail",
     )
+    parser.add_argument(
+        "--busy",
+        type=float,
+        default=0.0,
+        help="seconds for which the hosts' event loops are busy at most",
+    )
+    parser.add_argument(
+        "--think",
+        type=float,
+        default=0.2,
+        help="longest time in seconds between two requests of a caller",
+    )
     parser.add_argument(
         "--store-fault", default="", help="fault of the store at the stops"
     )
--- a/scripts/stop_check_callers.py
+++ b/scripts/stop_check_callers.py
@@ -80,7 +80,9 @@
         done: Whether the run is over; what ends later doesn't count.
     """
 
-    def __init__(self, fleet: PlatformFleet, rng: random.Random) -> None:
+    def __init__(
+        self, fleet: PlatformFleet, rng: random.Random, think_s: float
+    ) -> None:
         self.signal_ms: dict[str, int] = {}
         self.starting: set[str] = set()
         self.outcomes: Counter[str] = Counter()
@@ -88,6 +90,7 @@
         self.done = False
         self._fleet = fleet
         self._rng = rng
+        self._think_s = think_s
         self._number = 0
 
     async def call(self, host: Host, keeps: bool, patient: bool) -> None:
@@ -121,7 +124,7 @@
             kept = protocol if keeps and protocol.reset_cycle() else None
             if kept is None:
                 protocol.abort()
-            await anyio.sleep(self._rng.choice((0, 0, THINK_S, 10 * THINK_S)))
+            await anyio.sleep(self._rng.choice((0, 0, THINK_S, self._think_s)))
 
     def _is_unused(self, host: Host) -> bool:
         if host.name in self.starting:
--- a/scripts/stop_check_host.py
+++ b/scripts/stop_check_host.py
@@ -1,7 +1,8 @@
 """Runs an entry host that often reaches servers only through its peers.
 
-Usage: stop_check_host.py SHARE ARGUMENTS, where SHARE of its own connections
-to servers fail, and ARGUMENTS are those of the entry host's command.
+Usage: stop_check_host.py SHARE BUSY_S ARGUMENTS, where SHARE of its own
+connections to servers fail, its event loop is busy for up to BUSY_S seconds
+now and then, and ARGUMENTS are those of the entry host's command.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import random
 import signal
 import sys
+import time
 
 import anyio
 
@@ -21,6 +23,28 @@
 from corianderdoor.entry import command
 from corianderdoor.entry.host import EntryHost
 
+# Seconds between two times in which the event loop is busy.
+BUSY_GAP_S = (0.2, 2.0)
+
+
+class BusyHost(EntryHost):
+    """An entry host whose event loop is busy now and then."""
+
+    __slots__ = ()
+    busy_s = 0.0
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serves as an entry host does."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_busy)
+            await super().run(stop)
+            tasks.cancel_scope.cancel()
+
+    async def _keep_busy(self) -> None:
+        while True:
+            await anyio.sleep(random.uniform(*BUSY_GAP_S))
+            time.sleep(random.uniform(0, self.busy_s))
+
 
 async def connect_or_fail(
     share: float, address: Address, timeout_ms: int, unacked_timeout_ms: int
@@ -37,9 +61,11 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     share = float(sys.argv[1])
     slow = functools.partial(connect_or_fail, share)
-    host = functools.partial(EntryHost, connect_server=slow)
+    BusyHost.busy_s = float(sys.argv[2])
+    kind = BusyHost if BusyHost.busy_s else EntryHost
+    host = functools.partial(kind, connect_server=slow)
     setattr(command, "EntryHost", host)
-    return command.main(sys.argv[2:])
+    return command.main(sys.argv[3:])
 
 
 if __name__ == "__main__":
