Use the grace period of the settings in force at the signal

A request in progress had no answer, as the process was killed before its own end.

Cause: a reload changed the time of directory answers only; the stop used the grace period that the settings had at the start of the process. Settings may also change without a signal.

A reload now sets the grace period too, and the settings are read again at the signal to stop. Settings that can't be read change nothing, as before.

--- a/corianderdoor/entry/command.py
+++ b/corianderdoor/entry/command.py
@@ -47,10 +47,15 @@
 async def _handle_signals(host: EntryHost, stop: anyio.Event) -> None:
     loop = asyncio.get_running_loop()
 
+    def begin_stop() -> None:
+        # The settings may have changed without a signal.
+        host.reload()
+        stop.set()
+
     def handle_stop(number: int, frame: types.FrameType | None) -> None:
         # Runs before anything else does, also while the event loop is busy.
         host.record_stop_signal()
-        loop.call_soon_threadsafe(stop.set)
+        loop.call_soon_threadsafe(begin_stop)
 
     for number in STOP_SIGNALS:
         signal.signal(number, handle_stop)
--- a/corianderdoor/entry/host.py
+++ b/corianderdoor/entry/host.py
@@ -309,9 +309,8 @@
             listener = await listen(
                 settings.callers, tasks, self._callers.serve
             )
-            await listen(settings.readiness, tasks, self._directory.serve)
-            if settings.directory != settings.readiness:
-                await listen(settings.directory, tasks, self._directory.serve)
+            for address in {settings.readiness, settings.directory}:
+                await listen(address, tasks, self._directory.serve)
             peer_address = (settings.address, settings.peer_ports[0])
             await listen(peer_address, tasks, self._peering.serve)
             loop = asyncio.get_running_loop()
@@ -373,9 +372,8 @@
             self._pool.memory,
             self._clock,
         )
-        text = MetricsText(self._planner.counters, gauges)
-        address = (self._settings.address, port)
-        await listen(address, tasks, MetricsService(text).serve)
+        service = MetricsService(MetricsText(self._planner.counters, gauges))
+        await listen((self._settings.address, port), tasks, service.serve)
 
     def record_stop_signal(self) -> None:
         """Records the signal to stop; may be called in its handler."""
@@ -384,7 +382,8 @@
     def reload(self) -> None:
         """Reloads the settings; invalid settings are ignored.
 
-        Only the time for which callers may use directory answers changes.
+        Only the grace period and the time for which callers may use directory
+        answers change.
         """
         try:
             settings = read_settings(self._path)
@@ -392,6 +391,7 @@
             log_event("reload_failed", "WARNING", detail=str(exc))
             return
         self._directory.set_max_ttl(settings.directory_ttl_s)
+        self._stop.grace_ms = settings.grace_ms
         log_event("reloaded", name=settings.name)
 
     def _handle_pause(self, gap_ms: int) -> None:
--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -39,10 +39,15 @@
 
 
 class HostStop:
-    """Ends the work of an entry host without cutting off answers."""
+    """Ends the work of an entry host without cutting off answers.
+
+    Attributes:
+        grace_ms: Time after the signal at which the process is killed; a
+            change counts until the stop begins.
+    """
 
     __slots__ = (
-        "_grace_ms",
+        "grace_ms",
         "_callers",
         "_peering",
         "_directory",
@@ -80,7 +85,7 @@
                 and knows when this process last ran.
             clock: The clock.
         """
-        self._grace_ms = grace_ms
+        self.grace_ms = grace_ms
         self._callers = callers
         self._peering = peering
         self._directory = directory
@@ -116,8 +121,8 @@
         )
         self._peering.leaving = True
         self._directory.leaving = True
-        full_ms = int(self._grace_ms * GRACE_PERIOD_SHARE)
-        late_ms = min(self._late_ms, int(self._grace_ms * MAX_LATE_SHARE))
+        full_ms = int(self.grace_ms * GRACE_PERIOD_SHARE)
+        late_ms = min(self._late_ms, int(self.grace_ms * MAX_LATE_SHARE))
         span_ms = max(0, full_ms - since_ms - late_ms)
         accept_ms = min(ACCEPT_AFTER_STOP_MS, full_ms // 2)
         self._callers.drain(accept_ms, full_ms, since_ms + self._late_ms)
@@ -144,7 +149,7 @@
         if self._callers.count_open():
             self._callers.end_requests()
             await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
-        tunnels_ms = int(self._grace_ms * TUNNEL_SHARE) - late_ms
+        tunnels_ms = int(self.grace_ms * TUNNEL_SHARE) - late_ms
         await self._wait_for_tunnels(self._signal_ms + tunnels_ms)
 
     async def _wait_for_tunnels(self, until_ms: int) -> None:
