--- a/corianderdoor/entry/host_stop.py
+++ b/corianderdoor/entry/host_stop.py
@@ -14,7 +14,6 @@
 from ..core.entry.planner import Planner
 from .callers import CallerService
 from .directory import DirectoryService
-from .host_ticks import TICK_MS
 from .peering import Peering
 from .registration import Registration
 from .tunnels import TunnelService
@@ -150,9 +149,7 @@
         if self._callers.count_open():
             self._callers.end_requests()
             await anyio.sleep(LAST_ANSWERS_MS / MS_PER_SECOND)
-        # Less than two ticks don't show that the signal waited.
-        waited_ms = max(0, late_ms - 2 * TICK_MS)
-        tunnels_ms = int(self.grace_ms * TUNNEL_SHARE) - waited_ms
+        tunnels_ms = int(self.grace_ms * TUNNEL_SHARE) - late_ms
         await self._wait_for_tunnels(self._signal_ms + tunnels_ms)
 
     async def _wait_for_tunnels(self, until_ms: int) -> None:
