Skip rejections without an id for requests that may run twice, too

A stream that may be resumed, and a read, were answered 503, "not run", after their server had run them (REFUSED for the stream), when a rejection of another request, without an id, arrived on a kept connection at the point where their answer was due and no other server could take them.

Cause: the exchange took such a rejection as the own one if the request may run twice, though it can't be told whose it is.

A rejection without an id counts only on a connection that has carried no answer. On a kept one it is skipped for all requests, and the own answer is awaited; a request that may run twice leaves a server that stays silent, as before. After a rejection without an id, all requests take new connections to that server for ten seconds, not only payments, so that a server that never names ids has one of them wait in that time. The flag that told the requests apart goes away.

--- a/corianderdoor/core/entry/server_exchange.py
+++ b/corianderdoor/core/entry/server_exchange.py
@@ -53,24 +53,20 @@
         strays: Answers to other requests since the request was sent.
     """
 
-    __slots__ = ("state", "strays", "_is_first", "_own_id", "_once", "_framed")
+    __slots__ = ("state", "strays", "_is_first", "_own_id", "_framed")
 
     def __init__(self) -> None:
         self.state = ExchangeState.IDLE
         self.strays = 0
         self._is_first = True
         self._own_id = b""
-        self._once = True
         self._framed = True
 
-    def begin(
-        self, own_id: bytes, once: bool, framed: bool, unread: int
-    ) -> bool:
+    def begin(self, own_id: bytes, framed: bool, unread: int) -> bool:
         """Begins an exchange.
 
         Args:
             own_id: Id of the request.
-            once: Whether the request must not run twice.
             framed: Whether the length of an answer shows in the answer
                 alone, which it does not after HEAD.
             unread: Bytes that arrived before the request.
@@ -84,7 +80,6 @@
         self.state = ExchangeState.SENDING
         self.strays = 0
         self._own_id = own_id
-        self._once = once
         self._framed = framed
         return True
 
@@ -112,9 +107,7 @@
             # Whether the server turned this request away shows only where
             # no other answer can have been left over. Otherwise the own one
             # may follow.
-            if self.strays and not self._once:
-                return self._give_up()
-            if self._is_first and not self.strays or not self._once:
+            if self._is_first and not self.strays:
                 self.state = ExchangeState.BODY
                 return HeadVerdict.OWN
         if not self._framed or self.strays >= MAX_STRAY_ANSWERS:
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -24,8 +24,8 @@
 FRESH_SHARE: Final = 0.5
 # Longest wait for a connection that shows that a server is still there.
 CHECK_MS: Final = 50
-# How long such requests use new connections to a server that turned a request
-# away without its id, which can only be attributed on a new connection.
+# How long requests use new connections to a server that turned one away
+# without its id, which can only be attributed on a new connection.
 UNIDENTIFIED_MS: Final = 10_000
 
 
@@ -93,7 +93,7 @@
         now_ms = self._clock.now_ms()
         if self.answered.is_recent(request_id, now_ms):
             return await self.open(server)
-        if fresh and server.id in self._unidentified_ms:
+        if server.id in self._unidentified_ms:
             if now_ms < self._unidentified_ms[server.id]:
                 return await self.open(server)
             del self._unidentified_ms[server.id]
--- a/corianderdoor/entry/server_request.py
+++ b/corianderdoor/entry/server_request.py
@@ -23,7 +23,6 @@
     req = flight.req
     return protocol.exchange.begin(
         req.id.encode("latin-1"),
-        once=not flight.route.may_retry(),
         framed=req.method != HEAD,
         unread=protocol.bytes_received,
     )
--- a/tests/test_entry_repeated_answers.py
+++ b/tests/test_entry_repeated_answers.py
@@ -187,3 +187,27 @@
         assert reply.status == 502
 
     run(scenario, engines=0, plain=0, hosts=1)
+
+
+# Guards against REFUSED: a stream that may be resumed, or a read, is answered
+# "not run" after a server ran it, as another's rejection came first.
+@pytest.mark.parametrize("path", ["/chat/x", "/read/x"])
+@pytest.mark.parametrize("stray", STRAYS)
+def test_request_that_may_run_twice_is_not_refused_after_stray_bytes(
+    stray, path
+):
+    async def scenario(fleet):
+        server = StrayServer(STRAYS[stray])
+        await add_raw_server(fleet, "raw-0", PATHS[path], server)
+        await anyio.sleep(0.6)
+        for number in range(REQUESTS):
+            id = f"id-{number}"
+            reply = await fleet.chat("host-0", id, path)
+            assert server.runs.count(id.encode())
+            if "cut" in stray:
+                assert reply.status in (200, 502)
+            else:
+                assert (reply.status, reply.body) == (200, expect(id, path))
+        assert server.strays
+
+    run(scenario, engines=0, plain=0, hosts=1)
