Test answers that come before their request is sent whole

test_answer_before_the_whole_request_counts_once has a server answer, or reject with the id, after the head of a payment and read its body later, over one server and four requests each. No fault was found. Without the check for unsent bytes in ConnectionPool.release, test_connection_with_unsent_bytes_of_a_request_is_not_kept fails; the checks were seen to pass with it.

--- a/tests/test_early_bytes.py
+++ b/tests/test_early_bytes.py
@@ -14,18 +14,30 @@
 
 from corianderdoor.adapters.http1 import H11Protocol
 from corianderdoor.adapters.tunnel import open_tunnel, pass_on
+from corianderdoor.core.clock import ManualClock
 from corianderdoor.core.entry.planner import Planner
+from corianderdoor.entry.backends import ConnectionPool
 from corianderdoor.entry.server_links import ServerLinks
 from corianderdoor.entry.server_request import begin_exchange
+from corianderdoor.standins.platform_fleet import (
+    CALLER_HOST,
+    KEY,
+    Reply,
+    send_request,
+)
 from corianderdoor.standins.raw_server import (
     add_raw_server,
     build_answer,
+    EVENTS,
+    HEAD_END,
+    RawRequest,
     RawServer,
 )
 
 TARGET = ("127.0.0.9", 80)
 PEER = ("127.0.0.2", 7340)
 REFUSAL = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+LARGE_BODY_BYTES = 60_000
 EARLY = {"refusal": REFUSAL, "cut": REFUSAL[:9], "no answer": b"\0"}
 
 
@@ -166,3 +178,95 @@
         return near._transport.written  # type: ignore[union-attr]
 
     assert asyncio.run(serve()) == b"head " + EARLY["cut"] + b" more"
+
+
+class HastyServer(RawServer):
+    """Answers when it has read the head of a request, and reads on later.
+
+    Attributes:
+        bodies: Bodies that it read whole.
+    """
+
+    def __init__(self, refuses: bool) -> None:
+        super().__init__()
+        self.bodies: list[bytes] = []
+        self._refuses = refuses
+
+    async def serve(self, reader, writer) -> None:
+        """Serves one connection until it ends."""
+        self.opened += 1
+        try:
+            while True:
+                req = RawRequest(await reader.readuntil(HEAD_END))
+                if self._refuses:
+                    own = b"Attempt-Id: %b\r\nNot-" % req.id
+                    writer.write(REFUSAL.replace(b"Not-", own))
+                else:
+                    self.runs.append(req.id)
+                    writer.write(b"".join(build_answer(req)))
+                await asyncio.sleep(0.1)
+                length = int(req.headers[b"content-length"])
+                self.bodies.append(await reader.readexactly(length))
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # the entry host ended the connection
+        finally:
+            writer.close()
+
+
+# Guards against UNASKED and MIXED: other bytes where the rest of a body is
+# due that was not sent whole when its answer came.
+@pytest.mark.parametrize("refuses", [False, True])
+@pytest.mark.parametrize("size", [10, LARGE_BODY_BYTES])
+def test_answer_before_the_whole_request_counts_once(size, refuses):
+    async def scenario(fleet):
+        hasty = HastyServer(refuses)
+        await add_raw_server(fleet, "raw-0", False, hasty)
+        await anyio.sleep(0.6)
+        for number in range(4):
+            id = f"id-{number}"
+            reply = await pay(fleet, id, id[-1].encode() * size)
+            assert reply.status == (503 if refuses else 200)
+            if not refuses:
+                assert reply.body == id.encode() * EVENTS
+                assert hasty.runs.count(id.encode()) == 1
+        for body in hasty.bodies:
+            assert body == body[:1] * size
+
+    run(scenario, engines=0, plain=0, hosts=1)
+
+
+async def pay(fleet, id: str, body: bytes) -> Reply:
+    """Sends a payment with a body."""
+    headers = {
+        "Host": CALLER_HOST,
+        "Attempt-Id": id,
+        "Authorization": f"Token {KEY}",
+        "Deadline-Ms": "3000",
+    }
+    return await send_request(fleet.hosts["host-0"], "/pay/x", headers, body)
+
+
+# Guards against UNASKED: the next request follows where the server expects
+# the rest of a body.
+@pytest.mark.parametrize("unsent_bytes", [0, 1])
+def test_connection_with_unsent_bytes_of_a_request_is_not_kept(unsent_bytes):
+    protocol = open_protocol()
+    transport: Any = protocol._transport
+    transport.get_write_buffer_size = lambda: unsent_bytes
+    assert begin_exchange(protocol, build_flight(False))
+    host = [("Host", "h")]
+    protocol.write(h11.Request(method="GET", target="/x", headers=host))
+    protocol.write(h11.EndOfMessage())
+    protocol.exchange.record_sent()
+    protocol.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert isinstance(protocol.h11.next_event(), h11.Response)
+    assert isinstance(protocol.h11.next_event(), h11.EndOfMessage)
+    protocol.exchange.judge_head(b"own-7", 200, False)
+    protocol.exchange.record_end()
+    links: Any = SimpleNamespace(
+        paths=SimpleNamespace(trusts=lambda *args: True)
+    )
+    pool = ConnectionPool(ManualClock(), links)
+    server: Any = SimpleNamespace(id="s-1")
+    pool.release(server, protocol, None)
+    assert pool.is_connected("s-1") is not bool(unsent_bytes)
