Ask the store for a stream also before the first contact to it

Callers that took up streams after the loss of all hosts were refused with 503 (unknown-version) by hosts that had just started, at once.

Cause: a host asked the store only while it counted as in contact. Its first tick comes before the store's first answer, and it counted as out of contact until the next tick, up to 100 ms after it was ready.

Change: the host asks whether it seems to be in contact or not.

test_unknown_stream_goes_on_at_the_version_that_the_store_tells now runs with a host that seems out of contact too; these three cases failed before.

--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -198,8 +198,12 @@
     async def _find_stored(
         self, stream: int | None, service: str
     ) -> StreamOrigin | None:
-        """Returns the origin of a stream from the store, if it answers."""
-        if self._stored is None or not self._planner.restarts.in_contact:
+        """Returns the origin of a stream from the store, if it answers.
+
+        It is asked whether it seems to be in contact or not: a host that has
+        just started does not know, and the answer is a contact.
+        """
+        if self._stored is None:
             return None
         return await self._stored.find(stream, service)
 
--- a/tests/test_entry_stream_copies.py
+++ b/tests/test_entry_stream_copies.py
@@ -251,6 +251,9 @@
     anyio.run(scenario)
 
 
+# Guards against LOST: a host that had just started refused streams without
+# a question, as it did not know yet that the store is in contact.
+@pytest.mark.parametrize("in_contact", [True, False])
 @pytest.mark.parametrize(
     "origin, version",
     [
@@ -260,7 +263,7 @@
     ],
 )
 def test_unknown_stream_goes_on_at_the_version_that_the_store_tells(
-    origin, version
+    origin, version, in_contact
 ):
     questions = []
 
@@ -273,6 +276,7 @@
         host = Host(Fleet(1), "h1")
         list_one_version(host)
         host.registry._stored = Stored()
+        host.planner.restarts.in_contact = in_contact
         flight = host.planner.admit(build_request(last_event_id=3), 0)
         flight.req.resumes = "unknown"
         refusal = await host.registry.prepare(flight)
