Withdraw saving the streams that began at unproven servers

Cause: connects fail on such a machine though no server has restarted. The streams that begin then are recorded as (unproven). Before they went on after the loss of all hosts, as the ledger has one version; saved as (unproven), they went on nowhere.

--- a/corianderdoor/core/entry/begun_streams.py
+++ b/corianderdoor/core/entry/begun_streams.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from .stream_versions import StreamOrigin, UNPROVEN
+from .stream_versions import StreamOrigin
 
 # Streams that are kept; later ones take the place of the earliest.
 MAX_BEGUN: Final = 20_000
@@ -16,14 +16,12 @@
 
     Attributes:
         revision: Rises with each stream that is added.
-        unproven_revision: Rises with each one of a version that is unknown.
     """
 
-    __slots__ = ("revision", "unproven_revision", "_origins")
+    __slots__ = ("revision", "_origins")
 
     def __init__(self) -> None:
         self.revision = 0
-        self.unproven_revision = 0
         # Origin by digest, with the time until which it is kept.
         self._origins: dict[int, tuple[StreamOrigin, int]] = {}
 
@@ -32,7 +30,6 @@
         if stream in self._origins:
             return
         self.revision += 1
-        self.unproven_revision += origin.version == UNPROVEN
         self._origins[stream] = origin, until_ms
         if len(self._origins) > MAX_BEGUN:
             del self._origins[next(iter(self._origins))]
@@ -52,15 +49,10 @@
         return {origin.service for origin, _ in self._origins.values()}
 
     def group(self, services: Iterable[str]) -> dict[StreamOrigin, list[int]]:
-        """Returns streams by where they began.
-
-        Args:
-            services: Services of which all streams are wanted; of others,
-                those of a version that is unknown.
-        """
+        """Returns the streams of some services by where they began."""
         wanted = set(services)
         groups: dict[StreamOrigin, list[int]] = {}
         for stream, (origin, _) in self._origins.items():
-            if origin.service in wanted or origin.version == UNPROVEN:
+            if origin.service in wanted:
                 groups.setdefault(origin, []).append(stream)
         return groups
--- a/corianderdoor/entry/stream_saver.py
+++ b/corianderdoor/entry/stream_saver.py
@@ -31,8 +31,7 @@
     """Saves the streams of services with several versions.
 
     If all hosts are lost at once, nobody else knows where these began. For a
-    service with one version the ledger says it, unless streams began at
-    servers whose version is not proven: the ledger does not name theirs.
+    service with one version the ledger says it.
     """
 
     __slots__ = (
@@ -108,11 +107,8 @@
         """
         self._begun.drop_expired(self._clock.now_ms())
         services = self._find_mixed()
-        revision = self._begun.unproven_revision
-        if services:
-            revision = self._begun.revision
-        wanted = revision, services
-        if not revision or wanted == self._saved and self._owns_lease():
+        wanted = self._begun.revision, services
+        if not services or wanted == self._saved and self._owns_lease():
             return
         value = encode_begun(self._begun.group(services))
         await self._keep_lease()
