Let hosts without a share use servers that only seem cold

Cause: a failure counts until 1.5 s after the host's own first answer, and the rate of a server that may be cold has no share for most hosts of a large fleet. Such a host never got the answer that would have cleared the server.

Change: a host without a share goes by the rule from before, 1 s of contact after the failure; those with a share keep the stricter one. The sum over all hosts is bounded as it was before in fleets with more hosts than the rate has shares, and better in the others. Beside it, time alone clears no server any more while only peers whose changes are not here are in contact.

Evidence: test_hosts_of_a_large_fleet_use_servers_after_a_short_failure (60 and 5 hosts) and test_contact_of_a_peer_that_is_ahead_does_not_clear_a_cold_server failed before and pass; 78 tests of these parts pass.

--- a/corianderdoor/core/entry/server_choice.py
+++ b/corianderdoor/core/entry/server_choice.py
@@ -66,10 +66,13 @@
 
     def _is_likely_warm(self, server: BackendServer, now_ms: int) -> bool:
         """Returns whether a server that may be cold is used like others."""
-        return (
-            self._selection.is_only_suspected(server, now_ms)
-            and self._cold_wait_ms(server, now_ms) == 0
-        )
+        if not self._selection.is_only_suspected(server, now_ms):
+            return False
+        wait_ms = self._cold_wait_ms(server, now_ms)
+        if wait_ms is None:
+            # A host without a share gets no answer that would show more.
+            return self._selection.restarts.seems_back(server.id)
+        return wait_ms == 0
 
     def _cold_wait_ms(self, server: BackendServer, now_ms: int) -> int | None:
         """Returns when a cold server takes a request; None if never."""
--- a/corianderdoor/core/entry/suspected_restarts.py
+++ b/corianderdoor/core/entry/suspected_restarts.py
@@ -212,33 +212,40 @@
         if self._contact_ms < self._resumed_ms + CONFIRM_PAUSE_MS:
             if now_ms - self._resumed_ms < cold_ms:
                 return True
-        failed_ms = self._unreached.get(server_id, -1)
-        if self.in_contact:
-            failed_ms = max(failed_ms, self._confirmed.get(server_id, -1))
-        else:
-            failed_ms = max(
-                failed_ms,
-                self._broken.get(server_id, -1),
-                self._reported.get(server_id, -1),
-            )
+        failed_ms = self._last_failure_ms(server_id)
         if failed_ms < 0 or cold_ms <= 0:
             return False
-        answered_ms = self._answered.get(server_id, -1)
         if self.in_contact:
             if self._is_told(server_id):
                 return False
-            # A contact that is not too old has then shown what became of it.
-            shown_ms = answered_ms + TOLD_MS + MAX_CONTACT_AGE_MS
-            if answered_ms >= failed_ms and now_ms >= shown_ms:
-                return False
-        elif self._contact_ms - failed_ms >= RECORD_DELAY_MS:
+        elif self.seems_back(server_id):
             return False
+        answered_ms = self._answered.get(server_id, -1)
         # The server may have come back at any time since it failed; its
         # first answer is the latest time of its return.
         if answered_ms < failed_ms:
             return now_ms - failed_ms < max(cold_ms, MAX_UNANSWERED_MS)
         return now_ms - answered_ms < cold_ms
 
+    def _last_failure_ms(self, server_id: str) -> int:
+        """Returns when a server failed last; a negative time if it did not."""
+        failed_ms = self._unreached.get(server_id, -1)
+        if self.in_contact:
+            return max(failed_ms, self._confirmed.get(server_id, -1))
+        return max(
+            failed_ms,
+            self._broken.get(server_id, -1),
+            self._reported.get(server_id, -1),
+        )
+
+    def seems_back(self, server_id: str) -> bool:
+        """Returns whether the store was in contact some time after a failure.
+
+        A server that had come back at once would have told so by then.
+        """
+        failed_ms = self._last_failure_ms(server_id)
+        return self._contact_ms - failed_ms >= RECORD_DELAY_MS
+
     def retain(self, ids: frozenset[str]) -> None:
         """Drops the records of all servers but `ids`."""
         self._failed &= ids
--- a/tests/test_entry_cold_unnoticed.py
+++ b/tests/test_entry_cold_unnoticed.py
@@ -217,3 +217,54 @@
     assert restarts.recent(REPORT_MS) == []
     restarts.retain(frozenset())
     assert restarts.recent(0) == []
+
+
+FLEET_HOSTS = 100
+
+
+def is_served(planner, start_ms):
+    """Returns whether any of 100 requests in a second gets a server."""
+    served = False
+    for now_ms in range(start_ms, start_ms + 1_000, 10):
+        planner.restarts.update_contact(now_ms, now_ms)
+        request = build_request(id=f"r{now_ms}", parts=())
+        flight = planner.admit(request, now_ms)
+        step = planner.choose(flight, now_ms)
+        if isinstance(step, Send):
+            planner.record_sent(flight, step.server, now_ms)
+            planner.record_answer_begun(flight, now_ms)
+            planner.record_complete_answer(flight)
+            served = True
+    return served
+
+
+# Guards against RECOVER: a host of a large fleet has no share of the rate of
+# most servers that may be cold, so it never got the answer that clears them.
+@pytest.mark.parametrize("servers", [3, 20])
+def test_hosts_of_a_large_fleet_use_servers_after_a_short_failure(servers):
+    starved = {1_500: 0, 3_500: 0, 6_500: 0, 9_500: 0, 11_500: 0}
+    for number in range(FLEET_HOSTS):
+        planner = build_planner(servers, f"h{number + 1}", FLEET_HOSTS)
+        planner.restarts.update_contact(1_000, 1_000)
+        for one in range(servers):
+            server = planner.servers.get(f"s{one}")
+            flight = planner.admit(build_request(id=f"lost{one}"), 1_000)
+            planner.handle_failure(flight, server, Ending.UNREACHED, 1_000)
+        for start_ms in starved:
+            starved[start_ms] += not is_served(planner, start_ms)
+    # Hosts that send nothing to any server, 2.5 s after the failure.
+    assert starved[3_500] == 0, starved
+
+
+# Guards against FAILBACK: contacts of peers whose changes are not here yet
+# cleared a server by time alone.
+def test_contact_of_a_peer_that_is_ahead_does_not_clear_a_cold_server():
+    restarts = SuspectedRestarts()
+    restarts.update_contact(1_000, 1_000)
+    restarts.record_unreachable("s", 1_100)
+    restarts.record_answer("s", 2_500)
+    cold_ms = 10_000
+    for now_ms in range(1_200, 10_000, 100):
+        # Peers hear the store; this host lacks what came after 1,000 ms.
+        restarts.update_contact(now_ms, now_ms, 1_000)
+        assert restarts.includes("s", cold_ms, now_ms), now_ms
