--- a/bench/answer_reading.py
+++ b/bench/answer_reading.py
@@ -31,9 +31,7 @@
 )
 BODY_BYTES: Final = 800
 WHOLE: Final = (
-    HEAD
-    + b"Content-Length: %d\r\n\r\n" % BODY_BYTES
-    + b"x" * BODY_BYTES
+    HEAD + b"Content-Length: %d\r\n\r\n" % BODY_BYTES + b"x" * BODY_BYTES
 )
 EVENTS: Final = 20
 EVENT: Final = b"id: 17\ndata: " + b"y" * 60 + b"\n\n"
