Pass later starts of servers on after a restore

Callers saw: requests of a host that had started after a restore tried the former address of a server that had started again since the copy, and were answered by another server or late.

Cause: hosts that were there use the later start for 2.3 s, in which the server writes its entry again, but did not list it for hosts that start.

Change: the entry is on the list with the time that is left, which a host that copies it goes by too. An entry of the list may end by itself. A later start takes the place of a peer's word that the former one left.

Evidence: test_later_start_of_a_server_is_passed_on (one restore and two) and test_later_start_is_used_though_another_peer_saw_the_server_leave (in both orders) failed before.

--- a/corianderdoor/core/entry/overrides.py
+++ b/corianderdoor/core/entry/overrides.py
@@ -52,10 +52,12 @@
     An entry without a value stands for an item that is not used.
     """
 
-    __slots__ = ("_entries", "_listed", "_copied")
+    __slots__ = ("_entries", "_until_ms", "_listed", "_copied")
 
     def __init__(self) -> None:
         self._entries: dict[str, Change] = {}
+        # When the entries that end by themselves do.
+        self._until_ms: dict[str, int] = {}
         # Digests of all entries that were listed in this era, here or by
         # peers whose lists were copied.
         self._listed: set[int] = set()
@@ -71,20 +73,49 @@
         """Returns the entries."""
         return self._entries.values()
 
-    def put(self, entry: Change) -> None:
-        """Lists what is in force in place of an item."""
+    def put(self, entry: Change, until_ms: int | None = None) -> None:
+        """Lists what is in force in place of an item.
+
+        Args:
+            entry: What is in force.
+            until_ms: When it ends by itself; None if it does not.
+        """
         self._entries[entry.key] = entry
         self._listed.add(digest_entry(entry))
+        self._until_ms.pop(entry.key, None)
+        if until_ms is not None:
+            self._until_ms[entry.key] = until_ms
 
     def remove(self, key: str) -> None:
         """Takes an entry from the list, if there is one."""
         self._entries.pop(key, None)
+        self._until_ms.pop(key, None)
+
+    def extend(self, prefix: str, until_ms: int) -> None:
+        """Keeps entries that would end by themselves at least until then."""
+        for key, at_ms in self._until_ms.items():
+            if key.startswith(prefix):
+                self._until_ms[key] = max(at_ms, until_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Ends what is over, and updates the time that is left to the rest."""
+        for key, until_ms in list(self._until_ms.items()):
+            if until_ms <= now_ms:
+                self.remove(key)
+            else:
+                left_ms = until_ms - now_ms
+                self._entries[key] = self._entries[key].with_grace(left_ms)
 
     def begin_era(self, keeps: Callable[[str], bool]) -> None:
         """Forgets all entries but those of keys for which `keeps` holds."""
         self._entries = {
             key: entry for key, entry in self._entries.items() if keeps(key)
         }
+        self._until_ms = {
+            key: until_ms
+            for key, until_ms in self._until_ms.items()
+            if key in self._entries
+        }
         self._listed = set(map(digest_entry, self._entries.values()))
         self._copied.clear()
 
--- a/corianderdoor/core/entry/replica.py
+++ b/corianderdoor/core/entry/replica.py
@@ -81,6 +81,10 @@
         self.revision = revision
         self.grace_ms = grace_ms
 
+    def with_grace(self, grace_ms: int) -> Change:
+        """Returns the change with another time."""
+        return Change(self.key, self.value, self.revision, grace_ms)
+
 
 class Page(Record):
     """Changes up to a revision.
@@ -306,10 +310,10 @@
         """
         return era == self.era and self.overrides.misses(told)
 
-    def values_in_force(self) -> dict[str, bytes | None]:
-        """Returns the values of the items, or what is in force in place."""
+    def changes_in_force(self) -> dict[str, Change]:
+        """Returns the items by key, or what is in force in their place."""
         return {
-            change.key: change.value
+            change.key: change
             for part in (self._items, self.overrides)
             for change in part.values()
         }
--- a/corianderdoor/entry/kept_servers.py
+++ b/corianderdoor/entry/kept_servers.py
@@ -5,7 +5,7 @@
 from ..adapters.logs import log_event
 from ..core.clock import Clock
 from ..core.entry.replica import Change, Replica
-from ..core.entry.servers import Servers
+from ..core.entry.servers import BackendServer, Servers
 from ..platform.changes import decode_change, ServerListed
 from ..platform.records import SERVER_PREFIX
 
@@ -50,16 +50,48 @@
             servers.departed.hold_back(decoded.server, now_ms)
             log_event("server_copy_ignored", server=decoded.server.id)
 
-    def pass_on(self, server_id: str, former: dict[str, bytes | None]) -> None:
-        """Lists a server that left, or drains, in place of a copy's item.
+    def pass_on(
+        self, copied: BackendServer, former: dict[str, Change], grace_ms: int
+    ) -> None:
+        """Lists what is in force in place of a copy's entry.
+
+        A server that left, one that drains, or a later start of the server.
 
         Args:
-            server_id: Id of the server.
-            former: Values in force before the restore.
+            copied: The server as the copy has it.
+            former: What was in force before the restore, by key.
+            grace_ms: How long a later start is used without its writing.
         """
-        key = SERVER_PREFIX + server_id
-        known = self._servers.get(server_id)
+        key = SERVER_PREFIX + copied.id
+        known = self._servers.get(copied.id)
+        overrides = self._replica.overrides
         if known is None:
-            self._replica.overrides.put(Change(key, None, 0))
-        elif not known.available and key in former:
-            self._replica.overrides.put(Change(key, former[key], 0))
+            overrides.put(Change(key, None, 0))
+        elif key not in former:
+            return
+        elif not known.same_incarnation(copied):
+            until_ms = self._clock.now_ms() + grace_ms
+            overrides.put(
+                Change(key, former[key].value, 0, grace_ms), until_ms
+            )
+        elif not known.available:
+            overrides.put(Change(key, former[key].value, 0))
+
+    def adopt(self, override: Change, server: BackendServer) -> None:
+        """Lists a peer's entry too, if this host now goes by it.
+
+        Args:
+            override: The peer's entry.
+            server: The server that it names.
+        """
+        known = self._servers.get(server.id)
+        if known is None or not known.same_incarnation(server):
+            return
+        if known.available != server.available:
+            return
+        if not override.grace_ms:
+            self._replica.overrides.put(override)
+            return
+        now_ms = self._clock.now_ms()
+        self._servers.remove(server.id, now_ms, override.grace_ms)
+        self._replica.overrides.put(override, now_ms + override.grace_ms)
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -100,8 +100,8 @@
             planner.servers, self.replica, clock
         )
         self._kept_servers = KeptServers(planner.servers, self.replica, clock)
-        # Values in force before a restore, while its page is applied.
-        self._former: dict[str, bytes | None] = {}
+        # In force before a restore, while its page is applied.
+        self._former: dict[str, Change] = {}
         # The item with the desired state in force.
         self._desired: Change | None = None
 
@@ -130,7 +130,7 @@
         if restored and page.full:
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
-            self._former = self.replica.values_in_force()
+            self._former = self.replica.changes_in_force()
         changes = self.replica.apply(page, grace_ms)
         if restored:
             changes += list_rollouts_kept(self.replica, changes)
@@ -166,23 +166,28 @@
             page.restored_revision or replica.restored_revision,
         )
         for override in page.overrides:
-            if replica.was_written_after(override.key, copy_revision):
-                # Also of an older page, whose sender does not know it yet.
-                continue
-            item = replica.get(override.key)
-            decoded = decode_change(override)
-            if item is None:
-                if isinstance(decoded, Evacuation):
-                    self._apply_evacuation(decoded, override)
-                continue
-            if override.value is not None:
-                self._apply_change(override, "override", True)
-                if self._desired is override:
-                    replica.overrides.put(override)
-            elif override.key not in replica.overrides:
+            # Also of an older page, whose sender does not know it yet.
+            if not replica.was_written_after(override.key, copy_revision):
+                self._copy_override(override, replica.get(override.key))
+
+    def _copy_override(self, override: Change, item: Change | None) -> None:
+        """Takes over what a peer has in force in place of an item."""
+        overrides = self.replica.overrides
+        decoded = decode_change(override)
+        if item is None:
+            if isinstance(decoded, Evacuation):
+                self._apply_evacuation(decoded, override)
+            return
+        if override.value is None:
+            if override.key not in overrides:
                 self._kept_servers.hold_back(item)
-            if override.key not in replica.overrides:
-                replica.overrides.put(override)
+                overrides.put(override)
+            return
+        self._apply_change(override, "override", True)
+        if isinstance(decoded, ServerListed):
+            self._kept_servers.adopt(override, decoded.server)
+        elif self._desired is override or override.key not in overrides:
+            overrides.put(override)
 
     def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
         """Takes over an evacuation that a restored store has lost."""
@@ -203,12 +208,14 @@
         )
         now_ms = self._clock.now_ms()
         self._planner.servers.extend_grace(now_ms + OUTAGE_GRACE_MS)
+        self.replica.overrides.extend(SERVER_PREFIX, now_ms + OUTAGE_GRACE_MS)
         self._evacuations.begin_era()
 
     def tick(self, now_ms: int) -> None:
         """Ends what was kept for a time after a restore of the store."""
         self._kept_servers.tick(now_ms)
         self._evacuations.tick(now_ms)
+        self.replica.overrides.tick(now_ms)
 
     def _apply_change(
         self, change: Change, source: str, from_copy: bool
@@ -269,7 +276,7 @@
             server, now_ms, OUTAGE_GRACE_MS
         ):
             log_event("server_copy_ignored", server=server.id)
-            self._kept_servers.pass_on(server.id, self._former)
+            self._kept_servers.pass_on(server, self._former, OUTAGE_GRACE_MS)
             return
         if self._planner.servers.put(server, now_ms):
             self._pool.close_idle(server.id)
--- a/tests/test_entry_overrides.py
+++ b/tests/test_entry_overrides.py
@@ -15,6 +15,7 @@
     encode_heartbeat,
     encode_page,
 )
+from corianderdoor.entry.state_applier import OUTAGE_GRACE_MS
 
 ENTRY = (encode_entry(), 3)
 SERVERS = 4
@@ -79,6 +80,69 @@
     assert started.usable() == ["s1"]
 
 
+def port_of(host: Host) -> int | None:
+    """Returns the port at which a host reaches the server."""
+    server = host.planner.servers.get("s1")
+    return server.port if server else None
+
+
+def restore_with_later_start(restores: int = 1) -> Host:
+    """Returns a host that knows a later start of a server than the copy's."""
+    host = Host()
+    later = encode_entry(born=200, address="10.0.0.9:81")
+    host.list(7, 1, servers_s1=(later, 7))
+    for era in range(2, 2 + restores):
+        # Each copy differs from the one before.
+        entry = encode_entry(sequence_number=era)
+        host.list(5, era, servers_s1=(entry, 3))
+    return host
+
+
+# Guards against requests to the former address of a server, from hosts that
+# start after a restore.
+@pytest.mark.parametrize("restores", [1, 2])
+def test_later_start_of_a_server_is_passed_on(restores):
+    host = restore_with_later_start(restores)
+    host.wait(OUTAGE_GRACE_MS - 10)
+    started = host.started_by_it()
+    assert started.started_by_it().usable() == ["s1"]
+    for each in (host, started, started.started_by_it()):
+        assert port_of(each) == 81
+        each.wait(9)
+        assert each.usable() == ["s1"]
+        each.wait(1)
+        assert each.usable() == []
+        assert not each.applier.replica.overrides
+
+
+def test_later_start_that_wrote_again_is_no_longer_passed_on():
+    host = restore_with_later_start()
+    started = host.started_by_it()
+    for each in (host, started):
+        each.write("servers/s1", encode_entry(born=300), 6, 2)
+        assert not each.applier.replica.overrides
+        each.wait(OUTAGE_GRACE_MS)
+        assert each.usable() == ["s1"]
+
+
+# Guards against an order of peers in which a host goes on without a server
+# that one of them saw leave and another one saw start again.
+@pytest.mark.parametrize("later_first", [True, False])
+def test_later_start_is_used_though_another_peer_saw_the_server_leave(
+    later_first,
+):
+    peer = Host()
+    peer.list(7, 1, servers_s1=ENTRY)
+    peer.write("servers/s1", None, 8, 1)
+    peer.list(5, 2, servers_s1=ENTRY)
+    host, started = restore_with_later_start(), Host()
+    started.list(5, 2, servers_s1=ENTRY)
+    for source in (host, peer) if later_first else (peer, host):
+        started.copy_from(source)
+    assert (port_of(started), started.usable()) == (81, ["s1"])
+    assert started.started_by_it().usable() == ["s1"]
+
+
 def beat(name: str, host: Host) -> Heartbeat:
     """Returns a host's heartbeat, as peers read it."""
     replica = host.applier.replica
