Pass orders of rollouts on that a restored store has lost

Callers saw: nothing yet, a case of the table of records. A host that starts in the 30 s in which the others keep such an order follows none, and sends to the new version as to any other one, beyond the share that is allowed.

Cause: the order was kept by each host for itself.

Change: it is on the list of overrides, with the revision that identifies it and the time that is left. A host takes it over unless it has read that order, or a later one, itself: it may have seen its removal, which the peer missed.

Evidence: test_lost_order_is_passed_on_to_hosts_that_start (one restore and two) and test_lost_order_is_passed_on_beside_its_record failed before. The last one and test_removed_order_is_not_taken_from_a_peer_that_missed_its_end fail each without its part of the condition.

--- a/corianderdoor/core/entry/rollouts.py
+++ b/corianderdoor/core/entry/rollouts.py
@@ -142,6 +142,14 @@
             wall_ms,
         )
 
+    def has_seen(self, order: RolloutOrder) -> bool:
+        """Returns whether this host has read the order, or one after it."""
+        progress = self._services.get(order.service)
+        if progress is None or not progress.order_known:
+            return False
+        plan = progress.plan
+        return plan is not None and plan.order_revision >= order.revision
+
     def set_record(
         self,
         service: str,
--- a/corianderdoor/entry/rollout_feed.py
+++ b/corianderdoor/entry/rollout_feed.py
@@ -11,7 +11,7 @@
 from ..core.entry.replica import Change, Replica
 from ..core.entry.rollout_changes import RolloutChange
 from ..core.entry.rollout_contact import find_contact
-from ..core.entry.rollout_records import RolloutReport
+from ..core.entry.rollout_records import RolloutOrder, RolloutReport
 from ..core.entry.rollouts import Rollouts
 from ..core.entry.servers import digest_id
 from ..platform.changes import RolloutOrderChange, RolloutRecordChange
@@ -105,6 +105,22 @@
             service, change.order, now_ms, self._clock.wall_ms()
         )
 
+    def keep_order(self, order: RolloutOrder, until_ms: int) -> bool:
+        """Puts an order in force that a peer keeps.
+
+        Args:
+            order: The order, which the restored store has lost.
+            until_ms: When it ends unless it is written again.
+
+        Returns:
+            Whether it was new here.
+        """
+        if self.rollouts.has_seen(order):
+            return False
+        self.apply_order(RolloutOrderChange(order.service, order), False)
+        self._kept_orders[order.service] = until_ms
+        return True
+
     def apply_record(self, change: RolloutRecordChange) -> None:
         """Applies the stored record of a rollout or its removal."""
         self.rollouts.set_record(
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -29,13 +29,14 @@
     UnusableRecord,
 )
 from ..platform.records import SERVER_PREFIX
+from ..platform.rollouts import ORDER_PREFIX
 from ..platform.stream_records import LEDGER_KEY
 from .backends import ConnectionPool
 from .kept_evacuations import KeptEvacuations
 from .kept_servers import KeptServers
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
-from .rollout_feed import list_rollouts_kept, RolloutFeed
+from .rollout_feed import list_rollouts_kept, ORDER_GRACE_MS, RolloutFeed
 
 # Servers whose entries expired in an outage of the store or are missing after
 # its restore are listed again within this time after it ends if they still
@@ -177,6 +178,8 @@
         if item is None:
             if isinstance(decoded, Evacuation):
                 self._apply_evacuation(decoded, override)
+            elif isinstance(decoded, RolloutOrderChange):
+                self._keep_order(decoded, override)
             return
         if override.value is None:
             if override.key not in overrides:
@@ -196,6 +199,15 @@
             self._apply_change(override, "override", False)
             self._evacuations.keep(decoded.data_centre, override.grace_ms)
 
+    def _keep_order(
+        self, decoded: RolloutOrderChange, override: Change
+    ) -> None:
+        """Takes over the order of a rollout that a restored store has lost."""
+        until_ms = self._clock.now_ms() + override.grace_ms
+        if self._rollouts is not None and decoded.order is not None:
+            if self._rollouts.keep_order(decoded.order, until_ms):
+                self.replica.overrides.put(override, until_ms)
+
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
@@ -349,8 +361,15 @@
 
     @_apply_decoded.register
     def _(self, decoded: RolloutOrderChange, from_copy: bool) -> None:
-        if self._rollouts is not None:
-            self._rollouts.apply_order(decoded, from_copy)
+        if self._rollouts is None:
+            return
+        self._rollouts.apply_order(decoded, from_copy)
+        former = self._former.get(ORDER_PREFIX + decoded.service)
+        if decoded.order is None and from_copy and former is not None:
+            self.replica.overrides.put(
+                former.with_grace(ORDER_GRACE_MS),
+                self._clock.now_ms() + ORDER_GRACE_MS,
+            )
 
     @_apply_decoded.register
     def _(self, decoded: RolloutRecordChange, from_copy: bool) -> None:
