Take an entry of a peer's list over once in each era

Callers saw: nothing yet, found in review. A server that is held back for 10 s after a restore, and then used again as the store goes on listing it, is held back once more if a peer's list has that entry still and another one besides.

Cause: since hosts copy each list that differs, not one in each era, they also copy entries that have ended there already.

Change: an entry that was listed here in this era, or on a list that was copied, is passed over.

Evidence: test_server_that_is_used_again_is_not_held_back_by_another_list failed before (the server is missing). The model check passes over such entries too, and holds.

--- a/corianderdoor/core/entry/overrides.py
+++ b/corianderdoor/core/entry/overrides.py
@@ -139,13 +139,23 @@
 
     def record_copy(
         self, entries: Iterable[Change], listed: Iterable[int]
-    ) -> None:
+    ) -> list[Change]:
         """Records that the list of a peer was copied.
 
         Args:
             entries: The list.
             listed: Digests of all that was on it; none if the peer, of an
                 earlier release, does not tell.
+
+        Returns:
+            The entries that are new here. What was listed before and no
+            longer is has ended here.
         """
+        new = [
+            entry
+            for entry in entries
+            if digest_entry(entry) not in self._listed
+        ]
         self._copied.add(digest_list(listed) or UNTOLD_DIGEST)
         self._listed.update(listed, map(digest_entry, entries))
+        return new
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -161,12 +161,12 @@
         told = digest_list(page.listed) or UNTOLD_DIGEST
         if not page.overrides or not replica.misses(page.era, told):
             return
-        replica.overrides.record_copy(page.overrides, page.listed)
+        new = replica.overrides.record_copy(page.overrides, page.listed)
         copy_revision = min(
             replica.restored_revision,
             page.restored_revision or replica.restored_revision,
         )
-        for override in page.overrides:
+        for override in new:
             # Also of an older page, whose sender does not know it yet.
             if not replica.was_written_after(override.key, copy_revision):
                 self._copy_override(override, replica.get(override.key))
--- a/corianderdoor/specs/restored_records.py
+++ b/corianderdoor/specs/restored_records.py
@@ -227,7 +227,7 @@
     copied = host._replace(
         listed=host.listed | peer.listed, copied=host.copied | {peer.told}
     )
-    if peer.passed_on <= host.used:
+    if peer.passed_on <= host.used or peer.passed_on in host.listed:
         return copied
     return copied._replace(known=peer.passed_on, passed_on=peer.passed_on)
 
--- a/tests/test_entry_overrides.py
+++ b/tests/test_entry_overrides.py
@@ -6,6 +6,7 @@
 from test_entry_store_restore import encode_config, encode_entry, Host
 
 from corianderdoor.core.entry.copy_sources import find_overriding_peer
+from corianderdoor.core.entry.departed_servers import HELD_BACK_MS
 from corianderdoor.core.entry.heartbeat import Heartbeat
 from corianderdoor.core.entry.peer import Peer
 from corianderdoor.core.entry.replica import Page
@@ -256,6 +257,16 @@
         assert fleet.pages == 1 + number
 
 
+# Guards against a server that is held back again for each list of a peer that
+# differs, though the store goes on listing it.
+def test_server_that_is_used_again_is_not_held_back_by_another_list():
+    host, peer = build_restored(10, range(1)), build_restored(10, range(2))
+    host.wait(HELD_BACK_MS)
+    assert "s0" in host.usable()
+    host.copy_from(peer)
+    assert host.usable() == ["s0", "s2", "s3"]
+
+
 # Guards against lists of hosts of the release before, which tell no digest.
 def test_host_asks_one_peer_of_the_release_before_once():
     started, peer = start_later(5), restore_with_evacuation()
