--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -30,6 +30,7 @@
     VerdictsChange,
 )
 from ..platform.records import SERVER_PREFIX
+from ..platform.rollouts import ORDER_PREFIX
 from ..platform.stream_records import LEDGER_KEY
 from ..platform.verdict_records import VERDICTS_KEY
 from .backends import ConnectionPool
@@ -37,7 +38,7 @@
 from .kept_servers import KeptServers
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
-from .rollout_feed import list_rollouts_kept, RolloutFeed
+from .rollout_feed import list_rollouts_kept, ORDER_GRACE_MS, RolloutFeed
 
 # Servers whose entries expired in an outage of the store or are missing after
 # its restore are listed again within this time after it ends if they still
@@ -101,8 +102,8 @@
             planner.servers, self.replica, clock
         )
         self._kept_servers = KeptServers(planner.servers, self.replica, clock)
-        # Values in force before a restore, while its page is applied.
-        self._former: dict[str, bytes | None] = {}
+        # In force before a restore, while its page is applied.
+        self._former: dict[str, Change] = {}
         # The item with the desired state in force.
         self._desired: Change | None = None
 
@@ -131,7 +132,7 @@
         if restored and page.full:
             grace_ms = OUTAGE_GRACE_MS
             self._begin_era(page, source)
-            self._former = self.replica.values_in_force()
+            self._former = self.replica.changes_in_force()
         changes = self.replica.apply(page, grace_ms)
         if restored:
             changes += list_rollouts_kept(self.replica, changes)
@@ -162,29 +163,36 @@
         told = digest_list(page.listed) or UNTOLD_DIGEST
         if not page.overrides or not replica.misses(page.era, told):
             return
-        replica.overrides.record_copy(page.overrides, page.listed)
+        new = replica.overrides.record_copy(page.overrides, page.listed)
         copy_revision = min(
             replica.restored_revision,
             page.restored_revision or replica.restored_revision,
         )
-        for override in page.overrides:
-            if replica.was_written_after(override.key, copy_revision):
-                # Also of an older page, whose sender does not know it yet.
-                continue
-            item = replica.get(override.key)
-            decoded = decode_change(override)
-            if item is None:
-                if isinstance(decoded, Evacuation):
-                    self._apply_evacuation(decoded, override)
-                continue
-            if override.value is not None:
-                self._apply_change(override, "override", True)
-                if self._desired is override:
-                    replica.overrides.put(override)
-            elif override.key not in replica.overrides:
+        for override in new:
+            # Also of an older page, whose sender does not know it yet.
+            if not replica.was_written_after(override.key, copy_revision):
+                self._copy_override(override, replica.get(override.key))
+
+    def _copy_override(self, override: Change, item: Change | None) -> None:
+        """Takes over what a peer has in force in place of an item."""
+        overrides = self.replica.overrides
+        decoded = decode_change(override)
+        if item is None:
+            if isinstance(decoded, Evacuation):
+                self._apply_evacuation(decoded, override)
+            elif isinstance(decoded, RolloutOrderChange):
+                self._keep_order(decoded, override)
+            return
+        if override.value is None:
+            if override.key not in overrides:
                 self._kept_servers.hold_back(item)
-            if override.key not in replica.overrides:
-                replica.overrides.put(override)
+                overrides.put(override)
+            return
+        self._apply_change(override, "override", True)
+        if isinstance(decoded, ServerListed):
+            self._kept_servers.adopt(override, decoded.server)
+        elif self._desired is override or override.key not in overrides:
+            overrides.put(override)
 
     def _apply_evacuation(self, decoded: Evacuation, override: Change) -> None:
         """Takes over an evacuation that a restored store has lost."""
@@ -193,6 +201,15 @@
             self._apply_change(override, "override", False)
             self._evacuations.keep(decoded.data_centre, override.grace_ms)
 
+    def _keep_order(
+        self, decoded: RolloutOrderChange, override: Change
+    ) -> None:
+        """Takes over the order of a rollout that a restored store has lost."""
+        until_ms = self._clock.now_ms() + override.grace_ms
+        if self._rollouts is not None and decoded.order is not None:
+            if self._rollouts.keep_order(decoded.order, until_ms):
+                self.replica.overrides.put(override, until_ms)
+
     def _begin_era(self, page: Page, source: str) -> None:
         """Gives writers time anew to write again what the store has lost."""
         log_event(
@@ -205,12 +222,14 @@
         )
         now_ms = self._clock.now_ms()
         self._planner.servers.extend_grace(now_ms + OUTAGE_GRACE_MS)
+        self.replica.overrides.extend(SERVER_PREFIX, now_ms + OUTAGE_GRACE_MS)
         self._evacuations.begin_era()
 
     def tick(self, now_ms: int) -> None:
         """Ends what was kept for a time after a restore of the store."""
         self._kept_servers.tick(now_ms)
         self._evacuations.tick(now_ms)
+        self.replica.overrides.tick(now_ms)
 
     def _apply_change(
         self, change: Change, source: str, from_copy: bool
@@ -271,7 +290,7 @@
             server, now_ms, OUTAGE_GRACE_MS
         ):
             log_event("server_copy_ignored", server=server.id)
-            self._kept_servers.pass_on(server.id, self._former)
+            self._kept_servers.pass_on(server, self._former, OUTAGE_GRACE_MS)
             return
         known = self._planner.servers.get(server.id)
         if self._planner.servers.put(server, now_ms) and known:
@@ -344,8 +363,15 @@
 
     @_apply_decoded.register
     def _(self, decoded: RolloutOrderChange, from_copy: bool) -> None:
-        if self._rollouts is not None:
-            self._rollouts.apply_order(decoded, from_copy)
+        if self._rollouts is None:
+            return
+        self._rollouts.apply_order(decoded, from_copy)
+        former = self._former.get(ORDER_PREFIX + decoded.service)
+        if decoded.order is None and from_copy and former is not None:
+            self.replica.overrides.put(
+                former.with_grace(ORDER_GRACE_MS),
+                self._clock.now_ms() + ORDER_GRACE_MS,
+            )
 
     @_apply_decoded.register
     def _(self, decoded: RolloutRecordChange, from_copy: bool) -> None:
