Write verdicts also if the watchers are of the release before

During an upgrade verdicts could be missing in the store, so that a request under verdict had to crash three more servers after a loss of all hosts.

Cause: only the hosts that watch the store wrote the record, and all of these can be of the release before, which does not know it.

Change: after 1.6 s the other hosts write, 50 ms apart. What paces the calls belongs to the decision now, so that it is tested: a host that is not first makes one in five seconds at most, or 0.1 s for each host of the fleet.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -385,7 +385,11 @@
 
     def rewrite_delay_ms(self, now_ms: int) -> int:
         """Returns when to write this host's record after a restore."""
-        return REWRITE_STEP_MS * self._order(now_ms).index(self._own)
+        return REWRITE_STEP_MS * self.find_position(now_ms)
+
+    def find_position(self, now_ms: int) -> int:
+        """Returns this host's place in the order of the live hosts."""
+        return self._order(now_ms).index(self._own)
 
     def find_peer_ahead(
         self, revision: int, now_ms: int, era: int = 0
--- a/corianderdoor/entry/verdict_writer.py
+++ b/corianderdoor/entry/verdict_writer.py
@@ -22,12 +22,17 @@
 # Shortest time between two calls that write; what changes meanwhile is
 # written together.
 MIN_INTERVAL_MS: Final = 500
-# Longest wait for what was written to arrive here, with its revision.
-MAX_SETTLE_MS: Final = 1_000
 # Time after which the other watchers write, as the store may refuse the first
-# host, and the shortest time between two calls of one of them.
+# host.
 BACKUP_MS: Final = 800
+# Time after which the next hosts write, as the watchers may be of an earlier
+# release, and how much later each of them does than the one before.
+LATE_MS: Final = 1_600
+LATE_STEP_MS: Final = 50
+# Shortest time between two calls of a host that is not first: this, or so
+# much for each host.
 BACKUP_INTERVAL_MS: Final = 5_000
+INTERVAL_PER_HOST_MS: Final = 100
 # The record stays for at least half of this time after all hosts have gone,
 # or after the last verdict has ended. The store grants no longer leases.
 LEASE_MS: Final = 600_000
@@ -50,6 +55,7 @@
         "_clock",
         "_lease",
         "_due_ms",
+        "_next_ms",
         "_logged",
     )
 
@@ -78,6 +84,7 @@
         self._lease = StoreLease(store, clock, LEASE_MS)
         # Since when the record has to change; None if it is right.
         self._due_ms: int | None = None
+        self._next_ms = 0
         # Verdicts, era and result of the last line in the log.
         self._logged: tuple[object, ...] = ()
 
@@ -85,18 +92,21 @@
         """Keeps the record up to date until cancelled."""
         while True:
             await anyio.sleep(POLL_MS / MS_PER_SECOND)
-            revision = self._revision()
-            if not await self.write_due():
-                continue
-            await anyio.sleep(self._interval_ms() / MS_PER_SECOND)
-            with anyio.move_on_after(MAX_SETTLE_MS / MS_PER_SECOND):
-                while self._revision() == revision:
-                    await anyio.sleep(POLL_MS / MS_PER_SECOND)
-
-    def _interval_ms(self) -> int:
-        if self._peers.is_first(self._clock.now_ms()):
+            await self.write_due()
+
+    def _interval_ms(self, now_ms: int) -> int:
+        if self._peers.is_first(now_ms):
             return MIN_INTERVAL_MS
-        return BACKUP_INTERVAL_MS
+        hosts = len(self._peers.all()) + 1
+        return max(BACKUP_INTERVAL_MS, INTERVAL_PER_HOST_MS * hosts)
+
+    def _delay_ms(self, now_ms: int) -> int:
+        """Returns how long a change is left to the hosts before this one."""
+        if self._peers.is_first(now_ms):
+            return 0
+        if self._peers.should_watch(now_ms):
+            return BACKUP_MS
+        return LATE_MS + LATE_STEP_MS * self._peers.find_position(now_ms)
 
     def _revision(self) -> int:
         """Returns the known revision of the key; 0 if it does not exist."""
@@ -110,8 +120,10 @@
             Whether a call was made.
         """
         wanted = self._plan()
-        if wanted is None:
+        now_ms = self._clock.now_ms()
+        if wanted is None or now_ms < self._next_ms:
             return False
+        self._next_ms = now_ms + self._interval_ms(now_ms)
         try:
             written = await self._store.compare_and_set(
                 {VERDICTS_KEY: self._revision()},
@@ -151,7 +163,7 @@
         now_ms = self._clock.now_ms()
         if self._due_ms is None:
             self._due_ms = now_ms
-        if self._peers.is_first(now_ms) or now_ms - self._due_ms >= BACKUP_MS:
+        if now_ms - self._due_ms >= self._delay_ms(now_ms):
             return wanted
         return None
 
@@ -164,8 +176,6 @@
             return None
         if not selection.restarts.in_contact:
             return None
-        if not self._peers.should_watch(now_ms):
-            return None
         if not selection.process_pauses.is_current(now_ms):
             return None
         return wanted
--- a/tests/test_entry_stored_verdicts.py
+++ b/tests/test_entry_stored_verdicts.py
@@ -30,6 +30,7 @@
 from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.entry.verdict_writer import (
     BACKUP_MS,
+    LATE_MS,
     LEASE_MS,
     VerdictWriter,
 )
@@ -135,6 +136,8 @@
         self.hosts: dict[str, Host] = {}
         self.sent = 0
         self.runs = 0
+        # Hosts of the release before, which write no verdicts.
+        self.former: list[str] = []
         self.start_all()
 
     def start_all(self) -> None:
@@ -191,7 +194,8 @@
                     Heartbeat(name, 1, 1, 0, False, ()), host.now_ms
                 )
         self.deliver(host)
-        finish(host.writer.write_due())
+        if host.name not in self.former:
+            finish(host.writer.write_due())
         self.deliver(host)
 
     def share(self) -> None:
@@ -399,6 +403,37 @@
     assert fleet.send_everywhere("request") == 0
 
 
+# Guards against verdicts that are not written during an upgrade, as the hosts
+# that watch the store are of the release before.
+def test_verdict_is_written_beside_hosts_of_the_release_before():
+    fleet = Fleet([f"h{number}" for number in range(5)])
+    fleet.step(2 * STEP_MS)
+    fleet.former = [
+        host.name
+        for host in fleet.hosts.values()
+        if host.peers.should_watch(host.now_ms)
+    ]
+    assert 0 < len(fleet.former) < 5
+    fleet.convict("request")
+    fleet.step(LATE_MS + STEP_MS)
+    assert len(fleet.stored().verdicts) == 1
+    fleet.start_all()
+    assert fleet.send_everywhere("request") == 0
+
+
+# Guards against a fleet that calls a store again and again which refuses what
+# the hosts write.
+def test_calls_are_bounded_while_the_store_refuses_them():
+    fleet = Fleet([f"h{number}" for number in range(40)])
+    fleet.step(2 * STEP_MS)
+    for host in fleet.hosts.values():
+        host.client.refused = True
+        host.crashing.verdicts.convict(1, host.now_ms, MAX_VERDICT_MS)
+    fleet.step(20_000)
+    # Two calls a second of the first host, and one in five of each other.
+    assert fleet.count_calls() <= 2 * 20 + 39 * 20_000 // 5_000
+
+
 # Guards against a host that starts alone, takes a verdict for younger than
 # it is, and has its peers put the trial off.
 def test_host_that_starts_learns_the_age_from_its_peers():
