--- a/corianderdoor/core/entry/peer.py
+++ b/corianderdoor/core/entry/peer.py
@@ -118,10 +118,10 @@
             known: Era and revision; None to compare with nothing. What a
                 peer knows of another era does not compare either.
         """
-        beat = self.last_heartbeat
-        if beat is None or known is None:
+        heartbeat = self.last_heartbeat
+        if heartbeat is None or known is None:
             return False
-        return beat.era != known[0] or beat.revision > known[1]
+        return heartbeat.era != known[0] or heartbeat.revision > known[1]
 
     def is_starting(self, now_ms: int) -> bool:
         """Returns whether the peer may not have read the store yet."""
--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -355,13 +355,14 @@
         # The watchers come first, as one of them is enough.
         for name in (*self._watchers(now_ms), *self._peers):
             peer = self._peers.get(name)
-            if peer is None or peer.last_heartbeat_ms is None:
+            if peer is None or peer.is_ahead_of(known):
                 continue
-            beat = peer.last_heartbeat
-            if beat is not None and not peer.is_ahead_of(known):
-                contacts.append(peer.last_heartbeat_ms - beat.contact_age_ms)
-                if now_ms - contacts[-1] < MAX_CONTACT_AGE_MS:
-                    break
+            if peer.last_heartbeat is None or peer.last_heartbeat_ms is None:
+                continue
+            age_ms = peer.last_heartbeat.contact_age_ms
+            contacts.append(peer.last_heartbeat_ms - age_ms)
+            if now_ms - contacts[-1] < MAX_CONTACT_AGE_MS:
+                break
         return max(contacts)
 
     def _has_contact(self, peer: Peer, now_ms: int) -> bool:
@@ -379,8 +380,7 @@
         The watchers read the store at once. The others do so only if they
         get no copy, one after the other.
         """
-        order = self._order(now_ms)
-        position = order.index(self.own)
+        position = self.find_position(now_ms)
         if position < len(self._watchers(now_ms)):
             return 0
         return RELIST_WAIT_MS + RELIST_STEP_MS * position
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -7,7 +7,6 @@
 
 from ..adapters.logs import log_event
 from ..core.clock import Clock
-from ..core.entry.crashing_requests import CrashCause
 from ..core.entry.overrides import digest_list, UNTOLD_DIGEST
 from ..core.entry.peer import WATCHER_GRACE_MS
 from ..core.entry.peers import Peers
@@ -39,6 +38,7 @@
 from .peer_codec import decode_caches, MessageError
 from .refused_records import RefusedRecords
 from .rollout_feed import list_rollouts_kept, ORDER_GRACE_MS, RolloutFeed
+from .server_changes import list_server, remove_server
 
 # Servers whose entries expired in an outage of the store or are missing after
 # its restore are listed again within this time after it ends if they still
@@ -292,27 +292,11 @@
             log_event("server_copy_ignored", server=server.id)
             self._kept_servers.pass_on(server, self._former, OUTAGE_GRACE_MS)
             return
-        known = self._planner.servers.get(server.id)
-        if self._planner.servers.put(server, now_ms) and known:
-            proofs = self._planner.restarts.proofs
-            if server.started_ms < known.started_ms:
-                # A call of the process before that was executed late.
-                proofs.record_unreachable(server.id, now_ms)
-            else:
-                proofs.record_told(server.id)
-            self._planner.crashing_requests.confirm_crash(
-                server.id, now_ms, CrashCause.RESTARTED
-            )
+        list_server(self._planner, server, now_ms)
 
     @_apply_decoded.register
     def _(self, decoded: ServerRemoved, from_copy: bool) -> None:
-        self._planner.servers.remove(
-            decoded.id, self._clock.now_ms(), decoded.grace_ms
-        )
-        if not decoded.grace_ms:
-            self._planner.crashing_requests.confirm_crash(
-                decoded.id, self._clock.now_ms(), CrashCause.REMOVED
-            )
+        remove_server(self._planner, decoded, self._clock.now_ms())
 
     @_apply_decoded.register
     def _(self, decoded: Evacuation, from_copy: bool) -> None:
--- a/tests/test_version_proofs.py
+++ b/tests/test_version_proofs.py
@@ -163,8 +163,8 @@
     )
     restarts = planner.restarts
     for now_ms, revision in ((0, 8), (BACK_MS + TOLD_MS, 9)):
-        beat = Heartbeat("h1", 1, revision, 0, False, (), era=1)
-        peers.record_heartbeat(beat, now_ms)
+        heartbeat = Heartbeat("h1", 1, revision, 0, False, (), era=1)
+        peers.record_heartbeat(heartbeat, now_ms)
         ticks.update_contact(now_ms)
         if now_ms == 0:
             assert restarts.proves_version("s0")
