Let the record of verdicts settle between hosts that disagree

(1) A host that receives no heartbeats and the first host wrote over each other's record again and again: 25 calls in a minute, and the record lacked a verdict at 12 of 120 looks; if all hosts were killed then, its request would have crashed three more servers. (2) A verdict that a starting host had from a peer's older copy stayed, and was written again, although the record had ended since.

Cause: (1) a host in the place of the first took verdicts that it does not know for ended ones. (2) Only a readable record, not its removal, ended verdicts that the store alone had told of.

Change: a host that is not first does not write what would only end verdicts of a record of the last ten seconds, in which the first host has confirmed them.

Evidence: test_hosts_that_disagree_on_a_verdict_do_not_write_for_ever (25 calls before) and test_verdict_of_an_older_copy_ends_when_the_store_has_no_record failed before; all tests of the stored verdicts and of crashing requests pass.

--- a/corianderdoor/core/entry/peers.py
+++ b/corianderdoor/core/entry/peers.py
@@ -252,9 +252,8 @@
 
     def count_live(self, now_ms: int) -> int:
         """Returns the number of peers that have not timed out."""
-        return sum(
-            now_ms <= peer.named_until_ms for peer in self._peers.values()
-        )
+        peers = self._peers.values()
+        return sum(now_ms <= peer.named_until_ms for peer in peers)
 
     def _is_reachable(self, peer: Peer, live: int, now_ms: int) -> bool:
         if peer.last_heartbeat is None or now_ms > peer.named_until_ms:
@@ -368,9 +367,8 @@
     def _has_contact(self, peer: Peer, now_ms: int) -> bool:
         if peer.is_starting(now_ms):
             return True
-        if peer.last_heartbeat is None or peer.timed_out(
-            now_ms, MISSED_HEARTBEATS * HEARTBEAT_MS
-        ):
+        limit_ms = MISSED_HEARTBEATS * HEARTBEAT_MS
+        if peer.last_heartbeat is None or peer.timed_out(now_ms, limit_ms):
             return False
         return peer.last_heartbeat.contact_age_ms < MAX_CONTACT_AGE_MS
 
--- a/corianderdoor/core/entry/stored_verdicts.py
+++ b/corianderdoor/core/entry/stored_verdicts.py
@@ -76,20 +76,27 @@
 
         Args:
             stored: The verdicts; None if there is no readable record.
-            is_current: Whether it was written in the store's present era, and
-                not before it was restored from an older copy.
+            is_current: Whether it was written, or removed, in the store's
+                present era, and not before it was restored from a copy.
             now_ms: Monotonic time in ms.
         """
         self._stored = stored
         self._since_ms = now_ms
-        if stored is None:
-            return
+        verdicts = () if stored is None else stored.verdicts
         if self._is_starting:
-            self._verdicts.restore(stored.verdicts, now_ms)
+            self._verdicts.restore(verdicts, now_ms)
         elif is_current:
-            self._verdicts.drop_stored(
-                {report.part for report in stored.verdicts}
-            )
+            self._verdicts.drop_stored({report.part for report in verdicts})
+
+    def is_only_ending(self, wanted: StoredVerdicts, now_ms: int) -> bool:
+        """Returns whether a write would only end verdicts of a new record.
+
+        The host that wrote it may know better why they are there.
+        """
+        if self._stored is None or now_ms - self._since_ms >= REFRESH_MS:
+            return False
+        known = set(map(_identify, self._stored.verdicts))
+        return known > set(map(_identify, wanted.verdicts))
 
     def plan_next(self, era: int, now_ms: int) -> StoredVerdicts | None:
         """Returns what has to be written; None if the record is right.
--- a/corianderdoor/entry/state_applier.py
+++ b/corianderdoor/entry/state_applier.py
@@ -369,10 +369,11 @@
     @_apply_decoded.register
     def _(self, decoded: VerdictsChange, from_copy: bool) -> None:
         stored = decoded.stored
+        is_current = not from_copy
+        if stored is not None:
+            is_current = stored.era == self.replica.era
         self._planner.crashing_requests.keeper.record(
-            stored,
-            stored is not None and stored.era == self.replica.era,
-            self._clock.now_ms(),
+            stored, is_current, self._clock.now_ms()
         )
 
     @_apply_decoded.register
@@ -380,7 +381,8 @@
         if decoded.key == LEDGER_KEY:
             self._planner.selection.ledger.record(None, self.replica.era)
         if decoded.key == VERDICTS_KEY:
-            self._apply_decoded(VerdictsChange(None), from_copy)
+            # Not removed: another writer has replaced it.
+            self._apply_decoded(VerdictsChange(None), True)
         self._refused.record(decoded.key, decoded.field, decoded.detail)
         if decoded.key.startswith(SERVER_PREFIX):
             self._keep_overwritten(decoded.key[len(SERVER_PREFIX) :])
--- a/corianderdoor/entry/verdict_writer.py
+++ b/corianderdoor/entry/verdict_writer.py
@@ -163,9 +163,13 @@
         now_ms = self._clock.now_ms()
         if self._due_ms is None:
             self._due_ms = now_ms
-        if now_ms - self._due_ms >= self._delay_ms(now_ms):
-            return wanted
-        return None
+        if now_ms - self._due_ms < self._delay_ms(now_ms):
+            return None
+        keeper = self._planner.crashing_requests.keeper
+        is_first = self._peers.is_first(now_ms)
+        if not is_first and keeper.is_only_ending(wanted, now_ms):
+            return None
+        return wanted
 
     def _find_due(self) -> StoredVerdicts | None:
         now_ms = self._clock.now_ms()
--- a/tests/test_entry_stored_verdicts.py
+++ b/tests/test_entry_stored_verdicts.py
@@ -546,3 +546,60 @@
     assert decode_verdicts(value) == StoredVerdicts(
         4, (PartReport(1, None, 2, 3),)
     )
+
+
+# Guards against hosts that know different verdicts and write over each
+# other's record, so that it lacks some when all hosts are killed.
+def test_hosts_that_disagree_on_a_verdict_do_not_write_for_ever():
+    fleet = Fleet()
+    fleet.step()
+    fleet.convict("request")
+    # The second watcher has not received it, and receives no heartbeats.
+    first = next(
+        host
+        for host in fleet.hosts.values()
+        if host.peers.is_first(host.now_ms)
+    )
+    alone = next(
+        host
+        for host in fleet.hosts.values()
+        if host is not first and host.peers.should_watch(host.now_ms)
+    )
+    alone.crashing.verdicts.restore((), alone.now_ms)
+    for suspect in list(alone.crashing.verdicts._verdicts):
+        alone.crashing.verdicts.release(suspect)
+    share = fleet.share
+
+    def share_without_it():
+        kept = fleet.hosts
+        fleet.hosts = {
+            name: host for name, host in kept.items() if host is not alone
+        }
+        share()
+        fleet.hosts = kept
+
+    fleet.share = share_without_it
+    before = fleet.count_calls()
+    lacking = 0
+    for _ in range(120):
+        fleet.step(500)
+        lacking += not fleet.stored().verdicts
+    # The ages are written again every 10 s.
+    assert fleet.count_calls() - before < 12
+    assert lacking == 0
+
+
+# Guards against a verdict that has ended and comes back: the record is gone,
+# and only a peer that lags behind still has it.
+def test_verdict_of_an_older_copy_ends_when_the_store_has_no_record():
+    fleet = Fleet()
+    stored = StoredVerdicts(1, (PartReport(7, None, 5_000, 60_000),))
+    host = Host(fleet, "h9", 1_000)
+    other = Change("op/other", b"1", 1)
+    record = Change(VERDICTS_KEY, encode_verdicts(stored), 5)
+    host.applier.apply(Page((other, record), 5, True, 1), "h1", 0)
+    assert len(host.crashing.verdicts) == 1
+    host.applier.apply(Page((other,), 9, True, 1), "store", 0)
+    keeper = host.crashing.keeper
+    assert keeper.plan_next(1, 1_100) is None
+    assert len(host.crashing.verdicts) == 0
