--- a/tests/test_entry_cold_unnoticed.py
+++ b/tests/test_entry_cold_unnoticed.py
@@ -265,6 +265,6 @@
     restarts.record_answer("s", 2_500)
     cold_ms = 10_000
     for now_ms in range(1_200, 10_000, 100):
-        # Peers hear the store; this host lacks what came after 1,000 ms.
+        # Peers reach the store; this host lacks what came after 1,000 ms.
         restarts.update_contact(now_ms, now_ms, 1_000)
         assert restarts.includes("s", cold_ms, now_ms), now_ms
--- a/tests/test_entry_overrides.py
+++ b/tests/test_entry_overrides.py
@@ -144,7 +144,7 @@
     assert started.started_by_it().usable() == ["s1"]
 
 
-def beat(name: str, host: Host) -> Heartbeat:
+def build_heartbeat(name: str, host: Host) -> Heartbeat:
     """Returns a host's heartbeat, as peers read it."""
     replica = host.applier.replica
     heartbeat = Heartbeat(
@@ -178,7 +178,7 @@
             if name != own:
                 peer = Peer(name)
                 peer.address = ("x", 1)
-                peer.last_heartbeat = beat(name, host)
+                peer.last_heartbeat = build_heartbeat(name, host)
                 peer.alive_until_ms = 2**31
                 peers.append(peer)
         return peers
@@ -282,7 +282,7 @@
     assert not started.applier.replica.misses(2, told)
     # A peer of this release has the same list.
     assert not started.applier.replica.misses(
-        2, beat("h2", peer).told_overrides
+        2, build_heartbeat("h2", peer).told_overrides
     )
 
 
@@ -290,7 +290,7 @@
     host = restore_with_evacuation()
     page = host.applier.replica.changes_since(0)
     assert page.listed and decode_page(encode_page(page)) == page
-    heartbeat = beat("h1", host)
+    heartbeat = build_heartbeat("h1", host)
     assert heartbeat.overrides_digest == host.applier.replica.overrides.digest
     assert heartbeat.told_overrides == heartbeat.overrides_digest
 
