--- a/corianderdoor/core/entry/version_proofs.py
+++ b/corianderdoor/core/entry/version_proofs.py
@@ -28,7 +28,7 @@
 class VersionProofs:
     """Signs that a server has restarted since it wrote its entry.
 
-    Holds a few times for each listed server with a sign.
+    Holds a few times for each listed server.
     """
 
     __slots__ = (
