Take back a test that begins its streams again until they pass

Cause: let the test of streams after the loss of all hosts begin other streams, up to six times, whenever some were unproven. The trace allows that for a process that was not scheduled for 1,463 ms alone; the retry would also hide streams that are unproven in calm.

--- a/tests/test_entry_streams_after_loss.py
+++ b/tests/test_entry_streams_after_loss.py
@@ -14,59 +14,23 @@
     start_versions,
 )
 
-from corianderdoor.core.entry.stream_versions import digest_stream, UNPROVEN
 from corianderdoor.platform.store import StoreClient, StoreError
-from corianderdoor.platform.stream_records import (
-    BEGUN_PREFIX,
-    decode_begun,
-    LEDGER_KEY,
-)
+from corianderdoor.platform.stream_records import LEDGER_KEY
 
 HOSTS = 3
 STREAMS = 8
 # Time in which hosts save where streams began.
 SAVED_S = 0.6
-# How often streams begin anew while the hosts are not scheduled.
-ROUNDS = 6
 
 
-async def begin_streams(fleet, prefix="id"):
+async def begin_streams(fleet):
     """Returns the ids of the last events of streams that break off."""
     return {
         begun: await begin_stream(fleet, f"host-{number % HOSTS}", begun)
-        for number, begun in ((n, f"{prefix}-{n}") for n in range(STREAMS))
-    }
-
-
-def list_unproven(fleet):
-    """Returns the digests of the saved streams without a known version."""
-    state = fleet.store.state
-    _, page = state.read_page(BEGUN_PREFIX, "")
-    return {
-        stream
-        for item in page["entries"]
-        for stream, origin in decode_begun(
-            state.read_value(item["key"])
-        ).items()
-        if origin.version == UNPROVEN
+        for number, begun in ((n, f"id-{n}") for n in range(STREAMS))
     }
 
 
-async def begin_proven_streams(fleet):
-    """Returns streams that began while hosts knew the servers' versions.
-
-    Hosts that were not scheduled for a second or more do not know whether
-    servers have restarted meanwhile, and streams that begin at them within
-    the next 1.5 s go on nowhere. Then others begin.
-    """
-    for number in range(ROUNDS):
-        last_ids = await begin_streams(fleet, f"id-{number}")
-        await anyio.sleep(SAVED_S)
-        if list_unproven(fleet).isdisjoint(map(digest_stream, last_ids)):
-            return last_ids
-    raise AssertionError("no versions known")
-
-
 async def replace_hosts(fleet, while_down=lambda: None):
     """Kills all hosts at once and starts them again."""
     for number in range(HOSTS):
@@ -102,9 +66,10 @@
 def test_streams_go_on_at_their_version_after_the_loss_of_all_hosts(versions):
     async def scenario(fleet):
         await start_versions(fleet, ("v1", *versions))
-        last_ids = await begin_proven_streams(fleet)
+        last_ids = await begin_streams(fleet)
         if versions:
             assert len(list_versions(fleet, *last_ids)) > 1
+        await anyio.sleep(SAVED_S)
         await replace_hosts(fleet)
         replies = await resume_streams(fleet, last_ids)
         for begun, reply in replies.items():
