Show requests to a draining worker after an old write of its entry

Shows DRAIN broken: an entry of the same process with a lower sequence_number, which the store executes late, makes a worker that drains available again.

--- a/review/fleet2/worker.py
+++ b/review/fleet2/worker.py
@@ -55,6 +55,8 @@
         self._zone = zone
         self._born = 0
         self._beats = 0
+        # How late the store executes the next write, and what to call then.
+        self.late = None
         self.running = 0
         self._server = None
         self._connections = set()
@@ -90,6 +92,18 @@
         for transport in list(self._connections):
             transport.abort()
 
+    def drain(self):
+        """Reports in the store that the worker leaves."""
+        self.state = "draining"
+        self.write_entry()
+        self._record("worker drains", worker=self.id)
+
+    def leave(self):
+        """Removes the entry and ends the process."""
+        self._store.remove(f"servers/{self.id}")
+        self._record("worker leaves", worker=self.id, running=self.running)
+        self.crash()
+
     def _cold_ms(self):
         return max(0, int(1000 * (self._cold_until - time.monotonic())))
 
@@ -98,20 +112,31 @@
         self._beats += 1
         if self._store.down:
             return
-        self._store.put_json(
-            f"servers/{self.id}",
-            {
-                "service": self.service,
-                "address": "%s:%d" % self._address,
-                "zone": self._zone,
-                "version": self.version,
-                "slots": self._slots,
-                "state": self.state,
-                "cold_remaining_ms": self._cold_ms(),
-                "sequence_number": self._beats,
-                "born": self._born,
-            },
-        )
+        entry = {
+            "service": self.service,
+            "address": "%s:%d" % self._address,
+            "zone": self._zone,
+            "version": self.version,
+            "slots": self._slots,
+            "state": self.state,
+            "cold_remaining_ms": self._cold_ms(),
+            "sequence_number": self._beats,
+            "born": self._born,
+        }
+        key = f"servers/{self.id}"
+        late, self.late = self.late, None
+        if late is None:
+            self._store.put_json(key, entry)
+            return
+
+        def execute():
+            self._record("write executed late", **entry)
+            self._store.put_json(key, entry)
+
+        delay_s, on_sent = late
+        self._record("write not answered", **entry)
+        asyncio.get_running_loop().call_later(delay_s, execute)
+        on_sent.set()
 
     async def _beat(self, delay_s):
         await asyncio.sleep(delay_s)
