--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -357,13 +357,16 @@
 
     async def run():
         fleet = Fleet(folder, hosts, contracts, **bounds)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             await fleet.store.start(fleet.store_address)
             async with asyncio.timeout(SERVED_FOR_S):
                 held = await main(fleet, trouble)
             fleet.record("rule held" if held else "rule broken")
             return 0 if held else 1
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             fleet.record("could not run", error=repr(exc))
             print(f"could not run: {exc!r}")
             return 2
