Show hosts that never find each other after trouble of the store

Shows LIMIT broken: a host whose first write gets 503 keeps its lease and never writes its record, so that eight hosts take the limits of workers for their own each.

--- a/review/fleet2/store.py
+++ b/review/fleet2/store.py
@@ -20,11 +20,18 @@
     Attributes:
         down: "" while it serves; "silent" or "reset" while it is down. Its
             leases pause meanwhile.
+        slow_s: How long each answer takes while the store is slow.
+        busy_at: Begin of the keys of writes with which the store becomes
+            busy: it answers them, and all calls from then on, with 503.
+        busy: Set when it has become busy; cleared to end that.
         calls: Number of calls by name.
     """
 
     def __init__(self):
         self.down = ""
+        self.slow_s = 0.0
+        self.busy_at = ""
+        self.busy = asyncio.Event()
         self.calls = {}
         self._revision = 1
         self._items = {}
@@ -115,7 +122,11 @@
                     return
                 if self.down:
                     await asyncio.sleep(3600)
+                if self._is_busy(request):
+                    writer.write(build_answer(503, [("Store-Era", 1)], b"{}"))
+                    continue
                 status, content = await self._answer(request)
+                await asyncio.sleep(self.slow_s)
                 if self.down:
                     # The answer does not get out any more.
                     await asyncio.sleep(3600)
@@ -131,6 +142,11 @@
         finally:
             writer.transport.abort()
 
+    def _is_busy(self, request):
+        if self.busy_at and self.busy_at.encode() in request.body:
+            self.busy.set()
+        return self.busy.is_set()
+
     async def _answer(self, request):
         path, _, query = request.target.partition("?")
         fields = {k: v[0] for k, v in parse_qs(query, True).items()}
