--- /dev/null
+++ b/review/alone/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case can't run.
+here=$(cd "$(dirname "$0")" && pwd)
+PYTHONPATH="$here/.." exec python3 "$here/run.py"
