--- a/review/10/run.py
+++ b/review/10/run.py
@@ -153,4 +153,6 @@
     contracts = ["base", "drain", "config", "cost", "retry", "recover"]
     contracts += ["engine", "stream", "tenants", "places", "platform"]
     folder = pathlib.Path(__file__).resolve().parent
-    sys.exit(run_case(main, folder, HOSTS, contracts))
+    # TROUBLE=0 leaves the disruption out.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(main, folder, HOSTS, contracts, trouble))
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+import os
 import pathlib
 import random
 import re
@@ -196,4 +197,6 @@
     contracts = ["base", "drain", "config", "cost", "retry", "recover"]
     contracts += ["engine", "stream", "tenants", "places", "platform"]
     folder = pathlib.Path(__file__).resolve().parent
-    sys.exit(run_case(main, folder, HOSTS, contracts))
+    # TROUBLE=0 leaves the disruption out.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(main, folder, HOSTS, contracts, trouble))
--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -342,7 +342,7 @@
     return answer
 
 
-def run_case(main, folder, hosts, contracts, **bounds):
+def run_case(main, folder, hosts, contracts, trouble, **bounds):
     """Runs a case; returns 1 if the rule was broken, 0 if it held, else 2.
 
     Args:
@@ -351,9 +351,9 @@
         folder: Folder of the case.
         hosts: Number of hosts.
         contracts: Contracts in force.
+        trouble: Whether the case has its disruption.
         **bounds: Bounds that differ from the usual ones.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
         fleet = Fleet(folder, hosts, contracts, **bounds)
