--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -m compileall -q fleet2
-for case in 6 7 8 9 10 alone; do
+for case in 6 7 8 9 10 alone copies; do
     if [ -f "$case/run.py" ]; then
         python3 -m py_compile "$case/run.py"
     fi
