--- a/review/fleet2/store.py
+++ b/review/fleet2/store.py
@@ -137,7 +137,7 @@
                 body = json.dumps(content).encode()
                 writer.write(build_answer(status, headers, body))
                 await writer.drain()
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.transport.abort()
