Show bookings that run after their connection was closed

A caller doesn't read a long answer until its deadline and has sent a booking behind it. The host closes the connection, and then sends the booking to a worker, which runs it; nobody gets the answer (LOST).

--- a/review/common3/lab.py
+++ b/review/common3/lab.py
@@ -447,7 +447,9 @@
         self.name = name
         self.answers = []
 
-    async def run(self, path, until, body=b"order", deadline_ms=3000):
+    async def run(
+        self, path, until, body=b"order", deadline_ms=3000, pause_s=0.0
+    ):
         """Sends until a time, or until the connection ends."""
         address = (self.lab.hosts[self.host]["address"], 8227)
         reader, writer = await asyncio.open_connection(*address)
@@ -480,6 +482,7 @@
                 )
                 if not answer.complete:
                     return
+                await asyncio.sleep(pause_s)
         finally:
             writer.close()
 
