Show that heads over the limit make a host hang

100 callers without a key send heads of 60 KB in very short lines. Nothing reads the limit of 16,384 bytes, and ordinary requests get no answer at their route's timeout and half a second later (CONFIG).

--- a/review/common3/worker.py
+++ b/review/common3/worker.py
@@ -161,7 +161,9 @@
     """Serves until standard input ends."""
     name, kind, host, port = sys.argv[1:5]
     worker = Worker(name, kind == "engine")
-    server = await asyncio.start_server(worker.serve, host, int(port))
+    server = await asyncio.start_server(
+        worker.serve, host, int(port), limit=2**20
+    )
     tell(event="listens")
     loop = asyncio.get_running_loop()
     while True:
