--- a/bench/answer_reading.py
+++ b/bench/answer_reading.py
@@ -178,9 +178,9 @@
 class Checkout:
     """A process that runs the code of one checkout."""
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(self, path: pathlib.Path, script: str = __file__) -> None:
         self._proc = subprocess.Popen(
-            [sys.executable, __file__, "--serve"],
+            [sys.executable, script, "--serve"],
             env={"PYTHONPATH": str(path.resolve())},
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
@@ -203,9 +203,21 @@
 
 
 def compare(
-    old: Callable[[str], int], new: Callable[[str], int], kind: str, pairs: int
+    old: Callable[[str], int],
+    new: Callable[[str], int],
+    kind: str,
+    pairs: int,
+    count: int,
 ) -> None:
-    """Prints the times of both and the ratio of the new to the old one."""
+    """Prints the times of both and the ratio of the new to the old one.
+
+    Args:
+        old: Does a run of the old code and returns its time in ns.
+        new: The same for the new code.
+        kind: What is read.
+        pairs: Number of pairs of runs.
+        count: Number of answers in a run.
+    """
     for _ in range(WARM_UP_RUNS):
         old(kind)
         new(kind)
@@ -217,12 +229,12 @@
         else:
             times.append((old(kind), new(kind)))
     old_us, new_us = (
-        statistics.median(side) / 1_000 / ANSWERS[kind] for side in zip(*times)
+        statistics.median(side) / 1_000 / count for side in zip(*times)
     )
     quartiles = statistics.quantiles([b / a for a, b in times], n=4)
     low, median, high = (f"{ratio:.3f}" for ratio in quartiles)
     print(
-        f"{kind:8} {old_us:8.1f} us {new_us:8.1f} us  "
+        f"{kind:10} {old_us:8.1f} us {new_us:8.1f} us  "
         f"ratio {median} ({low} to {high})"
     )
 
@@ -240,8 +252,8 @@
         return
     old, new = Checkout(args.old), Checkout(args.new)
     try:
-        for kind in ANSWERS:
-            compare(old.run, new.run, kind, args.pairs)
+        for kind, count in ANSWERS.items():
+            compare(old.run, new.run, kind, args.pairs, count)
     finally:
         old.close()
         new.close()
--- a/tests/test_entry_endless_bytes.py
+++ b/tests/test_entry_endless_bytes.py
@@ -45,6 +45,9 @@
         b"a" * 4_096,
     ),
     "after-answer": (b"whole", b"a" * 4_096),
+    "empty-lines": (b"own", b"1000\r\n%b\r\n" % (b"\n" * 4_096)),
+    "comments": (b"own", b"c00\r\n%b\r\n" % (b":\n\n" * 1_024)),
+    "same-event": (b"own", b"1000\r\n%b\r\n" % (b"id: 10\n\n" * 512)),
 }
 
 
