Parse chunks, heads and trailers in bounded turns, and limit heads

Cause: h11 takes a head or trailers as a whole and was given all that had arrived; slices of work were counted by connection or by listener.

Change: ParserFeed gives the parser 4 or 16 KB at a time and gives up above 4,096 lines or the limit of heads (431). Chunks, headers and requests take steps of the turns that all connections share, routers included; these replace ParsingTurns.

Two tests read the buffer of the parser; they now read all that waits.

Failing before, on: the cases of tiny chunks (2), header lines (2), heads over the limit (2) and requests at once (1).

--- a/bench/event_streams.py
+++ b/bench/event_streams.py
@@ -48,6 +48,16 @@
     ]
 
 
+class PausingTransport(Transport):
+    """Also takes what stops a peer that sends too fast."""
+
+    def pause_reading(self) -> None:
+        """Stops nothing, as all pieces are there."""
+
+    def resume_reading(self) -> None:
+        """Resumes nothing."""
+
+
 class Passing:
     """Streams of one kind, passed on one after the other."""
 
@@ -72,7 +82,7 @@
         from corianderdoor.entry.event_forwarder import EventForwarder
 
         protocol = H11Protocol(h11.CLIENT)
-        protocol.connection_made(Transport())  # type: ignore[arg-type]
+        protocol.connection_made(PausingTransport())  # type: ignore[arg-type]
         protocol.write(
             h11.Request(method="POST", target="/x", headers=[("Host", "h")])
         )
--- a/corianderdoor/adapters/answer_meter.py
+++ b/corianderdoor/adapters/answer_meter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Final
 
 import h11
@@ -10,9 +9,10 @@
 from .http1 import (
     ConnectionBrokenError,
     H11Protocol,
-    MAX_HEAD_BYTES,
     READ_HIGH_WATER_BYTES,
 )
+from .parser_feed import MAX_HEAD_BYTES
+from .work_turns import get_turns
 
 # Informational heads before the final one.
 MAX_INFORMATIONAL: Final = 32
@@ -25,8 +25,10 @@
 # of a few bytes take far more time than the body is worth.
 MAX_PIECES: Final = 8_192
 BYTES_PER_PIECE: Final = 32
-# Events that are read before other tasks get their turn, about 1 ms.
-EVENTS_PER_TURN: Final = 64
+# Steps of work that parsing and handling one event takes, and further ones
+# for each header.
+EVENT_STEPS: Final = 16
+HEADER_STEPS: Final = 2
 
 
 class AnswerMeter:
@@ -37,7 +39,8 @@
         "_informational",
         "_pieces",
         "_body_bytes",
-        "_events",
+        "_turns",
+        "_parsed",
     )
 
     def __init__(self, protocol: H11Protocol) -> None:
@@ -45,7 +48,9 @@
         self._informational = 0
         self._pieces = 0
         self._body_bytes = 0
-        self._events = 0
+        self._turns = get_turns()
+        # An event that waits for its turn.
+        self._parsed: h11.Event | type[h11.PAUSED] | None = None
 
     async def next_event(
         self, is_stream: bool = False
@@ -60,10 +65,15 @@
             ConnectionBrokenError: The connection broke, or what arrives
                 exceeds a bound.
         """
-        self._events += 1
-        if self._events % EVENTS_PER_TURN == 0:
-            await asyncio.sleep(0)
-        event = await self._protocol.next_event()
+        event = self._parsed
+        if event is None:
+            event = await self._protocol.next_event()
+            steps = count_steps(event)
+            if not self._turns.try_take(steps):
+                # The caller may give up here and ask for the event again.
+                self._parsed = event
+                await self._turns.take(steps)
+        self._parsed = None
         if isinstance(event, h11.Data):
             self._pieces += 1
             self._body_bytes += len(event.data)
@@ -94,3 +104,11 @@
             if self._pieces > MAX_PIECES + body_bytes // BYTES_PER_PIECE:
                 return "body in too many pieces"
         return ""
+
+
+def count_steps(event: h11.Event | type[h11.PAUSED]) -> int:
+    """Returns the steps of work that an event takes."""
+    if isinstance(event, h11.Data):
+        return EVENT_STEPS
+    headers = getattr(event, "headers", ())
+    return EVENT_STEPS + HEADER_STEPS * len(headers)
--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -15,8 +15,8 @@
 
 from ..core.entry.addresses import Address
 from ..core.entry.server_exchange import ServerExchange
+from .parser_feed import create_parser, MAX_HEAD_BYTES, ParserFeed
 from .socket_options import set_options
-from .unparsed_bytes import UnparsedBytes
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -24,7 +24,6 @@
 READ_HIGH_WATER_BYTES: Final = 262_144
 # `flush` waits above this number of unsent bytes, by the role of this side.
 WRITE_HIGH_WATER_BYTES: Final = {h11.CLIENT: 65_536, h11.SERVER: 16_384}
-MAX_HEAD_BYTES: Final = 65_536
 
 
 class ConnectionBrokenError(Exception):
@@ -73,9 +72,6 @@
             unacked_timeout_ms: Passed to `set_options`.
             on_connected: Called with this object once it is connected.
         """
-        self.h11 = h11.Connection(
-            role, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
         self.eof = False
         self.lost = False
         self.lost_reason = ""
@@ -90,7 +86,8 @@
         self._role = role
         self._unacked_timeout_ms = unacked_timeout_ms
         self._on_connected = on_connected
-        self._unparsed = UnparsedBytes()
+        self.h11 = create_parser(role)
+        self._feed = ParserFeed(self.h11)
         self._paused = False
         self._read_waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
@@ -117,11 +114,7 @@
         if self._discards:
             return
         self.bytes_received += len(data)
-        self._unparsed.count += len(data)
-        try:
-            self.h11.receive_data(data)
-        except (RuntimeError, h11.ProtocolError):
-            self.abort()  # the parser is in an error state
+        self._feed.receive(data)
         self._limit_reading()
         self._wake_reader()
         if self.on_bytes is not None:
@@ -129,9 +122,7 @@
 
     def _limit_reading(self) -> None:
         """Reads from the peer while few bytes wait for the parser."""
-        if self._unparsed.count > READ_HIGH_WATER_BYTES:
-            self._unparsed.recount(self.h11)
-        if self._unparsed.count <= READ_HIGH_WATER_BYTES:
+        if self._feed.count <= READ_HIGH_WATER_BYTES:
             self._resume_reading()
         elif not self._paused:
             self._paused = True
@@ -145,8 +136,7 @@
     def eof_received(self) -> bool:
         """Handles the end of the peer's stream."""
         self.eof = True
-        if self._pass_to is None:
-            self.h11.receive_data(b"")
+        self._feed.end()
         self._wake_reader()
         self._notify_peer_closed()
         return False
@@ -210,18 +200,16 @@
             ConnectionBrokenError: As for `next_event`.
         """
         try:
-            event = self.h11.next_event()
+            event = self._feed.next_event()
         except h11.RemoteProtocolError as exc:
             protocol_error = not self.eof
             raise ConnectionBrokenError(str(exc), protocol_error) from exc
         if event is not h11.NEED_DATA:
             if isinstance(event, h11.EndOfMessage):
-                self._unparsed.correct(self.h11)
                 # The end of the connection has to be noticed while the
                 # message is handled.
                 self._limit_reading()
             return event  # type: ignore[return-value]
-        self._unparsed.correct(self.h11)
         if self.lost:
             raise ConnectionBrokenError(f"connection lost: {self.lost_reason}")
         self._resume_reading()
@@ -235,8 +223,7 @@
     def discard_input(self) -> None:
         """Drops the received bytes and all that still arrive."""
         self._discards = True
-        self.h11 = h11.Connection(self._role)
-        self._unparsed.count = 0
+        self._use_parser(create_parser(self._role), keep=False)
         if not self.lost:
             self._resume_reading()
 
@@ -275,9 +262,7 @@
             peer: Address of the peer.
             early_bytes: Number of bytes that the server sent before it.
         """
-        self.h11 = h11.Connection(
-            self._role, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._use_parser(create_parser(self._role), keep=False)
         self.bytes_received = early_bytes
         self.peer = peer
         self.exchange = ServerExchange()
@@ -324,7 +309,20 @@
     @property
     def unparsed_bytes(self) -> int:
         """Upper bound of the received bytes that wait for the parser."""
-        return self._unparsed.count
+        return self._feed.count
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether received bytes wait for the parser."""
+        return self._feed.has_rest()
+
+    def get_unparsed(self) -> bytes:
+        """Returns those bytes."""
+        return self._feed.get_rest()
+
+    def limit_head(self, head_bytes: int) -> None:
+        """Sets the size of the largest head that is accepted."""
+        self._feed.max_head_bytes = min(head_bytes, MAX_HEAD_BYTES)
 
     @property
     def is_blocked(self) -> bool:
@@ -340,19 +338,17 @@
             request: The head that was sent last.
             body: The body that was sent with it.
         """
-        rest, closed = self.h11.trailing_data
-        parser = h11.Connection(
-            self._role, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        parser = create_parser(self._role)
         parser.send(request)
         if body:
             parser.send(h11.Data(data=body))
         parser.send(h11.EndOfMessage())
+        self._use_parser(parser, keep=True)
+
+    def _use_parser(self, parser: h11.Connection, keep: bool) -> None:
+        """Uses another parser, which gets the unparsed bytes if `keep`."""
         self.h11 = parser
-        if rest:
-            parser.receive_data(rest)
-        if closed or self.eof:
-            parser.receive_data(b"")
+        self._feed.replace_parser(parser, keep)
 
     def reset_cycle(self) -> bool:
         """Prepares the connection for another request.
@@ -363,7 +359,7 @@
         """
         if self.eof or self.lost:
             return False
-        if self.h11.trailing_data[0] and self._role is h11.CLIENT:
+        if self._role is h11.CLIENT and self._feed.has_rest():
             return False
         if self.h11.our_state is not h11.DONE:
             return False
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -14,12 +14,14 @@
 from ..core.connection_guard import ConnectionGuard
 from ..core.entry.addresses import Address
 from ..core.entry.routing import CallerLimits
+from .answer_meter import count_steps
 from .connection_account import ConnectionAccount
 from .http1 import ConnectionBrokenError, H11Protocol, Headers
 from .http1_connect import deliver_pending
 from .logs import log_event
-from .parsing_turns import ParsingTurns
+from .request_head import count_head_bytes, read_length
 from .socket_options import bind_listener
+from .work_turns import get_turns
 
 LISTEN_BACKLOG: Final = 1_024
 # Lingering close: time for a caller that is still sending to read its error
@@ -27,9 +29,8 @@
 LINGER_MS: Final = 1_000
 BODY_TIMEOUT_MS: Final = 10_000
 UNACKED_TIMEOUT_MS: Final = 10_000
-# Larger heads, and bodies of more parts, are parsed in turns.
-LARGE_HEAD_BYTES: Final = 8_192
-PARTS_PER_TURN: Final = 64
+# Steps of work that serving a request takes, beside what it holds.
+REQUEST_STEPS: Final = 256
 NO_ROOM: Final = "requests take too much memory"
 TOO_LONG: Final = "request body exceeds the size limit"
 # A request that there was no memory for may be sent again after this time.
@@ -74,14 +75,6 @@
         self.retry_after_ms = retry_after_ms
 
 
-def read_length(head: h11.Request) -> int:
-    """Returns the length of the body that a head announces, or 0."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-    return 0
-
-
 class ServerConnection:
     """One accepted connection.
 
@@ -97,7 +90,6 @@
         "closing",
         "busy",
         "account",
-        "_turns",
         "_announced",
     )
 
@@ -105,20 +97,17 @@
         self,
         protocol: H11Protocol,
         guard: ConnectionGuard | None = None,
-        turns: ParsingTurns | None = None,
     ) -> None:
         """Initializes the connection.
 
         Args:
             protocol: The underlying connection.
             guard: Bounds what all connections of the listener take.
-            turns: Shares the processor among them.
         """
         self.protocol = protocol
         self.closing = False
         self.busy = False
         self.account = ConnectionAccount(protocol, guard)
-        self._turns = turns or ParsingTurns()
         # Whether the head of the current answer announces the close.
         self._announced = False
 
@@ -138,7 +127,7 @@
                 request, and a longer idle time than that of `limits` for a
                 connection that waits already.
         """
-        self.busy = self.protocol.h11.trailing_data[0] != b""
+        self.busy = self.protocol.has_unparsed
         if not self.busy and not await self._wait_while_idle(
             limits.idle_ms, current_limits
         ):
@@ -152,6 +141,7 @@
         self.busy = True
         self.account.begin_request()
         received = await self._receive(limits)
+        await get_turns().take(REQUEST_STEPS)
         has_room = self.account.has_room()
         if self.account.evicted:
             return None
@@ -168,7 +158,7 @@
         """Returns the request that begins to arrive."""
         try:
             async with asyncio.timeout(limits.head_ms / MS_PER_SECOND):
-                event = await self._read_head()
+                event = await self._read_head(limits.head_bytes)
         except TimeoutError:
             return UnreadableRequest(408, "request head not received in time")
         except ConnectionBrokenError as exc:
@@ -177,17 +167,24 @@
             return UnreadableRequest(self._error_status(exc), str(exc))
         if not isinstance(event, h11.Request):
             return None
+        if count_head_bytes(event) > limits.head_bytes:
+            return UnreadableRequest(431, "request head is too large")
         return await self._read_body(event, limits)
 
-    async def _read_head(self) -> h11.Event | type[h11.PAUSED]:
-        """Returns the head of a request, which is not empty by now."""
-        while self.protocol.unparsed_bytes > LARGE_HEAD_BYTES:
-            await self._turns.wait()
-            event = self.protocol.poll_event()
-            if event is not None:
-                return event
-            await self.protocol.wait_for_data()
-        return await self.protocol.next_event()
+    async def _read_head(self, limit: int) -> h11.Event | type[h11.PAUSED]:
+        """Returns the head of a request.
+
+        Args:
+            limit: Size of the largest head, in bytes.
+
+        Raises:
+            ConnectionBrokenError: The connection ended, or no proper head
+                arrived.
+        """
+        self.protocol.limit_head(limit)
+        event = await self.protocol.next_event()
+        await get_turns().take(count_steps(event))
+        return event
 
     async def _wait_while_idle(
         self,
@@ -256,9 +253,10 @@
 
     async def _collect(self, limit: int) -> bool:
         """Reads the body; returns False if it is longer than `limit`."""
-        parts = 0
+        turns = get_turns()
         while True:
             event = await self.protocol.next_event()
+            await turns.take(count_steps(event))
             if isinstance(event, h11.EndOfMessage):
                 return True
             if not isinstance(event, h11.Data):
@@ -267,9 +265,6 @@
             if len(body) + len(event.data) > limit:
                 return False
             body += event.data
-            parts += 1
-            if parts % PARTS_PER_TURN == 0:
-                await self._turns.wait()
 
     async def respond(
         self, status: int, headers: Headers, body: bytes = b""
@@ -362,7 +357,6 @@
         guard: Bounds what the connections take; None for no bound.
         backlog: How many connections may wait to be accepted.
     """
-    turns = ParsingTurns()
 
     async def run(conn: ServerConnection) -> None:
         try:
@@ -375,7 +369,7 @@
             conn.leave()
 
     def accept(protocol: H11Protocol) -> None:
-        tasks.start_soon(run, ServerConnection(protocol, guard, turns))
+        tasks.start_soon(run, ServerConnection(protocol, guard))
 
     async def close_at_end(server: asyncio.Server) -> None:
         try:
--- a/corianderdoor/adapters/hypercorn_guard.py
+++ b/corianderdoor/adapters/hypercorn_guard.py
@@ -16,7 +16,7 @@
 from hypercorn.protocol.h2 import H2Protocol
 
 from ..core.connection_guard import CONNECTION_BYTES, ConnectionGuard, Phase
-from .parsing_turns import ParsingTurns
+from .work_turns import get_turns, STEPS_PER_TURN
 
 # Key of the connection in the state of an ASGI scope.
 STATE_KEY: Final = "connection"
@@ -38,7 +38,6 @@
     Attributes:
         connections: Bounds what all connections take.
         requests: Bounds what all requests take.
-        turns: Shares the processor among them.
     """
 
     def __init__(
@@ -50,7 +49,6 @@
             CONNECTION_BYTES + H2_BYTES + 2 * STREAM_BYTES
         )
         self.requests = requests
-        self.turns = ParsingTurns()
 
 
 class GuardedServer(TCPServer):
@@ -168,7 +166,8 @@
         data = await self._stream.read(size)
         self._cfg.connections.record_bytes(len(data))
         if len(data) > LARGE_READ_BYTES:
-            await self._cfg.turns.wait()
+            # What is read may be parsed before anything else gets a turn.
+            await get_turns().take(STEPS_PER_TURN)
         return data
 
 
--- a/corianderdoor/adapters/request_body.py
+++ b/corianderdoor/adapters/request_body.py
@@ -11,13 +11,14 @@
 from ..core.connection_guard import ConnectionGuard, Phase
 from ..core.errors import Fault, Kind
 from .hypercorn_guard import GuardedServer, STATE_KEY
-from .parsing_turns import ParsingTurns
 from .serving import Receive, Scope
+from .work_turns import get_turns
 
 MAX_BODY_BYTES: Final = 4_000_000
 BODY_TIMEOUT_S: Final = 30.0
 STEP: Final = "read-request"
-PARTS_PER_TURN: Final = 64
+# Steps of work that a part of a body takes.
+PART_STEPS: Final = 32
 # Memory of a header besides its bytes.
 HEADER_BYTES: Final = 300
 # A request that there was no memory for may be sent again after this time.
@@ -43,7 +44,6 @@
         "served",
         "_conn",
         "_guard",
-        "_turns",
         "_scope",
         "_body",
         "_fixed_bytes",
@@ -56,10 +56,8 @@
         state = scope.get("state") or {}
         self._conn: GuardedServer | None = state.get(STATE_KEY)
         self._guard: ConnectionGuard | None = None
-        self._turns = ParsingTurns()
         if self._conn is not None and self._conn.cfg is not None:
             self._guard = self._conn.cfg.requests
-            self._turns = self._conn.cfg.turns
         self._scope = anyio.CancelScope()
         self._body = bytearray()
         self._fixed_bytes = sum(
@@ -128,28 +126,26 @@
             return _reject_length(limit)
         with self._scope:
             with anyio.move_on_after(BODY_TIMEOUT_S):
-                while await self._read_parts(receive, limit):
-                    await self._turns.wait()
+                await self._read_parts(receive, limit)
                 return self._finish(limit)
             detail = f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s"
             return Error(Fault(Kind.SLOW_BODY, STEP, detail))
         return _refuse()
 
-    async def _read_parts(self, receive: Receive, limit: int) -> bool:
-        """Reads the next parts; returns whether more follow."""
-        for _ in range(PARTS_PER_TURN):
+    async def _read_parts(self, receive: Receive, limit: int) -> None:
+        """Reads the parts of the body until it ends or is too long."""
+        turns = get_turns()
+        while len(self._body) <= limit:
             message = await receive()
             if message["type"] == "http.disconnect":
                 raise CallerDisconnectedError
+            await turns.take(PART_STEPS)
             part = message.get("body", b"")
             self._body += part
             if self._guard is not None:
                 self._guard.record_bytes(len(part))
-            if len(self._body) > limit:
-                return False
             if not message.get("more_body", False):
-                return False
-        return True
+                return
 
     def _finish(self, limit: int) -> Result[bytes, Fault]:
         """Returns the body, unless there is no memory to serve it."""
--- a/corianderdoor/adapters/tunnel.py
+++ b/corianderdoor/adapters/tunnel.py
@@ -40,7 +40,7 @@
         )
         protocol.write(h11.EndOfMessage())
         event = await protocol.next_event()
-        early = protocol.h11.trailing_data[0]
+        early = protocol.get_unparsed()
         if isinstance(event, h11.Response) and event.status_code == OK:
             protocol.restart_as_tunnel(peer, len(early))
             passed_on = True
@@ -77,7 +77,7 @@
     try:
         conn.start(OK, [])
         # The rest of them alone could pass for an answer.
-        early = target.h11.trailing_data[0]
+        early = target.get_unparsed()
         if early:
             near.write_raw(early)
         near.pass_to(target, end_at_near)
--- a/corianderdoor/entry/backends.py
+++ b/corianderdoor/entry/backends.py
@@ -209,7 +209,7 @@
             or not protocol.exchange.release()
             or not protocol.reset_cycle()
         ):
-            if protocol.h11.trailing_data[0]:
+            if protocol.has_unparsed:
                 self.on_unexpected_bytes(server.id)
             protocol.abort()
             return
--- a/corianderdoor/entry/event_forwarder.py
+++ b/corianderdoor/entry/event_forwarder.py
@@ -8,7 +8,7 @@
 
 from ..adapters.answer_meter import FRAMING_PER_BYTE, MAX_FRAMING_BYTES
 from ..adapters.http1_server import ServerConnection
-from ..adapters.work_turns import get_turns
+from ..adapters.work_turns import get_turns, WorkTurns
 from ..core.clock import Clock
 from ..core.entry.events import (
     check_lines,
@@ -62,7 +62,7 @@
         # nothing: comments, empty lines and repeated events.
         self._event_bytes = 0
         self._filler_bytes = 0
-        self._turns = get_turns()
+        self._turns: WorkTurns
 
     async def relay(
         self,
@@ -91,6 +91,7 @@
         splitter = EventSplitter()
         self._awaits_id = flight.last_event_id is not None
         self._event_bytes = self._filler_bytes = 0
+        self._turns = get_turns()
         silence_ms = None if send.silence_ms is None else MIN_STREAM_SILENCE_MS
         while True:
             event = await reader.next_event(silence_ms)
--- a/tests/test_early_bytes.py
+++ b/tests/test_early_bytes.py
@@ -259,8 +259,8 @@
     protocol.write(h11.EndOfMessage())
     protocol.exchange.record_sent()
     protocol.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-    assert isinstance(protocol.h11.next_event(), h11.Response)
-    assert isinstance(protocol.h11.next_event(), h11.EndOfMessage)
+    assert isinstance(protocol.poll_event(), h11.Response)
+    assert isinstance(protocol.poll_event(), h11.EndOfMessage)
     protocol.exchange.judge_head(b"own-7", 200, False)
     protocol.exchange.record_end()
     links: Any = SimpleNamespace(
--- a/tests/test_entry_work_turns.py
+++ b/tests/test_entry_work_turns.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import anyio
 import pytest
-from test_entry_path import run, wait_for
+from test_entry_path import run, total_runs, wait_for
 from turn_counts import count_turns
 
+from corianderdoor.entry.answer_reader import AnswerReader
+from corianderdoor.entry.callers import CallerService
 from corianderdoor.entry import event_forwarder
+from corianderdoor.standins.platform_fleet import CALLER_HOST
 from corianderdoor.standins.raw_server import (
     add_raw_server,
+    build_answer,
     CHUNKED,
     encode_chunk,
     RawServer,
@@ -95,3 +101,104 @@
         assert sent - begun >= lines // MOST_PER_TURN
 
     run(scenario, engines=0, plain=0, hosts=1)
+
+
+# Guards against the same by what the parser returns: chunks of one byte took
+# 64 turns' worth of work on each connection in each turn.
+@pytest.mark.parametrize("path", ["/read/x", "/chat/x"])
+def test_tiny_chunks_of_many_answers_share_the_turns(path, monkeypatch):
+    async def scenario(fleet):
+        async def script(req, writer):
+            writer.write(build_head(req))
+            writer.write(encode_chunk(b"\n") * 5_000 + b"0\r\n\r\n")
+
+        engine = path == "/chat/x"
+        await add_raw_server(fleet, "many", engine, RawServer(script))
+        await anyio.sleep(0.6)
+        async with count_turns() as counts:
+            accept = counts.count(AnswerReader._accept)
+            monkeypatch.setattr(AnswerReader, "_accept", accept)
+            async with anyio.create_task_group() as tasks:
+                for number in range(20):
+                    id = f"id-{number}"
+                    tasks.start_soon(fleet.chat, "host-0", id, path)
+        assert sum(counts.calls.values()) > 5_000
+        # Each takes some ten microseconds.
+        assert counts.most <= MOST_PER_TURN // 10
+
+    run(scenario, engines=0, plain=0, hosts=1)
+
+
+# Guards against the same by lines of heads and trailers, which the parser
+# takes at once: 64 KB of them took 24 ms, and up to 512 KB were accepted.
+@pytest.mark.parametrize("place", ["head", "trailers"])
+def test_answer_of_very_many_header_lines_is_given_up(place):
+    lines = b"a:\r\n" * 20_000
+
+    async def scenario(fleet):
+        async def script(req, writer):
+            head = build_head(req)
+            if place == "head":
+                head = head.replace(b"\r\n", b"\r\n" + lines, 1)
+                writer.write(head + b"0\r\n\r\n")
+            else:
+                writer.write(head + encode_chunk(b"x") + b"0\r\n")
+                writer.write(lines + b"\r\n")
+
+        async def answer(req, writer):
+            writer.write(b"".join(build_answer(req)))
+
+        bad, good = RawServer(script), RawServer(answer)
+        await add_raw_server(fleet, "bad", False, bad)
+        await add_raw_server(fleet, "good", False, good)
+        await anyio.sleep(0.6)
+        for number in range(4):
+            reply = await fleet.chat("host-0", f"id-{number}", "/read/x")
+            assert (reply.status, reply.complete) == (200, True)
+        assert len(good.runs) == 4
+
+    run(scenario, engines=0, plain=0, hosts=1)
+
+
+# Guards against heads over the limit of the desired state, which were parsed
+# and passed on.
+@pytest.mark.parametrize("fields", [1, 4_000])
+def test_head_over_the_limit_is_refused_and_runs_nowhere(fields):
+    async def scenario(fleet):
+        more = {f"X-{n}": "y" * (20_000 // fields) for n in range(fields)}
+        reply = await fleet.chat("host-0", "id-1", "/read/x", **more)
+        assert reply.status == 431
+        assert total_runs(fleet, "id-1") == 0
+        reply = await fleet.chat("host-0", "id-2", "/read/x", X="y" * 15_000)
+        assert reply.status == 200
+
+    run(scenario, engines=0, plain=1, hosts=1)
+
+
+# Guards against the same by requests that arrive at once on many connections.
+def test_requests_that_arrive_at_once_are_served_in_many_turns(monkeypatch):
+    count = 200
+
+    async def scenario(fleet):
+        head = (
+            f"GET /none/x HTTP/1.1\r\nHost: {CALLER_HOST}\r\n"
+            "Attempt-Id: a\r\n\r\n"
+        )
+        address = fleet.hosts["host-0"]
+        opened = [
+            await asyncio.open_connection(*address) for _ in range(count)
+        ]
+        await anyio.sleep(0.2)
+        async with count_turns() as counts:
+            serve = counts.count(CallerService._try_answer)
+            monkeypatch.setattr(CallerService, "_try_answer", serve)
+            for _, writer in opened:
+                writer.write(head.encode())
+            for reader, writer in opened:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+        assert sum(counts.calls.values()) == count
+        # Each takes some hundred microseconds.
+        assert counts.most <= MOST_PER_TURN // 100
+
+    run(scenario, engines=0, plain=1, hosts=1)
--- a/tests/test_http1_kept_connections.py
+++ b/tests/test_http1_kept_connections.py
@@ -134,7 +134,7 @@
             while protocol.unsent_bytes():
                 await anyio.sleep(0.01)
         assert protocol.unsent_bytes() > 0
-        held = len(taken[0].protocol.h11.trailing_data[0])
+        held = len(taken[0].protocol.get_unparsed())
         assert held < 3 * READ_HIGH_WATER_BYTES
         protocol.abort()
 
