Choose servers by a bounded number of prompt parts

A prompt may have 2,666 parts in a head of 16 KB, and 10,000 in 60 KB. Choosing a server, counting its cached parts and recording them went through all of them several times: 9 and 36 ms in one turn of the event loop.

The choice goes by the first 256 shared parts: prompts that begin alike stay together, as before. Parts that crash servers are looked for among all parts. Parsing and logging take steps of the turn.

--- a/corianderdoor/core/entry/requests.py
+++ b/corianderdoor/core/entry/requests.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from ..records import Record
 
+# Parts that the choice of a server goes by.
+MAX_SHARED_PARTS: Final = 256
+
 
 class PromptPart(Record):
     """A part of a prompt that several requests can have in common.
@@ -95,9 +100,12 @@
         """Returns the parts that other requests are likely to share.
 
         These are all but the last part, which is specific to the request
-        unless it is the only one.
+        unless it is the only one, and at most `MAX_SHARED_PARTS`: servers
+        are chosen by the first parts of a longer list.
         """
-        return self.parts[:-1] or self.parts
+        return self.parts[: min(len(self.parts) - 1, MAX_SHARED_PARTS)] or (
+            self.parts
+        )
 
     def session(self) -> str:
         """Returns the key of the chat; empty without a prompt.
--- a/corianderdoor/entry/callers.py
+++ b/corianderdoor/entry/callers.py
@@ -13,6 +13,7 @@
     UnreadableRequest,
 )
 from ..adapters.logs import log_event
+from ..adapters.work_turns import get_turns
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.planned_stop import PlannedStop
 from ..core.entry.planner import Planner
@@ -38,6 +39,8 @@
 # connections at once left requests without an answer.
 MIN_IDLE_MS: Final = 500
 SHUTDOWN_RETRY_MS: Final = 100
+# Steps of work that each part of a prompt takes.
+PART_STEPS: Final = 2
 
 
 class CallerService:
@@ -215,6 +218,8 @@
         except HeaderError as exc:
             await self._reject(conn, UnreadableRequest(400, str(exc)))
             return
+        # Choosing a server, and the log, go through them.
+        await get_turns().take(PART_STEPS * len(req.parts))
         for kind in req.ignored_marks:
             self._marks.record_ignored("", kind)
         await self._wait_for_desired_state()
--- a/tests/test_entry_work_turns.py
+++ b/tests/test_entry_work_turns.py
@@ -5,10 +5,13 @@
 import asyncio
 
 import anyio
+from entry_builders import build_planner, build_request
 import pytest
 from test_entry_path import run, total_runs, wait_for
 from turn_counts import count_turns
 
+from corianderdoor.core.entry.crashing_requests import digest_shared_parts
+from corianderdoor.core.entry.flights import Send
 from corianderdoor.entry.answer_reader import AnswerReader
 from corianderdoor.entry.callers import CallerService
 from corianderdoor.entry import event_forwarder
@@ -202,3 +205,43 @@
         assert counts.most <= MOST_PER_TURN // 100
 
     run(scenario, engines=0, plain=1, hosts=1)
+
+
+# Guards against the same by the parts of a prompt: choosing a server went
+# through all of them several times.
+def test_choice_of_a_server_goes_by_a_bounded_number_of_parts(monkeypatch):
+    planner = build_planner()
+    looked_up: list[object] = []
+    holders = planner.caches.holders
+    monkeypatch.setattr(
+        planner.caches.__class__,
+        "holders",
+        lambda self, part, now_ms: looked_up.append(part)
+        or holders(part, now_ms),
+    )
+    parts = tuple((f"part-{number}", 1) for number in range(4_000))
+    req = build_request(parts=parts)
+    flight = planner.admit(req, 0)
+    step = planner.choose(flight, 0)
+    assert isinstance(step, Send)
+    planner.record_sent(flight, step.server, 0)
+    assert 0 < len(looked_up) <= MOST_PER_TURN
+    # A part that crashes servers is found wherever it stands.
+    assert len(digest_shared_parts(req)) == 3_999
+
+
+def test_long_prompts_that_begin_alike_stay_together():
+    planner = build_planner()
+    shared = tuple((f"part-{number}", 10) for number in range(400))
+    servers = set()
+    for number in range(4):
+        req = build_request(
+            id=f"r{number}", parts=(*shared, (f"own-{number}", 5))
+        )
+        flight = planner.admit(req, number)
+        step = planner.choose(flight, number)
+        planner.record_sent(flight, step.server, number)
+        planner.record_answer_begun(flight, number)
+        planner.record_end(flight)
+        servers.add(step.server.id)
+    assert len(servers) == 1
