Handle datagrams of peers in bounded turns of the event loop

The event loop hands over all datagrams that a socket has, and a heartbeat takes 0.03 to 5 ms by its size (81 bytes to 16 KB), so that whoever reaches the ports between hosts decides how long a turn takes.

Datagrams take steps of the turn by their size.

Three tests that called the protocol outside an event loop now run in one; what they check is the same. The test of the queue is new with it.

--- a/corianderdoor/adapters/metrics_text.py
+++ b/corianderdoor/adapters/metrics_text.py
@@ -36,6 +36,7 @@
     "unexpected_bytes": "Connections on which a server sent bytes unasked.",
     "task_failures": "Unexpected errors that ended a task, by task.",
     "invalid_messages": "Messages that could not be used, by kind.",
+    "dropped_messages": "Messages of peers that came too fast, by kind.",
     "store_calls": "Calls to the platform's store.",
     "store_restores": "Restores of the store that this host noticed.",
     "store_eras_ignored": "Answers of the store without a valid era.",
--- a/corianderdoor/entry/peering.py
+++ b/corianderdoor/entry/peering.py
@@ -10,6 +10,7 @@
 import anyio
 import h11
 
+from ..adapters.datagram_turns import DatagramTurns
 from ..adapters.http1 import ConnectionBrokenError
 from ..adapters.http1_connect import connect
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
@@ -133,6 +134,10 @@
         self._rollouts = rollouts
         self._transport: asyncio.DatagramTransport | None = None
         self._send_now = asyncio.Event()
+        self._datagrams = DatagramTurns(
+            self._handle_datagram,
+            lambda: planner.counters.add("dropped_messages", kind="heartbeat"),
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -144,6 +149,9 @@
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Handles a heartbeat from a peer."""
+        self._datagrams.receive(data, (addr[0], addr[1]))
+
+    def _handle_datagram(self, data: bytes, addr: Address) -> None:
         try:
             self._merge_heartbeat(decode_heartbeat(data), addr)
         except Exception as exc:
--- a/corianderdoor/entry/stream_registry.py
+++ b/corianderdoor/entry/stream_registry.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from ..adapters.datagram_turns import DatagramTurns
 from ..adapters.logs import log_event
 from ..core.clock import Clock, MS_PER_SECOND
 from ..core.entry.addresses import Address
@@ -96,6 +97,10 @@
         self._questions: dict[int, _Question] = {}
         self._next_question = clock.wall_ms() % MAX_QUESTION
         self._transport: asyncio.DatagramTransport | None = None
+        self._datagrams = DatagramTurns(
+            self._handle_datagram,
+            lambda: planner.counters.add("dropped_messages", kind="stream"),
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -293,8 +298,11 @@
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Handles a message of a peer."""
+        self._datagrams.receive(data, (addr[0], addr[1]))
+
+    def _handle_datagram(self, data: bytes, addr: Address) -> None:
         try:
-            self._handle(decode_stream_message(data), (addr[0], addr[1]))
+            self._handle(decode_stream_message(data), addr)
         except Exception as exc:
             # Whatever a datagram holds, the other peers' count.
             kind = "stream-message"
--- a/tests/test_entry_stream_copies.py
+++ b/tests/test_entry_stream_copies.py
@@ -347,7 +347,10 @@
     "data", [b"", b"\x00", b"\xff" * 40, b"\x10\x02\x50\x02", bytes(2_000)]
 )
 def test_malformed_stream_messages_are_counted_and_change_nothing(data):
-    host = Host(Fleet(1), "h1")
-    host.registry.datagram_received(data, ("h2", 2))
-    totals = list(host.planner.counters.read("invalid_messages"))
-    assert [count for _, count in totals] == [1]
+    async def scenario():
+        host = Host(Fleet(1), "h1")
+        host.registry.datagram_received(data, ("h2", 2))
+        totals = list(host.planner.counters.read("invalid_messages"))
+        assert [count for _, count in totals] == [1]
+
+    anyio.run(scenario)
--- a/tests/test_entry_work_turns.py
+++ b/tests/test_entry_work_turns.py
@@ -10,6 +10,7 @@
 from test_entry_path import run, total_runs, wait_for
 from turn_counts import count_turns
 
+from corianderdoor.adapters.datagram_turns import DatagramTurns
 from corianderdoor.core.entry.crashing_requests import digest_shared_parts
 from corianderdoor.core.entry.flights import Send
 from corianderdoor.entry.answer_reader import AnswerReader
@@ -245,3 +246,25 @@
         planner.record_end(flight)
         servers.add(step.server.id)
     assert len(servers) == 1
+
+
+# Guards against the same by datagrams, of which a turn receives many.
+@pytest.mark.anyio
+async def test_datagrams_that_arrive_at_once_are_handled_in_many_turns():
+    handled: list[tuple[bytes, object]] = []
+    dropped: list[int] = []
+    async with count_turns() as counts:
+        take = counts.count(lambda data, addr: handled.append((data, addr)))
+        turns = DatagramTurns(take, lambda: dropped.append(1))
+        for number in range(2_000):
+            turns.receive(b"x" * 400, ("127.0.0.9", 1))
+        for port in range(100):
+            turns.receive(b"y" * 400, ("127.0.0.8", port))
+        with anyio.fail_after(10):
+            while len(handled) + len(dropped) < 2_100:
+                await asyncio.sleep(0)
+    # One decoded heartbeat of this size takes some hundred microseconds.
+    assert counts.most <= MOST_PER_TURN // 100
+    # The flood of one sender costs no other its datagrams.
+    assert len([data for data, _ in handled if data[:1] == b"y"]) == 100
+    assert dropped
--- a/tests/test_proven_streams.py
+++ b/tests/test_proven_streams.py
@@ -129,27 +129,35 @@
 # Guards against ORDER: a sign since is of the process that began the stream,
 # or of the one after it.
 def test_stream_waits_while_its_server_fails_again():
-    outage = Outage()
-    flight = outage.begin()
-    restarts = outage.fleet.hosts["h0"].planner.restarts
-    for _ in range(5):
-        outage.wait(1_000)
-        restarts.record_broken(flight.server.id, outage.fleet.clock.now_ms())
-        outage.wait(500)
-        assert flight.version == UNPROVEN
+    async def scenario():
+        outage = Outage()
+        flight = outage.begin()
+        restarts = outage.fleet.hosts["h0"].planner.restarts
+        for _ in range(5):
+            outage.wait(1_000)
+            restarts.record_broken(
+                flight.server.id, outage.fleet.clock.now_ms()
+            )
+            outage.wait(500)
+            assert flight.version == UNPROVEN
+
+    anyio.run(scenario)
 
 
 # Guards against a proof from before the stream: a contact that is older than
 # its first event shows no process that began since.
 def test_contact_before_the_stream_proves_nothing():
-    outage = Outage()
-    flight = outage.begin(sign="paused")
-    now_ms = outage.fleet.clock.now_ms()
-    restarts = outage.fleet.hosts["h0"].planner.restarts
-    restarts.update_contact(now_ms + TOLD_MS - 1, now_ms + TOLD_MS - 1)
-    assert not restarts.has_run_since(flight.server.id, now_ms)
-    restarts.update_contact(now_ms + TOLD_MS, now_ms + TOLD_MS)
-    assert restarts.has_run_since(flight.server.id, now_ms)
+    async def scenario():
+        outage = Outage()
+        flight = outage.begin(sign="paused")
+        now_ms = outage.fleet.clock.now_ms()
+        restarts = outage.fleet.hosts["h0"].planner.restarts
+        restarts.update_contact(now_ms + TOLD_MS - 1, now_ms + TOLD_MS - 1)
+        assert not restarts.has_run_since(flight.server.id, now_ms)
+        restarts.update_contact(now_ms + TOLD_MS, now_ms + TOLD_MS)
+        assert restarts.has_run_since(flight.server.id, now_ms)
+
+    anyio.run(scenario)
 
 
 def test_datagram_that_comes_late_takes_no_version_back():
