Apply items of the store in bounded turns of the event loop

An answer of the store has up to 500 items, and a copy of a peer any number; all were applied in one turn, some 50 us each with their log lines.

test_items_of_the_store_are_applied_in_many_turns failed before.

--- a/corianderdoor/entry/state_sync.py
+++ b/corianderdoor/entry/state_sync.py
@@ -22,6 +22,7 @@
 )
 from ..platform.store_era import StoreEra
 from ..platform.stream_records import BEGUN_PREFIX
+from .paged_changes import apply_page
 from .peering import Peering
 from .state_applier import StateApplier
 from .store_contact import StoreContact
@@ -250,7 +251,7 @@
         if era < replica.era:
             # A peer has learnt of a restore in the meantime.
             raise StoreError("listing", "old era", True)
-        self._apply(items, at, relist, era)
+        await self._apply(items, at, relist, era)
 
     async def _read_all(self) -> tuple[list[Item], int, int]:
         """Reads all items and copies those of peers until they are there.
@@ -288,7 +289,9 @@
             self._wake = anyio.Event()
             await self._pull_from_peer()
 
-    def _apply(self, items: list[Item], at: int, full: bool, era: int) -> None:
+    async def _apply(
+        self, items: list[Item], at: int, full: bool, era: int
+    ) -> None:
         grace_ms = self._contact.removal_grace_ms()
         changes = tuple(
             Change(item.key, item.value, item.revision, grace_ms)
@@ -303,7 +306,7 @@
         )
         page = Page(changes, at, full, era, restored_revision)
         self._behind_since_ms = None
-        count = self._applier.apply(page, "store", grace_ms)
+        count = await apply_page(self._applier, page, "store", grace_ms)
         if restored:
             self._list_told.set()
         if (count or restored) and self._peering is not None:
@@ -353,7 +356,8 @@
         page = await self._peering.pull(peer)
         if page is None:
             return False
-        self._applier.apply(page, peer.name, self._contact.removal_grace_ms())
+        grace_ms = self._contact.removal_grace_ms()
+        await apply_page(self._applier, page, peer.name, grace_ms)
         self._era.observe(page.era)
         # The peers of a new era may have lists.
         self._list_told.set()
--- a/tests/test_entry_work_turns.py
+++ b/tests/test_entry_work_turns.py
@@ -16,6 +16,7 @@
 from corianderdoor.entry.answer_reader import AnswerReader
 from corianderdoor.entry.callers import CallerService
 from corianderdoor.entry import event_forwarder
+from corianderdoor.entry.state_applier import StateApplier
 from corianderdoor.standins.platform_fleet import CALLER_HOST
 from corianderdoor.standins.raw_server import (
     add_raw_server,
@@ -248,6 +249,25 @@
     assert len(servers) == 1
 
 
+# Guards against the same by items of the store, of which an answer holds 500.
+def test_items_of_the_store_are_applied_in_many_turns(monkeypatch):
+    count = 400
+
+    async def scenario(fleet):
+        await anyio.sleep(0.6)
+        entry = fleet.store.state.read_value("servers/plain-0")
+        async with count_turns() as counts:
+            apply = counts.count(StateApplier._apply_change)
+            monkeypatch.setattr(StateApplier, "_apply_change", apply)
+            for number in range(count):
+                fleet.store.state.put(f"servers/new-{number}", entry)
+            await wait_for(lambda: sum(counts.calls.values()) >= count)
+        # Each takes some fifty microseconds.
+        assert counts.most <= MOST_PER_TURN // 50
+
+    run(scenario, engines=0, plain=1, hosts=1)
+
+
 # Guards against the same by datagrams, of which a turn receives many.
 @pytest.mark.anyio
 async def test_datagrams_that_arrive_at_once_are_handled_in_many_turns():
