Let a cancelled wait for a full buffer end no other task

Cause: flush awaited the future of the write buffer itself. The deadline cancelled that future with the task, and the next flush raised CancelledError, which passed the listener's handler and cancelled the host's task group.

Change: the state of the buffer is an event. The listener takes a CancelledError that nobody asked its task for as a failure of that one connection.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -46,17 +46,16 @@
         eof: Whether the peer has sent its end of stream.
         lost: Whether the connection is closed.
         lost_reason: What closed it: the operating system's error, the peer,
-            or this side; empty while it is open.
+            or this side; "" while it is open.
         on_peer_closed: Called once when the peer ends its stream or the
             connection is lost.
-        bytes_received: Bytes received since the last complete request cycle.
+        bytes_received: Bytes since the last complete request cycle.
         peer: Address of the peer that passes the bytes on, which hides
             whether the other end closed the connection or reset it; None
             without one.
         exchange: What a connection to a backend server is doing.
-        on_bytes: Called with the number of bytes that were received or
-            queued for sending.
-        on_lost: Called once the connection is closed.
+        on_bytes: Called with the number of bytes received or sent.
+        on_lost: Called once it is closed.
     """
 
     def __init__(
@@ -90,7 +89,9 @@
         self._feed = ParserFeed(self.h11)
         self._paused = False
         self._read_waiter: asyncio.Future[None] | None = None
-        self._drain_waiter: asyncio.Future[None] | None = None
+        # A future would be cancelled with the first task that waits for it.
+        self._writable = asyncio.Event()
+        self._writable.set()
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -147,8 +148,7 @@
         closer = "closed by the peer" if self.eof else "closed here"
         self.lost_reason = closer if exc is None else str(exc)
         self._wake_reader()
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        self._writable.set()
         self._notify_peer_closed()
         if self.on_lost is not None:
             self.on_lost()
@@ -162,15 +162,13 @@
         """Makes `flush` wait, or the sender of what is passed on."""
         if self._pass_to is not None:
             self._pass_to._pause_source(True)
-        self._drain_waiter = asyncio.get_running_loop().create_future()
+        self._writable.clear()
 
     def resume_writing(self) -> None:
         """Resumes `flush`, or the sender of what is passed on."""
         if self._pass_to is not None:
             self._pass_to._pause_source(False)
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
-        self._drain_waiter = None
+        self._writable.set()
 
     def _wake_reader(self) -> None:
         if self._read_waiter is not None and not self._read_waiter.done():
@@ -217,7 +215,7 @@
 
     async def wait_for_bytes(self) -> None:
         """Waits until bytes arrive after the last message, or the end."""
-        while not (self.bytes_received or self.eof or self.lost):
+        while not (self.bytes_received or self.ended):
             await self.wait_for_data()
 
     def discard_input(self) -> None:
@@ -297,14 +295,14 @@
 
     async def flush(self) -> None:
         """Waits while the unsent bytes exceed the high-water mark."""
-        if self._drain_waiter is not None and not self.lost:
-            await self._drain_waiter
+        if not self._writable.is_set():
+            await self._writable.wait()
 
     def unsent_bytes(self) -> int:
         """Returns the number of bytes not yet passed to the system."""
-        return (
-            0 if self.lost else self._open_transport().get_write_buffer_size()
-        )
+        if self.lost:
+            return 0
+        return self._open_transport().get_write_buffer_size()
 
     @property
     def unparsed_bytes(self) -> int:
@@ -327,7 +325,7 @@
     @property
     def is_blocked(self) -> bool:
         """Whether the peer does not read what is sent to it."""
-        return self._drain_waiter is not None
+        return not self._writable.is_set()
 
     def restart_reading(self, request: h11.Request, body: bytes) -> None:
         """Resets the parser to read one more response to `request`.
@@ -354,10 +352,10 @@
         """Prepares the connection for another request.
 
         Returns:
-            Whether it can be reused: both messages are complete and no
-            unexpected bytes have arrived.
+            Whether it can be reused: both messages are complete, no
+            unexpected bytes have arrived, and neither side has ended it.
         """
-        if self.eof or self.lost:
+        if self.ended:
             return False
         if self._role is h11.CLIENT and self._feed.has_rest():
             return False
@@ -377,7 +375,7 @@
     @property
     def reusable(self) -> bool:
         """Whether the idle connection is open and has received nothing."""
-        return not (self.eof or self.lost or self.bytes_received)
+        return not (self.ended or self.bytes_received)
 
     def close(self) -> None:
         """Closes the connection after the unsent bytes are sent."""
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -244,7 +244,7 @@
         except TimeoutError:
             return UnreadableRequest(408, "request body not received in time")
         except ConnectionBrokenError as exc:
-            if self.protocol.lost or self.protocol.eof:
+            if self.protocol.ended:
                 return None
             return UnreadableRequest(self._error_status(exc), str(exc))
         if not fits:
@@ -361,8 +361,14 @@
     async def run(conn: ServerConnection) -> None:
         try:
             await handler(conn)
-        except Exception as exc:
-            # An error on one connection must not end the others.
+        except (Exception, asyncio.CancelledError) as exc:
+            task = asyncio.current_task()
+            if isinstance(exc, asyncio.CancelledError) and (
+                task is None or task.cancelling()
+            ):
+                raise
+            # An error on one connection must not end the others, nor must
+            # the cancellation of something that it waited for.
             log_event("connection_failed", "ERROR", detail=repr(exc))
             conn.protocol.abort()
         finally:
