Make the end of a connection final at once

Cause: after an abort, both sides of the exchange looked complete until the event loop reported the loss in its next turn. The next request was read from the buffer and sent on over an idle connection.

Change: H11Protocol.aborted is set with the abort. From then on nothing is read or written, and no request cycle begins.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -45,6 +45,8 @@
         h11: Parser and serializer of the current request cycle.
         eof: Whether the peer has sent its end of stream.
         lost: Whether the connection is closed.
+        aborted: Whether this side has given it up. Nothing is read or
+            written any more, though the loss is reported later.
         lost_reason: What closed it: the operating system's error, the peer,
             or this side; "" while it is open.
         on_peer_closed: Called once when the peer ends its stream or the
@@ -73,6 +75,7 @@
         """
         self.eof = False
         self.lost = False
+        self.aborted = False
         self.lost_reason = ""
         self.on_peer_closed: Callable[[], None] | None = None
         self.bytes_received = 0
@@ -197,6 +200,8 @@
         Raises:
             ConnectionBrokenError: As for `next_event`.
         """
+        if self.aborted:
+            raise ConnectionBrokenError("connection given up")
         try:
             event = self._feed.next_event()
         except h11.RemoteProtocolError as exc:
@@ -287,7 +292,7 @@
 
     def write_raw(self, data: bytes) -> None:
         """Sends `data` as it is, past the serializer."""
-        if self.lost:
+        if self.lost or self.aborted:
             return
         self._open_transport().write(data)
         if self.on_bytes is not None:
@@ -295,7 +300,7 @@
 
     async def flush(self) -> None:
         """Waits while the unsent bytes exceed the high-water mark."""
-        if not self._writable.is_set():
+        if not self._writable.is_set() and not self.aborted:
             await self._writable.wait()
 
     def unsent_bytes(self) -> int:
@@ -369,8 +374,8 @@
 
     @property
     def ended(self) -> bool:
-        """Whether the peer has ended its stream, or the connection is lost."""
-        return self.eof or self.lost
+        """Whether either side has ended the connection."""
+        return self.eof or self.lost or self.aborted
 
     @property
     def reusable(self) -> bool:
@@ -390,5 +395,7 @@
 
     def abort(self) -> None:
         """Closes the connection immediately and drops unsent bytes."""
+        self.aborted = True
+        self._writable.set()
         if self._transport is not None:
             self._transport.abort()
--- a/tests/test_entry_ended_connections.py
+++ b/tests/test_entry_ended_connections.py
@@ -7,7 +7,7 @@
 
 import anyio
 import pytest
-from test_entry_path import run
+from test_entry_path import run, wait_for
 
 from corianderdoor.adapters.http1_server import listen, ServerConnection
 from corianderdoor.standins.platform_fleet import CALLER_HOST, KEY
@@ -20,6 +20,8 @@
 ANSWER_BYTES = 8_000_000
 DEADLINE_MS = 600
 RECEIVE_BYTES = 4_096
+# Answers of more would take more memory than a host has for them.
+CALLERS = 2
 
 
 def build_head(id: str, path: str, deadline_ms: int = DEADLINE_MS) -> bytes:
@@ -66,6 +68,42 @@
     run(scenario, engines=0, plain=0, hosts=1)
 
 
+# Guards against LOST (review/14): a request behind one whose answer was given
+# up was still sent to a server, though its connection had been closed.
+def test_request_behind_an_answer_that_was_given_up_does_not_run():
+    async def scenario(fleet):
+        async def answer(req, writer):
+            if not req.id.startswith(b"pay"):
+                await answer_long(req, writer)
+                return
+            head = b"HTTP/1.1 200 OK\r\n" + SIGNED % (req.id, req.id)
+            writer.write(head + b"Content-Length: 0\r\n\r\n")
+
+        server = RawServer(answer)
+        await add_raw_server(fleet, "long", False, server)
+        await anyio.sleep(0.6)
+        socks = [
+            await send_unread(
+                fleet.hosts["host-0"],
+                build_head(f"first-{number}", "/read/x")
+                + build_head(f"pay-{number}", "/pay/x", 3_000),
+            )
+            for number in range(CALLERS)
+        ]
+        await wait_for(lambda: len(server.runs) == CALLERS)
+        # They leave idle connections, so that sending needs no wait.
+        async with anyio.create_task_group() as tasks:
+            for number in range(CALLERS):
+                id = f"payed-{number}"
+                tasks.start_soon(fleet.chat, "host-0", id, "/pay/x")
+        await anyio.sleep(2 * DEADLINE_MS / 1000)
+        assert not [id for id in server.runs if id.startswith(b"pay-")]
+        for sock in socks:
+            sock.close()
+
+    run(scenario, engines=0, plain=0, hosts=1)
+
+
 # Guards against a listener that ends all connections when what one of them
 # waited for was cancelled.
 @pytest.mark.anyio
