Free the body of an evicted connection at once

Cause: the task that read the body kept a name for it while it waited for its turn, after the connection had been closed for its memory.

Change: the connection's account is the only owner of the body, and the task ends if the connection was evicted.

--- a/corianderdoor/adapters/http1.py
+++ b/corianderdoor/adapters/http1.py
@@ -49,8 +49,7 @@
             written any more, though the loss is reported later.
         lost_reason: What closed it: the operating system's error, the peer,
             or this side; "" while it is open.
-        on_peer_closed: Called once when the peer ends its stream or the
-            connection is lost.
+        on_peer_closed: Called once when the peer ends it or it is lost.
         bytes_received: Bytes since the last complete request cycle.
         peer: Address of the peer that passes the bytes on, which hides
             whether the other end closed the connection or reset it; None
--- a/corianderdoor/adapters/http1_server.py
+++ b/corianderdoor/adapters/http1_server.py
@@ -261,10 +261,12 @@
                 return True
             if not isinstance(event, h11.Data):
                 raise ConnectionBrokenError("request body has no end")
-            body = self.account.body
-            if len(body) + len(event.data) > limit:
+            # Without a name for the body here: an evicted one is freed.
+            if self.account.evicted:
                 return False
-            body += event.data
+            if len(self.account.body) + len(event.data) > limit:
+                return False
+            self.account.body += event.data
 
     async def respond(
         self, status: int, headers: Headers, body: bytes = b""
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+import contextlib
 from contextlib import asynccontextmanager
 import os
 import pathlib
@@ -42,6 +43,8 @@
 SEND_S = 20
 ANSWER_S = 60
 SETTLE_S = 1.0
+# Time after which a caller whose connection was closed comes again.
+RENEW_S = 0.05
 
 
 class Usage:
@@ -103,20 +106,25 @@
 
 @asynccontextmanager
 async def run_host(
-    folder: pathlib.Path, engines: int = 0
+    folder: pathlib.Path,
+    engines: int = 0,
+    memory_mb: int = MEMORY_MB,
+    body_bytes: int = BODY_BYTES,
 ) -> AsyncIterator[HostProcess]:
     """Runs an entry host, and its store and workers in this process.
 
     Args:
         folder: Takes the settings and the log.
         engines: Number of model engines, besides a plain worker.
+        memory_mb: Memory of the host's settings.
+        body_bytes: Largest body of the desired state.
     """
     async with run_fleet(engines, 1, 0) as fleet:
-        config = build_config(2, max_body_bytes=BODY_BYTES)
+        config = build_config(2, max_body_bytes=body_bytes)
         fleet.store.state.put("op/config", config)
         address = fleet.allocate_address()
         path = folder / "settings.json"
-        limits = {"memory_mb": MEMORY_MB, "file_descriptors": DESCRIPTORS}
+        limits = {"memory_mb": memory_mb, "file_descriptors": DESCRIPTORS}
         path.write_bytes(
             build_settings(NAME, address, fleet.store_address, limits=limits)
         )
@@ -177,6 +185,30 @@
         except OSError:
             pass  # refused or closed, as the host may do
 
+    async def come_again(
+        self, address: tuple[str, int], count: int, data: bytes
+    ) -> None:
+        """Sends bytes on connections that are replaced when they close.
+
+        Does so for `SEND_S`, so that the host closes many of them.
+        """
+
+        async def send_again() -> None:
+            while True:
+                with contextlib.suppress(OSError):
+                    reader, writer = await asyncio.open_connection(*address)
+                    self._writers.append(writer)
+                    for start in range(0, len(data), SEND_SIZE):
+                        writer.write(data[start : start + SEND_SIZE])
+                        await writer.drain()
+                    await reader.read()
+                await anyio.sleep(RENEW_S)
+
+        with anyio.move_on_after(SEND_S):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(count):
+                    tasks.start_soon(send_again)
+
     def leave(self) -> None:
         """Closes all connections."""
         for writer in self._writers:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -239,3 +239,25 @@
             )
 
     anyio.run(run)
+
+
+# Guards against a host that runs out of memory (review/13): the body of a
+# connection that was closed for its memory lived on in the task that read it.
+def test_large_bodies_that_stop_short_take_no_more_than_the_limits(tmp_path):
+    memory_mb = 300
+    body_bytes = 4_194_304
+    chunk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+
+    async def scenario() -> None:
+        async with run_host(
+            tmp_path, memory_mb=memory_mb, body_bytes=body_bytes
+        ) as host:
+            crowd = Crowd()
+            request = build_head("/read/x", CHUNKED) + 62 * chunk
+            await crowd.come_again(host.address(PORT), 200, request)
+            usage = host.measure()
+            assert usage.peak_mb <= memory_mb
+            await host.check_service()
+            crowd.leave()
+
+    anyio.run(scenario)
