Give the parser large parts of bodies with few lines

Cause: bodies were parsed 16 KB at a time, which took longer for large answers, so that more of them waited unparsed beside each other.

--- a/corianderdoor/adapters/parser_feed.py
+++ b/corianderdoor/adapters/parser_feed.py
@@ -14,9 +14,11 @@
 MAX_HEAD_BYTES: Final = 65_536
 # Lines of a head, or of trailers. A head of 16 KiB can't have more.
 MAX_HEAD_LINES: Final = 4_096
-# Bytes that the parser gets at once, before the head and after it.
+# Bytes that the parser gets at once: of a head, of a body, and of a body with
+# more lines than a head may have, as they may be trailers.
 HEAD_FEED_BYTES: Final = 4_096
-BODY_FEED_BYTES: Final = 16_384
+BODY_FEED_BYTES: Final = 65_536
+LINES_FEED_BYTES: Final = 16_384
 # The parser's bytes are counted again after it got this many, or as many as
 # it had, as that copies them.
 RECOUNT_BYTES: Final = 4_096
@@ -146,12 +148,16 @@
         if self.parser.their_state is not h11.SEND_BODY:
             size = HEAD_FEED_BYTES
         part = bytes(self._inbox[:size])
-        del self._inbox[:size]
+        lines = part.count(b"\n")
+        if lines > MAX_HEAD_LINES:
+            part = part[:LINES_FEED_BYTES]
+            lines = part.count(b"\n")
+        del self._inbox[: len(part)]
         self._needs_data = False
         self.parser.receive_data(part)
         self._fed_bytes += len(part)
         self._parser_bytes += len(part)
-        self._fed_lines += part.count(b"\n")
+        self._fed_lines += lines
         return True
 
     def _is_excessive(self) -> bool:
--- a/corianderdoor/standins/platform_worker.py
+++ b/corianderdoor/standins/platform_worker.py
@@ -11,7 +11,7 @@
 
 from ..adapters.http1_server import ReceivedRequest, ServerConnection
 from ..core.clock import MS_PER_SECOND, SystemClock
-from ..core.entry.routing import DEFAULT_LIMITS
+from ..core.entry.routing import CallerLimits
 from .bad_versions import BadVersion, SLOW
 from .brittleness import Brittleness
 
@@ -23,6 +23,9 @@
 # Speed at which an engine processes prompt tokens that are not cached.
 PREFILL_TOKENS_PER_MS: Final = 200.0
 
+# A worker takes the largest heads that a host passes on.
+LIMITS: Final = CallerLimits(65_536, 4_194_304, 3_000, 15_000)
+
 
 class Worker:
     """A worker with injectable faults.
@@ -150,7 +153,7 @@
 
     async def _serve_requests(self, conn: ServerConnection) -> None:
         while True:
-            received = await conn.read_request(DEFAULT_LIMITS)
+            received = await conn.read_request(LIMITS)
             if not isinstance(received, ReceivedRequest):
                 return
             if self.stopped or (
